--- /dev/null
+++ b/include/rhubarbpath/transport/http_server.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "absl/status/status.h"
+#include "rhubarbpath/state/units.hpp"
+#include "rhubarbpath/transport/event_loop.hpp"
+#include "rhubarbpath/transport/http.hpp"
+
+namespace rhubarbpath {
+
+namespace detail {
+struct pending_reply;
+}
+
+/// Answers one request, now or later, at most once. Copies share the one answer.
+class http_responder {
+ public:
+  explicit http_responder(std::shared_ptr<detail::pending_reply> pending) : pending_{std::move(pending)} {}
+
+  /// Does nothing when the caller has gone or was answered before.
+  void send(const http_response& response) const;
+  /// False once the caller's connection has closed or the answer was sent.
+  [[nodiscard]] bool open() const noexcept;
+
+ private:
+  std::shared_ptr<detail::pending_reply> pending_;
+};
+
+/// HTTP/1.1 server on libevhtp. The handler may keep the responder and answer later.
+class http_server {
+ public:
+  using handler = std::function<void(http_request, http_responder)>;
+
+  struct options {
+    std::string address{"127.0.0.1"};
+    std::uint16_t port{0};
+    std::uint64_t max_body_bytes{1U << 20U};
+    /// Largest sum of header names and values; more is answered with 431.
+    std::size_t max_header_bytes{16U << 10U};
+    duration idle_timeout{std::chrono::seconds{60}};
+  };
+
+  http_server(event_loop& loop, options opts, handler handle);
+  http_server(const http_server&) = delete;
+  http_server(http_server&&) = delete;
+  http_server& operator=(const http_server&) = delete;
+  http_server& operator=(http_server&&) = delete;
+  ~http_server();
+
+  /// Fails with `kUnavailable` when the address is in use.
+  [[nodiscard]] absl::Status listen();
+  /// Accepts no new connection; those that exist go on.
+  void stop_listening();
+  /// Requests whose answer has not been sent.
+  [[nodiscard]] std::size_t in_progress() const noexcept;
+
+ private:
+  struct implementation;
+  std::unique_ptr<implementation> implementation_;
+};
+
+}  // namespace rhubarbpath
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
