--- a/src/transport/peer_link.cpp
+++ b/src/transport/peer_link.cpp
@@ -155,7 +155,7 @@
   inner->stream.reset(
       bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
   inner->make_codec();
-  const std::shared_ptr<peer_link> link{new peer_link{std::move(inner)}};
+  std::shared_ptr<peer_link> link{new peer_link{std::move(inner)}};
   auto& self = *link->implementation_;
   self.attach(link.get());
   sockaddr_storage target{};
@@ -178,7 +178,7 @@
   inner->stream.reset(
       bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
   inner->make_codec();
-  const std::shared_ptr<peer_link> link{new peer_link{std::move(inner)}};
+  std::shared_ptr<peer_link> link{new peer_link{std::move(inner)}};
   auto& self = *link->implementation_;
   self.attach(link.get());
   disable_nagle(self.stream.get());
--- a/src/transport/websocket_codec.cpp
+++ b/src/transport/websocket_codec.cpp
@@ -1,6 +1,5 @@
 #include "rhubarbpath/transport/websocket_codec.hpp"
 
-#define _WEBSOCKETPP_CPP11_STL_
 #include <utility>
 #include <variant>
 #include <websocketpp/client.hpp>
@@ -25,22 +24,25 @@
     endpoint.clear_access_channels(websocketpp::log::alevel::all);
     endpoint.clear_error_channels(websocketpp::log::elevel::all);
     endpoint.set_max_message_size(max_message_bytes);
-    endpoint.set_open_handler([&calls](websocketpp::connection_hdl) { calls.on_open(); });
-    endpoint.set_close_handler([&calls](websocketpp::connection_hdl) { calls.on_closed(); });
-    endpoint.set_fail_handler([&calls](websocketpp::connection_hdl) { calls.on_closed(); });
-    endpoint.set_pong_handler([&calls](websocketpp::connection_hdl, const std::string&) { calls.on_pong(); });
-    endpoint.set_message_handler([&calls](websocketpp::connection_hdl, typename Endpoint::message_ptr msg) {
-      if (msg->get_opcode() == websocketpp::frame::opcode::binary) {
-        calls.on_message(msg->get_payload());
-      }
-    });
+    endpoint.set_open_handler([&calls](const websocketpp::connection_hdl&) { calls.on_open(); });
+    endpoint.set_close_handler([&calls](const websocketpp::connection_hdl&) { calls.on_closed(); });
+    endpoint.set_fail_handler([&calls](const websocketpp::connection_hdl&) { calls.on_closed(); });
+    endpoint.set_pong_handler(
+        [&calls](const websocketpp::connection_hdl&, const std::string&) { calls.on_pong(); });
+    endpoint.set_message_handler(
+        [&calls](const websocketpp::connection_hdl&, typename Endpoint::message_ptr msg) {
+          if (msg->get_opcode() == websocketpp::frame::opcode::binary) {
+            calls.on_message(msg->get_payload());
+          }
+        });
   }
 
   void attach(const websocket_codec::callbacks& calls) {
-    connection->set_write_handler([&calls](websocketpp::connection_hdl, const char* bytes, std::size_t size) {
-      calls.write(bytes, size);
-      return websocketpp::lib::error_code{};
-    });
+    connection->set_write_handler(
+        [&calls](const websocketpp::connection_hdl&, const char* bytes, std::size_t size) {
+          calls.write(bytes, size);
+          return websocketpp::lib::error_code{};
+        });
   }
 };
 
