--- a/include/rhubarbpath/transport/http.hpp
+++ b/include/rhubarbpath/transport/http.hpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -31,6 +32,8 @@
   std::string query;   ///< Without the question mark; empty when there is none.
   http_headers headers;
   std::string body;
+  /// Number of the server's connection that it came on; the client does not use it.
+  std::uint64_t connection{0};
 };
 
 struct http_response {
--- a/include/rhubarbpath/transport/http_server.hpp
+++ b/include/rhubarbpath/transport/http_server.hpp
@@ -57,6 +57,8 @@
   void stop_listening();
   /// Requests whose answer has not been sent.
   [[nodiscard]] std::size_t in_progress() const noexcept;
+  /// Number of the newest connection; connections are numbered from 1.
+  [[nodiscard]] std::uint64_t last_connection() const noexcept;
 
  private:
   struct implementation;
--- /dev/null
+++ b/src/programs/shared/cluster_node.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "deadline_timer.hpp"
+#include "peer_mesh.hpp"
+#include "rhubarbpath/coordination/config_distributor.hpp"
+#include "rhubarbpath/coordination/membership.hpp"
+#include "rhubarbpath/coordination/view_keeper.hpp"
+#include "rhubarbpath/state/random.hpp"
+#include "store_port.hpp"
+
+namespace rhubarbpath {
+
+/// One entry of the platform's VM list.
+struct listed_vm {
+  std::string id;
+  bool leaving{false};
+  std::string entry;      ///< Peer address of `rhubarb-entry`; empty for a worker.
+  std::string scheduler;  ///< Peer address of `rhubarb-scheduler`; empty for a worker.
+};
+
+/// Connects membership, the view and the document in force to links and store, for one process.
+class cluster_node {
+ public:
+  struct options {
+    member_info self;
+    std::string environment;
+    /// Entry daemons agree on a view in the store; schedulers only need the live list.
+    bool keeps_view{false};
+    std::vector<vm_hint> seeds;
+  };
+
+  struct callbacks {
+    std::function<void(const live_list_changed&)> on_live;
+    std::function<void(const view_adopted&)> on_view;
+    std::function<void(const versioned_document&)> on_document;
+    /// A newer process has this VM's id; this one must stop.
+    std::function<void()> on_superseded;
+  };
+
+  cluster_node(event_loop& loop, peer_mesh& mesh, store_port& store, random_source& random, options opts,
+               callbacks calls);
+
+  void start();
+  /// Returns false for a message that is not of membership or configuration.
+  bool on_message(const member_info& from, const peer::message& message);
+  void on_vm_list(const std::vector<listed_vm>& listed,
+                  const std::function<std::string(const listed_vm&)>& address);
+  void set_draining();
+  void set_loads(std::vector<peer::service_load> loads);
+  /// Tells the peers that this process exits.
+  void leave();
+
+  [[nodiscard]] const versioned_document& document() const noexcept { return config_.current(); }
+  [[nodiscard]] const view& current_view() const noexcept { return view_; }
+  [[nodiscard]] std::vector<live_member> live() const { return members_.live(); }
+  /// Peer address of a live member; empty when it is not known.
+  [[nodiscard]] std::string address_of(const vm_id& vm) const;
+
+ private:
+  void feed(const membership_event& event);
+  void feed(const view_keeper_event& event);
+  void feed(const config_distributor_event& event);
+  void run(const send_heartbeat& action);
+  void run(const live_list_changed& action);
+  void run(const staleness_changed& action);
+  void run(const superseded& action);
+  void run(const view_adopted& action);
+  void run(const send_fetch& action);
+  void run(const send_document& action);
+  void run(const document_adopted& action);
+  void run(const document_conflict& action);
+  void publish_status();
+  void rank_by_live_list(const live_list_changed& action);
+
+  event_loop& loop_;
+  peer_mesh& mesh_;
+  store_port& store_;
+  options options_;
+  callbacks calls_;
+  membership members_;
+  view_keeper views_;
+  config_distributor config_;
+  view view_;
+  local_status status_;
+  store_port::client view_client_;
+  store_port::client config_client_;
+  deadline_timer members_timer_;
+  deadline_timer views_timer_;
+  deadline_timer config_timer_;
+};
+
+/// Parses the body of `GET /vms`; entries that are malformed are left out.
+[[nodiscard]] std::vector<listed_vm> parse_vm_list(const std::string& body);
+
+}  // namespace rhubarbpath
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -9,6 +9,8 @@
 #include <array>
 #include <utility>
 
+#include "absl/container/flat_hash_map.h"
+
 namespace rhubarbpath {
 
 namespace detail {
@@ -101,10 +103,10 @@
 
 /// libevhtp drops a connection with a parse error without an answer. This writes one straight to the
 /// socket, because the connection's output buffer is discarded with it.
-evhtp_res on_connection_finished(evhtp_connection_t* connection, void* /*argument*/) {
+void answer_parse_error(evhtp_connection_t* connection) {
   const auto status = parse_error_answer(connection);
   if (status.empty()) {
-    return EVHTP_RES_OK;
+    return;
   }
   const auto answer = fmt::format("HTTP/1.1 {}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", status);
   send(connection->sock, answer.data(), answer.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
@@ -117,13 +119,6 @@
       break;
     }
   }
-  return EVHTP_RES_OK;
-}
-
-evhtp_res on_accepted(evhtp_connection_t* connection, void* /*argument*/) {
-  evhtp_connection_set_hook(connection, evhtp_hook_on_connection_fini, as_hook(&on_connection_finished),
-                            nullptr);
-  return EVHTP_RES_OK;
 }
 
 }  // namespace
@@ -134,6 +129,21 @@
   evhtp_t* server{nullptr};
   std::shared_ptr<std::size_t> in_progress{std::make_shared<std::size_t>(0)};
   bool listening{false};
+  std::uint64_t last_connection{0};
+  absl::flat_hash_map<evhtp_connection_t*, std::uint64_t> connections;
+
+  static evhtp_res on_accepted(evhtp_connection_t* connection, void* argument) {
+    auto* self = static_cast<implementation*>(argument);
+    self->connections[connection] = ++self->last_connection;
+    evhtp_connection_set_hook(connection, evhtp_hook_on_connection_fini, as_hook(&on_finished), self);
+    return EVHTP_RES_OK;
+  }
+
+  static evhtp_res on_finished(evhtp_connection_t* connection, void* argument) {
+    static_cast<implementation*>(argument)->connections.erase(connection);
+    answer_parse_error(connection);
+    return EVHTP_RES_OK;
+  }
 
   void on_request(evhtp_request_t* raw) {
     const auto pending = std::make_shared<detail::pending_reply>();
@@ -145,6 +155,7 @@
     evhtp_request_set_hook(raw, evhtp_hook_on_request_fini, as_hook(&on_request_finished), for_hook);
     const http_responder responder{pending};
     auto request = read_request(raw);
+    request.connection = connections[raw->conn];
     if (header_bytes(request.headers) > opts.max_header_bytes) {
       responder.send({.status = 431, .headers = {}, .body = "headers are larger than the limit\n"});
     } else {
@@ -189,7 +200,7 @@
     static_cast<implementation*>(argument)->on_request(raw);
   };
   evhtp_set_gencb(server, dispatch, implementation_.get());
-  evhtp_set_post_accept_cb(server, &on_accepted, nullptr);
+  evhtp_set_post_accept_cb(server, &implementation::on_accepted, implementation_.get());
 }
 
 http_server::~http_server() {
@@ -213,6 +224,10 @@
   }
 }
 
+std::uint64_t http_server::last_connection() const noexcept {
+  return implementation_->last_connection;
+}
+
 std::size_t http_server::in_progress() const noexcept {
   return *implementation_->in_progress;
 }
