Add the first version of the request router

Ruled out: a queue at the home VM for every forward. Its length would be known to the origin only after a message, so a burst would wait at a busy home while others idle. Only pulled work may wait at the home.

--- a/include/rhubarbpath/coordination/request_router.hpp
+++ b/include/rhubarbpath/coordination/request_router.hpp
@@ -79,9 +79,10 @@
 
 /// What an entry VM tells its peers; carried by heartbeats, load messages and forward answers.
 struct load_report {
-  /// Grows with each report of one incarnation; the receiver ignores a lower one.
+  /// Grows with the reports of one incarnation; the receiver ignores a lower one. Zero: no report.
   std::uint64_t sequence{0};
   bool draining{false};
+  /// A forward answer reports only the forward's service; those not named are unchanged.
   std::vector<service_load> services;
   /// Targets that said themselves, in an answer, that they are leaving.
   std::vector<worker_id> leaving;
@@ -359,8 +360,8 @@
     /// Wait before the first send to a target whose home was another VM. A former home that was
     /// paused has then learned that it is no longer the home, or its calls have ended.
     duration takeover_wait{std::chrono::seconds{2}};
-    /// Time without any event after which this process counts as paused: it sends nothing to
-    /// targets until the next `members_changed`, or for `takeover_wait`.
+    /// Time without any event after which this process counts as paused: it then sends nothing to
+    /// targets for `takeover_wait`, in which it learns whether it still is their home.
     duration pause_limit{std::chrono::seconds{1}};
     duration default_deadline{std::chrono::seconds{30}};
     /// Deadlines further away are cut to this, which bounds the time a request is remembered.
--- /dev/null
+++ b/src/coordination/class_queue.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <iterator>
+
+#include "absl/container/btree_map.h"
+
+namespace rhubarbpath::detail {
+
+/// Queue of one class: the teams take turns, and within a team the lower order number is first.
+template <class Item>
+class class_queue {
+ public:
+  void push(int team, std::uint64_t order, Item* item) {
+    teams_[team].emplace(order, item);
+    ++size_;
+  }
+
+  /// Returns false when the entry is not in the queue.
+  bool remove(int team, std::uint64_t order) {
+    const auto found = teams_.find(team);
+    if (found == teams_.end() || found->second.erase(order) == 0) {
+      return false;
+    }
+    if (found->second.empty()) {
+      teams_.erase(found);
+    }
+    --size_;
+    return true;
+  }
+
+  /// The entry whose turn it is; null when the queue is empty.
+  [[nodiscard]] Item* front() const {
+    if (teams_.empty()) {
+      return nullptr;
+    }
+    auto turn = teams_.upper_bound(last_team_);
+    if (turn == teams_.end()) {
+      turn = teams_.begin();
+    }
+    return turn->second.begin()->second;
+  }
+
+  /// Gives the turn to the team after this one.
+  void took_turn(int team) { last_team_ = team; }
+
+  /// The newest entry of the team with the most entries; null when the queue is empty.
+  [[nodiscard]] Item* newest_of_longest() const {
+    const team_queue* longest = nullptr;
+    for (const auto& [team, queue] : teams_) {
+      if (longest == nullptr || queue.size() > longest->size()) {
+        longest = &queue;
+      }
+    }
+    return longest == nullptr ? nullptr : std::prev(longest->end())->second;
+  }
+
+  [[nodiscard]] std::size_t size_of(int team) const {
+    const auto found = teams_.find(team);
+    return found == teams_.end() ? 0 : found->second.size();
+  }
+  [[nodiscard]] std::size_t size() const noexcept { return size_; }
+  [[nodiscard]] bool empty() const noexcept { return size_ == 0; }
+
+ private:
+  using team_queue = absl::btree_map<std::uint64_t, Item*>;
+  absl::btree_map<int, team_queue> teams_;
+  std::size_t size_{0};
+  int last_team_{-1};
+};
+
+}  // namespace rhubarbpath::detail
--- /dev/null
+++ b/src/coordination/request_router_dispatch.cpp
@@ -0,0 +1,292 @@
+#include <algorithm>
+#include <limits>
+#include <tuple>
+#include <utility>
+
+#include "request_router_impl.hpp"
+
+namespace rhubarbpath {
+
+using namespace routing;
+
+namespace {
+
+constexpr int any_rank = std::numeric_limits<int>::max();
+/// A trial call should be idempotent, because it is likely to fail. After this long without an
+/// idempotent request any request may be the trial.
+constexpr duration trial_patience = std::chrono::seconds{5};
+/// Preference for a peer in this failure domain, as a factor on its idle slots.
+constexpr int same_domain_weight = 4;
+/// Share of the own slots for which more urgent work of peers is fetched ahead of need. It covers
+/// the slots that free during the round trip of a pull.
+constexpr int slots_per_prefetch = 10;
+
+}  // namespace
+
+void request_router::implementation::dispatch_dirty() {
+  // Dispatching one service marks no other one, but an answer given meanwhile may mark its own.
+  for (auto& [id, service] : services_) {
+    if (service->dirty) {
+      dispatch(*service);
+    }
+  }
+}
+
+void request_router::implementation::dispatch(routed_service& service) {
+  service.dirty = false;
+  while (auto* item = next_work(service, any_rank, false)) {
+    auto* target = pick_target(service, *item);
+    if (target != nullptr) {
+      unqueue(*item);
+      send(*item, *target);
+      continue;
+    }
+    // A request that was forwarded here is not forwarded again.
+    if (item->source) {
+      item = next_work(service, any_rank, true);
+    }
+    if (item == nullptr || item->refused_forwards >= options_.max_forward_tries) {
+      break;
+    }
+    auto* peer = pick_peer(service);
+    if (peer == nullptr) {
+      break;
+    }
+    forward(*item, *peer, false);
+  }
+  pull(service);
+  service.dirty = false;
+}
+
+detail::work* request_router::implementation::next_work(routed_service& service, int max_rank,
+                                                        bool own_only) {
+  for (auto& request_class : service.classes) {
+    if (request_class->spec.rank > max_rank) {
+      break;
+    }
+    if (!own_only && !request_class->pulled.empty()) {
+      return request_class->pulled.front();
+    }
+    while (auto* item = request_class->queue.front()) {
+      if (request_class->queue.size() < 2 || !too_near_deadline(*item)) {
+        return item;
+      }
+      end_without_answer(*item, "the time left is too short for an answer under the present load",
+                         options_.retry_after);
+    }
+  }
+  return nullptr;
+}
+
+/// Under overload the oldest request is often so near its deadline that the slot would be wasted. A
+/// request whose caller allowed little time from the start is judged by half of that time.
+bool request_router::implementation::too_near_deadline(const work& item) const {
+  const duration left = item.content.deadline - now_;
+  const duration allowed = item.content.deadline - item.arrived_at;
+  const duration needed{static_cast<duration::rep>(item.request_class->attempt_time_p95)};
+  return left < std::min(needed, allowed / 2);
+}
+
+bool request_router::implementation::trial_fits(const routed_target& target, const work& item) const {
+  return target.trial_open && (!item.content.non_idempotent || now_ >= target.trial_since + trial_patience);
+}
+
+detail::routed_target* request_router::implementation::pick_target(const routed_service& service,
+                                                                   const work& item) const {
+  if (homes_held()) {
+    return nullptr;
+  }
+  routed_target* best = nullptr;
+  std::tuple<bool, bool, bool, int> best_cost;
+  for (auto* target : service.own) {
+    if (free_slots(*target) == 0) {
+      continue;
+    }
+    const bool trial = trial_fits(*target, item) && !target->leaving_listed && !target->leaving_said &&
+                       !target->leaving_at_peer;
+    if (trial) {
+      return target;
+    }
+    if (!target_open(*target)) {
+      continue;
+    }
+    const std::tuple cost{item.avoid && *item.avoid == target->id, target->suspect,
+                          target->failure_domain != options_.failure_domain, target->slots_used};
+    if (best == nullptr || cost < best_cost) {
+      best = target;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+detail::routed_peer* request_router::implementation::pick_peer(const routed_service& service) {
+  const auto weight = [&](const routed_peer& peer) -> int {
+    if (!peer.live() || peer.draining) {
+      return 0;
+    }
+    const auto found = peer.services.find(service.spec.id);
+    if (found == peer.services.end() || found->second.idle <= 0) {
+      return 0;
+    }
+    return found->second.idle * (peer.failure_domain == options_.failure_domain ? same_domain_weight : 1);
+  };
+  int total = 0;
+  for (const auto& [vm, peer] : peers_) {
+    total += weight(*peer);
+  }
+  if (total == 0) {
+    return nullptr;
+  }
+  // A weighted draw: were every VM to choose the peer with the most idle slots, that one would be
+  // flooded until its next report.
+  auto drawn = static_cast<int>(random_->below(static_cast<std::uint64_t>(total)));
+  for (const auto& [vm, peer] : peers_) {
+    drawn -= weight(*peer);
+    if (drawn < 0) {
+      return peer.get();
+    }
+  }
+  return nullptr;
+}
+
+void request_router::implementation::count_send(work& item) {
+  ++item.sends;
+  if (item.team != nullptr) {
+    item.request_class->queue.took_turn(item.team->index);
+  }
+  item.phase = detail::work_phase::in_flight;
+  if (item.counted || item.source) {
+    return;
+  }
+  item.counted = true;
+  retries_.count_first_send();
+  hedges_.count_first_send();
+  if (!item.content.non_idempotent && document_->budget.hedge_share > 0.0) {
+    const duration usual{static_cast<duration::rep>(item.request_class->attempt_time_p95)};
+    timers_.insert(
+        {now_ + std::max(options_.shortest_hedge_wait, usual), detail::timer_kind::hedge, item.number});
+  }
+}
+
+void request_router::implementation::send(work& item, routed_target& target) {
+  count_send(item);
+  const target_call_id call{next_call_++};
+  const bool trial = target.trial_open;
+  calls_[call] = {.target = &target, .work = item.number, .started = now_, .trial = trial};
+  item.attempts.push_back({false, call.value()});
+  ++target.slots_used;
+  ++target.connections_used;
+  ++target.service->slots_used;
+  emit(send_request{.call = call,
+                    .target = target.id,
+                    .attempt = attempt_number{static_cast<std::uint64_t>(item.sends)},
+                    .content = item.content,
+                    .intent = item.intent});
+  if (trial) {
+    feed_health(*target.service, health::trial_started{target.id});
+  }
+}
+
+void request_router::implementation::forward(work& item, routed_peer& peer, bool pulled) {
+  unqueue(item);
+  count_send(item);
+  const forward_id id{next_forward_++};
+  forwards_[id] = {
+      .work = item.number, .to = peer.vm, .to_incarnation = peer.vm_incarnation, .started = now_};
+  item.attempts.push_back({true, id.value()});
+  auto& state = peer.services[item.content.service];
+  state.idle = std::max(0, state.idle - 1);
+  emit(forward_request{.to = peer.vm,
+                       .to_incarnation = peer.vm_incarnation,
+                       .id = id,
+                       .content = item.content,
+                       .intent = item.intent,
+                       .avoid = item.avoid,
+                       .pulled = pulled});
+}
+
+int request_router::implementation::outstanding_pulls(const routed_service& service) {
+  int outstanding = 0;
+  for (auto& [vm, peer] : peers_) {
+    const auto found = peer->services.find(service.spec.id);
+    if (found == peer->services.end()) {
+      continue;
+    }
+    auto& state = found->second;
+    if (state.pull_ends && *state.pull_ends <= now_) {
+      state.pull_ends.reset();
+      state.pull_outstanding = 0;
+    }
+    outstanding += state.pull_outstanding;
+  }
+  return outstanding;
+}
+
+/// Asks peers for work: for idle slots when nothing waits here, and otherwise for work that is more
+/// urgent than what waits here, so that the class order holds across VMs.
+void request_router::implementation::pull(routed_service& service) {
+  if (draining_since_ || homes_held() || service.own.empty()) {
+    return;
+  }
+  int own_rank = any_rank;
+  int own_length = 0;
+  int fetched = 0;
+  for (const auto& request_class : service.classes) {
+    fetched += static_cast<int>(request_class->pulled.size());
+    const int length = static_cast<int>(request_class->queue.size());
+    if (length > 0 && own_rank == any_rank) {
+      own_rank = request_class->spec.rank;
+    }
+    own_length += request_class->spec.rank == own_rank ? length : 0;
+  }
+  const int slots = static_cast<int>(service.own.size()) * service.spec.slots_per_target;
+  const int prefetch = std::max(1, slots / slots_per_prefetch);
+  int wanted = (own_rank == any_rank ? idle_slots(service) : prefetch) - fetched;
+  if (wanted <= 0) {
+    return;
+  }
+  wanted -= outstanding_pulls(service);
+  while (wanted > 0) {
+    routed_peer* best = nullptr;
+    detail::peer_service* best_state = nullptr;
+    std::pair<int, int> best_cost;
+    for (auto& [vm, peer] : peers_) {
+      const auto found = peer->services.find(service.spec.id);
+      if (!peer->live() || found == peer->services.end() || found->second.queues.empty() ||
+          found->second.pull_outstanding > 0) {
+        continue;
+      }
+      const auto& first = found->second.queues.front();
+      const bool more_urgent = first.rank < own_rank;
+      const bool much_longer = first.rank == own_rank && first.length > 2 * own_length + prefetch;
+      const std::pair cost{first.rank, -first.length};
+      if ((more_urgent || much_longer) && (best == nullptr || cost < best_cost)) {
+        best = peer.get();
+        best_state = &found->second;
+        best_cost = cost;
+      }
+    }
+    if (best == nullptr) {
+      return;
+    }
+    const int count = std::min(wanted, -best_cost.second);
+    pull_from(service, *best, *best_state, count, own_rank == any_rank ? any_rank : best_cost.first);
+    wanted -= count;
+  }
+}
+
+void request_router::implementation::pull_from(routed_service& service, routed_peer& peer,
+                                               detail::peer_service& state, int count, int max_rank) {
+  state.pull_outstanding = count;
+  state.pull_ends = now_ + options_.pull_timeout;
+  add_wake(*state.pull_ends);
+  auto& first = state.queues.front();
+  first.length -= count;
+  if (first.length <= 0) {
+    state.queues.erase(state.queues.begin());
+  }
+  emit(pull_from_peer{.to = peer.vm, .service = service.spec.id, .count = count, .max_rank = max_rank});
+}
+
+}  // namespace rhubarbpath
