--- /dev/null
+++ b/include/rhubarbpath/coordination/membership.hpp
@@ -0,0 +1,173 @@
+#pragma once
+
+#include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_map.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "rhubarbpath/coordination/peer_types.hpp"
+#include "rhubarbpath/state/random.hpp"
+
+namespace rhubarbpath {
+
+/// A member that is believed to run.
+struct live_member {
+  member_info info;
+  bool draining{false};
+  bool suspected{false};
+  friend bool operator==(const live_member&, const live_member&) = default;
+};
+
+/// What heartbeats say about this VM besides its liveness.
+struct local_status {
+  view_number view;
+  peer::document_stamp document;
+  bool draining{false};
+  std::vector<peer::service_load> loads;
+};
+
+struct heartbeat_received {
+  vm_id from;
+  peer::heartbeat content;
+};
+
+/// An entry of the platform's VM list. It is only used to find peers to contact.
+struct vm_hint {
+  vm_id vm;
+  std::string address;
+};
+struct vm_list_changed {
+  std::vector<vm_hint> vms;
+};
+
+/// This process is about to exit.
+struct leave_requested {};
+struct membership_tick {};
+
+using membership_event =
+    std::variant<heartbeat_received, local_status, vm_list_changed, leave_requested, membership_tick>;
+
+struct send_heartbeat {
+  vm_id to;
+  std::string address;
+  peer::heartbeat content;
+};
+
+/// The live list changed; it includes this VM and is ordered by id.
+struct live_list_changed {
+  std::vector<live_member> members;
+};
+
+/// This VM was paused or cut off (`stale`), or is in touch again. A stale VM must not trust its view,
+/// its document version or its live list; the caller reads them again.
+struct staleness_changed {
+  bool stale{false};
+  duration gap{};  ///< Time without running or without hearing a peer.
+};
+
+/// A peer knows a newer incarnation of this VM's id; this process must stop.
+struct superseded {
+  incarnation newer;
+};
+
+using membership_action = std::variant<send_heartbeat, live_list_changed, staleness_changed, superseded>;
+
+/// Decides which members live. Every VM sends heartbeats to its successors on a hash ring and watches
+/// its predecessors, so that the cost per VM does not depend on the fleet's size.
+class membership {
+ public:
+  struct options {
+    member_info self;
+    duration heartbeat_interval{250'000};
+    /// Silence after which a predecessor is suspected: three lost heartbeats.
+    duration suspect_after{800'000};
+    /// Time for a suspected member to refute. The sum with `suspect_after` stays below the
+    /// detection target of 1.5 s.
+    duration confirm_after{450'000};
+    /// A gap between two ticks above this counts as a pause of this process.
+    duration pause_threshold{700'000};
+    /// Shortest time between two rounds of news, which bounds the cost of a burst of changes.
+    duration news_interval{20'000};
+    /// Interval of contacts to VMs that are known but not live.
+    duration probe_interval{1'000'000};
+    /// How long a dead member's entry rejects old news.
+    duration forget_after{600'000'000};
+    std::size_t successors{3};
+    std::size_t random_news_targets{2};
+  };
+
+  membership(options opts, random_source& random);
+
+  void handle(const membership_event& event, instant now, std::vector<membership_action>& out);
+  [[nodiscard]] std::optional<instant> next_deadline() const;
+
+  /// Live members including this VM, ordered by id.
+  [[nodiscard]] std::vector<live_member> live() const;
+  [[nodiscard]] bool stale() const noexcept { return stale_; }
+
+ private:
+  struct record {
+    peer::member_news news;
+    instant changed_at{};
+    instant heard_at{};    ///< Last heartbeat received directly.
+    instant watched_at{};  ///< When this VM became one of its successors.
+    bool watched{false};
+    int sends_left{0};  ///< Rounds of heartbeats that still carry this news.
+    std::optional<instant> mismatch_since;
+  };
+  using actions = std::vector<membership_action>;
+
+  void start(instant now);
+  void on(const heartbeat_received& event, instant now, actions& out);
+  void on(const local_status& event, instant now, actions& out);
+  void on(const vm_list_changed& event, instant now, actions& out);
+  void on(const leave_requested& event, instant now, actions& out);
+  void on(const membership_tick& event, instant now, actions& out);
+  void note_pause(instant now, actions& out);
+  void note_contact(instant now, actions& out);
+  void note_isolation(instant now, actions& out);
+  bool merge(const peer::member_news& news, instant now, actions& out);
+  void merge_own(const peer::member_news& news, actions& out);
+  void check_predecessors(instant now);
+  void expire(instant now);
+  void probe(instant now, actions& out);
+  void compare_digests(const heartbeat_received& event, record& sender, instant now, actions& out);
+  void send_round(instant now, bool with_random, actions& out);
+  void send_members(const vm_id& to, const std::string& address, actions& out);
+  [[nodiscard]] peer::heartbeat make_heartbeat() const;
+  void add_news(peer::heartbeat& content) const;
+  void rebuild_ring(instant now);
+  void publish(instant now, actions& out);
+  [[nodiscard]] bool is_live(const record& entry) const;
+  [[nodiscard]] int news_rounds() const;
+
+  options options_;
+  random_source& random_;
+  peer::member_news self_;
+  local_status status_;
+  absl::btree_map<vm_id, record> members_;  ///< All known members but this one.
+  std::vector<vm_hint> hints_;
+  std::vector<vm_id> ring_;  ///< Live members including this VM, in ring order.
+  std::vector<vm_id> successors_;
+  std::vector<vm_id> predecessors_;
+  std::vector<live_member> published_;
+  std::uint64_t live_digest_{0};
+  bool started_{false};
+  bool left_{false};
+  bool stale_{false};
+  bool news_pending_{false};
+  bool list_changed_{true};
+  instant last_run_{};
+  instant last_heard_{};
+  instant next_heartbeat_{};
+  instant next_news_{};
+  instant next_probe_{};
+  instant next_sync_{};
+};
+
+}  // namespace rhubarbpath
--- /dev/null
+++ b/include/rhubarbpath/protocol/peer_messages.hpp
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "rhubarbpath/coordination/peer_types.hpp"
+#include "rhubarbpath/state/job.hpp"
+
+/// Messages that only the daemons exchange, and the codec of all peer messages.
+namespace rhubarbpath::peer {
+
+/// First message on a link, in both directions.
+struct hello {
+  member_info sender;
+  std::uint32_t protocol_version{1};
+  friend bool operator==(const hello&, const hello&) = default;
+};
+
+/// A service request that another entry VM is to serve.
+struct forward_request {
+  request_id id;  ///< Chosen by the sender; the answer repeats it.
+  service_id service;
+  class_id request_class;
+  team_id team;
+  idempotency_key key;
+  bool non_idempotent{false};
+  bool first_attempt{false};
+  duration deadline{};  ///< Remaining time when the message was sent.
+  std::string body;
+  std::string traceparent;
+  friend bool operator==(const forward_request&, const forward_request&) = default;
+};
+
+struct forward_answer {
+  request_id id;
+  outcome result;
+  std::uint32_t status{0};  ///< HTTP status of the target's answer; 0 when none came.
+  std::string body;
+  friend bool operator==(const forward_answer&, const forward_answer&) = default;
+};
+
+/// Asks for queued requests of a service; the sender has this many idle slots.
+struct pull_work {
+  service_id service;
+  std::uint32_t slots{0};
+  friend bool operator==(const pull_work&, const pull_work&) = default;
+};
+
+/// Hands an accepted job to the owner of its failure domain.
+struct submit_job {
+  request_id id;
+  job_id job;
+  failure_domain_id failure_domain;
+  job_spec spec;
+  std::string traceparent;
+  friend bool operator==(const submit_job&, const submit_job&) = default;
+};
+
+struct query_job {
+  request_id id;
+  job_id job;
+  friend bool operator==(const query_job&, const query_job&) = default;
+};
+
+struct cancel_job {
+  request_id id;
+  job_id job;
+  friend bool operator==(const cancel_job&, const cancel_job&) = default;
+};
+
+/// Answers `submit_job`, `query_job` and `cancel_job`.
+struct job_answer {
+  request_id id;
+  job_id job;
+  outcome result;
+  std::optional<job_record> record;  ///< Absent when the job is unknown to the answering owner.
+  friend bool operator==(const job_answer&, const job_answer&) = default;
+};
+
+/// The sender holds the lease of the failure domain.
+struct owner_announcement {
+  failure_domain_id failure_domain;
+  epoch owned;
+  std::string address;
+  friend bool operator==(const owner_announcement&, const owner_announcement&) = default;
+};
+
+using message = std::variant<hello, heartbeat, forward_request, forward_answer, pull_work, record_intent,
+                             withdraw_intent, intent_answer, finish_intent, transfer_intents, fetch_document,
+                             document, submit_job, query_job, cancel_job, job_answer, owner_announcement>;
+
+/// Largest encoded message that is decoded, in bytes. Holds a transfer part with one largest body.
+inline constexpr std::size_t max_message_bytes = 2'500'000;
+
+/// The `type` field of the message, for example "heartbeat".
+[[nodiscard]] std::string_view type_name(const message& value);
+
+/// CBOR map with a `type` field.
+[[nodiscard]] std::string encode(const message& value);
+
+/// Fails with `kInvalidArgument` on malformed CBOR, an unknown type, a missing or wrong field, or a
+/// size above its bound. Unknown fields are ignored, so that a newer peer can add fields.
+[[nodiscard]] absl::StatusOr<message> decode(std::string_view bytes);
+
+}  // namespace rhubarbpath::peer
