--- a/include/rhubarbpath/coordination/membership.hpp
+++ b/include/rhubarbpath/coordination/membership.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <absl/container/btree_map.h>
-#include <absl/container/flat_hash_map.h>
+#include <absl/container/btree_set.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -134,16 +134,19 @@
   bool merge(const peer::member_news& news, instant now, actions& out);
   void merge_own(const peer::member_news& news, actions& out);
   void check_predecessors(instant now);
-  void expire(instant now);
+  void confirm_suspects(instant now);
+  void forget(instant now);
+  void change_state(const vm_id& vm, record& entry, peer::member_state state, instant now);
+  void spread(const vm_id& vm, record& entry, instant now);
   void probe(instant now, actions& out);
   void compare_digests(const heartbeat_received& event, record& sender, instant now, actions& out);
   void send_round(instant now, bool with_random, actions& out);
   void send_members(const vm_id& to, const std::string& address, actions& out);
   [[nodiscard]] peer::heartbeat make_heartbeat() const;
-  void add_news(peer::heartbeat& content) const;
+  void add_news(peer::heartbeat& content);
   void rebuild_ring(instant now);
   void publish(instant now, actions& out);
-  [[nodiscard]] bool is_live(const record& entry) const;
+  [[nodiscard]] static bool is_live(const record& entry);
   [[nodiscard]] int news_rounds() const;
 
   options options_;
@@ -151,6 +154,8 @@
   peer::member_news self_;
   local_status status_;
   absl::btree_map<vm_id, record> members_;  ///< All known members but this one.
+  absl::btree_set<vm_id> spreading_;        ///< Members whose news is still sent.
+  absl::btree_set<vm_id> suspects_;
   std::vector<vm_hint> hints_;
   std::vector<vm_id> ring_;  ///< Live members including this VM, in ring order.
   std::vector<vm_id> successors_;
@@ -168,6 +173,7 @@
   instant next_news_{};
   instant next_probe_{};
   instant next_sync_{};
+  instant next_forget_{};
 };
 
 }  // namespace rhubarbpath
--- /dev/null
+++ b/src/coordination/config_distributor.cpp
@@ -0,0 +1,188 @@
+#include "rhubarbpath/coordination/config_distributor.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarbpath {
+
+namespace {
+
+/// Members of the view that watch the store.
+constexpr std::size_t watcher_count = 2;
+
+}  // namespace
+
+config_distributor::config_distributor(options opts, random_source& random)
+    : options_{std::move(opts)}, random_{random} {}
+
+void config_distributor::handle(const config_distributor_event& event, instant now,
+                                std::vector<config_distributor_action>& out) {
+  if (!started_) {
+    started_ = true;
+    last_peer_ = now;
+    next_call_at_ = now;
+  }
+  std::visit([&](const auto& value) { on(value, now, out); }, event);
+  if (call_ && now >= call_->expires) {
+    // A watch that went silent, or a lost answer. A read shows what it may have hidden.
+    call_.reset();
+    read_first_ = true;
+    next_call_at_ = now;
+  }
+  if (fetch_ && now >= fetch_->expires) {
+    announced_.erase(fetch_->from);
+    fetch_.reset();
+  }
+  fetch_next(now, out);
+  if (!call_ && watches(now) && (!next_call_at_ || *next_call_at_ > now + options_.retry_interval * 2)) {
+    next_call_at_ = now;
+  }
+  if (!call_ && next_call_at_ && now >= *next_call_at_) {
+    call_store(now, out);
+  }
+}
+
+std::optional<instant> config_distributor::next_deadline() const {
+  if (!started_) {
+    return instant{};
+  }
+  auto deadline = last_peer_ + options_.peer_silence;
+  if (call_) {
+    deadline = call_->expires;
+  } else if (next_call_at_) {
+    deadline = std::min(deadline, *next_call_at_);
+  }
+  if (fetch_) {
+    deadline = std::min(deadline, fetch_->expires);
+  }
+  return deadline;
+}
+
+peer::document_stamp config_distributor::stamp() const {
+  return {.version = current_.version, .digest = current_.digest};
+}
+
+void config_distributor::on(const document_heard& event, instant now, actions& out) {
+  last_peer_ = now;
+  if (event.stamp.version > current_.version) {
+    announced_[event.from] = event.stamp;
+    return;
+  }
+  announced_.erase(event.from);
+  if (event.stamp.version == current_.version && event.stamp.digest != current_.digest) {
+    out.emplace_back(document_conflict{.stamp = event.stamp});
+  }
+}
+
+void config_distributor::on(const fetch_received& event, instant, actions& out) {
+  if (current_.version != document_version{} && current_.version >= event.content.version) {
+    out.emplace_back(send_document{.to = event.from, .content = {.content = current_}});
+  }
+}
+
+void config_distributor::on(const document_received& event, instant, actions& out) {
+  const auto& found = event.content.content;
+  const bool expected = fetch_ && fetch_->from == event.from;
+  if (expected) {
+    fetch_.reset();
+  }
+  announced_.erase(event.from);
+  if (found.version > current_.version && options_.verify(found)) {
+    adopt(found, out);
+  }
+}
+
+void config_distributor::on(const view_adopted& event, instant, actions&) {
+  fleet_ = std::max<std::size_t>(1, event.adopted.members.size());
+  rank_.reset();
+  if (event.adopted.contains(options_.self)) {
+    rank_ = rank_of(event.adopted.members, options_.self.vm);
+  }
+}
+
+void config_distributor::on(const staleness_changed& event, instant now, actions&) {
+  if (!event.stale) {
+    return;
+  }
+  // A watch from before the pause may have lost its answer.
+  read_first_ = true;
+  next_call_at_ = now;
+  call_.reset();
+}
+
+void config_distributor::on(const store_answered& event, instant now, actions& out) {
+  if (!call_ || call_->id != event.call) {
+    return;
+  }
+  call_.reset();
+  if (std::holds_alternative<store_failure>(event.response)) {
+    read_first_ = true;
+    next_call_at_ = now + random_.jittered(options_.retry_interval);
+    return;
+  }
+  if (const auto* const rows = std::get_if<store_rows>(&event.response);
+      rows != nullptr && !rows->rows.empty()) {
+    const auto& row = rows->rows.front();
+    row_revision_ = std::max(row_revision_, row.at);
+    const auto found = options_.decode_row(row);
+    if (found && found->version > current_.version && options_.verify(*found)) {
+      adopt(*found, out);
+    } else if (found && found->version == current_.version && found->digest != current_.digest) {
+      out.emplace_back(document_conflict{.stamp = {.version = found->version, .digest = found->digest}});
+    }
+  }
+  read_first_ = false;
+  schedule_read(now);
+}
+
+void config_distributor::on(const config_distributor_tick&, instant, actions&) {}
+
+void config_distributor::adopt(const versioned_document& found, actions& out) {
+  current_ = found;
+  for (auto it = announced_.begin(); it != announced_.end();) {
+    it = it->second.version <= current_.version ? announced_.erase(it) : std::next(it);
+  }
+  out.emplace_back(document_adopted{.document = current_});
+}
+
+void config_distributor::fetch_next(instant now, actions& out) {
+  if (fetch_ || announced_.empty()) {
+    return;
+  }
+  const auto best = std::max_element(
+      announced_.begin(), announced_.end(),
+      [](const auto& left, const auto& right) { return left.second.version < right.second.version; });
+  fetch_ = pending_fetch{.from = best->first, .expires = now + options_.fetch_timeout};
+  out.emplace_back(send_fetch{.to = best->first, .content = {.version = best->second.version}});
+}
+
+void config_distributor::call_store(instant now, actions& out) {
+  const call_id id{next_call_++};
+  next_call_at_.reset();
+  // A watch needs a revision to start from, and a VM that does not watch only reads.
+  const bool watch = watches(now) && !read_first_;
+  const auto wait = watch ? options_.watch_wait + options_.watch_grace : options_.call_timeout;
+  call_ = pending_call{.id = id, .watch = watch, .expires = now + wait};
+  if (watch) {
+    out.emplace_back(store_call{
+        .call = id,
+        .request = store_watch{.key = options_.key, .after = row_revision_, .wait = options_.watch_wait}});
+  } else {
+    out.emplace_back(store_call{.call = id, .request = store_get{.key = options_.key}});
+  }
+}
+
+void config_distributor::schedule_read(instant now) {
+  if (watches(now)) {
+    next_call_at_ = now;
+    return;
+  }
+  read_first_ = true;
+  next_call_at_ = now + random_.jittered(options_.background_read * static_cast<duration::rep>(fleet_));
+}
+
+bool config_distributor::watches(instant now) const {
+  return (rank_ && *rank_ < watcher_count) || now - last_peer_ >= options_.peer_silence;
+}
+
+}  // namespace rhubarbpath
--- /dev/null
+++ b/src/coordination/membership.cpp
@@ -0,0 +1,477 @@
+#include "rhubarbpath/coordination/membership.hpp"
+
+#include <algorithm>
+#include <bit>
+#include <utility>
+
+#include "hashing.hpp"
+
+namespace rhubarbpath {
+
+namespace {
+
+using peer::member_news;
+using peer::member_state;
+
+/// True when `left` supersedes `right` for the same VM.
+bool supersedes(const member_news& left, const member_news& right) {
+  if (left.member.id.incarnation != right.member.id.incarnation) {
+    return left.member.id.incarnation > right.member.id.incarnation;
+  }
+  // A departure is final for its incarnation.
+  if ((left.state == member_state::left) != (right.state == member_state::left)) {
+    return left.state == member_state::left;
+  }
+  if (left.round != right.round) {
+    return left.round > right.round;
+  }
+  if (left.state != right.state) {
+    return left.state > right.state;
+  }
+  return left.draining && !right.draining;
+}
+
+std::uint64_t fingerprint(const member_info& member, bool draining) {
+  return detail::mix(detail::stable_hash(member.id.vm.value()),
+                     member.id.incarnation.value() * 2 + (draining ? 1 : 0));
+}
+
+}  // namespace
+
+membership::membership(options opts, random_source& random) : options_{std::move(opts)}, random_{random} {
+  self_.member = options_.self;
+}
+
+void membership::handle(const membership_event& event, instant now, std::vector<membership_action>& out) {
+  if (!started_) {
+    start(now);
+  }
+  note_pause(now, out);
+  std::visit([&](const auto& value) { on(value, now, out); }, event);
+  if (!left_) {
+    check_predecessors(now);
+    confirm_suspects(now);
+    forget(now);
+    publish(now, out);
+    if (now >= next_heartbeat_) {
+      send_round(now, false, out);
+      next_heartbeat_ = now + options_.heartbeat_interval;
+    }
+    if (news_pending_ && now >= next_news_) {
+      send_round(now, true, out);
+      news_pending_ = false;
+      next_news_ = now + options_.news_interval;
+    }
+    if (now >= next_probe_) {
+      probe(now, out);
+      next_probe_ = now + options_.probe_interval;
+    }
+    note_isolation(now, out);
+  }
+  last_run_ = now;
+}
+
+std::optional<instant> membership::next_deadline() const {
+  if (!started_) {
+    return instant{};
+  }
+  if (left_) {
+    return std::nullopt;
+  }
+  auto deadline = std::min(next_heartbeat_, next_probe_);
+  if (news_pending_) {
+    deadline = std::min(deadline, next_news_);
+  }
+  for (const auto& vm : suspects_) {
+    deadline = std::min(deadline, members_.at(vm).changed_at + options_.confirm_after);
+  }
+  for (const auto& vm : predecessors_) {
+    const auto found = members_.find(vm);
+    if (found != members_.end() && found->second.news.state == member_state::alive) {
+      deadline = std::min(
+          deadline, std::max(found->second.heard_at, found->second.watched_at) + options_.suspect_after);
+    }
+  }
+  return deadline;
+}
+
+std::vector<live_member> membership::live() const {
+  std::vector<live_member> result;
+  result.push_back({.info = self_.member, .draining = self_.draining, .suspected = false});
+  for (const auto& [vm, entry] : members_) {
+    if (is_live(entry)) {
+      result.push_back({.info = entry.news.member,
+                        .draining = entry.news.draining,
+                        .suspected = entry.news.state == member_state::suspect});
+    }
+  }
+  std::sort(result.begin(), result.end(),
+            [](const auto& left, const auto& right) { return left.info.id < right.info.id; });
+  return result;
+}
+
+void membership::start(instant now) {
+  started_ = true;
+  last_run_ = now;
+  last_heard_ = now;
+  next_heartbeat_ = now;
+  next_probe_ = now;
+  next_news_ = now;
+  next_sync_ = now;
+  rebuild_ring(now);
+}
+
+void membership::on(const heartbeat_received& event, instant now, actions& out) {
+  const auto& sender = event.content.sender;
+  if (sender.member.id.vm == self_.member.id.vm) {
+    return;
+  }
+  const auto known = members_.find(sender.member.id.vm);
+  const bool outdated =
+      known != members_.end() && known->second.news.member.id.incarnation > sender.member.id.incarnation;
+  if (outdated) {
+    // The sender's successor has already announced itself; the old process learns that it must stop.
+    send_members(sender.member.id.vm, sender.member.address, out);
+    return;
+  }
+  note_contact(now, out);
+  merge(sender, now, out);
+  for (const auto& news : event.content.news) {
+    merge(news, now, out);
+  }
+  auto& entry = members_[sender.member.id.vm];
+  entry.heard_at = now;
+  if (entry.news.state == member_state::dead || entry.news.state == member_state::suspect) {
+    // The sender lives: it must learn of the suspicion to refute it.
+    auto content = make_heartbeat();
+    content.news.push_back(entry.news);
+    out.emplace_back(send_heartbeat{
+        .to = sender.member.id.vm, .address = sender.member.address, .content = std::move(content)});
+  }
+  if (event.content.reply_wanted) {
+    send_members(sender.member.id.vm, sender.member.address, out);
+  }
+  compare_digests(event, entry, now, out);
+}
+
+void membership::on(const local_status& event, instant, actions&) {
+  const bool urgent = event.view != status_.view || event.document.version != status_.document.version ||
+                      event.draining != status_.draining;
+  if (event.draining && !self_.draining) {
+    self_.draining = true;
+    ++self_.round;
+    list_changed_ = true;
+  }
+  status_ = event;
+  news_pending_ = news_pending_ || urgent;
+}
+
+void membership::on(const vm_list_changed& event, instant, actions&) {
+  hints_ = event.vms;
+}
+
+void membership::on(const leave_requested&, instant now, actions& out) {
+  self_.state = member_state::left;
+  send_round(now, true, out);
+  left_ = true;
+}
+
+void membership::on(const membership_tick&, instant, actions&) {}
+
+void membership::note_pause(instant now, actions& out) {
+  const auto gap = now - last_run_;
+  if (gap <= options_.pause_threshold) {
+    return;
+  }
+  // Silence during an own pause says nothing about the others, so their time starts again.
+  for (auto& [vm, entry] : members_) {
+    entry.watched_at = now;
+    entry.heard_at = now;
+    if (entry.news.state == member_state::suspect) {
+      entry.changed_at = now;
+    }
+  }
+  last_heard_ = now;
+  ++self_.round;
+  news_pending_ = true;
+  stale_ = true;
+  out.emplace_back(staleness_changed{.stale = true, .gap = gap});
+}
+
+void membership::note_contact(instant now, actions& out) {
+  last_heard_ = now;
+  if (stale_) {
+    stale_ = false;
+    out.emplace_back(staleness_changed{.stale = false, .gap = {}});
+  }
+}
+
+void membership::note_isolation(instant now, actions& out) {
+  const auto silence = now - last_heard_;
+  const bool expects_peers = ring_.size() > 1;
+  if (stale_ || !expects_peers || silence <= options_.suspect_after + options_.confirm_after) {
+    return;
+  }
+  stale_ = true;
+  out.emplace_back(staleness_changed{.stale = true, .gap = silence});
+}
+
+bool membership::merge(const member_news& news, instant now, actions& out) {
+  if (news.member.id.vm == self_.member.id.vm) {
+    merge_own(news, out);
+    return false;
+  }
+  const auto found = members_.find(news.member.id.vm);
+  if (found != members_.end() && !supersedes(news, found->second.news)) {
+    return false;
+  }
+  const bool was_live = found != members_.end() && is_live(found->second);
+  auto& entry = members_[news.member.id.vm];
+  const bool same_process = entry.news.member.id == news.member.id;
+  entry.news = news;
+  spread(news.member.id.vm, entry, now);
+  if (!was_live || !same_process) {
+    entry.watched_at = now;
+    entry.heard_at = now;
+    entry.mismatch_since.reset();
+  }
+  return true;
+}
+
+void membership::merge_own(const member_news& news, actions& out) {
+  if (news.member.id.incarnation > self_.member.id.incarnation) {
+    out.emplace_back(superseded{.newer = news.member.id.incarnation});
+    return;
+  }
+  if (news.member.id.incarnation < self_.member.id.incarnation || left_) {
+    return;
+  }
+  const bool accused = news.state != member_state::alive;
+  if (accused && news.round >= self_.round) {
+    self_.round = news.round + 1;
+    news_pending_ = true;
+  } else if (news.round > self_.round) {
+    self_.round = news.round + 1;
+    news_pending_ = true;
+  }
+}
+
+void membership::check_predecessors(instant now) {
+  for (const auto& vm : predecessors_) {
+    const auto found = members_.find(vm);
+    if (found == members_.end() || found->second.news.state != member_state::alive) {
+      continue;
+    }
+    auto& entry = found->second;
+    if (now - std::max(entry.heard_at, entry.watched_at) < options_.suspect_after) {
+      continue;
+    }
+    change_state(vm, entry, member_state::suspect, now);
+  }
+}
+
+void membership::confirm_suspects(instant now) {
+  const auto suspects = suspects_;
+  for (const auto& vm : suspects) {
+    auto& entry = members_[vm];
+    if (now - entry.changed_at >= options_.confirm_after) {
+      change_state(vm, entry, member_state::dead, now);
+    }
+  }
+}
+
+void membership::forget(instant now) {
+  if (now < next_forget_) {
+    return;
+  }
+  next_forget_ = now + options_.forget_after / 10;
+  for (auto it = members_.begin(); it != members_.end();) {
+    const bool forgotten = !is_live(it->second) && now - it->second.changed_at >= options_.forget_after;
+    if (forgotten) {
+      spreading_.erase(it->first);
+    }
+    it = forgotten ? members_.erase(it) : std::next(it);
+  }
+}
+
+void membership::change_state(const vm_id& vm, record& entry, member_state state, instant now) {
+  entry.news.state = state;
+  spread(vm, entry, now);
+}
+
+void membership::spread(const vm_id& vm, record& entry, instant now) {
+  entry.changed_at = now;
+  entry.sends_left = news_rounds();
+  spreading_.insert(vm);
+  if (entry.news.state == member_state::suspect) {
+    suspects_.insert(vm);
+  } else {
+    suspects_.erase(vm);
+  }
+  news_pending_ = true;
+  list_changed_ = true;
+}
+
+void membership::probe(instant, actions& out) {
+  std::vector<vm_hint> candidates;
+  for (const auto& hint : hints_) {
+    const auto found = members_.find(hint.vm);
+    if (hint.vm != self_.member.id.vm && (found == members_.end() || !is_live(found->second))) {
+      candidates.push_back(hint);
+    }
+  }
+  for (const auto& [vm, entry] : members_) {
+    if (entry.news.state == member_state::dead) {
+      candidates.push_back({.vm = vm, .address = entry.news.member.address});
+    }
+  }
+  if (candidates.empty()) {
+    return;
+  }
+  const auto& chosen = candidates[random_.below(candidates.size())];
+  auto content = make_heartbeat();
+  content.reply_wanted = true;
+  if (const auto found = members_.find(chosen.vm); found != members_.end()) {
+    content.news.push_back(found->second.news);
+  }
+  out.emplace_back(send_heartbeat{.to = chosen.vm, .address = chosen.address, .content = std::move(content)});
+}
+
+void membership::compare_digests(const heartbeat_received& event, record& sender, instant now, actions& out) {
+  if (event.content.live_digest == live_digest_) {
+    sender.mismatch_since.reset();
+    return;
+  }
+  if (!sender.mismatch_since) {
+    sender.mismatch_since = now;
+    return;
+  }
+  // News in flight explains a short difference. A lasting one means that news was lost.
+  if (now - *sender.mismatch_since < 2 * options_.heartbeat_interval || now < next_sync_) {
+    return;
+  }
+  next_sync_ = now + options_.probe_interval;
+  sender.mismatch_since = now;
+  send_members(sender.news.member.id.vm, sender.news.member.address, out);
+}
+
+void membership::send_round(instant, bool with_random, actions& out) {
+  auto content = make_heartbeat();
+  add_news(content);
+  absl::btree_map<vm_id, std::string> targets;
+  for (const auto& vm : successors_) {
+    targets.emplace(vm, members_[vm].news.member.address);
+  }
+  for (std::size_t pick = 0; with_random && pick < options_.random_news_targets && ring_.size() > 1; ++pick) {
+    const auto& vm = ring_[random_.below(ring_.size())];
+    if (vm != self_.member.id.vm) {
+      targets.emplace(vm, members_[vm].news.member.address);
+    }
+  }
+  for (const auto& vm : suspects_) {
+    const auto& entry = members_[vm];
+    if (with_random) {
+      // The suspect itself must learn of the suspicion while it can still refute it.
+      targets.emplace(vm, entry.news.member.address);
+    }
+  }
+  for (const auto& [vm, address] : targets) {
+    out.emplace_back(send_heartbeat{.to = vm, .address = address, .content = content});
+  }
+}
+
+void membership::send_members(const vm_id& to, const std::string& address, actions& out) {
+  auto content = make_heartbeat();
+  const auto flush = [&] {
+    out.emplace_back(send_heartbeat{.to = to, .address = address, .content = content});
+    content.news.clear();
+  };
+  for (const auto& [vm, entry] : members_) {
+    content.news.push_back(entry.news);
+    if (content.news.size() == peer::max_news) {
+      flush();
+    }
+  }
+  if (!content.news.empty() || members_.empty()) {
+    flush();
+  }
+}
+
+peer::heartbeat membership::make_heartbeat() const {
+  return {.sender = self_,
+          .view = status_.view,
+          .document = status_.document,
+          .live_digest = live_digest_,
+          .reply_wanted = false,
+          .loads = status_.loads,
+          .news = {}};
+}
+
+void membership::add_news(peer::heartbeat& content) {
+  for (auto it = spreading_.begin(); it != spreading_.end() && content.news.size() < peer::max_news;) {
+    auto& entry = members_[*it];
+    content.news.push_back(entry.news);
+    --entry.sends_left;
+    it = entry.sends_left <= 0 ? spreading_.erase(it) : std::next(it);
+  }
+}
+
+void membership::rebuild_ring(instant now) {
+  std::vector<std::pair<std::uint64_t, vm_id>> order;
+  order.emplace_back(detail::stable_hash(self_.member.id.vm.value()), self_.member.id.vm);
+  for (const auto& [vm, entry] : members_) {
+    if (is_live(entry)) {
+      order.emplace_back(detail::stable_hash(vm.value()), vm);
+    }
+  }
+  std::sort(order.begin(), order.end());
+  ring_.clear();
+  for (auto& [hash, vm] : order) {
+    ring_.push_back(std::move(vm));
+  }
+  const auto own =
+      static_cast<std::size_t>(std::find(ring_.begin(), ring_.end(), self_.member.id.vm) - ring_.begin());
+  const auto others = ring_.size() - 1;
+  const auto watched = std::min(options_.successors, others);
+  successors_.clear();
+  std::vector<vm_id> predecessors;
+  for (std::size_t step = 1; step <= watched; ++step) {
+    successors_.push_back(ring_[(own + step) % ring_.size()]);
+    predecessors.push_back(ring_[(own + ring_.size() - step) % ring_.size()]);
+  }
+  for (const auto& vm : predecessors) {
+    if (std::find(predecessors_.begin(), predecessors_.end(), vm) == predecessors_.end()) {
+      members_[vm].watched_at = now;
+    }
+  }
+  predecessors_ = std::move(predecessors);
+}
+
+void membership::publish(instant now, actions& out) {
+  if (!list_changed_) {
+    return;
+  }
+  list_changed_ = false;
+  rebuild_ring(now);
+  auto members = live();
+  live_digest_ = 0;
+  for (const auto& member : members) {
+    live_digest_ ^= fingerprint(member.info, member.draining);
+  }
+  if (members == published_) {
+    return;
+  }
+  published_ = members;
+  out.emplace_back(live_list_changed{.members = std::move(members)});
+}
+
+bool membership::is_live(const record& entry) {
+  return entry.news.state == member_state::alive || entry.news.state == member_state::suspect;
+}
+
+int membership::news_rounds() const {
+  // Three times the depth of a gossip tree, so that single losses do not stop the news.
+  return 3 + static_cast<int>(std::bit_width(members_.size() + 1));
+}
+
+}  // namespace rhubarbpath
