--- a/include/rhubarbpath/coordination/config_distributor.hpp
+++ b/include/rhubarbpath/coordination/config_distributor.hpp
@@ -31,7 +31,7 @@
 struct config_distributor_tick {};
 
 using config_distributor_event = std::variant<document_heard, fetch_received, document_received, view_adopted,
-                                              staleness_changed, store_answered, config_distributor_tick>;
+                                              staleness_changed, row_answered, config_distributor_tick>;
 
 struct send_fetch {
   vm_id to;
@@ -51,7 +51,7 @@
 };
 
 using config_distributor_action =
-    std::variant<store_call, send_fetch, send_document, document_adopted, document_conflict>;
+    std::variant<row_call, send_fetch, send_document, document_adopted, document_conflict>;
 
 /// Brings the highest promoted document into force on every VM; the version never decreases.
 class config_distributor {
@@ -102,7 +102,7 @@
   void on(const document_received& event, instant now, actions& out);
   void on(const view_adopted& event, instant now, actions& out);
   void on(const staleness_changed& event, instant now, actions& out);
-  void on(const store_answered& event, instant now, actions& out);
+  void on(const row_answered& event, instant now, actions& out);
   void on(const config_distributor_tick& event, instant now, actions& out);
   void adopt(const versioned_document& found, actions& out);
   void fetch_next(instant now, actions& out);
--- a/include/rhubarbpath/coordination/request_router.hpp
+++ b/include/rhubarbpath/coordination/request_router.hpp
@@ -37,6 +37,7 @@
   bool non_idempotent{false};
   instant deadline{};  ///< Absolute. The shells send the remaining time and convert it.
   shared_body body;
+  std::string traceparent;  ///< Trace context of the hop before; passed on unread.
 };
 
 /// Names the intent of one non-idempotent request.
--- a/include/rhubarbpath/coordination/view_keeper.hpp
+++ b/include/rhubarbpath/coordination/view_keeper.hpp
@@ -12,14 +12,14 @@
 
 namespace rhubarbpath {
 
-/// An answer to a `store_call` of this part.
-struct store_answered {
+/// An answer to a `row_call` of this part.
+struct row_answered {
   call_id call;
   store_response response;
 };
 
 /// A store call that the caller makes through its store session.
-struct store_call {
+struct row_call {
   call_id call;
   store_request request;
 };
@@ -31,13 +31,13 @@
 struct view_keeper_tick {};
 
 using view_keeper_event =
-    std::variant<live_list_changed, staleness_changed, view_heard, store_answered, view_keeper_tick>;
+    std::variant<live_list_changed, staleness_changed, view_heard, row_answered, view_keeper_tick>;
 
 /// A view with a higher number than any before is known.
 struct view_adopted {
   view adopted;
 };
-using view_keeper_action = std::variant<store_call, view_adopted>;
+using view_keeper_action = std::variant<row_call, view_adopted>;
 
 /// Keeps the view row in the store equal to the live list, by compare-and-swap.
 class view_keeper {
@@ -78,7 +78,7 @@
   void on(const live_list_changed& event, instant now, actions& out);
   void on(const staleness_changed& event, instant now, actions& out);
   void on(const view_heard& event, instant now, actions& out);
-  void on(const store_answered& event, instant now, actions& out);
+  void on(const row_answered& event, instant now, actions& out);
   void on(const view_keeper_tick& event, instant now, actions& out);
   void on_read(const store_response& response, instant now, actions& out);
   void on_written(const pending_call& call, const store_response& response, instant now, actions& out);
--- a/src/coordination/config_distributor.cpp
+++ b/src/coordination/config_distributor.cpp
@@ -110,7 +110,7 @@
   call_.reset();
 }
 
-void config_distributor::on(const store_answered& event, instant now, actions& out) {
+void config_distributor::on(const row_answered& event, instant now, actions& out) {
   if (!call_ || call_->id != event.call) {
     return;
   }
@@ -164,11 +164,11 @@
   const auto wait = watch ? options_.watch_wait + options_.watch_grace : options_.call_timeout;
   call_ = pending_call{.id = id, .watch = watch, .expires = now + wait};
   if (watch) {
-    out.emplace_back(store_call{
+    out.emplace_back(row_call{
         .call = id,
         .request = store_watch{.key = options_.key, .after = row_revision_, .wait = options_.watch_wait}});
   } else {
-    out.emplace_back(store_call{.call = id, .request = store_get{.key = options_.key}});
+    out.emplace_back(row_call{.call = id, .request = store_get{.key = options_.key}});
   }
 }
 
--- a/src/coordination/view_keeper.cpp
+++ b/src/coordination/view_keeper.cpp
@@ -85,7 +85,7 @@
   }
 }
 
-void view_keeper::on(const store_answered& event, instant now, actions& out) {
+void view_keeper::on(const row_answered& event, instant now, actions& out) {
   if (!pending_ || pending_->id != event.call) {
     return;
   }
@@ -227,7 +227,7 @@
   if (kind == call_kind::read) {
     next_read_.reset();
   }
-  out.emplace_back(store_call{.call = id, .request = std::move(request)});
+  out.emplace_back(row_call{.call = id, .request = std::move(request)});
 }
 
 bool view_keeper::in_view() const {
