--- a/src/coordination/request_router.cpp
+++ b/src/coordination/request_router.cpp
@@ -125,6 +125,11 @@
         }
         break;
       }
+      case detail::timer_kind::call_end:
+        if (const auto call = calls_.find(target_call_id{due.id}); call != calls_.end()) {
+          cancel(call->first, call->second, nullptr);
+        }
+        break;
       case detail::timer_kind::wake:
         if (draining_since_) {
           recompute_homes();
--- a/src/coordination/request_router_impl.hpp
+++ b/src/coordination/request_router_impl.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -170,13 +171,22 @@
   instant started{};
 };
 
-enum class timer_kind { deadline, hedge, slot_release, wake, caller_deadline };
+enum class timer_kind {
+  deadline,  ///< Of a work.
+  hedge,
+  slot_release,
+  wake,
+  caller_deadline,  ///< Of an attached caller.
+  call_end,         ///< Of a call whose answer nobody waits for.
+};
 
 struct timer {
   instant at{};
   timer_kind kind{timer_kind::wake};
   std::uint64_t id{0};
-  friend auto operator<=>(const timer&, const timer&) = default;
+  friend bool operator<(const timer& left, const timer& right) {
+    return std::tie(left.at, left.kind, left.id) < std::tie(right.at, right.kind, right.id);
+  }
 };
 
 }  // namespace detail
@@ -265,6 +275,7 @@
   void forward_refused(work& item);
   void deadline_passed(work& item);
   void cancel_local_calls(work& item);
+  void cancel(routing::target_call_id id, detail::target_call& call, const routed_class* request_class);
   void release_slot(routed_target& target);
   void hedge(work& item);
   void answer(request_id caller, const outcome& result, int status, const routing::shared_body& body);
--- a/src/coordination/request_router_targets.cpp
+++ b/src/coordination/request_router_targets.cpp
@@ -194,7 +194,8 @@
   for (auto& [vm, peer] : peers_) {
     const auto listed = std::find_if(members_.begin(), members_.end(),
                                      [&, &id = vm](const member& each) { return each.vm == id; });
-    if (peer->member && (listed == members_.end() || listed->vm_incarnation > peer->vm_incarnation)) {
+    if (peer->member &&
+        (listed == members_.end() || listed->vm_incarnation.value() > peer->vm_incarnation.value())) {
       lose_peer(*peer);
       peer->member = false;
     }
@@ -322,10 +323,10 @@
     return nullptr;
   }
   auto& slot = peers_[vm];
-  if (slot != nullptr && slot->vm_incarnation > vm_incarnation) {
+  if (slot != nullptr && slot->vm_incarnation.value() > vm_incarnation.value()) {
     return nullptr;
   }
-  if (slot == nullptr || slot->vm_incarnation < vm_incarnation) {
+  if (slot == nullptr || slot->vm_incarnation.value() < vm_incarnation.value()) {
     auto added = std::make_unique<routed_peer>(options_.forward_window);
     added->vm = vm;
     added->vm_incarnation = vm_incarnation;
--- a/src/coordination/request_router_work.cpp
+++ b/src/coordination/request_router_work.cpp
@@ -52,6 +52,8 @@
       forwards_.erase(forward_id{each.id});
     } else if (const auto call = calls_.find(target_call_id{each.id}); call != calls_.end()) {
       call->second.work = 0;
+      timers_.insert({std::max(now_, item.content.deadline) + options_.late_answer_grace,
+                      timer_kind::call_end, each.id});
     }
   }
   if (!item.attach_key.empty()) {
@@ -394,14 +396,22 @@
     if (found == calls_.end()) {
       continue;
     }
-    auto& call = found->second;
-    call.work = 0;
-    call.held_until = now_ + options_.cancelled_slot_hold;
-    emit(cancel_call{found->first});
-    const auto took = static_cast<double>((now_ - call.started).count());
-    if (call.trial || took > slow_call_factor * item.request_class->attempt_time_p95) {
-      feed_health(*call.target->service, health::call_failed{call.target->id});
-    }
+    cancel(found->first, found->second, item.request_class);
+  }
+}
+
+void request_router::implementation::cancel(target_call_id id, detail::target_call& call,
+                                            const routed_class* request_class) {
+  if (call.held_until) {
+    return;
+  }
+  call.work = 0;
+  call.held_until = now_ + options_.cancelled_slot_hold;
+  emit(cancel_call{id});
+  const auto took = static_cast<double>((now_ - call.started).count());
+  const bool slow = request_class != nullptr && took > slow_call_factor * request_class->attempt_time_p95;
+  if (call.trial || slow) {
+    feed_health(*call.target->service, health::call_failed{call.target->id});
   }
 }
 
