Add placement with cell tree, guarantee plan and worker health

Cause: the coordination layer needs placement for one failure domain. Ruled out: looking at every waiting job in a pass (cost grows with the queue), and rebinding guarantees by search on every claim (a moved binding is found while the claim is priced). Found by the property test on the way: a cancelled job that waited for victims kept its claim, and a takeover placed a waiting job on accelerators of a record that had not been fed yet. Both are fixed here.

--- a/include/rhubarbpath/coordination/cell_tree.hpp
+++ b/include/rhubarbpath/coordination/cell_tree.hpp
@@ -84,7 +84,6 @@
   [[nodiscard]] int usable_accelerators(const accelerator_shape& shape) const;
 
  private:
-  friend class rack_search;
   void update(int worker);
   [[nodiscard]] std::optional<std::vector<cell_block>> fit_worker(
       const accelerator_shape& shape, const std::function<bool(int)>& avoid) const;
@@ -101,10 +100,30 @@
   std::vector<level_counts> worker_groups_;   ///< Open aligned groups of each size, per worker.
   std::vector<level_counts> worker_maximal_;  ///< Open aligned groups that are part of no larger one.
   std::vector<level_counts> rack_groups_;
-  std::vector<level_counts> rack_maximal_;
+  level_counts domain_groups_{};
   int open_total_{0};
 };
 
+/// Finds space for all members of a shape inside the masks that `mask_of` returns per worker, at the lowest
+/// sum of `cost` over the blocks. A block of infinite cost is not used. Looks at about `max_evaluations`
+/// blocks from the rack `first_rack` on, and stops at the first place that costs nothing.
+struct cheapest_fit_request {
+  accelerator_shape shape;
+  std::function<std::uint32_t(int)> mask_of;
+  std::function<double(const cell_block&)> cost;
+  int first_rack{0};
+  int max_evaluations{1024};
+};
+struct cheapest_fit_result {
+  std::vector<cell_block> cells;
+  double cost{0};
+};
+[[nodiscard]] std::optional<cheapest_fit_result> cheapest_fit(const fleet_topology& topology,
+                                                              const cheapest_fit_request& request);
+/// The same for workers that are all in one place of the shape's level.
+[[nodiscard]] std::optional<cheapest_fit_result> cheapest_fit_in(const std::vector<int>& workers,
+                                                                 const cheapest_fit_request& request);
+
 /// Whether the member size is 1, 2, 4 or 8 and there is at least one member.
 [[nodiscard]] bool is_valid(const accelerator_shape& shape) noexcept;
 
--- a/include/rhubarbpath/coordination/guarantee_plan.hpp
+++ b/include/rhubarbpath/coordination/guarantee_plan.hpp
@@ -77,6 +77,7 @@
   struct claim {
     int instance{-1};
     std::vector<cell_block> cells;
+    std::vector<cell_block> moved_binding;  ///< New binding of the instance; empty if it stays.
   };
   /// Cost of taking an aligned group for a claim, for example the work that would be preempted there.
   using block_cost = std::function<double(const cell_block&)>;
@@ -85,8 +86,9 @@
 
   /// Workers that are down, set aside or on trial carry no unclaimed part of a binding.
   void set_usable(int worker, bool usable);
-  /// Moves bindings off unusable workers and binds uncovered instances. Call after `set_usable`.
-  void rebind();
+  /// Moves bindings off unusable workers and binds uncovered instances. Call after `set_usable`, `adopt` and
+  /// `release`. Returns whether any binding changed.
+  bool rebind();
 
   /// Finds the cheapest place for a guaranteed job of the team: an instance's binding, moved to other cells
   /// if that is cheaper. Changes nothing until `commit`.
@@ -100,29 +102,40 @@
   void release(const claim& taken);
 
   [[nodiscard]] const std::vector<instance>& instances() const noexcept { return instances_; }
-  /// Whether a job of this shape fits an unclaimed instance of the team.
-  [[nodiscard]] bool has_room_for(const team_id& team, const accelerator_shape& shape) const;
-  /// Instances of the guarantee that have no binding to usable workers.
+  /// Whether some instance of the team in this failure domain can hold a job of this shape when unclaimed.
+  [[nodiscard]] bool can_ever_hold(const team_id& team, const accelerator_shape& shape) const;
+  /// Instances of the guarantee without a binding to usable workers.
   [[nodiscard]] int uncovered(const guarantee_ref& guarantee) const;
   [[nodiscard]] const std::vector<guarantee_share>& shares() const noexcept { return shares_; }
   /// Accelerators of the worker that belong to a binding.
   [[nodiscard]] std::uint32_t bound_mask(int worker) const { return unbound_.used(worker); }
 
  private:
-  struct move;
-  [[nodiscard]] std::optional<claim> claim_in(int index, const accelerator_shape& shape,
-                                              const block_cost& cost, double& total) const;
+  struct candidate;
+  [[nodiscard]] bool covered(const instance& target) const;
+  [[nodiscard]] bool pinned(int index) const { return instances_[index].claimed_accelerators() > 0; }
+  void claim_within_binding(int index, const accelerator_shape& shape, const block_cost& cost,
+                            std::optional<candidate>& best) const;
+  void claim_moved(int index, const accelerator_shape& shape, const block_cost& cost,
+                   std::optional<candidate>& best) const;
+  [[nodiscard]] std::optional<std::vector<cell_block>> cover(int index, const std::vector<cell_block>& cells);
   void bind(int index, std::vector<cell_block> cells);
   void unbind(int index);
-  [[nodiscard]] bool rebind_one(int index);
+  /// Unbinds every instance that overlaps the cells.
+  void evict(const std::vector<cell_block>& cells);
+  [[nodiscard]] bool rebind_unclaimed(int index);
+  [[nodiscard]] bool move_free_members(int index);
   void repack();
-  [[nodiscard]] bool pinned(int index) const;
 
   std::shared_ptr<const fleet_topology> topology_;
   std::vector<guarantee_share> shares_;
   std::vector<instance> instances_;
   absl::flat_hash_map<team_id, std::vector<int>> by_team_;
-  cell_tree unbound_;  ///< Used: bound; lost: unusable.
+  std::vector<std::vector<int>> bound_on_;  ///< Per worker: instances with a member there.
+  cell_tree unbound_;                       ///< Used: bound; lost: unusable.
+  std::vector<int> unsettled_;              ///< Instances that `rebind` has to look at.
+  bool repack_useful_{true};                ///< Space changed since the last full packing.
+  mutable int next_rack_{0};                ///< Spreads searches for other cells over the racks.
 };
 
 }  // namespace rhubarbpath
--- a/include/rhubarbpath/coordination/placement.hpp
+++ b/include/rhubarbpath/coordination/placement.hpp
@@ -22,6 +22,7 @@
   reservation,  ///< A large gang reserved the space before the job was placed there, or waited its limit.
   fair_share,   ///< A job with less attained service or a deadline goes first.
   cancelled,    ///< The job itself was cancelled; no checkpoint is needed.
+  invalid,      ///< The restored placement is not a whole gang on known, otherwise free accelerators.
 };
 
 /// Decides which jobs run where in one failure domain.
@@ -36,8 +37,16 @@
     worker_health::options health{};
     /// Service time that counts as much as one unit of waiting time in the queue order.
     double attained_weight{2.0};
+    /// The same for the declared run time, a hint that orders the queue and promises nothing.
+    double declared_weight{1.0};
+    /// Declared run times above this count as this.
+    duration declared_cap{std::chrono::hours{4}};
     /// Waiting time by which a class of the next rank trails.
     duration rank_step{std::chrono::minutes{30}};
+    /// A job with a deadline outranks all work that has waited less than this when only
+    /// `deadline_slack` is left before its deadline.
+    duration deadline_lead{std::chrono::hours{6}};
+    duration deadline_slack{std::chrono::hours{2}};
     /// A blocked job gets a reservation after this waiting time.
     duration reserve_after{std::chrono::minutes{5}};
     /// A reservation preempts work that was there before it after this time.
@@ -47,8 +56,14 @@
     int preemption_limit{3};
     /// Shortest run time of an attempt before it can be preempted for another preemptible job.
     duration fair_share_quantum{std::chrono::minutes{10}};
-    /// Attempts of one job that may fail before it ends as failed, whatever the reason.
+    /// Lead in the queue order that another preemptible job needs before it preempts.
+    duration fair_share_margin{std::chrono::hours{1}};
+    /// Blocked jobs that one tick may help by preemption.
+    int fair_share_jobs_per_tick{4};
+    /// Attempts of one job that may fail on live workers before it ends as failed.
     int max_failures{10};
+    /// Time between ticks while jobs wait.
+    duration tick_period{std::chrono::seconds{30}};
   };
 
   // Events.
@@ -62,7 +77,8 @@
     job_id id;
     job_spec spec;
   };
-  /// A job from the log or a snapshot. One with a placement runs or stops there; others wait.
+  /// A job from the log or a snapshot. One with a placement runs there; others wait. Nothing is placed until
+  /// the next event of another kind, so all records are fed in a row after `document_changed`, then a `tick`.
   struct job_restored {
     job_record record;
   };
@@ -162,7 +178,7 @@
   placement(const placement&) = delete;
   placement& operator=(const placement&) = delete;
 
-  void handle(const event& event, instant now, std::vector<action>& out);
+  void handle(const event& input, instant now, std::vector<action>& out);
   /// When to send a `tick`.
   [[nodiscard]] std::optional<instant> next_deadline() const;
 
--- a/include/rhubarbpath/coordination/worker_health.hpp
+++ b/include/rhubarbpath/coordination/worker_health.hpp
@@ -51,8 +51,13 @@
   struct job_removed {
     job_id job;
   };
+  /// The worker was set aside according to the log of an earlier owner.
+  struct was_set_aside {
+    worker_id worker;
+  };
   struct tick {};
-  using event = std::variant<fleet_changed, task_finished, task_failed, worker_removed, job_removed, tick>;
+  using event = std::variant<fleet_changed, task_finished, task_failed, worker_removed, job_removed,
+                             was_set_aside, tick>;
 
   struct set_aside {
     worker_id worker;
@@ -73,7 +78,7 @@
   using action = std::variant<set_aside, begin_trial, restore, blame_job>;
 
   explicit worker_health(options opts) : options_{opts} {}
-  void handle(const event& event, instant now, std::vector<action>& out);
+  void handle(const event& input, instant now, std::vector<action>& out);
   /// When the next pause of a worker that is set aside ends.
   [[nodiscard]] std::optional<instant> next_deadline() const;
 
@@ -92,12 +97,13 @@
     duration pause{};
     bool trial{false};
   };
-  void on(const fleet_changed& event, instant now, std::vector<action>& out);
-  void on(const task_finished& event, instant now, std::vector<action>& out);
-  void on(const task_failed& event, instant now, std::vector<action>& out);
-  void on(const worker_removed& event, instant now, std::vector<action>& out);
-  void on(const job_removed& event, instant now, std::vector<action>& out);
-  void on(const tick& event, instant now, std::vector<action>& out);
+  void on(const fleet_changed& input, instant now, std::vector<action>& out);
+  void on(const task_finished& input, instant now, std::vector<action>& out);
+  void on(const task_failed& input, instant now, std::vector<action>& out);
+  void on(const worker_removed& input, instant now, std::vector<action>& out);
+  void on(const job_removed& input, instant now, std::vector<action>& out);
+  void on(const was_set_aside& input, instant now, std::vector<action>& out);
+  void on(const tick& input, instant now, std::vector<action>& out);
   [[nodiscard]] bool worker_at_fault(const worker_history& history) const;
   void set_worker_aside(const worker_id& worker, instant now, std::vector<action>& out);
 
--- /dev/null
+++ b/src/coordination/placement_preemption.cpp
@@ -0,0 +1,335 @@
+// Victim choice, reservations, fair sharing and explanations.
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+#include <limits>
+
+#include "placement_engine.hpp"
+
+namespace rhubarbpath {
+namespace {
+
+constexpr double infinite = std::numeric_limits<double>::infinity();
+
+/// Accelerator-seconds that stopping, checkpointing and starting again cost.
+constexpr double restart_seconds = 30;
+/// Each earlier preemption makes a job this much less likely to be chosen again.
+constexpr double repeat_factor = 1.0;
+/// Waiting and running time after which a job counts twice as much, so that old jobs are spared.
+constexpr double age_seconds = 6 * 3600;
+/// Above any sum of ordinary costs: chosen only if nothing else can free the space.
+constexpr double last_resort = 1e12;
+/// Small costs that only break ties between places that need no preemption.
+constexpr double reserved_cost = 0.25;
+constexpr double held_cost = 0.5;
+/// Blocks priced when a preemptible job looks for victims: bounds the cost of a tick.
+constexpr int victim_evaluations = 1024;
+
+double seconds(duration value) {
+  return std::chrono::duration<double>(value).count();
+}
+
+bool overlap(const std::vector<cell_block>& left, const std::vector<cell_block>& right) {
+  return std::any_of(left.begin(), left.end(), [&](const cell_block& one) {
+    return std::any_of(right.begin(), right.end(), [&](const cell_block& other) {
+      return one.worker == other.worker && (one.mask & other.mask) != 0;
+    });
+  });
+}
+
+}  // namespace
+
+double placement::engine::victim_cost(const job& victim) const {
+  if (!victim.preemptible()) {
+    return infinite;
+  }
+  if (victim.stopping) {
+    return 1;
+  }
+  const double run = seconds(now_ - victim.placed_at);
+  const double lost = restart_seconds + (victim.record.spec.checkpointable ? 0 : run);
+  const double age = 1 + seconds(now_ - victim.record.accepted_at) / age_seconds;
+  const double repeats = 1 + repeat_factor * victim.record.preemptions;
+  const double cost = lost * victim.shape().accelerators() * age * repeats;
+  return victim.record.preemptions >= options_.preemption_limit ? cost + last_resort : cost;
+}
+
+double placement::engine::block_cost(const cell_block& block) const {
+  double cost = (reserved_[block.worker] & block.mask) != 0 ? reserved_cost : 0;
+  cost += (tree_->held(block.worker) & block.mask) != 0 ? held_cost : 0;
+  if ((tree_->used(block.worker) & block.mask) == 0) {
+    return cost;
+  }
+  for (const auto& task : tasks_on_[block.worker]) {
+    cost += (task.mask & block.mask) != 0 ? victim_cost(*task.owner) : 0;
+  }
+  return cost;
+}
+
+std::uint32_t placement::engine::lendable(int worker) const {
+  return tree_->lost(worker)
+             ? 0
+             : topology_->capacity(worker) & ~pinned_[worker] & ~tree_->held(worker) & ~reserved_[worker];
+}
+
+void placement::engine::update_reservations() {
+  // Firing removes a reservation, so the search starts again after each.
+  bool fired = true;
+  while (fired) {
+    const auto due =
+        std::find_if(reservations_.begin(), reservations_.end(), [this](const reservation& each) {
+          if (!within_team_limit(*each.owner)) {
+            return false;
+          }
+          // Jobs placed after the reservation are backfill and give way. Jobs that were there before are
+          // waited for, up to a limit.
+          const bool limit_reached = now_ - each.since >= options_.reservation_limit;
+          const auto blocking = occupants(each.cells);
+          return std::all_of(blocking.begin(), blocking.end(), [&](const job* occupant) {
+            return occupant->preemptible() &&
+                   (limit_reached || occupant->stopping || occupant->placed_at > each.since);
+          });
+        });
+    fired = due != reservations_.end() && fire(*due);
+  }
+}
+
+bool placement::engine::fire(const reservation& due) {
+  auto& owner = *due.owner;
+  auto cells = due.cells;
+  dequeue(owner);
+  if (occupants(cells).empty()) {
+    place(owner, std::move(cells));
+  } else {
+    hold(owner, std::move(cells), preemption_cause::reservation);
+  }
+  return true;
+}
+
+void placement::engine::add_reservations() {
+  std::vector<job*> candidates;
+  for (const auto& [position, target] : heads_) {
+    auto* item = target->jobs.begin()->second;
+    if (!target->key.guaranteed && now_ - item->queued_at >= options_.reserve_after &&
+        reservation_of(*item) == nullptr && within_team_limit(*item)) {
+      candidates.push_back(item);
+    }
+  }
+  for (auto* item : candidates) {
+    if (static_cast<int>(reservations_.size()) >= options_.max_reservations) {
+      return;
+    }
+    auto place_found =
+        cheapest_fit(*topology_, {.shape = item->shape(),
+                                  .mask_of = [this](int worker) { return lendable(worker); },
+                                  .cost = [this](const cell_block& block) { return block_cost(block); },
+                                  .first_rack = 0,
+                                  .max_evaluations = victim_evaluations});
+    if (!place_found) {
+      continue;
+    }
+    for (const auto& cell : place_found->cells) {
+      reserved_[cell.worker] |= cell.mask;
+    }
+    reservations_.push_back({item, std::move(place_found->cells), now_});
+  }
+}
+
+const placement::engine::reservation* placement::engine::reservation_of(const job& owner) const {
+  const auto found = std::find_if(reservations_.begin(), reservations_.end(),
+                                  [&](const reservation& each) { return each.owner == &owner; });
+  return found == reservations_.end() ? nullptr : &*found;
+}
+
+void placement::engine::drop_reservation(const job& owner) {
+  const auto* found = reservation_of(owner);
+  if (found == nullptr) {
+    return;
+  }
+  for (const auto& cell : found->cells) {
+    reserved_[cell.worker] &= ~cell.mask;
+  }
+  reservations_.erase(reservations_.begin() + (found - reservations_.data()));
+}
+
+void placement::engine::drop_overlapping_reservations(const std::vector<cell_block>& cells) {
+  std::vector<const job*> owners;
+  for (const auto& each : reservations_) {
+    if (overlap(each.cells, cells)) {
+      owners.push_back(each.owner);
+    }
+  }
+  for (const auto* owner : owners) {
+    drop_reservation(*owner);
+  }
+}
+
+bool placement::engine::fair_victim(const job& victim, const job& claimant) const {
+  if (!victim.preemptible() || victim.stopping || victim.record.preemptions >= options_.preemption_limit) {
+    return false;
+  }
+  const duration run = now_ - victim.placed_at;
+  if (run < options_.fair_share_quantum) {
+    return false;
+  }
+  return order_of(victim, victim.record.attained_service + run) > claimant.order + options_.fair_share_margin;
+}
+
+void placement::engine::share_fairly() {
+  std::vector<job*> claimants;
+  for (const auto& [position, target] : heads_) {
+    auto* item = target->jobs.begin()->second;
+    if (!target->key.guaranteed && within_team_limit(*item)) {
+      claimants.push_back(item);
+    }
+    if (static_cast<int>(claimants.size()) >= options_.fair_share_jobs_per_tick) {
+      break;
+    }
+  }
+  for (auto* item : claimants) {
+    const auto cost = [&](const cell_block& block) {
+      double sum = 0;
+      for (const auto& task : tasks_on_[block.worker]) {
+        if ((task.mask & block.mask) != 0) {
+          sum += fair_victim(*task.owner, *item) ? victim_cost(*task.owner) : infinite;
+        }
+      }
+      return sum;
+    };
+    auto found = cheapest_fit(*topology_, {.shape = item->shape(),
+                                           .mask_of = [this](int worker) { return lendable(worker); },
+                                           .cost = cost,
+                                           .first_rack = 0,
+                                           .max_evaluations = victim_evaluations});
+    // Space without victims is left to the ordinary pass, which knows the workers to avoid.
+    const auto victims = found ? static_cast<double>(occupants(found->cells).size()) : 0;
+    if (victims == 0) {
+      continue;
+    }
+    if (victims > preemption_tokens_) {
+      return;
+    }
+    preemption_tokens_ -= victims;
+    dequeue(*item);
+    hold(*item, std::move(found->cells), preemption_cause::fair_share);
+  }
+}
+
+std::string placement::engine::why_waiting(const job_id& id) const {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end() || found->second->at == phase::active) {
+    return "";
+  }
+  const auto& item = *found->second;
+  if (item.at == phase::holding) {
+    const auto victims = occupants(item.cells);
+    std::string text = "waits for " + std::to_string(victims.size()) + " preempted ";
+    text += victims.size() == 1 ? "attempt" : "attempts";
+    return text + " to stop in the space chosen for it";
+  }
+  if (item.queue == nullptr) {
+    return "waits for the configuration to arrive";
+  }
+  return item.record.spec.guaranteed ? explain_guaranteed(item) : explain_preemptible(item);
+}
+
+std::string placement::engine::explain_guaranteed(const job& item) const {
+  int fitting = 0;
+  int without_cells = 0;
+  for (const auto& instance : plan_->instances()) {
+    if (instance.guarantee.team == item.record.spec.team && fits_inside(item.shape(), instance.shape)) {
+      ++fitting;
+      without_cells += instance.bound() ? 0 : 1;
+    }
+  }
+  const std::string team = item.record.spec.team.value();
+  if (without_cells == fitting) {
+    return "waits for workers to return: none of the " + std::to_string(fitting) +
+           " guarantee instances of team " + team + " that can hold it has healthy cells";
+  }
+  return "waits for a guaranteed job of team " + team + " to end: the " + std::to_string(fitting) +
+         " guarantee instances that can hold " + describe(item.shape()) +
+         " are in use or have no healthy cells";
+}
+
+std::string placement::engine::explain_preemptible(const job& item) const {
+  const auto& team = teams_.at(item.record.spec.team);
+  if (!within_team_limit(item)) {
+    return "waits for other jobs of team " + item.record.spec.team.value() + " to end: the team uses " +
+           std::to_string(team.used) + " of its limit of " + std::to_string(*team.limit) + " accelerators";
+  }
+  if (const auto* own = reservation_of(item)) {
+    return "has a reservation and waits for " + std::to_string(occupants(own->cells).size()) +
+           " attempts there to end or to be preempted";
+  }
+  const int usable = tree_->usable_accelerators(item.shape());
+  if (usable > 0) {
+    return "waits for its turn: " + describe(item.shape()) +
+           " would fit, but the free space is kept for a reservation or holds a worker on which the job "
+           "failed";
+  }
+  return "waits for space for " + describe(item.shape()) + ": " + std::to_string(tree_->open_accelerators()) +
+         " accelerators are free, but not in this shape";
+}
+
+std::optional<job_record> placement::engine::record(const job_id& id) const {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) {
+    return std::nullopt;
+  }
+  job_record result = found->second->record;
+  result.reason = why_waiting(id);
+  return result;
+}
+
+double placement::engine::fragmentation() const {
+  if (tree_ == nullptr) {
+    return 0;
+  }
+  const int idle = free_accelerators();
+  std::vector<accelerator_shape> shapes;
+  const auto add = [&](const accelerator_shape& shape) {
+    if (std::find(shapes.begin(), shapes.end(), shape) == shapes.end()) {
+      shapes.push_back(shape);
+    }
+  };
+  for (const auto& [key, target] : groups_) {
+    add(target.shape);
+  }
+  for (const auto& share : plan_->shares()) {
+    add(share.shape);
+  }
+  if (idle == 0 || shapes.empty()) {
+    return 0;
+  }
+  double unusable = 0;
+  for (const auto& shape : shapes) {
+    unusable += 1.0 - static_cast<double>(tree_->usable_accelerators(shape)) / idle;
+  }
+  return unusable / static_cast<double>(shapes.size());
+}
+
+int placement::engine::free_accelerators() const {
+  int free = 0;
+  for (int worker = 0; topology_ != nullptr && worker < topology_->workers(); ++worker) {
+    free += tree_->lost(worker) ? 0 : std::popcount(topology_->capacity(worker) & ~tree_->used(worker));
+  }
+  return free;
+}
+
+std::vector<placement::uncovered_guarantee> placement::engine::uncovered_guarantees() const {
+  std::vector<uncovered_guarantee> result;
+  if (plan_ == nullptr) {
+    return result;
+  }
+  for (const auto& share : plan_->shares()) {
+    const int uncovered = plan_->uncovered(share.guarantee);
+    if (uncovered > 0) {
+      result.push_back({share.guarantee, share.shape, uncovered, share.count});
+    }
+  }
+  return result;
+}
+
+}  // namespace rhubarbpath
--- /dev/null
+++ b/src/coordination/worker_health.cpp
@@ -0,0 +1,143 @@
+#include "rhubarbpath/coordination/worker_health.hpp"
+
+#include <algorithm>
+
+namespace rhubarbpath {
+namespace {
+
+/// Different failed jobs kept per worker, and failed workers kept per job. More say nothing new.
+constexpr std::size_t kept_failures = 8;
+
+}  // namespace
+
+void worker_health::handle(const event& input, instant now, std::vector<action>& out) {
+  std::visit([&](const auto& concrete) { on(concrete, now, out); }, input);
+}
+
+std::optional<instant> worker_health::next_deadline() const {
+  std::optional<instant> next;
+  for (const auto& [worker, state] : aside_) {
+    if (!state.trial && (!next || state.trial_at < *next)) {
+      next = state.trial_at;
+    }
+  }
+  return next;
+}
+
+std::vector<worker_id> worker_health::failed_on(const job_id& job) const {
+  std::vector<worker_id> result;
+  const auto found = jobs_.find(job);
+  if (found == jobs_.end()) {
+    return result;
+  }
+  for (const auto& worker : found->second) {
+    const auto history = workers_.find(worker);
+    const bool at_fault = history != workers_.end() && worker_at_fault(history->second);
+    if (!aside_.contains(worker) && !at_fault) {
+      result.push_back(worker);
+    }
+  }
+  return result;
+}
+
+void worker_health::on(const fleet_changed& input, instant /*now*/, std::vector<action>& /*out*/) {
+  limit_ = static_cast<int>(input.set_aside_share * input.workers);
+  if (limit_ == 0 && input.set_aside_share > 0 && input.workers > 1) {
+    limit_ = 1;
+  }
+}
+
+void worker_health::on(const task_finished& input, instant /*now*/, std::vector<action>& out) {
+  workers_.erase(input.worker);
+  const auto aside = aside_.find(input.worker);
+  if (aside == aside_.end() || !aside->second.trial) {
+    return;
+  }
+  aside_.erase(aside);
+  out.emplace_back(restore{input.worker});
+}
+
+void worker_health::on(const task_failed& input, instant now, std::vector<action>& out) {
+  auto& workers = jobs_[input.job];
+  if (workers.size() < kept_failures &&
+      std::find(workers.begin(), workers.end(), input.worker) == workers.end()) {
+    workers.push_back(input.worker);
+  }
+  auto& history = workers_[input.worker];
+  if (history.failed_jobs.size() >= kept_failures) {
+    history.failed_jobs.erase(history.failed_jobs.begin());
+  }
+  history.failed_jobs.push_back(input.job);
+  const auto aside = aside_.find(input.worker);
+  if (aside != aside_.end()) {
+    if (aside->second.trial) {
+      aside->second.trial = false;
+      aside->second.pause = std::min(2 * aside->second.pause, options_.longest_pause);
+      aside->second.trial_at = now + aside->second.pause;
+      out.emplace_back(set_aside{input.worker, "the trial task failed as well"});
+    }
+    return;
+  }
+  if (worker_at_fault(history)) {
+    set_worker_aside(input.worker, now, out);
+    return;
+  }
+  const auto blamed = failed_on(input.job);
+  if (static_cast<int>(blamed.size()) >= options_.workers_to_blame_job) {
+    std::string reason = "the job failed on " + std::to_string(blamed.size()) +
+                         " different workers, last on " + input.worker.value() + "; check its command";
+    out.emplace_back(blame_job{input.job, std::move(reason)});
+  }
+}
+
+void worker_health::on(const worker_removed& input, instant /*now*/, std::vector<action>& /*out*/) {
+  workers_.erase(input.worker);
+  aside_.erase(input.worker);
+}
+
+void worker_health::on(const job_removed& input, instant /*now*/, std::vector<action>& /*out*/) {
+  jobs_.erase(input.job);
+}
+
+void worker_health::on(const was_set_aside& input, instant now, std::vector<action>& /*out*/) {
+  aside_.try_emplace(input.worker, aside_state{now + options_.first_pause, options_.first_pause, false});
+}
+
+void worker_health::on(const tick& /*input*/, instant now, std::vector<action>& out) {
+  for (auto& [worker, state] : aside_) {
+    if (!state.trial && state.trial_at <= now) {
+      state.trial = true;
+      out.emplace_back(begin_trial{worker});
+    }
+  }
+}
+
+bool worker_health::worker_at_fault(const worker_history& history) const {
+  // A job that failed on two or more other workers is more likely at fault than this worker.
+  int failures = 0;
+  std::vector<job_id> distinct;
+  for (const auto& job : history.failed_jobs) {
+    const auto found = jobs_.find(job);
+    const auto others = found == jobs_.end() ? 0 : static_cast<int>(found->second.size()) - 1;
+    if (others + 1 >= options_.workers_to_blame_job) {
+      continue;
+    }
+    ++failures;
+    if (std::find(distinct.begin(), distinct.end(), job) == distinct.end()) {
+      distinct.push_back(job);
+    }
+  }
+  return failures >= options_.failures_to_set_aside && distinct.size() >= 2;
+}
+
+void worker_health::set_worker_aside(const worker_id& worker, instant now, std::vector<action>& out) {
+  if (set_aside_count() >= limit_) {
+    return;
+  }
+  aside_.emplace(worker, aside_state{now + options_.first_pause, options_.first_pause, false});
+  const auto failures = workers_[worker].failed_jobs.size();
+  out.emplace_back(set_aside{worker, "the last " + std::to_string(failures) +
+                                         " tasks on the worker failed, and the jobs do not fail elsewhere"});
+}
+
+}  // namespace rhubarbpath
--- /dev/null
+++ b/tests/coordination/placement_property_test.cpp
@@ -0,0 +1,31 @@
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+
+#include "placement_machine.hpp"
+
+namespace rhubarbpath::testing {
+
+// Guards against a broken guarantee, a partial gang, overlapping accelerators, a lost, doubled or wrongly
+// refused job, and a job that waits forever, under any order of events.
+TEST_CASE("placement_any_event_order_keeps_every_promise") {
+  constexpr int cases = 2000;
+  constexpr int longest = 400;
+  rc::detail::TestParams params;
+  params.seed = 20261204;
+  params.maxSuccess = cases;
+  params.maxSize = longest;
+  const auto result = rc::detail::checkTestable(
+      [] {
+        const auto bytes =
+            *rc::gen::container<std::vector<std::uint8_t>>(rc::gen::inRange<std::uint8_t>(0, 255));
+        placement_machine{bytes}.run();
+      },
+      rc::detail::TestMetadata{}, params);
+  std::ostringstream text;
+  rc::detail::printResultMessage(result, text);
+  INFO(text.str());
+  CHECK(result.is<rc::detail::SuccessResult>());
+}
+
+}  // namespace rhubarbpath::testing
