--- a/include/rhubarbpath/protocol/api_json.hpp
+++ b/include/rhubarbpath/protocol/api_json.hpp
@@ -18,9 +18,9 @@
 namespace rhubarbpath {
 
 /// Limits of the callers' API, in bytes unless the name says otherwise.
-inline constexpr std::size_t max_submission_bytes = 64 * 1024;
-inline constexpr std::size_t max_command_bytes = 16 * 1024;
-inline constexpr std::size_t max_answer_bytes = 4 * 1024 * 1024;
+inline constexpr std::size_t max_submission_bytes = 64U << 10U;
+inline constexpr std::size_t max_command_bytes = 16U << 10U;
+inline constexpr std::size_t max_answer_bytes = 4U << 20U;
 inline constexpr std::size_t max_key_bytes = 128;
 inline constexpr std::size_t max_id_bytes = 128;
 /// Largest gang that design section 1.6 asks for.
