--- a/include/rhubarbpath/coordination/config_distributor.hpp
+++ b/include/rhubarbpath/coordination/config_distributor.hpp
@@ -124,6 +124,7 @@
   bool started_{false};
   bool read_first_{true};  ///< The next store call is a get instead of a watch.
   instant last_peer_{};
+  instant last_run_{};
 };
 
 }  // namespace rhubarbpath
--- a/include/rhubarbpath/coordination/intent_registry.hpp
+++ b/include/rhubarbpath/coordination/intent_registry.hpp
@@ -45,7 +45,7 @@
                  vm_list_changed, intent_registry_tick>;
 
 struct send_intent_message {
-  member_info to;
+  member_info to;  ///< The address is empty in answers, which go to a connected peer.
   intent_message message;
 };
 
@@ -123,12 +123,15 @@
   [[nodiscard]] std::size_t ready_ranges() const;
 
  private:
-  void deliver_to_self(instant now, std::vector<intent_registry_action>& out, std::size_t from);
+  void receive(const intent_message_received& event, instant now, std::vector<intent_registry_action>& out);
+  /// Handles the messages from `first` on that this VM sent to itself.
+  void deliver_to_self(std::size_t first, instant now, std::vector<intent_registry_action>& out);
 
-  options options_;
+  std::unique_ptr<const options> options_;
   std::unique_ptr<detail::intent_registrar> registrar_;
   std::unique_ptr<detail::intent_dispatcher> dispatcher_;
   instant last_event_{};
+  instant next_tick_{};
 };
 
 }  // namespace rhubarbpath
--- a/include/rhubarbpath/coordination/view.hpp
+++ b/include/rhubarbpath/coordination/view.hpp
@@ -86,5 +86,7 @@
   friend bool operator==(const registrar_pair&, const registrar_pair&) = default;
 };
 [[nodiscard]] registrar_pair registrars_of(const std::vector<member_info>& members, std::uint32_t range);
+/// The registrars of every range, in order.
+[[nodiscard]] std::vector<registrar_pair> registrar_table(const std::vector<member_info>& members);
 
 }  // namespace rhubarbpath
--- a/src/coordination/config_distributor.cpp
+++ b/src/coordination/config_distributor.cpp
@@ -22,6 +22,7 @@
     last_peer_ = now;
     next_call_at_ = now;
   }
+  last_run_ = now;
   std::visit([&](const auto& value) { on(value, now, out); }, event);
   if (call_ && now >= call_->expires) {
     // A watch that went silent, or a lost answer. A read shows what it may have hidden.
@@ -46,15 +47,18 @@
   if (!started_) {
     return instant{};
   }
-  auto deadline = last_peer_ + options_.peer_silence;
+  auto deadline = instant::max();
   if (call_) {
     deadline = call_->expires;
   } else if (next_call_at_) {
-    deadline = std::min(deadline, *next_call_at_);
+    deadline = *next_call_at_;
   }
   if (fetch_) {
     deadline = std::min(deadline, fetch_->expires);
   }
+  if (const auto silence = last_peer_ + options_.peer_silence; !call_ && silence > last_run_) {
+    deadline = std::min(deadline, silence);
+  }
   return deadline;
 }
 
@@ -114,6 +118,8 @@
   if (!call_ || call_->id != event.call) {
     return;
   }
+  const bool watched = call_->watch;
+  const auto known_revision = row_revision_;
   call_.reset();
   if (std::holds_alternative<store_failure>(event.response)) {
     read_first_ = true;
@@ -133,6 +139,11 @@
   }
   read_first_ = false;
   schedule_read(now);
+  const bool changed = !std::holds_alternative<store_unchanged>(event.response);
+  if (watched && changed && row_revision_ == known_revision) {
+    // The store answered a watch with an old row; watching again at once would repeat that.
+    next_call_at_ = now + random_.jittered(options_.retry_interval);
+  }
 }
 
 void config_distributor::on(const config_distributor_tick&, instant, actions&) {}
--- a/src/coordination/view.cpp
+++ b/src/coordination/view.cpp
@@ -215,46 +215,67 @@
   return std::nullopt;
 }
 
-registrar_pair registrars_of(const std::vector<member_info>& members, std::uint32_t range) {
+namespace {
+
+std::vector<std::uint64_t> hashes_of(const std::vector<member_info>& members) {
   // The hash is over the VM and not its incarnation, so that a restart moves no other range.
-  const member_info* first = nullptr;
-  const member_info* other_domain = nullptr;
-  const member_info* any = nullptr;
-  std::uint64_t first_score = 0;
-  std::uint64_t other_score = 0;
-  std::uint64_t any_score = 0;
-  const auto scored = [&](const member_info& member) {
-    return detail::mix(detail::stable_hash(member.id.vm.value()), range);
-  };
+  std::vector<std::uint64_t> hashes;
+  hashes.reserve(members.size());
   for (const auto& member : members) {
-    const auto score = scored(member);
-    if (first == nullptr || score > first_score) {
-      first = &member;
-      first_score = score;
-    }
+    hashes.push_back(detail::stable_hash(member.id.vm.value()));
   }
-  for (const auto& member : members) {
-    if (&member == first) {
-      continue;
-    }
-    const auto score = scored(member);
-    if (any == nullptr || score > any_score) {
-      any = &member;
-      any_score = score;
-    }
-    if (member.failure_domain != first->failure_domain && (other_domain == nullptr || score > other_score)) {
-      other_domain = &member;
-      other_score = score;
+  return hashes;
+}
+
+/// Index of the member with the highest score among those that `accept` admits.
+template <class Accept>
+std::optional<std::size_t> highest(const std::vector<std::uint64_t>& hashes, std::uint32_t range, Accept accept) {
+  std::optional<std::size_t> best;
+  std::uint64_t best_score = 0;
+  for (std::size_t index = 0; index < hashes.size(); ++index) {
+    const auto score = detail::mix(hashes[index], range);
+    if ((!best || score > best_score) && accept(index)) {
+      best = index;
+      best_score = score;
     }
   }
+  return best;
+}
+
+registrar_pair pair_of(const std::vector<member_info>& members, const std::vector<std::uint64_t>& hashes,
+                       std::uint32_t range) {
   registrar_pair result;
-  if (first != nullptr) {
-    result.members[result.count++] = *first;
+  const auto first = highest(hashes, range, [](std::size_t) { return true; });
+  if (!first) {
+    return result;
+  }
+  result.members[result.count++] = members[*first];
+  auto second = highest(hashes, range, [&](std::size_t index) {
+    return members[index].failure_domain != members[*first].failure_domain;
+  });
+  if (!second) {
+    second = highest(hashes, range, [&](std::size_t index) { return index != *first; });
   }
-  if (const auto* second = other_domain != nullptr ? other_domain : any; second != nullptr) {
-    result.members[result.count++] = *second;
+  if (second) {
+    result.members[result.count++] = members[*second];
   }
   return result;
 }
 
+}  // namespace
+
+registrar_pair registrars_of(const std::vector<member_info>& members, std::uint32_t range) {
+  return pair_of(members, hashes_of(members), range);
+}
+
+std::vector<registrar_pair> registrar_table(const std::vector<member_info>& members) {
+  const auto hashes = hashes_of(members);
+  std::vector<registrar_pair> table;
+  table.reserve(key_range_count);
+  for (std::uint32_t range = 0; range < key_range_count; ++range) {
+    table.push_back(pair_of(members, hashes, range));
+  }
+  return table;
+}
+
 }  // namespace rhubarbpath
