--- a/include/rhubarbpath/protocol/peer_messages.hpp
+++ b/include/rhubarbpath/protocol/peer_messages.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "rhubarbpath/coordination/peer_types.hpp"
+#include "rhubarbpath/coordination/request_router.hpp"
 #include "rhubarbpath/state/job.hpp"
 
 /// Messages that only the daemons exchange, and the codec of all peer messages.
@@ -23,36 +24,49 @@
   friend bool operator==(const hello&, const hello&) = default;
 };
 
-/// A service request that another entry VM is to serve.
+/// A service request that another entry VM is to serve. The names are those of `routing`.
 struct forward_request {
-  request_id id;  ///< Chosen by the sender; the answer repeats it.
+  routing::forward_id id;  ///< Chosen by the sender; the answer repeats it.
+  incarnation to_incarnation;
   service_id service;
   class_id request_class;
   team_id team;
-  idempotency_key key;
   bool non_idempotent{false};
-  bool first_attempt{false};
   duration deadline{};  ///< Remaining time when the message was sent.
   std::string body;
   std::string traceparent;
+  std::optional<routing::intent_ref> intent;  ///< Set for a non-idempotent request.
+  std::optional<worker_id> avoid;
+  bool pulled{false};
   friend bool operator==(const forward_request&, const forward_request&) = default;
 };
 
 struct forward_answer {
-  request_id id;
-  outcome result;
+  routing::forward_id id;
+  incarnation to_incarnation;  ///< Of the process that chose `id`.
+  routing::forward_result result{routing::forward_result::may_have_run};
   std::uint32_t status{0};  ///< HTTP status of the target's answer; 0 when none came.
   std::string body;
+  std::optional<worker_id> target;
+  std::string reason;
+  routing::load_report load;
   friend bool operator==(const forward_answer&, const forward_answer&) = default;
 };
 
-/// Asks for queued requests of a service; the sender has this many idle slots.
+/// Asks for queued requests of a service; the sender has idle slots.
 struct pull_work {
   service_id service;
-  std::uint32_t slots{0};
+  std::uint32_t count{0};
+  std::uint32_t max_rank{0};
   friend bool operator==(const pull_work&, const pull_work&) = default;
 };
 
+/// The sender's idle slots, queues and leaving targets.
+struct load {
+  routing::load_report report;
+  friend bool operator==(const load&, const load&) = default;
+};
+
 /// Hands an accepted job to the owner of its failure domain.
 struct submit_job {
   request_id id;
@@ -66,12 +80,15 @@
 struct query_job {
   request_id id;
   job_id job;
+  failure_domain_id failure_domain;
+  duration wait{};  ///< The owner holds its answer until the job ends, at most this long.
   friend bool operator==(const query_job&, const query_job&) = default;
 };
 
 struct cancel_job {
   request_id id;
   job_id job;
+  failure_domain_id failure_domain;
   friend bool operator==(const cancel_job&, const cancel_job&) = default;
 };
 
@@ -89,12 +106,15 @@
   failure_domain_id failure_domain;
   epoch owned;
   std::string address;
+  std::uint32_t free_accelerators{0};
+  std::uint32_t waiting_jobs{0};
   friend bool operator==(const owner_announcement&, const owner_announcement&) = default;
 };
 
-using message = std::variant<hello, heartbeat, forward_request, forward_answer, pull_work, record_intent,
-                             withdraw_intent, intent_answer, finish_intent, transfer_intents, fetch_document,
-                             document, submit_job, query_job, cancel_job, job_answer, owner_announcement>;
+using message =
+    std::variant<hello, heartbeat, forward_request, forward_answer, pull_work, load, record_intent,
+                 withdraw_intent, intent_answer, finish_intent, transfer_intents, fetch_document, document,
+                 submit_job, query_job, cancel_job, job_answer, owner_announcement>;
 
 /// Largest encoded message that is decoded, in bytes. Holds a transfer part with one largest body.
 inline constexpr std::size_t max_message_bytes = 2'500'000;
--- a/src/programs/shared/daemon_base.cpp
+++ b/src/programs/shared/daemon_base.cpp
@@ -81,7 +81,7 @@
           [this](const http_request& request, const http_responder& reply) { handle_http(request, reply); }} {
 }
 
-int daemon_base::run() {
+int daemon_base::serve() {
   for (const auto& status : {http_.listen(), mesh_.listen()}) {
     if (!status.ok()) {
       log(log_level::error, std::string{status.message()});
--- a/src/programs/shared/daemon_base.hpp
+++ b/src/programs/shared/daemon_base.hpp
@@ -34,7 +34,7 @@
   virtual ~daemon_base() = default;
 
   /// Runs until the daemon has drained; returns the exit status.
-  int run();
+  int serve();
 
  protected:
   virtual void on_peer_message(const member_info& from, const peer::message& message) = 0;
--- a/src/programs/shared/daemon_main.hpp
+++ b/src/programs/shared/daemon_main.hpp
@@ -21,7 +21,7 @@
   }
   configure_log(program, settings->self.vm.value(), settings->lowest_log_level);
   Daemon daemon{*settings};
-  return daemon.run();
+  return daemon.serve();
 }
 
 }  // namespace rhubarbpath
