--- /dev/null
+++ b/include/rhubarbpath/coordination/domain_log.hpp
@@ -0,0 +1,207 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "rhubarbpath/coordination/domain_state.hpp"
+#include "rhubarbpath/coordination/log_value_codec.hpp"
+#include "rhubarbpath/coordination/store_session.hpp"
+#include "rhubarbpath/coordination/tick.hpp"
+#include "rhubarbpath/state/ids.hpp"
+#include "rhubarbpath/state/log_entry.hpp"
+#include "rhubarbpath/state/random.hpp"
+#include "rhubarbpath/state/store.hpp"
+#include "rhubarbpath/state/units.hpp"
+
+namespace rhubarbpath {
+
+/// Replays the log and writes `epoch_opened` as its next row. Sent once, after the lease was acquired.
+struct log_open_requested {};
+
+/// Adds entries to the next row. Appends commit in the order in which they were requested.
+struct log_append {
+  std::uint64_t id{0};  ///< Must increase with each append.
+  std::vector<log_entry> entries;
+};
+
+/// Asks the log to look for a successor's row from now on, for an orderly hand-over.
+struct log_successor_expected {};
+
+using domain_log_event =
+    std::variant<log_open_requested, log_append, log_successor_expected, store_call_result, tick>;
+
+/// The log is replayed and this process owns the epoch; `domain_log::state()` is complete.
+struct log_opened {
+  epoch opened;
+};
+
+/// All appends up to and including `through` are in the log.
+struct log_committed {
+  std::uint64_t through{0};
+};
+
+/// Another epoch was opened or the log cannot be read. The log makes no more calls.
+struct log_lost {
+  std::string reason;
+  /// False when an append that did not commit may still reach the log.
+  bool appends_settled{false};
+  /// The log exists but cannot be decoded; opening it again gives the same result.
+  bool corrupt{false};
+};
+
+using domain_log_action = std::variant<store_call, store_call_cancelled, log_opened, log_committed, log_lost>;
+
+/// The log of one failure domain under one epoch.
+///
+/// Rows are created only if absent and are numbered without a gap, so that two writers cannot both append
+/// the same number. A new owner's first row is `epoch_opened`; a predecessor's next append uses that
+/// number, conflicts, and the predecessor stops.
+///
+/// A row may be deleted only when a snapshot covers it and `retention` has passed since the snapshot was
+/// written. A writer whose previous row is older than half of `retention` therefore reads the snapshot head
+/// after its append: if the head covers the number, then the row had existed before and was deleted, and
+/// the append does not count.
+class domain_log {
+ public:
+  struct options {
+    std::string prefix;  ///< For example "/env/production/domains/tas-hba".
+    vm_id owner;
+    incarnation owner_incarnation;
+    call_id first_call{1};  ///< Store calls get ids from here upwards.
+    std::size_t max_row_bytes{256'000};
+    std::size_t max_row_entries{512};
+    duration append_interval{100'000};  ///< Shortest interval between two rows; bounds the write rate.
+    std::size_t snapshot_rows{500};     ///< Rows after which a snapshot is taken.
+    std::size_t snapshot_part_bytes{900'000};
+    duration retention{60'000'000};
+    duration keep_ended_jobs{86'400'000'000};  ///< 24 h; a repeated submission within it is recognised.
+    int replay_page{200};
+    duration successor_poll{100'000};
+  };
+
+  domain_log(options opts, const log_value_codec& codec, random_source& random);
+  void handle(const domain_log_event& event, instant now, std::vector<domain_log_action>& out);
+  [[nodiscard]] std::optional<instant> next_deadline() const;
+
+  /// The fold of all committed rows.
+  [[nodiscard]] const domain_state& state() const noexcept { return state_; }
+  [[nodiscard]] bool open() const noexcept { return phase_ == phase::open; }
+  [[nodiscard]] epoch opened_epoch() const noexcept { return epoch_; }
+  /// Number of the last row that is known to be in the log.
+  [[nodiscard]] log_index last_row() const noexcept { return last_row_; }
+  /// When the oldest append that is not committed was requested.
+  [[nodiscard]] std::optional<instant> oldest_uncommitted() const;
+  /// One above the highest call id used so far.
+  [[nodiscard]] call_id next_call() const noexcept { return next_call_; }
+
+ private:
+  enum class phase {
+    closed,
+    reading_head,
+    reading_parts,
+    listing,
+    reading_row,
+    opening,
+    verifying,
+    open,
+    lost
+  };
+  enum class snapshot_phase { none, parts, head, rereading_head };
+  struct queued_append {
+    std::uint64_t id{0};
+    std::vector<log_entry> entries;
+    instant requested{};
+  };
+
+  void on(const log_open_requested& event, instant now, std::vector<domain_log_action>& out);
+  void on(const log_append& event, instant now, std::vector<domain_log_action>& out);
+  void on(const log_successor_expected& event, instant now, std::vector<domain_log_action>& out);
+  void on(const store_call_result& event, instant now, std::vector<domain_log_action>& out);
+  void on(const tick& event, instant now, std::vector<domain_log_action>& out);
+
+  void start_replay(instant now, std::vector<domain_log_action>& out);
+  void restart_replay(instant now);
+  void on_replay_result(const store_call_result& result, instant now, std::vector<domain_log_action>& out);
+  void on_head(const store_rows& rows, instant now, std::vector<domain_log_action>& out);
+  void on_part(const store_rows& rows, instant now, std::vector<domain_log_action>& out);
+  void on_listed(const store_rows& rows, instant now, std::vector<domain_log_action>& out);
+  void on_missing_row(const store_rows& rows, instant now, std::vector<domain_log_action>& out);
+  void on_epoch_written(const store_response& response, instant now, std::vector<domain_log_action>& out);
+  void on_verified(const store_rows& rows, instant now, std::vector<domain_log_action>& out);
+  bool replay_row(const store_row& row, std::vector<domain_log_action>& out);
+  void read_part(std::vector<domain_log_action>& out);
+  void list_rows(std::vector<domain_log_action>& out);
+  void read_row(std::vector<domain_log_action>& out);
+  void write_epoch(std::vector<domain_log_action>& out);
+
+  void flush(instant now, std::vector<domain_log_action>& out);
+  void on_append_result(const store_response& response, instant now, std::vector<domain_log_action>& out);
+  void on_append_verified(const store_response& response, instant now, std::vector<domain_log_action>& out);
+  void commit(instant now, std::vector<domain_log_action>& out);
+  void poll_successor(instant now, std::vector<domain_log_action>& out);
+  void lose(std::string reason, bool settled, bool corrupt, std::vector<domain_log_action>& out);
+
+  void maybe_snapshot(std::vector<domain_log_action>& out, instant now);
+  void write_snapshot_step(std::vector<domain_log_action>& out);
+  void on_snapshot_result(const store_call_result& result, instant now, std::vector<domain_log_action>& out);
+  void snapshot_written(revision at, instant now);
+  void delete_covered(instant now, std::vector<domain_log_action>& out);
+  void on_garbage_listed(const store_response& response, instant now, std::vector<domain_log_action>& out);
+
+  call_id make_call(store_request request, store_priority priority, std::vector<domain_log_action>& out);
+  [[nodiscard]] std::string row_key(log_index index) const;
+  [[nodiscard]] std::string head_key() const;
+  [[nodiscard]] std::string part_key(log_index covers, int part) const;
+
+  options options_;
+  const log_value_codec* codec_;
+  random_source* random_;
+  phase phase_{phase::closed};
+  domain_state state_;
+  epoch epoch_;
+  log_index last_row_;
+  call_id next_call_;
+  call_id replay_call_;
+  instant replay_at_{};  ///< When a restarted replay begins.
+  bool replay_waiting_{false};
+  int replay_restarts_{0};
+
+  snapshot_head head_;
+  revision head_revision_;
+  std::vector<std::string> parts_;  ///< Read so far in a replay.
+
+  std::deque<queued_append> queue_;
+  std::vector<queued_append> in_flight_;
+  call_id append_call_;
+  call_id verify_call_;
+  instant append_sent_{};       ///< When the row in flight was first handed to the session.
+  instant last_append_sent_{};  ///< The same for the last committed row.
+  instant next_append_{};
+
+  bool successor_expected_{false};
+  call_id successor_call_;
+  instant next_successor_poll_{};
+
+  snapshot_phase snapshot_phase_{snapshot_phase::none};
+  call_id snapshot_call_;
+  std::vector<std::string> snapshot_values_;
+  snapshot_head snapshot_head_;
+  std::size_t rows_since_snapshot_{0};
+  std::size_t next_part_{0};
+
+  struct deletion {
+    std::string key;
+    instant not_before{};
+  };
+  std::deque<deletion> deletions_;  ///< In the order in which the rows must go.
+  call_id delete_call_;
+  call_id garbage_call_;
+  std::deque<log_index> present_rows_;  ///< Rows that the next snapshot will cover.
+};
+
+}  // namespace rhubarbpath
--- /dev/null
+++ b/include/rhubarbpath/coordination/domain_owner.hpp
@@ -0,0 +1,217 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "rhubarbpath/coordination/domain_log.hpp"
+#include "rhubarbpath/coordination/gang_controller.hpp"
+#include "rhubarbpath/coordination/lease_keeper.hpp"
+#include "rhubarbpath/coordination/log_value_codec.hpp"
+#include "rhubarbpath/coordination/placement_policy.hpp"
+#include "rhubarbpath/coordination/store_session.hpp"
+#include "rhubarbpath/coordination/tick.hpp"
+#include "rhubarbpath/state/document.hpp"
+#include "rhubarbpath/state/ids.hpp"
+#include "rhubarbpath/state/job.hpp"
+#include "rhubarbpath/state/random.hpp"
+#include "rhubarbpath/state/units.hpp"
+#include "rhubarbpath/state/verdict.hpp"
+
+namespace rhubarbpath {
+
+/// Where the answer to a job message goes.
+struct job_message_origin {
+  vm_id peer;
+  request_id request;  ///< Chosen by the peer.
+  friend bool operator==(const job_message_origin&, const job_message_origin&) = default;
+};
+
+struct job_submitted {
+  job_message_origin from;
+  job_id job;
+  job_spec spec;
+};
+
+struct job_queried {
+  job_message_origin from;
+  job_id job;
+  duration wait{};  ///< Hold the answer until the job is in a final state, at most this long.
+};
+
+struct job_cancel_requested {
+  job_message_origin from;
+  job_id job;
+};
+
+struct document_changed {
+  document_version version;
+  environment_document document;
+};
+
+/// Another or this process owns the failure domain under this epoch. Announced on opening and repeatedly.
+struct owner_announced {
+  failure_domain_id failure_domain;
+  epoch current_epoch;
+  vm_id owner;
+  incarnation owner_incarnation;
+  friend bool operator==(const owner_announced&, const owner_announced&) = default;
+};
+
+using domain_owner_event = std::variant<job_submitted, job_queried, job_cancel_requested, document_changed,
+                                        schedulers_changed, owner_announced, drain_requested,
+                                        store_call_result, worker_reported, worker_call_failed, tick>;
+
+/// Answer to a job message. `result.result` is `ran` when the message took effect, `not_run` when it
+/// certainly did not, and `may_have_run` when repeating it settles the question.
+struct job_answered {
+  job_message_origin to;
+  job_id job;
+  outcome result;
+  std::optional<job_record> record;  ///< Set when the job is known here.
+};
+
+/// The hand-over after `drain_requested` is complete, or there was nothing to hand over.
+struct owner_drained {};
+
+using domain_owner_action =
+    std::variant<store_call, store_call_cancelled, worker_send, job_answered, owner_announced, owner_drained>;
+
+/// One scheduler's part in one failure domain: a candidate for its lease, or its owner.
+///
+/// A job is answered as accepted only after its `job_accepted` entry is in the log, and a start command
+/// leaves only after its `job_placed` entry is in the log. All other messages and repeats are answered from
+/// the committed state.
+class domain_owner {
+ public:
+  struct options {
+    failure_domain_id failure_domain;
+    std::string environment;
+    vm_id self;
+    incarnation self_incarnation;
+    /// First of the call ids of this part; give each failure domain of a process its own range.
+    call_id first_call{1};
+    std::size_t max_pending_submissions{1000};
+    std::size_t max_command_bytes{65'536};
+    duration answer_timeout{2'000'000};  ///< Then a submission is answered `may_have_run`.
+    duration log_stall{1'000'000};       ///< No new placement while an append is older than this.
+    duration announce_interval{2'000'000};
+    duration adoption_grace{1'000'000};  ///< No new placement until adoption ends, at most this long.
+    duration hand_over_timeout{10'000'000};
+    duration retry_after{500'000};   ///< Told to callers that reach a process that is not the owner.
+    int max_failures{8};             ///< Failed attempts after which a job fails.
+    domain_log::options log;         ///< Prefix, owner and call ids are set by the owner.
+    lease_keeper::options lease;     ///< Likewise.
+    gang_controller::options gangs;  ///< Epoch and call ids are set by the owner.
+  };
+
+  domain_owner(options opts, const log_value_codec& codec, placement_policy& placement,
+               random_source& random);
+  void handle(const domain_owner_event& event, instant now, std::vector<domain_owner_action>& out);
+  [[nodiscard]] std::optional<instant> next_deadline() const;
+
+  /// True while this process acts as the owner.
+  [[nodiscard]] bool owns() const noexcept { return gangs_.has_value(); }
+  /// The epoch under which it acts; zero when it does not.
+  [[nodiscard]] epoch current_epoch() const noexcept;
+  /// The committed state; empty when this process is not the owner.
+  [[nodiscard]] const domain_state* committed() const noexcept;
+
+ private:
+  /// What becomes due when an append is committed.
+  struct submission_effect {
+    job_id job;
+  };
+  struct end_effect {
+    job_id job;
+    attempt_number attempt;
+  };
+  struct start_effect {
+    gang_start start;
+  };
+  using commit_effect = std::variant<submission_effect, end_effect, start_effect>;
+  struct waiting_effect {
+    std::uint64_t append{0};
+    commit_effect effect;
+  };
+  struct waiting_answer {
+    job_message_origin to;
+    instant deadline{};
+    bool cancel{false};
+  };
+
+  void on(const job_submitted& event, instant now, std::vector<domain_owner_action>& out);
+  void on(const job_queried& event, instant now, std::vector<domain_owner_action>& out);
+  void on(const job_cancel_requested& event, instant now, std::vector<domain_owner_action>& out);
+  void on(const document_changed& event, instant now, std::vector<domain_owner_action>& out);
+  void on(const schedulers_changed& event, instant now, std::vector<domain_owner_action>& out);
+  void on(const owner_announced& event, instant now, std::vector<domain_owner_action>& out);
+  void on(const drain_requested& event, instant now, std::vector<domain_owner_action>& out);
+  void on(const store_call_result& event, instant now, std::vector<domain_owner_action>& out);
+  void on(const worker_reported& event, instant now, std::vector<domain_owner_action>& out);
+  void on(const worker_call_failed& event, instant now, std::vector<domain_owner_action>& out);
+  void on(const tick& event, instant now, std::vector<domain_owner_action>& out);
+
+  void feed_lease(const lease_keeper_event& event, instant now, std::vector<domain_owner_action>& out);
+  void feed_log(const domain_log_event& event, instant now, std::vector<domain_owner_action>& out);
+  void feed_gangs(const gang_controller_event& event, instant now, std::vector<domain_owner_action>& out);
+  void on_lease(const lease_keeper_action& action, instant now, std::vector<domain_owner_action>& out);
+  void on_log(const domain_log_action& action, instant now, std::vector<domain_owner_action>& out);
+  void on_gangs(const gang_controller_action& action, instant now, std::vector<domain_owner_action>& out);
+
+  void open_log(instant now, std::vector<domain_owner_action>& out);
+  void begin_acting(epoch opened, instant now, std::vector<domain_owner_action>& out);
+  void stop_acting(const std::string& reason, bool appends_settled, instant now,
+                   std::vector<domain_owner_action>& out);
+  void resign(const std::string& reason, bool appends_settled, duration wait, instant now,
+              std::vector<domain_owner_action>& out);
+  void on_gang_ended(const gang_ended& ended, instant now, std::vector<domain_owner_action>& out);
+  void end_job(const job_id& job, job_state state, std::string reason, instant now,
+               std::vector<domain_owner_action>& out);
+  void cancel_job(const job_id& job, instant now, std::vector<domain_owner_action>& out);
+  void run_placement(instant now, std::vector<domain_owner_action>& out);
+  void apply_decision(const placement_decision& decision, instant now, std::vector<domain_owner_action>& out);
+  void place(const job_placement_decided& decision, instant now, std::vector<domain_owner_action>& out);
+  void append(log_entry entry, std::optional<commit_effect> effect, instant now,
+              std::vector<domain_owner_action>& out);
+  void run_effect(const commit_effect& effect, instant now, std::vector<domain_owner_action>& out);
+  void answer(const job_message_origin& to, const job_id& job, outcome result,
+              std::vector<domain_owner_action>& out) const;
+  void answer_known(const job_message_origin& to, const job_id& job,
+                    std::vector<domain_owner_action>& out) const;
+  void expire_answers(instant now, std::vector<domain_owner_action>& out);
+  void announce(instant now, std::vector<domain_owner_action>& out);
+  [[nodiscard]] bool may_place(instant now) const;
+  [[nodiscard]] std::vector<worker_id> domain_workers() const;
+  [[nodiscard]] outcome not_owner() const;
+
+  options options_;
+  const log_value_codec* codec_;
+  placement_policy* placement_;
+  random_source* random_;
+  lease_keeper lease_;
+  std::optional<domain_log> log_;
+  std::optional<gang_controller> gangs_;
+  std::optional<document_changed> document_;
+  domain_state expected_;  ///< The committed state with all requested appends applied.
+  std::uint64_t next_append_{1};
+  std::deque<waiting_effect> effects_;
+  std::map<job_id, std::vector<waiting_answer>> submissions_;
+  std::map<job_id, std::vector<waiting_answer>> waiting_;  ///< Queries that wait and cancellations.
+  std::map<job_id, bool> cancelled_;  ///< Jobs to end as cancelled as soon as their attempt has ended.
+  bool lease_uncertain_{false};
+  bool adopted_{false};
+  bool draining_{false};
+  bool drained_{false};
+  instant acting_since_{};
+  instant next_announcement_{};
+  instant hand_over_until_{};
+  call_id next_log_call_;
+  call_id next_worker_call_;
+};
+
+}  // namespace rhubarbpath
--- /dev/null
+++ b/include/rhubarbpath/coordination/placement_policy.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "rhubarbpath/coordination/domain_state.hpp"
+#include "rhubarbpath/coordination/gang_controller.hpp"
+#include "rhubarbpath/state/document.hpp"
+#include "rhubarbpath/state/ids.hpp"
+#include "rhubarbpath/state/job.hpp"
+#include "rhubarbpath/state/units.hpp"
+
+namespace rhubarbpath {
+
+/// The members of a waiting job are reserved; the owner logs the placement and then starts them.
+struct job_placement_decided {
+  job_id job;
+  std::vector<member_placement> placement;
+};
+
+/// A running gang must give up its accelerators.
+struct job_preemption_decided {
+  job_id job;
+  std::string reason;
+};
+
+/// The job can never run, for example because no place of its shape exists.
+struct job_refusal_decided {
+  job_id job;
+  std::string reason;
+};
+
+/// The job is given up after its attempts failed.
+struct job_failure_decided {
+  job_id job;
+  std::string reason;
+};
+
+struct worker_set_aside_decided {
+  worker_id worker;
+  std::string reason;
+};
+
+struct worker_restore_decided {
+  worker_id worker;
+};
+
+using placement_decision =
+    std::variant<job_placement_decided, job_preemption_decided, job_refusal_decided, job_failure_decided,
+                 worker_set_aside_decided, worker_restore_decided>;
+
+/// What `domain_owner` needs from placement in one failure domain. An implementation holds only state that
+/// it can rebuild from the document and the log.
+class placement_policy {
+ public:
+  placement_policy() = default;
+  placement_policy(const placement_policy&) = delete;
+  placement_policy(placement_policy&&) = delete;
+  placement_policy& operator=(const placement_policy&) = delete;
+  placement_policy& operator=(placement_policy&&) = delete;
+  virtual ~placement_policy() = default;
+
+  /// Forgets everything and begins from the replayed log. Jobs that are starting, running or stopping hold
+  /// the accelerators of their recorded placement.
+  virtual void rebuild(const environment_document& document, const domain_state& state, instant now) = 0;
+  virtual void document_changed(const environment_document& document, instant now) = 0;
+  /// A new job, or one whose attempt ended and that waits again; its accelerators are free.
+  virtual void job_waits(const job_record& job, instant now) = 0;
+  /// The attempt ended; `end` says how. Called before `job_waits` or `job_left`.
+  virtual void attempt_ended(const job_record& job, const gang_ended& end, instant now) = 0;
+  virtual void job_runs(const job_record& job, instant now) = 0;
+  /// The job is in a final state and holds nothing.
+  virtual void job_left(const job_id& job, instant now) = 0;
+  virtual void worker_reachable(const worker_id& worker, bool reachable, instant now) = 0;
+
+  /// Appends the decisions that are possible now. Called only while placements can be logged.
+  virtual void decide(instant now, std::vector<placement_decision>& out) = 0;
+  [[nodiscard]] virtual std::optional<instant> next_deadline() const = 0;
+  /// Why a waiting job waits; empty when there is nothing to say.
+  [[nodiscard]] virtual std::string waiting_reason(const job_id& job) const = 0;
+};
+
+}  // namespace rhubarbpath
--- /dev/null
+++ b/include/rhubarbpath/protocol/worker_codec.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "absl/status/statusor.h"
+#include "rhubarbpath/state/ids.hpp"
+#include "rhubarbpath/state/worker_api.hpp"
+
+namespace rhubarbpath {
+
+/// A command with the epoch under which its sender owns the worker's failure domain.
+struct fenced_worker_command {
+  epoch sender_epoch;
+  worker_command command;
+};
+
+/// One `POST` to a worker.
+struct worker_call_text {
+  std::string path;  ///< "/tasks/start", "/tasks/stop", "/tasks/checkpoint" or "/tasks/renew".
+  std::string body;
+};
+
+[[nodiscard]] worker_call_text encode_worker_command(const fenced_worker_command& command);
+/// Fails with `not_found` for an unknown path and `invalid_argument` for a body that does not fit it.
+[[nodiscard]] absl::StatusOr<fenced_worker_command> decode_worker_command(std::string_view path,
+                                                                          std::string_view body);
+
+/// The body of the answer to every command and to `GET /tasks`; a refused older epoch has HTTP status 409.
+[[nodiscard]] std::string encode_worker_report(const worker_report& report);
+[[nodiscard]] absl::StatusOr<worker_report> decode_worker_report(std::string_view body);
+
+}  // namespace rhubarbpath
