Add codecs of the state layer, store session, log, leases, gangs and owner

Cause: a scheduler needs to own a failure domain and keep its state in the store. Ruled out: nlohmann's from_cbor on unchecked input, because its reader is recursive and throws on a declared array size that it cannot hold; a first pass checks depth and sizes. Conclusion: the store, worker and log formats are fixed for the parts that build on them.

--- a/include/rhubarbpath/coordination/domain_log.hpp
+++ b/include/rhubarbpath/coordination/domain_log.hpp
@@ -29,11 +29,16 @@
   std::vector<log_entry> entries;
 };
 
-/// Asks the log to look for a successor's row from now on, for an orderly hand-over.
-struct log_successor_expected {};
+/// Whether to look for a successor's row from now on, for an orderly hand-over.
+struct log_successor_expected {
+  bool expected{true};
+};
+
+/// The owner stops acting for another reason. Withdraws all calls; no `log_lost` follows.
+struct log_closed {};
 
 using domain_log_event =
-    std::variant<log_open_requested, log_append, log_successor_expected, store_call_result, tick>;
+    std::variant<log_open_requested, log_append, log_successor_expected, log_closed, store_call_result, tick>;
 
 /// The log is replayed and this process owns the epoch; `domain_log::state()` is complete.
 struct log_opened {
@@ -82,6 +87,7 @@
     duration keep_ended_jobs{86'400'000'000};  ///< 24 h; a repeated submission within it is recognised.
     int replay_page{200};
     duration successor_poll{100'000};
+    duration delete_interval{50'000};  ///< Shortest interval between two deletions of covered rows.
   };
 
   domain_log(options opts, const log_value_codec& codec, random_source& random);
@@ -117,45 +123,61 @@
     std::vector<log_entry> entries;
     instant requested{};
   };
+  struct deletion {
+    std::string key;
+    instant not_before{};
+  };
+  using actions = std::vector<domain_log_action>;
 
-  void on(const log_open_requested& event, instant now, std::vector<domain_log_action>& out);
-  void on(const log_append& event, instant now, std::vector<domain_log_action>& out);
-  void on(const log_successor_expected& event, instant now, std::vector<domain_log_action>& out);
-  void on(const store_call_result& event, instant now, std::vector<domain_log_action>& out);
-  void on(const tick& event, instant now, std::vector<domain_log_action>& out);
+  void on(const log_open_requested& event, instant now, actions& out);
+  void on(const log_append& event, instant now, actions& out);
+  void on(const log_successor_expected& event, instant now, actions& out);
+  void on(const log_closed& event, instant now, actions& out);
+  void on(const store_call_result& event, instant now, actions& out);
+  void on(const tick& event, instant now, actions& out);
+  void run_timers(instant now, actions& out);
 
-  void start_replay(instant now, std::vector<domain_log_action>& out);
+  void start_replay(actions& out);
   void restart_replay(instant now);
-  void on_replay_result(const store_call_result& result, instant now, std::vector<domain_log_action>& out);
-  void on_head(const store_rows& rows, instant now, std::vector<domain_log_action>& out);
-  void on_part(const store_rows& rows, instant now, std::vector<domain_log_action>& out);
-  void on_listed(const store_rows& rows, instant now, std::vector<domain_log_action>& out);
-  void on_missing_row(const store_rows& rows, instant now, std::vector<domain_log_action>& out);
-  void on_epoch_written(const store_response& response, instant now, std::vector<domain_log_action>& out);
-  void on_verified(const store_rows& rows, instant now, std::vector<domain_log_action>& out);
-  bool replay_row(const store_row& row, std::vector<domain_log_action>& out);
-  void read_part(std::vector<domain_log_action>& out);
-  void list_rows(std::vector<domain_log_action>& out);
-  void read_row(std::vector<domain_log_action>& out);
-  void write_epoch(std::vector<domain_log_action>& out);
-
-  void flush(instant now, std::vector<domain_log_action>& out);
-  void on_append_result(const store_response& response, instant now, std::vector<domain_log_action>& out);
-  void on_append_verified(const store_response& response, instant now, std::vector<domain_log_action>& out);
-  void commit(instant now, std::vector<domain_log_action>& out);
-  void poll_successor(instant now, std::vector<domain_log_action>& out);
-  void lose(std::string reason, bool settled, bool corrupt, std::vector<domain_log_action>& out);
-
-  void maybe_snapshot(std::vector<domain_log_action>& out, instant now);
-  void write_snapshot_step(std::vector<domain_log_action>& out);
-  void on_snapshot_result(const store_call_result& result, instant now, std::vector<domain_log_action>& out);
+  void on_replay_result(const store_response& response, instant now, actions& out);
+  void on_head(const store_rows& rows, actions& out);
+  void on_part(const store_rows& rows, instant now, actions& out);
+  void on_listed(const store_rows& rows, instant now, actions& out);
+  void on_row(const store_rows& rows, instant now, actions& out);
+  void on_epoch_written(const store_response& response, instant now, actions& out);
+  void on_verified(const store_rows& rows, instant now, actions& out);
+  bool replay_row(const store_row& row, actions& out);
+  void read_part(actions& out);
+  void list_rows(actions& out);
+  void read_row(actions& out);
+  void write_epoch(instant now, actions& out);
+  [[nodiscard]] epoch_opened epoch_entry() const;
+
+  void flush(instant now, actions& out);
+  [[nodiscard]] std::string take_batch();
+  void on_append_result(const store_response& response, instant now, actions& out);
+  void on_append_verified(const store_response& response, actions& out);
+  void commit(actions& out);
+  void poll_successor(instant now, actions& out);
+  void on_successor_polled(const store_response& response, actions& out);
+  void lose(std::string reason, bool settled, bool corrupt, actions& out);
+  void cancel_calls(actions& out);
+
+  void maybe_snapshot(instant now, actions& out);
+  void write_snapshot_step(actions& out);
+  void on_snapshot_result(const store_response& response, instant now, actions& out);
+  void on_head_reread(const store_response& response, actions& out);
   void snapshot_written(revision at, instant now);
-  void delete_covered(instant now, std::vector<domain_log_action>& out);
-  void on_garbage_listed(const store_response& response, instant now, std::vector<domain_log_action>& out);
+  void schedule_deletion(std::string key, instant now);
+  void delete_covered(instant now, actions& out);
+  void collect_garbage(actions& out);
+  void on_garbage_listed(const store_response& response, instant now, actions& out);
 
-  call_id make_call(store_request request, store_priority priority, std::vector<domain_log_action>& out);
+  [[nodiscard]] call_id make_call(store_request request, store_priority priority, actions& out);
+  [[nodiscard]] std::string row_prefix() const { return options_.prefix + "/log/"; }
   [[nodiscard]] std::string row_key(log_index index) const;
-  [[nodiscard]] std::string head_key() const;
+  [[nodiscard]] std::string head_key() const { return options_.prefix + "/snapshot"; }
+  [[nodiscard]] std::string part_prefix() const { return options_.prefix + "/snapshot/"; }
   [[nodiscard]] std::string part_key(log_index covers, int part) const;
 
   options options_;
@@ -167,8 +189,7 @@
   log_index last_row_;
   call_id next_call_;
   call_id replay_call_;
-  instant replay_at_{};  ///< When a restarted replay begins.
-  bool replay_waiting_{false};
+  std::optional<instant> replay_at_;  ///< When a replay that found a gap begins again.
   int replay_restarts_{0};
 
   snapshot_head head_;
@@ -179,7 +200,7 @@
   std::vector<queued_append> in_flight_;
   call_id append_call_;
   call_id verify_call_;
-  instant append_sent_{};       ///< When the row in flight was first handed to the session.
+  instant append_sent_{};       ///< When the row in flight was handed to the session.
   instant last_append_sent_{};  ///< The same for the last committed row.
   instant next_append_{};
 
@@ -190,18 +211,16 @@
   snapshot_phase snapshot_phase_{snapshot_phase::none};
   call_id snapshot_call_;
   std::vector<std::string> snapshot_values_;
-  snapshot_head snapshot_head_;
-  std::size_t rows_since_snapshot_{0};
+  snapshot_head new_head_;
   std::size_t next_part_{0};
+  std::deque<log_index> uncovered_rows_;  ///< Rows after the snapshot.
 
-  struct deletion {
-    std::string key;
-    instant not_before{};
-  };
-  std::deque<deletion> deletions_;  ///< In the order in which the rows must go.
+  std::deque<deletion> deletions_;  ///< Rows in ascending order, so that a replay sees a gap.
   call_id delete_call_;
+  instant next_delete_{};
   call_id garbage_call_;
-  std::deque<log_index> present_rows_;  ///< Rows that the next snapshot will cover.
+  std::string garbage_prefix_;
+  std::string garbage_start_;
 };
 
 }  // namespace rhubarbpath
--- a/include/rhubarbpath/coordination/domain_owner.hpp
+++ b/include/rhubarbpath/coordination/domain_owner.hpp
@@ -93,7 +93,7 @@
     std::string environment;
     vm_id self;
     incarnation self_incarnation;
-    /// First of the call ids of this part; give each failure domain of a process its own range.
+    /// First of the 2^34 call ids of this part; give each failure domain of a process its own range.
     call_id first_call{1};
     std::size_t max_pending_submissions{1000};
     std::size_t max_command_bytes{65'536};
@@ -102,11 +102,12 @@
     duration announce_interval{2'000'000};
     duration adoption_grace{1'000'000};  ///< No new placement until adoption ends, at most this long.
     duration hand_over_timeout{10'000'000};
-    duration retry_after{500'000};   ///< Told to callers that reach a process that is not the owner.
-    int max_failures{8};             ///< Failed attempts after which a job fails.
-    domain_log::options log;         ///< Prefix, owner and call ids are set by the owner.
-    lease_keeper::options lease;     ///< Likewise.
-    gang_controller::options gangs;  ///< Epoch and call ids are set by the owner.
+    duration retry_after{500'000};          ///< Told to callers that reach a process that is not the owner.
+    duration corrupt_log_wait{30'000'000};  ///< Before another attempt to read a log that cannot be decoded.
+    int max_failures{8};                    ///< Failed attempts after which a job fails.
+    domain_log::options log;                ///< Prefix, owner and call ids are set by the owner.
+    lease_keeper::options lease;            ///< Likewise.
+    gang_controller::options gangs;         ///< Epoch and call ids are set by the owner.
   };
 
   domain_owner(options opts, const log_value_codec& codec, placement_policy& placement,
@@ -123,71 +124,86 @@
 
  private:
   /// What becomes due when an append is committed.
-  struct submission_effect {
+  struct accepted_effect {
     job_id job;
   };
-  struct end_effect {
+  struct ended_effect {
     job_id job;
     attempt_number attempt;
   };
-  struct start_effect {
+  struct placed_effect {
     gang_start start;
   };
-  using commit_effect = std::variant<submission_effect, end_effect, start_effect>;
+  using commit_effect = std::variant<accepted_effect, ended_effect, placed_effect>;
   struct waiting_effect {
     std::uint64_t append{0};
     commit_effect effect;
   };
+  enum class message { submission, query, cancellation };
   struct waiting_answer {
     job_message_origin to;
+    message kind{message::query};
     instant deadline{};
-    bool cancel{false};
   };
-
-  void on(const job_submitted& event, instant now, std::vector<domain_owner_action>& out);
-  void on(const job_queried& event, instant now, std::vector<domain_owner_action>& out);
-  void on(const job_cancel_requested& event, instant now, std::vector<domain_owner_action>& out);
-  void on(const document_changed& event, instant now, std::vector<domain_owner_action>& out);
-  void on(const schedulers_changed& event, instant now, std::vector<domain_owner_action>& out);
-  void on(const owner_announced& event, instant now, std::vector<domain_owner_action>& out);
-  void on(const drain_requested& event, instant now, std::vector<domain_owner_action>& out);
-  void on(const store_call_result& event, instant now, std::vector<domain_owner_action>& out);
-  void on(const worker_reported& event, instant now, std::vector<domain_owner_action>& out);
-  void on(const worker_call_failed& event, instant now, std::vector<domain_owner_action>& out);
-  void on(const tick& event, instant now, std::vector<domain_owner_action>& out);
-
-  void feed_lease(const lease_keeper_event& event, instant now, std::vector<domain_owner_action>& out);
-  void feed_log(const domain_log_event& event, instant now, std::vector<domain_owner_action>& out);
-  void feed_gangs(const gang_controller_event& event, instant now, std::vector<domain_owner_action>& out);
-  void on_lease(const lease_keeper_action& action, instant now, std::vector<domain_owner_action>& out);
-  void on_log(const domain_log_action& action, instant now, std::vector<domain_owner_action>& out);
-  void on_gangs(const gang_controller_action& action, instant now, std::vector<domain_owner_action>& out);
-
-  void open_log(instant now, std::vector<domain_owner_action>& out);
-  void begin_acting(epoch opened, instant now, std::vector<domain_owner_action>& out);
-  void stop_acting(const std::string& reason, bool appends_settled, instant now,
-                   std::vector<domain_owner_action>& out);
-  void resign(const std::string& reason, bool appends_settled, duration wait, instant now,
-              std::vector<domain_owner_action>& out);
-  void on_gang_ended(const gang_ended& ended, instant now, std::vector<domain_owner_action>& out);
-  void end_job(const job_id& job, job_state state, std::string reason, instant now,
-               std::vector<domain_owner_action>& out);
-  void cancel_job(const job_id& job, instant now, std::vector<domain_owner_action>& out);
-  void run_placement(instant now, std::vector<domain_owner_action>& out);
-  void apply_decision(const placement_decision& decision, instant now, std::vector<domain_owner_action>& out);
-  void place(const job_placement_decided& decision, instant now, std::vector<domain_owner_action>& out);
-  void append(log_entry entry, std::optional<commit_effect> effect, instant now,
-              std::vector<domain_owner_action>& out);
-  void run_effect(const commit_effect& effect, instant now, std::vector<domain_owner_action>& out);
-  void answer(const job_message_origin& to, const job_id& job, outcome result,
-              std::vector<domain_owner_action>& out) const;
-  void answer_known(const job_message_origin& to, const job_id& job,
-                    std::vector<domain_owner_action>& out) const;
-  void expire_answers(instant now, std::vector<domain_owner_action>& out);
-  void announce(instant now, std::vector<domain_owner_action>& out);
+  using actions = std::vector<domain_owner_action>;
+
+  void on(const job_submitted& event, instant now, actions& out);
+  void on(const job_queried& event, instant now, actions& out);
+  void on(const job_cancel_requested& event, instant now, actions& out);
+  void on(const document_changed& event, instant now, actions& out);
+  void on(const schedulers_changed& event, instant now, actions& out);
+  void on(const owner_announced& event, instant now, actions& out);
+  void on(const drain_requested& event, instant now, actions& out);
+  void on(const store_call_result& event, instant now, actions& out);
+  void on(const worker_reported& event, instant now, actions& out);
+  void on(const worker_call_failed& event, instant now, actions& out);
+  void on(const tick& event, instant now, actions& out);
+  void run_timers(instant now, actions& out);
+
+  void feed_lease(const lease_keeper_event& event, instant now, actions& out);
+  void feed_log(const domain_log_event& event, instant now, actions& out);
+  void feed_gangs(const gang_controller_event& event, instant now, actions& out);
+
+  void on_lease(const lease_acquired& event, instant now, actions& out);
+  void on_lease(const lease_uncertain& event, instant now, actions& out);
+  void on_lease(const lease_confirmed& event, instant now, actions& out);
+  void on_lease(const lease_lost& event, instant now, actions& out);
+  void on_lease(const lease_released& event, instant now, actions& out);
+  void on_log(const log_opened& event, instant now, actions& out);
+  void on_log(const log_committed& event, instant now, actions& out);
+  void on_log(const log_lost& event, instant now, actions& out);
+  void on_gangs(const gang_running& event, instant now, actions& out);
+  void on_gangs(const gang_ended& event, instant now, actions& out);
+  void on_gangs(const worker_reachability& event, instant now, actions& out);
+  void on_gangs(const adoption_finished& event, instant now, actions& out);
+  void on_gangs(const epoch_superseded& event, instant now, actions& out);
+
+  void stop_acting(const std::string& reason, bool appends_settled, instant now, actions& out);
+  void resign(const std::string& reason, bool appends_settled, duration wait, instant now, actions& out);
+  void finish_drain(actions& out);
+  void end_waiting_job(const job_id& job, job_state state, std::string reason, instant now, actions& out);
+  void run_placement(instant now, actions& out);
+  void decided(const job_placement_decided& decision, instant now, actions& out);
+  void decided(const job_preemption_decided& decision, instant now, actions& out);
+  void decided(const job_end_decided& decision, instant now, actions& out);
+  void decided(const worker_set_aside_decided& decision, instant now, actions& out);
+  void decided(const worker_restore_decided& decision, instant now, actions& out);
+  void append(const log_entry& entry, std::optional<commit_effect> effect, instant now, actions& out);
+  void run_effect(const accepted_effect& effect, instant now, actions& out);
+  void run_effect(const ended_effect& effect, instant now, actions& out);
+  void run_effect(const placed_effect& effect, instant now, actions& out);
+
+  void await(const job_id& job, waiting_answer answer);
+  void answer_waiting(const job_id& job, actions& out);
+  void expire_answers(instant now, actions& out);
+  void answer(const job_message_origin& to, const job_id& job, outcome result, actions& out) const;
+  void answer_known(const job_message_origin& to, const job_id& job, actions& out) const;
+  [[nodiscard]] const job_record* committed_job(const job_id& job) const;
+  [[nodiscard]] bool log_stalled(duration limit, instant now) const;
   [[nodiscard]] bool may_place(instant now) const;
   [[nodiscard]] std::vector<worker_id> domain_workers() const;
   [[nodiscard]] outcome not_owner() const;
+  [[nodiscard]] outcome refusal(std::string reason) const;
 
   options options_;
   const log_value_codec* codec_;
@@ -200,16 +216,18 @@
   domain_state expected_;  ///< The committed state with all requested appends applied.
   std::uint64_t next_append_{1};
   std::deque<waiting_effect> effects_;
-  std::map<job_id, std::vector<waiting_answer>> submissions_;
-  std::map<job_id, std::vector<waiting_answer>> waiting_;  ///< Queries that wait and cancellations.
-  std::map<job_id, bool> cancelled_;  ///< Jobs to end as cancelled as soon as their attempt has ended.
+  std::map<job_id, std::vector<waiting_answer>> waiting_;
+  std::optional<instant> next_answer_deadline_;
+  std::map<job_id, gang_stop> stops_;  ///< Stops that were decided for attempts that still hold workers.
   bool lease_uncertain_{false};
-  bool adopted_{false};
+  bool rebuilt_{false};  ///< The placement policy knows the replayed state.
+  bool adopted_{false};  ///< Adoption has ended or its grace has passed.
   bool draining_{false};
   bool drained_{false};
+  std::optional<instant> hand_over_until_;
   instant acting_since_{};
+  instant last_handled_{};
   instant next_announcement_{};
-  instant hand_over_until_{};
   call_id next_log_call_;
   call_id next_worker_call_;
 };
--- a/include/rhubarbpath/coordination/gang_controller.hpp
+++ b/include/rhubarbpath/coordination/gang_controller.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <variant>
@@ -121,10 +123,11 @@
     epoch current_epoch;
     call_id first_call{1};
     duration lease{15'000'000};
-    duration renew_interval{4'000'000};
+    duration renew_interval{4'000'000};  ///< For workers that run tasks.
+    duration idle_interval{10'000'000};  ///< For workers that run none; finds out that they are gone.
     duration command_timeout{1'000'000};
     duration retry_wait{500'000};
-    duration unreachable_after{5'000'000};  ///< Without an answer while commands are outstanding.
+    duration unreachable_after{4'000'000};  ///< Without an answer since the first command that failed.
     duration start_timeout{5'000'000};      ///< From the first start command until all members run.
     duration adoption_timeout{3'000'000};
     duration adoption_lease{6'000'000};      ///< Lease granted before a gang is known to be whole.
@@ -147,9 +150,10 @@
     member_placement at;
     member_state state{member_state::unknown};
     bool start_pending{false};
+    bool start_sent{false};
     bool checkpoint_pending{false};
     bool stop_pending{false};
-    instant confirmed{};  ///< When it was last reported as running; the send time of the command answered.
+    instant confirmed{};  ///< Send time of the last command whose answer reported it as running.
     duration run_time{};
     duration checkpointed{};
   };
@@ -159,65 +163,92 @@
     job_spec spec;
     std::vector<member> members;
     gang_phase phase{gang_phase::starting};
-    instant phase_deadline{};
-    bool announced_running{false};
+    instant phase_since{};
     gang_end end{gang_end::finished};
     std::string reason;
     std::optional<worker_id> blamed;
     std::optional<instant> first_finished;
+    std::optional<instant> due;
+  };
+  struct sent_command {
+    call_id call;
+    worker_command command;
+    instant at{};
   };
   struct worker_state {
     bool listed{false};
-    std::optional<call_id> in_flight;
-    worker_command command;
-    instant sent{};
+    std::optional<sent_command> in_flight;
+    std::optional<instant> failing_since;  ///< Send time of the first command without an answer.
     instant last_answer{};
-    instant waiting_since{};  ///< Since when commands go unanswered; meaningful when `failures` > 0.
-    int failures{0};
     bool reachable{true};
-    bool queried{false};    ///< Has answered in this epoch.
-    instant lease_until{};  ///< Upper bound of every task lease granted in this epoch.
+    bool queried{false};    ///< Has answered in this epoch, so that it refuses older epochs.
+    instant lease_until{};  ///< Upper bound of the task leases that this part granted.
     instant next_renew{};
     instant not_before{};          ///< Earliest next send after a failure.
-    std::deque<task_ref> cleanup;  ///< Tasks that the worker is to stop or forget and no gang here owns.
+    std::deque<task_ref> cleanup;  ///< Tasks to stop or forget that no gang here owns.
+    std::set<job_id> gangs;
+    std::optional<instant> due;
   };
-
-  void on(const gang_start& event, instant now, std::vector<gang_controller_action>& out);
-  void on(const gang_adopt& event, instant now, std::vector<gang_controller_action>& out);
-  void on(const gang_stop& event, instant now, std::vector<gang_controller_action>& out);
-  void on(const gang_release& event, instant now, std::vector<gang_controller_action>& out);
-  void on(const workers_changed& event, instant now, std::vector<gang_controller_action>& out);
-  void on(const worker_reported& event, instant now, std::vector<gang_controller_action>& out);
-  void on(const worker_call_failed& event, instant now, std::vector<gang_controller_action>& out);
-  void on(const tick& event, instant now, std::vector<gang_controller_action>& out);
-
+  using actions = std::vector<gang_controller_action>;
+
+  void on(const gang_start& event, instant now, actions& out);
+  void on(const gang_adopt& event, instant now, actions& out);
+  void on(const gang_stop& event, instant now, actions& out);
+  void on(const gang_release& event, instant now, actions& out);
+  void on(const workers_changed& event, instant now, actions& out);
+  void on(const worker_reported& event, instant now, actions& out);
+  void on(const worker_call_failed& event, instant now, actions& out);
+  void on(const tick& event, instant now, actions& out);
+
+  gang& add_gang(const job_id& job, attempt_number attempt, const job_spec& spec,
+                 const std::vector<member_placement>& placement, gang_phase phase, instant now);
+  void command_answered(const worker_command& command);
+  [[nodiscard]] member* find_member(const task_ref& task);
   void apply_report(const worker_id& id, worker_state& worker, const worker_report& report, instant sent);
-  void apply_task(gang& owner, member& target, const task_report* report, const worker_state& worker,
-                  instant sent);
-  void command_failed(const worker_id& id, worker_state& worker, instant now,
-                      std::vector<gang_controller_action>& out);
-  void advance(instant now, std::vector<gang_controller_action>& out);
-  void advance_gang(gang& target, instant now, std::vector<gang_controller_action>& out);
-  void advance_adopting(gang& target, instant now);
-  void advance_starting(gang& target, instant now, std::vector<gang_controller_action>& out);
+  void clean_up(worker_state& worker, const worker_id& id, const worker_report& report,
+                const worker_command& answered, instant now);
+  static void apply_task(const gang& owner, member& target, const task_report* report, instant sent);
+  void command_failed(const worker_id& id, worker_state& worker, instant now, actions& out);
+  void set_reachable(const worker_id& id, worker_state& worker, bool reachable, actions& out);
+
+  void run(instant now, actions& out);
+  void advance_gang(gang& target, instant now, actions& out);
+  void advance_adopting(gang& target, instant now, actions& out);
+  void advance_starting(gang& target, instant now, actions& out);
   void advance_running(gang& target, instant now);
-  void advance_stopping(gang& target, instant now, std::vector<gang_controller_action>& out);
+  void advance_checkpointing(gang& target, instant now);
+  void advance_stopping(gang& target, instant now, actions& out);
+  [[nodiscard]] bool fail_on_lost_member(gang& target, instant now);
+  void become_running(gang& target, instant now, actions& out);
   void fail(gang& target, gang_end end, std::string reason, std::optional<worker_id> blamed, instant now);
-  void begin_stop(gang& target);
-  void send_commands(instant now, std::vector<gang_controller_action>& out);
+  void begin_stop(gang& target, instant now);
+  void finish(gang& target, actions& out);
+  void poll_members(gang& target, instant now);
+  [[nodiscard]] std::optional<instant> gang_due(const gang& target) const;
+  [[nodiscard]] instant lease_end(const gang& target, const member& of) const;
+
+  void advance_worker(const worker_id& id, worker_state& worker, instant now, actions& out);
   [[nodiscard]] std::optional<worker_command> next_command(const worker_id& id, worker_state& worker,
                                                            instant now);
-  [[nodiscard]] duration renewable_lease(const worker_id& id, instant now) const;
-  [[nodiscard]] worker_state& state_of(const worker_id& id, instant now);
+  [[nodiscard]] std::optional<worker_command> member_command(const worker_id& id, const worker_state& worker,
+                                                             instant now);
+  [[nodiscard]] duration renewable_lease(const worker_id& id, const worker_state& worker, instant now) const;
+  [[nodiscard]] duration gang_lease(const gang& target, instant now) const;
+  [[nodiscard]] worker_state& worker_of(const worker_id& id, instant now);
+  void touch(const gang& target);
 
   options options_;
   std::map<job_id, gang> gangs_;
   std::map<worker_id, worker_state> workers_;
-  std::map<worker_id, std::vector<job_id>> gangs_on_;
   std::map<call_id, worker_id> calls_;
-  call_id next_call_;
-  bool adopting_{false};
+  std::set<job_id> dirty_gangs_;
+  std::set<worker_id> dirty_workers_;
+  std::set<std::pair<instant, job_id>> gangs_due_;
+  std::set<std::pair<instant, worker_id>> workers_due_;
+  std::set<job_id> adopting_;
+  bool adoption_announced_{false};
   bool superseded_{false};
+  call_id next_call_;
 };
 
 }  // namespace rhubarbpath
--- a/include/rhubarbpath/coordination/lease_keeper.hpp
+++ b/include/rhubarbpath/coordination/lease_keeper.hpp
@@ -81,44 +81,38 @@
   void handle(const lease_keeper_event& event, instant now, std::vector<lease_keeper_action>& out);
   [[nodiscard]] std::optional<instant> next_deadline() const;
 
-  [[nodiscard]] bool holds() const noexcept { return phase_ == phase::held || phase_ == phase::uncertain; }
+  /// True from `lease_acquired` until `lease_lost` or `lease_released`.
+  [[nodiscard]] bool holds() const noexcept {
+    return phase_ == phase::held || phase_ == phase::uncertain || reacquiring_;
+  }
   [[nodiscard]] call_id next_call() const noexcept { return next_call_; }
 
  private:
-  enum class phase {
-    passive,
-    reading,
-    watching,
-    delaying,
-    granting,
-    acquiring,
-    held,
-    uncertain,
-    released,
-    drained
-  };
-
-  void on(const schedulers_changed& event, instant now, std::vector<lease_keeper_action>& out);
-  void on(const drain_requested& event, instant now, std::vector<lease_keeper_action>& out);
-  void on(const lease_resigned& event, instant now, std::vector<lease_keeper_action>& out);
-  void on(const store_call_result& event, instant now, std::vector<lease_keeper_action>& out);
-  void on(const tick& event, instant now, std::vector<lease_keeper_action>& out);
-
-  void check_pause(instant now, std::vector<lease_keeper_action>& out);
-  void run_timers(instant now, std::vector<lease_keeper_action>& out);
-  void look(instant now, std::vector<lease_keeper_action>& out);
-  void on_lease_row(const store_rows& rows, instant now, std::vector<lease_keeper_action>& out);
-  void grant(instant now, std::vector<lease_keeper_action>& out);
-  void on_granted(const store_response& response, instant now, std::vector<lease_keeper_action>& out);
-  void on_acquired(const store_call_result& result, instant now, std::vector<lease_keeper_action>& out);
-  void renew(instant now, std::vector<lease_keeper_action>& out);
-  void on_renewed(const store_response& response, instant now, std::vector<lease_keeper_action>& out);
-  void release(instant now, std::vector<lease_keeper_action>& out);
-  void become_passive(instant until, std::vector<lease_keeper_action>& out);
-  void lose(std::string reason, instant now, std::vector<lease_keeper_action>& out);
-  void cancel_call(std::vector<lease_keeper_action>& out);
-  void make_call(store_request request, duration retry_for, instant now,
-                 std::vector<lease_keeper_action>& out);
+  enum class phase { passive, reading, watching, delaying, granting, acquiring, held, uncertain, releasing };
+  using actions = std::vector<lease_keeper_action>;
+
+  void on(const schedulers_changed& event, instant now, actions& out);
+  void on(const drain_requested& event, instant now, actions& out);
+  void on(const lease_resigned& event, instant now, actions& out);
+  void on(const store_call_result& event, instant now, actions& out);
+  void on(const tick& event, instant now, actions& out);
+
+  void check_pause(instant now, actions& out);
+  void run_timers(instant now, actions& out);
+  void look(instant now, actions& out);
+  void on_lease_row(const store_response& response, instant now, actions& out);
+  void on_row_absent(instant now, actions& out);
+  void grant(instant now, actions& out);
+  void on_granted(const store_response& response, instant now, actions& out);
+  void on_acquired(const store_response& response, instant now, actions& out);
+  void renew(instant now, actions& out);
+  void on_renewed(const store_response& response, instant now, actions& out);
+  void become_uncertain(actions& out);
+  void release(instant now, actions& out);
+  void wait_until(instant at, actions& out);
+  void lose(std::string reason, instant now, actions& out);
+  void cancel_call(actions& out);
+  void make_call(store_request request, duration retry_for, instant now, actions& out);
   [[nodiscard]] std::string key() const { return options_.prefix + "/lease"; }
   [[nodiscard]] std::string value() const;
 
@@ -126,17 +120,19 @@
   random_source* random_;
   phase phase_{phase::passive};
   std::optional<std::size_t> rank_;  ///< Unset while this process is not among the live schedulers.
-  instant preferred_since_{};        ///< Since when another scheduler has been preferred.
-  bool reacquiring_{false};          ///< Granting or acquiring on behalf of a holder whose lease expired.
+  instant not_preferred_since_{};    ///< Since when another scheduler has been preferred.
+  bool delay_served_{false};         ///< The delay of this rank has passed since the row was seen absent.
+  bool reacquiring_{false};          ///< Granting or acquiring for a holder whose lease has expired.
   bool draining_{false};
   call_id next_call_;
-  call_id call_;  ///< The call in flight, if any.
+  call_id call_;  ///< The call in flight; zero when there is none.
   instant call_made_{};
   instant grant_made_{};
   store_lease_id lease_;
   revision row_revision_;  ///< Revision of the lease row seen last.
   instant valid_until_{};
-  instant wake_at_{};
+  instant wake_at_{};  ///< When a passive, delaying or holding keeper acts next.
+  instant wait_after_release_{};
   std::optional<instant> last_handled_;
 };
 
--- a/include/rhubarbpath/coordination/placement_policy.hpp
+++ b/include/rhubarbpath/coordination/placement_policy.hpp
@@ -17,24 +17,21 @@
 /// The members of a waiting job are reserved; the owner logs the placement and then starts them.
 struct job_placement_decided {
   job_id job;
+  attempt_number attempt;  ///< Higher than every earlier attempt of the job.
   std::vector<member_placement> placement;
 };
 
 /// A running gang must give up its accelerators.
 struct job_preemption_decided {
   job_id job;
+  attempt_number attempt;
   std::string reason;
 };
 
-/// The job can never run, for example because no place of its shape exists.
-struct job_refusal_decided {
-  job_id job;
-  std::string reason;
-};
-
-/// The job is given up after its attempts failed.
-struct job_failure_decided {
+/// A waiting job is refused, because it can never run, or fails, because its attempts failed too often.
+struct job_end_decided {
   job_id job;
+  job_state state{job_state::refused};  ///< `refused` or `failed`.
   std::string reason;
 };
 
@@ -47,12 +44,11 @@
   worker_id worker;
 };
 
-using placement_decision =
-    std::variant<job_placement_decided, job_preemption_decided, job_refusal_decided, job_failure_decided,
-                 worker_set_aside_decided, worker_restore_decided>;
+using placement_decision = std::variant<job_placement_decided, job_preemption_decided, job_end_decided,
+                                        worker_set_aside_decided, worker_restore_decided>;
 
 /// What `domain_owner` needs from placement in one failure domain. An implementation holds only state that
-/// it can rebuild from the document and the log.
+/// it can rebuild from the document and the log. Each decision is returned once.
 class placement_policy {
  public:
   placement_policy() = default;
@@ -66,13 +62,14 @@
   /// the accelerators of their recorded placement.
   virtual void rebuild(const environment_document& document, const domain_state& state, instant now) = 0;
   virtual void document_changed(const environment_document& document, instant now) = 0;
-  /// A new job, or one whose attempt ended and that waits again; its accelerators are free.
-  virtual void job_waits(const job_record& job, instant now) = 0;
-  /// The attempt ended; `end` says how. Called before `job_waits` or `job_left`.
-  virtual void attempt_ended(const job_record& job, const gang_ended& end, instant now) = 0;
-  virtual void job_runs(const job_record& job, instant now) = 0;
-  /// The job is in a final state and holds nothing.
-  virtual void job_left(const job_id& job, instant now) = 0;
+  virtual void job_accepted(const job_record& job, instant now) = 0;
+  /// A waiting job was cancelled.
+  virtual void job_cancelled(const job_id& job, instant now) = 0;
+  /// Every member of the attempt was reported as running.
+  virtual void attempt_started(const job_id& job, attempt_number attempt, instant now) = 0;
+  /// The attempt ended and its accelerators are free. The job is final after `finished` and `cancelled` and
+  /// waits again otherwise.
+  virtual void attempt_ended(const gang_ended& ended, instant now) = 0;
   virtual void worker_reachable(const worker_id& worker, bool reachable, instant now) = 0;
 
   /// Appends the decisions that are possible now. Called only while placements can be logged.
--- a/include/rhubarbpath/coordination/store_session.hpp
+++ b/include/rhubarbpath/coordination/store_session.hpp
@@ -52,7 +52,7 @@
 ///
 /// `store_written` means that this very write took effect, also when its answer was lost.
 /// `store_failure::conflict` means that the key holds another write. `store_failure::unknown` is delivered
-/// for a put only when `retry_for` ran out before the read-back settled it.
+/// for a put only when `retry_for` ran out before the read-back settled it, or when a repeat was invalid.
 struct store_call_result {
   call_id id;
   store_response response;
@@ -84,6 +84,8 @@
     duration max_limited_wait{5'000'000};
     duration outage_wait{100'000};
     duration max_outage_wait{2'000'000};
+    /// Lost answers in a row that count as an outage; a single one may be chance.
+    int lost_answers_for_outage{3};
   };
 
   store_session(options opts, random_source& random);
@@ -93,6 +95,7 @@
   /// True from the first failed call to reach the store until a call succeeds.
   [[nodiscard]] bool in_outage() const noexcept { return outage_failures_ > 0; }
   [[nodiscard]] std::size_t in_flight() const noexcept { return sent_.size(); }
+  [[nodiscard]] std::size_t pending() const noexcept { return calls_.size(); }
   /// Requests sent since the start, for the store's call count.
   [[nodiscard]] std::uint64_t sends() const noexcept { return sends_; }
 
@@ -104,13 +107,14 @@
     instant give_up{};  ///< Meaningful when `call.retry_for` is not zero.
     instant not_before{};
     bool write_in_doubt{false};  ///< An earlier send of this put may have taken effect.
-    int limited_failures{0};
+    store_failure last_failure{store_failure::unavailable};
     call_id sent;
   };
   struct sent_request {
     call_id call;
     instant deadline;
     bool watch{false};
+    store_priority priority{store_priority::read};
   };
 
   void on(const store_call& call, instant now, std::vector<store_session_action>& out);
@@ -123,15 +127,18 @@
                         std::vector<store_session_action>& out);
   void settle_failure(pending_call& pending, store_failure failure, instant now,
                       std::vector<store_session_action>& out);
-  void deliver(call_id id, const store_response& response, instant now,
+  void deliver(call_id id, const store_response& response, duration wait,
                std::vector<store_session_action>& out);
   void expire(instant now, std::vector<store_session_action>& out);
   void send_ready(instant now, std::vector<store_session_action>& out);
   void send(pending_call& pending, instant now, std::vector<store_session_action>& out);
-  [[nodiscard]] bool may_send(const pending_call& pending) const;
+  [[nodiscard]] bool may_send(const pending_call& pending, instant now) const;
   void note_reached();
   void note_outage(instant now);
+  void note_limited(instant now);
+  void give_up(pending_call& pending, std::vector<store_session_action>& out);
   [[nodiscard]] duration conflict_wait(const std::string& key);
+  [[nodiscard]] std::size_t in_flight_calls(bool watches) const;
 
   options options_;
   random_source* random_;
@@ -142,9 +149,13 @@
   std::uint64_t next_write_{1};
   std::uint64_t write_prefix_{0};
   std::uint64_t sends_{0};
-  std::size_t window_{0};  ///< Calls now permitted in flight; at most `max_in_flight`.
-  int outage_failures_{0};
+  std::size_t window_{0};   ///< Calls now permitted in flight; at most `max_in_flight`.
+  int outage_failures_{0};  ///< Consecutive; zero outside an outage.
+  int lost_answers_{0};     ///< Consecutive; several of them count as an outage.
+  int limited_failures_{0};
   instant outage_until_{};
+  instant limited_until_{};
+  instant last_now_{};
 };
 
 }  // namespace rhubarbpath
--- /dev/null
+++ b/tests/protocol/state_codec_test.cpp
@@ -0,0 +1,305 @@
+#include <rapidcheck.h>
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "rhubarbpath/protocol/log_codec.hpp"
+#include "rhubarbpath/protocol/store_codec.hpp"
+#include "rhubarbpath/protocol/worker_codec.hpp"
+
+namespace rhubarbpath {
+namespace {
+
+std::string text() {
+  return *rc::gen::container<std::string>(rc::gen::inRange<char>(' ', '~'));
+}
+std::string bytes() {
+  return *rc::gen::arbitrary<std::string>();
+}
+std::uint64_t number() {
+  return *rc::gen::arbitrary<std::uint64_t>();
+}
+int small(int limit) {
+  return *rc::gen::inRange(0, limit);
+}
+duration interval() {
+  return duration{*rc::gen::arbitrary<std::int64_t>()};
+}
+instant time() {
+  return instant{interval()};
+}
+
+job_spec any_spec() {
+  return {.team = team_id{text()},
+          .job_class = class_id{text()},
+          .shape = {.accelerators_per_member = small(9),
+                    .members = small(65),
+                    .within = static_cast<proximity>(small(3))},
+          .guaranteed = small(2) == 1,
+          .checkpointable = small(2) == 1,
+          .declared_run_time = interval(),
+          .command = text()};
+}
+
+std::vector<member_placement> any_placement() {
+  std::vector<member_placement> placement(static_cast<std::size_t>(small(4)));
+  for (auto& member : placement) {
+    member = {.worker = worker_id{text()}, .accelerators = static_cast<std::uint32_t>(small(256))};
+  }
+  return placement;
+}
+
+log_entry any_entry() {
+  const job_id job{text()};
+  const attempt_number attempt{number()};
+  switch (small(8)) {
+    case 0:
+      return epoch_opened{
+          .opened = epoch{number()}, .owner = vm_id{text()}, .owner_incarnation = incarnation{number()}};
+    case 1:
+      return job_accepted{.job = job, .spec = any_spec(), .at = time()};
+    case 2:
+      return job_placed{.job = job, .attempt = attempt, .placement = any_placement(), .at = time()};
+    case 3:
+      return job_started{.job = job, .attempt = attempt, .at = time()};
+    case 4:
+      return job_requeued{.job = job,
+                          .attempt = attempt,
+                          .preempted = small(2) == 1,
+                          .reason = text(),
+                          .attained_service = interval(),
+                          .at = time()};
+    case 5:
+      return job_ended{.job = job,
+                       .attempt = attempt,
+                       .state = static_cast<job_state>(4 + small(4)),
+                       .reason = text(),
+                       .at = time()};
+    case 6:
+      return worker_set_aside{.worker = worker_id{text()}, .reason = text(), .at = time()};
+    default:
+      return worker_restored{.worker = worker_id{text()}, .at = time()};
+  }
+}
+
+domain_snapshot any_snapshot() {
+  domain_snapshot snapshot{.covers = log_index{number()}};
+  auto& state = snapshot.state;
+  state.current_epoch = epoch{number()};
+  state.owner = vm_id{text()};
+  state.owner_incarnation = incarnation{number()};
+  for (int i = small(30); i > 0; --i) {
+    job_record job{.id = job_id{"job-" + std::to_string(i)},
+                   .spec = any_spec(),
+                   .state = static_cast<job_state>(small(8)),
+                   .attempt = attempt_number{number()},
+                   .placement = any_placement(),
+                   .accepted_at = time(),
+                   .attained_service = interval(),
+                   .preemptions = small(5),
+                   .failures = small(5),
+                   .reason = text()};
+    if (is_final(job.state)) {
+      state.ended[job.id] = time();
+    }
+    state.jobs[job.id] = job;
+  }
+  for (int i = small(5); i > 0; --i) {
+    state.set_aside[worker_id{"worker-" + std::to_string(i)}] = text();
+  }
+  return snapshot;
+}
+
+store_request any_request() {
+  switch (small(7)) {
+    case 0:
+      return store_get{.key = text()};
+    case 1:
+      return store_put{.key = text(),
+                       .value = bytes(),
+                       .expected = revision{number()},
+                       .id = write_id{number()},
+                       .lease = store_lease_id{number()}};
+    case 2:
+      return store_erase{.key = text(), .expected = revision{number()}};
+    case 3:
+      return store_list{.prefix = text(), .start = text(), .limit = 1 + small(1000)};
+    case 4:
+      return store_lease_grant{.time_to_live = interval()};
+    case 5:
+      return store_lease_renew{.lease = store_lease_id{number()}};
+    default:
+      return store_watch{.key = text(), .after = revision{number()}, .wait = interval()};
+  }
+}
+
+store_response any_response() {
+  switch (small(5)) {
+    case 0: {
+      store_rows rows{.more = small(2) == 1};
+      for (int i = small(4); i > 0; --i) {
+        rows.rows.push_back(
+            {.key = text(), .value = bytes(), .at = revision{number()}, .written_by = write_id{number()}});
+      }
+      return rows;
+    }
+    case 1:
+      return store_written{.at = revision{number()}};
+    case 2:
+      return store_lease_granted{.lease = store_lease_id{number()}, .time_to_live = interval()};
+    case 3:
+      return store_unchanged{};
+    default:
+      return static_cast<store_failure>(small(5));
+  }
+}
+
+}  // namespace
+
+// Guards against a field that is lost, renamed on one side or changed by its encoding.
+TEST_CASE("store_request_through_json_is_unchanged") {
+  REQUIRE(rc::check([] {
+    const auto encoded = encode_store_request(any_request());
+    const auto decoded = decode_store_request(encoded.path, encoded.body);
+    RC_ASSERT(decoded.ok());
+    const auto again = encode_store_request(*decoded);
+    RC_ASSERT(again.path == encoded.path);
+    RC_ASSERT(again.body == encoded.body);
+  }));
+}
+
+TEST_CASE("store_put_through_json_keeps_every_field") {
+  const store_put put{
+      .key = "/a", .value = std::string("\0\xff", 2), .expected = revision{3}, .id = write_id{~0ULL}};
+  const auto encoded = encode_store_request(put);
+  const auto decoded = decode_store_request(encoded.path, encoded.body);
+  REQUIRE(decoded.ok());
+  const auto& same = std::get<store_put>(*decoded);
+  CHECK(same.key == put.key);
+  CHECK(same.value == put.value);
+  CHECK(same.expected == put.expected);
+  CHECK(same.id == put.id);
+}
+
+TEST_CASE("store_response_through_json_is_unchanged") {
+  REQUIRE(rc::check([] {
+    const auto response = any_response();
+    const auto encoded = encode_store_response(response);
+    const auto decoded = decode_store_response(encoded.status, encoded.body);
+    RC_ASSERT(decoded.ok());
+    RC_ASSERT(decoded->index() == response.index());
+    RC_ASSERT(encode_store_response(*decoded).body == encoded.body);
+  }));
+}
+
+// Guards against taking a half-read or foreign message for a valid one.
+TEST_CASE("store_codec_malformed_message_is_rejected") {
+  CHECK_FALSE(decode_store_request("/kv/other", "{}").ok());
+  CHECK_FALSE(decode_store_request("/kv/get", "").ok());
+  CHECK_FALSE(decode_store_request("/kv/get", "[]").ok());
+  CHECK_FALSE(decode_store_request("/kv/get", R"({"key":1})").ok());
+  CHECK_FALSE(decode_store_request("/kv/get", R"({"key":"a","x":1})").ok());
+  CHECK_FALSE(decode_store_request("/kv/list", R"({"prefix":"a","start":"","limit":0})").ok());
+  CHECK_FALSE(
+      decode_store_request("/kv/put", R"({"key":"a","value":"*","expected":0,"write_id":1,"lease":0})").ok());
+  CHECK_FALSE(decode_store_response(200, R"({"revision":-1})").ok());
+  CHECK_FALSE(decode_store_response(200, R"({"unchanged":false})").ok());
+  CHECK_FALSE(decode_store_response(409, R"({"failure":"limited"})").ok());
+  CHECK_FALSE(decode_store_response(503, "busy").ok());
+}
+
+TEST_CASE("worker_command_through_json_is_unchanged") {
+  REQUIRE(rc::check([] {
+    const task_ref task{.job = job_id{text()}, .attempt = attempt_number{number()}, .member = small(64)};
+    const std::array<worker_command, 4> commands{
+        start_task{.task = task,
+                   .accelerators = static_cast<std::uint32_t>(small(256)),
+                   .lease = interval(),
+                   .declared_run_time = interval(),
+                   .command = text()},
+        stop_task{.task = task}, checkpoint_task{.task = task}, renew_tasks{.lease = interval()}};
+    const fenced_worker_command command{.sender_epoch = epoch{number()},
+                                        .command = commands[static_cast<std::size_t>(small(4))]};
+    const auto encoded = encode_worker_command(command);
+    const auto decoded = decode_worker_command(encoded.path, encoded.body);
+    RC_ASSERT(decoded.ok());
+    RC_ASSERT(decoded->sender_epoch == command.sender_epoch);
+    RC_ASSERT(encode_worker_command(*decoded).body == encoded.body);
+  }));
+  CHECK_FALSE(decode_worker_command("/tasks/stop", R"({"epoch":1,"job":"a","attempt":1,"member":-1})").ok());
+  CHECK_FALSE(decode_worker_command("/tasks/stop", R"({"job":"a","attempt":1,"member":1})").ok());
+}
+
+TEST_CASE("worker_report_through_json_is_unchanged") {
+  REQUIRE(rc::check([] {
+    worker_report report{
+        .worker = worker_id{text()}, .refused_older_epoch = small(2) == 1, .highest_epoch = epoch{number()}};
+    for (int i = small(4); i > 0; --i) {
+      report.tasks.push_back(
+          {.task = {.job = job_id{text()}, .attempt = attempt_number{number()}, .member = small(64)},
+           .state = static_cast<task_state>(small(4)),
+           .accelerators = static_cast<std::uint32_t>(small(256)),
+           .run_time = interval(),
+           .checkpointed = interval()});
+    }
+    const auto decoded = decode_worker_report(encode_worker_report(report));
+    RC_ASSERT(decoded.ok());
+    RC_ASSERT(*decoded == report);
+  }));
+}
+
+TEST_CASE("log_batch_through_cbor_is_unchanged") {
+  REQUIRE(rc::check([] {
+    const cbor_log_codec codec;
+    std::vector<log_entry> entries;
+    for (int i = small(10); i > 0; --i) {
+      entries.push_back(any_entry());
+    }
+    const auto decoded = codec.decode_batch(codec.encode_batch(entries));
+    RC_ASSERT(decoded.ok());
+    RC_ASSERT(*decoded == entries);
+  }));
+}
+
+// Guards against a value above the store's limit, which the store would reject.
+TEST_CASE("snapshot_split_into_parts_is_bounded_and_unchanged") {
+  REQUIRE(rc::check([] {
+    const cbor_log_codec codec;
+    const auto snapshot = any_snapshot();
+    const std::size_t limit = 2000;
+    const auto parts = codec.encode_snapshot(snapshot, limit);
+    RC_ASSERT(parts.ok());
+    for (const auto& part : *parts) {
+      RC_ASSERT(part.size() <= limit);
+    }
+    const auto decoded = codec.decode_snapshot(*parts);
+    RC_ASSERT(decoded.ok());
+    RC_ASSERT(*decoded == snapshot);
+  }));
+}
+
+// Guards against a crash or a wrong state when a stored value is damaged: every change is either rejected or
+// gives entries that encode again.
+TEST_CASE("log_value_damaged_never_crashes") {
+  REQUIRE(rc::check([] {
+    const cbor_log_codec codec;
+    const std::array<log_entry, 2> entries{any_entry(), any_entry()};
+    auto value = codec.encode_batch(entries);
+    const auto position = static_cast<std::size_t>(*rc::gen::inRange<std::size_t>(0, value.size()));
+    value[position] = *rc::gen::arbitrary<char>();
+    value.resize(value.size() - static_cast<std::size_t>(small(2)));
+    const auto decoded = codec.decode_batch(value);
+    if (decoded.ok()) {
+      RC_ASSERT(codec.decode_batch(codec.encode_batch(*decoded)).ok());
+    }
+  }));
+  const cbor_log_codec codec;
+  CHECK_FALSE(codec.decode_batch(std::string(100'000, '\x81')).ok());
+  CHECK_FALSE(codec.decode_batch("\x9b\xff\xff\xff\xff\xff\xff\xff\xff").ok());
+  CHECK_FALSE(codec.decode_head("\x82\x01\x00").ok());
+  CHECK_FALSE(codec.decode_snapshot({}).ok());
+}
+
+}  // namespace rhubarbpath
