--- a/src/coordination/cell_placement_policy.cpp
+++ b/src/coordination/cell_placement_policy.cpp
@@ -85,7 +85,9 @@
   }
 }
 
-std::string cell_placement_policy::waiting_reason(const job_id& job) const { return engine_.why_waiting(job); }
+std::string cell_placement_policy::waiting_reason(const job_id& job) const {
+  return engine_.why_waiting(job);
+}
 
 std::vector<placement::action> cell_placement_policy::take_cover_changes() {
   return std::exchange(cover_changes_, {});
@@ -102,8 +104,8 @@
   } else if (const auto* preempt = std::get_if<placement::preempt_job>(&action)) {
     // The owner stops a cancelled job by itself.
     if (preempt->cause != preemption_cause::cancelled) {
-      out.emplace_back(job_preemption_decided{
-          .job = preempt->id, .attempt = preempt->attempt, .reason = preempt->reason});
+      out.emplace_back(
+          job_preemption_decided{.job = preempt->id, .attempt = preempt->attempt, .reason = preempt->reason});
     }
   } else if (const auto* refuse = std::get_if<placement::refuse_job>(&action)) {
     out.emplace_back(
@@ -111,8 +113,7 @@
   } else if (const auto* end = std::get_if<placement::end_job>(&action)) {
     // The owner itself ends finished and cancelled jobs.
     if (end->state == job_state::failed) {
-      out.emplace_back(
-          job_end_decided{.job = end->id, .state = job_state::failed, .reason = end->reason});
+      out.emplace_back(job_end_decided{.job = end->id, .state = job_state::failed, .reason = end->reason});
     }
   } else if (const auto* aside = std::get_if<placement::set_worker_aside>(&action)) {
     out.emplace_back(worker_set_aside_decided{.worker = aside->worker, .reason = aside->reason});
--- a/src/programs/rhubarb-entry/service_endpoint.cpp
+++ b/src/programs/rhubarb-entry/service_endpoint.cpp
@@ -254,6 +254,7 @@
     }
   }
   std::vector<service_status> all;
+  all.reserve(by_service.size());
   for (auto& [id, status] : by_service) {
     all.push_back(std::move(status));
   }
--- a/src/programs/rhubarb-scheduler/scheduler_daemon.hpp
+++ b/src/programs/rhubarb-scheduler/scheduler_daemon.hpp
@@ -5,8 +5,8 @@
 #include <string>
 #include <vector>
 
-#include "rhubarbpath/coordination/domain_owner.hpp"
 #include "rhubarbpath/coordination/cell_placement_policy.hpp"
+#include "rhubarbpath/coordination/domain_owner.hpp"
 #include "rhubarbpath/protocol/log_codec.hpp"
 #include "shared/daemon_base.hpp"
 
--- a/src/programs/rhubarb-standin/fault_settings.cpp
+++ b/src/programs/rhubarb-standin/fault_settings.cpp
@@ -71,7 +71,7 @@
     for (const auto& worker : chosen) {
       for (const auto& [name, value] : members.items()) {
         if (!read_worker_member(name, value, out[worker])) {
-          return unknown_member("workers." + id + "." + name);
+          return unknown_member(fmt::format("workers.{}.{}", id, name));
         }
       }
     }
--- a/src/programs/rhubarb-standin/main.cpp
+++ b/src/programs/rhubarb-standin/main.cpp
@@ -148,7 +148,7 @@
 int run(const settings& chosen) {
   const auto document = load_document(chosen.document);
   if (!document.ok()) {
-    log(log_level::error, document.status().message().data());
+    log(log_level::error, std::string{document.status().message()});
     return 1;
   }
   event_loop loop;
--- a/src/programs/shared/daemon_settings.cpp
+++ b/src/programs/shared/daemon_settings.cpp
@@ -104,7 +104,7 @@
     }
     for (const auto& item : node) {
       vm_addresses peer;
-      const auto status = read_mapping(item, {{"vm", read_id(peer.vm)},
+      auto status = read_mapping(item, {{"vm", read_id(peer.vm)},
                                               {"entry", read_address(peer.entry)},
                                               {"scheduler", read_address(peer.scheduler)}});
       if (!status.ok()) {
