Ignore forward answers meant for an earlier incarnation

Cause: forward ids begin again at 1 after a restart. A delayed answer to the predecessor's forward 5 matched the new process's forward 5 at the same home, and its caller received another request's answer. The event forward_answered now carries the incarnation that sent the forward.

Ruled out: starting the ids at a random number, which only makes the fault rarer.

--- a/include/rhubarbpath/coordination/request_router.hpp
+++ b/include/rhubarbpath/coordination/request_router.hpp
@@ -192,6 +192,9 @@
 struct forward_answered {
   vm_id from;
   incarnation from_incarnation;
+  /// The incarnation that sent the forward. Forward ids begin again after a restart, so that an
+  /// answer meant for the predecessor could otherwise reach another caller.
+  incarnation to_incarnation;
   forward_id id;
   forward_result result{forward_result::may_have_run};
   int status{0};
--- a/src/coordination/request_router.cpp
+++ b/src/coordination/request_router.cpp
@@ -404,8 +404,8 @@
     apply_load(*peer, event.load);
   }
   const auto found = forwards_.find(event.id);
-  if (found == forwards_.end() || found->second.to != event.from ||
-      found->second.to_incarnation != event.from_incarnation) {
+  if (event.to_incarnation != options_.self_incarnation || found == forwards_.end() ||
+      found->second.to != event.from || found->second.to_incarnation != event.from_incarnation) {
     return;
   }
   const auto sent = found->second;
--- a/tests/coordination/router_cluster.hpp
+++ b/tests/coordination/router_cluster.hpp
@@ -192,6 +192,7 @@
   void start(int vm) {
     auto& each = *nodes_[vm];
     each.number = each.number.next();
+    each.tick_at.reset();
     each.router = std::make_unique<request_router>(
         request_router::options{.self = vm_id{"vm" + std::to_string(vm)},
                                 .self_incarnation = each.number,
@@ -233,11 +234,13 @@
         record_finish({.intent = intent.owner, .result = {verdict::may_have_run, "dispatcher lost", {}}});
       }
     }
-    after(milliseconds{1500}, [this, vm] {
-      nodes_[vm]->listed = false;
-      publish_members();
+    after(milliseconds{1500}, [this, vm, number = each.number] {
+      if (nodes_[vm]->number == number) {
+        nodes_[vm]->listed = false;
+        publish_members();
+      }
     });
-    after(milliseconds{4000}, [this, vm] {
+    after(milliseconds{50 + random_.below(4000)}, [this, vm] {
       nodes_[vm]->listed = true;
       start(vm);
       publish_members();
@@ -302,10 +305,13 @@
                  : report.services[0].queues.front().rank;
     };
     const int waiting = std::max(first_rank(before), first_rank(after));
+    // A hedge, and the trial of a set-aside target, may overtake.
+    const bool may_overtake = std::holds_alternative<routing::tick>(event) ||
+                              (!before.services.empty() && before.services[0].set_aside > 0);
     for (const auto& action : actions) {
       const auto* sent = std::get_if<routing::send_request>(&action);
-      if (sent == nullptr || std::holds_alternative<routing::tick>(event) || faults_.server_error > 0) {
-        continue;  // A hedge, and the trial of a set-aside target, may overtake.
+      if (sent == nullptr || may_overtake) {
+        continue;
       }
       const auto& classes = document_->services[0].classes;
       const auto sent_class = std::find_if(classes.begin(), classes.end(), [&](const auto& each) {
@@ -341,7 +347,8 @@
     const int copies = chance(faults_.lose_message) ? 0 : (chance(faults_.repeat_message) ? 2 : 1);
     for (int i = 0; i < copies; ++i) {
       // Delays far apart reorder messages and let a copy arrive long after its original.
-      const auto delay = i == 0 ? 300 + random_.below(1000) : random_.below(200'000);
+      const auto delay =
+          i == 0 ? 300 + random_.below(1000) : random_.below(random_.below(2) == 0 ? 200'000 : 5'000'000);
       after(microseconds{delay}, [this, vm, event] { deliver(vm, event); });
     }
   }
@@ -351,9 +358,10 @@
                                                  action.intent, action.avoid, action.pulled});
   }
   void act(int vm, const routing::answer_peer& action) {
-    transmit(action.to, routing::forward_answered{vm_id{"vm" + std::to_string(vm)}, nodes_[vm]->number,
-                                                  action.id, action.result, action.status, action.body,
-                                                  action.target, action.reason, action.load});
+    transmit(action.to,
+             routing::forward_answered{vm_id{"vm" + std::to_string(vm)}, nodes_[vm]->number,
+                                       action.to_incarnation, action.id, action.result, action.status,
+                                       action.body, action.target, action.reason, action.load});
   }
   void act(int vm, const routing::pull_from_peer& action) {
     transmit(action.to, routing::pull_arrived{vm_id{"vm" + std::to_string(vm)}, nodes_[vm]->number,
