Fetch requests of teams with short queues first across VMs

Cause: in a flood every home serves its teams in turn, but a home with two targets could not serve even the small teams' share, and peers did not pull because their own queues were long. Queue reports now count the requests of teams whose queue is at most half the longest, and peers fetch these first.

Ruled out: wrong turns inside one VM (the queue takes teams in turn), and the queue limit (the longest team's newest request is refused first).

--- a/benchmark/request_router.cpp
+++ b/benchmark/request_router.cpp
@@ -133,6 +133,7 @@
   std::vector<double> latencies_ms;    ///< Of good answers.
   std::vector<double> other_teams_ms;  ///< Of good answers of teams other than team 0.
   int arrivals{0};
+  int other_teams_arrivals{0};
   int good{0};  ///< Ran, status 200, at the caller before its deadline.
   int not_run{0};
   int may_have_run{0};
@@ -141,7 +142,7 @@
 
 struct run_result {
   std::array<class_result, 3> by_class;
-  double good_work_ms{0};  ///< Service time of the good answers.
+  double good_work_ms{0};  ///< Service time of the good answers that came between 3 s and the last arrival.
   double router_ns{0};
   std::uint64_t load_messages{0};
   std::uint64_t forwards{0};
@@ -189,7 +190,11 @@
   std::uint64_t next_{0};
 };
 
-void record(run_result& result, const arrival& request, verdict told, int status, duration latency) {
+/// The queues have their full length after this time.
+constexpr duration steady_after = seconds{3};
+
+void record(run_result& result, const scenario& run, const arrival& request, verdict told, int status,
+            duration latency) {
   auto& entry = result.by_class[static_cast<std::size_t>(request.request_class)];
   if (told == verdict::not_run) {
     ++entry.not_run;
@@ -204,7 +209,9 @@
     if (request.team != 0) {
       entry.other_teams_ms.push_back(ms);
     }
-    result.good_work_ms += static_cast<double>(request.service.count()) / 1000.0;
+    if (request.at + latency >= steady_after && request.at + latency <= run.length) {
+      result.good_work_ms += static_cast<double>(request.service.count()) / 1000.0;
+    }
   }
 }
 
@@ -356,7 +363,7 @@
     ++result_.pulls;
     transmit(from, vm_index_.at(action.to.value()),
              routing::pull_arrived{vm_id{"vm" + std::to_string(from)}, incarnation{1}, action.service,
-                                   action.count, action.max_rank});
+                                   action.count, action.max_rank, action.short_teams_only});
   }
   void act(int from, const routing::advertise_load& action) {
     for (int to = 0; to < vm_count; ++to) {
@@ -389,7 +396,7 @@
   }
   void act(int, const routing::answer_caller& action) {
     const auto& request = arrivals_[action.id.value() - 1];
-    record(result_, request, action.result.result, action.status,
+    record(result_, run_, request, action.result.result, action.status,
            simulation_.now() + to_client - instant{warm_up + request.at});
   }
   void act(int from, const routing::send_request& action) {
@@ -460,7 +467,7 @@
       queues_[chosen].pop_front();
       const auto& request = arrivals_[index];
       if (simulation_.now() >= instant{request.at + classes[chosen].deadline - to_client}) {
-        record(result_, request, verdict::not_run, 0, {});
+        record(result_, run_, request, verdict::not_run, 0, {});
         continue;
       }
       const int worker = static_cast<int>(free - busy_.begin());
@@ -469,7 +476,8 @@
       simulation_.after(2 * distance + time_at(worker, request.service, run_), [this, index, worker] {
         --busy_[static_cast<std::size_t>(worker)];
         const auto& ended = arrivals_[index];
-        record(result_, ended, verdict::ran, fault_of(worker, run_) == worker_fault::failing ? 500 : 200,
+        record(result_, run_, ended, verdict::ran,
+               fault_of(worker, run_) == worker_fault::failing ? 500 : 200,
                simulation_.now() + to_client - instant{ended.at});
         dispatch();
       });
@@ -546,7 +554,7 @@
       if (attempt == 1) {
         send(index, 2);
       } else {
-        record(result_, arrivals_[index], verdict::not_run, 0, {});
+        record(result_, run_, arrivals_[index], verdict::not_run, 0, {});
       }
     });
   }
@@ -558,7 +566,8 @@
       const auto& request = arrivals_[index];
       --open_[static_cast<std::size_t>(request.vm)][static_cast<std::size_t>(worker)];
       const auto back = hop(domain_of_vm(request.vm), domain_of_worker(worker)) + to_client;
-      record(result_, request, verdict::ran, fault_of(worker, run_) == worker_fault::failing ? 500 : 200,
+      record(result_, run_, request, verdict::ran,
+             fault_of(worker, run_) == worker_fault::failing ? 500 : 200,
              simulation_.now() + back - instant{request.at});
       auto& queue = queues_[static_cast<std::size_t>(worker)];
       if (!queue.empty()) {
--- a/include/rhubarbpath/coordination/request_router.hpp
+++ b/include/rhubarbpath/coordination/request_router.hpp
@@ -66,6 +66,9 @@
 struct rank_queue {
   int rank{0};
   int length{0};
+  /// Of these, requests of teams whose queue is at most half as long as the longest team's. They
+  /// wait although their teams do not flood this VM, so peers fetch them first.
+  int short_teams{0};
   friend bool operator==(const rank_queue&, const rank_queue&) = default;
 };
 
@@ -142,8 +145,9 @@
   vm_id from;
   incarnation from_incarnation;
   service_id service;
-  int count{0};     ///< At most this many requests.
-  int max_rank{0};  ///< Only classes of this rank or a lower one.
+  int count{0};                  ///< At most this many requests.
+  int max_rank{0};               ///< Only classes of this rank or a lower one.
+  bool short_teams_only{false};  ///< Only requests counted in `rank_queue::short_teams`.
 };
 
 /// What became of `record_intent`.
@@ -295,6 +299,7 @@
   service_id service;
   int count{0};
   int max_rank{0};
+  bool short_teams_only{false};
 };
 
 /// Emitted exactly once for every `request_arrived` whose caller did not go.
--- a/src/coordination/class_queue.hpp
+++ b/src/coordination/class_queue.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <iterator>
@@ -42,6 +43,32 @@
     return turn->second.begin()->second;
   }
 
+  /// As `front`, among the teams whose queue is at most half as long as the longest.
+  [[nodiscard]] Item* front_of_short_teams() const {
+    const auto limit = longest() / 2;
+    const auto first_from = [&](auto begin, auto end) -> Item* {
+      for (auto it = begin; it != end; ++it) {
+        if (it->second.size() <= limit) {
+          return it->second.begin()->second;
+        }
+      }
+      return nullptr;
+    };
+    const auto turn = teams_.upper_bound(last_team_);
+    auto* found = first_from(turn, teams_.end());
+    return found != nullptr ? found : first_from(teams_.begin(), turn);
+  }
+
+  /// Entries of teams whose queue is at most half as long as the longest.
+  [[nodiscard]] std::size_t size_of_short_teams() const {
+    const auto limit = longest() / 2;
+    std::size_t total = 0;
+    for (const auto& [team, queue] : teams_) {
+      total += queue.size() <= limit ? queue.size() : 0;
+    }
+    return total;
+  }
+
   /// Gives the turn to the team after this one.
   void took_turn(int team) { last_team_ = team; }
 
@@ -65,6 +92,15 @@
 
  private:
   using team_queue = absl::btree_map<std::uint64_t, Item*>;
+
+  [[nodiscard]] std::size_t longest() const {
+    std::size_t length = 0;
+    for (const auto& [team, queue] : teams_) {
+      length = std::max(length, queue.size());
+    }
+    return length;
+  }
+
   absl::btree_map<int, team_queue> teams_;
   std::size_t size_{0};
   int last_team_{-1};
--- a/src/coordination/request_router.cpp
+++ b/src/coordination/request_router.cpp
@@ -276,7 +276,8 @@
   }
   peer->link_lost = false;
   for (int i = 0; i < event.count && peer->live(); ++i) {
-    auto* item = next_work(*service, event.max_rank, true);
+    auto* item = event.short_teams_only ? next_of_short_teams(*service, event.max_rank)
+                                        : next_work(*service, event.max_rank, true);
     if (item == nullptr) {
       break;
     }
--- a/src/coordination/request_router_dispatch.cpp
+++ b/src/coordination/request_router_dispatch.cpp
@@ -223,70 +223,93 @@
   return outstanding;
 }
 
-/// Asks peers for work: for idle slots when nothing waits here, and otherwise for work that is more
-/// urgent than what waits here, so that the class order holds across VMs.
+detail::work* request_router::implementation::next_of_short_teams(routed_service& service, int max_rank) {
+  for (auto& request_class : service.classes) {
+    if (request_class->spec.rank > max_rank) {
+      break;
+    }
+    if (auto* item = request_class->queue.front_of_short_teams()) {
+      return item;
+    }
+  }
+  return nullptr;
+}
+
+request_router::implementation::queue_bid request_router::implementation::bid_of(
+    const std::vector<rank_queue>& queues) {
+  if (queues.empty()) {
+    return {.rank = any_rank, .long_teams = true};
+  }
+  const auto& first = queues.front();
+  const bool long_teams = first.short_teams == 0;
+  return {first.rank, long_teams, long_teams ? first.length : first.short_teams};
+}
+
+/// Asks peers for work: for idle slots when nothing waits here, and otherwise for work that goes
+/// before what waits here, so that the class order and the turns of the teams hold across VMs: a
+/// home with few targets could not serve even its small teams in a flood.
 void request_router::implementation::pull(routed_service& service) {
   if (draining_since_ || homes_held() || service.own.empty()) {
     return;
   }
-  int own_rank = any_rank;
-  int own_length = 0;
+  const auto own = bid_of(service_report(service).queues);
   int fetched = 0;
   for (const auto& request_class : service.classes) {
     fetched += static_cast<int>(request_class->pulled.size());
-    const int length = static_cast<int>(request_class->queue.size());
-    if (length > 0 && own_rank == any_rank) {
-      own_rank = request_class->spec.rank;
-    }
-    own_length += request_class->spec.rank == own_rank ? length : 0;
   }
   const int slots = static_cast<int>(service.own.size()) * service.spec.slots_per_target;
   const int prefetch = std::max(1, slots / slots_per_prefetch);
-  int wanted = (own_rank == any_rank ? idle_slots(service) : prefetch) - fetched;
+  int wanted = (own.rank == any_rank ? idle_slots(service) : prefetch) - fetched;
   if (wanted <= 0) {
     return;
   }
   wanted -= outstanding_pulls(service);
   while (wanted > 0) {
     routed_peer* best = nullptr;
-    detail::peer_service* best_state = nullptr;
-    std::pair<int, int> best_cost;
+    queue_bid best_bid;
     for (auto& [vm, peer] : peers_) {
       const auto found = peer->services.find(service.spec.id);
       if (!peer->live() || found == peer->services.end() || found->second.queues.empty() ||
           found->second.pull_outstanding > 0) {
         continue;
       }
-      const auto& first = found->second.queues.front();
-      const bool more_urgent = first.rank < own_rank;
-      const bool much_longer = first.rank == own_rank && first.length > 2 * own_length + prefetch;
-      const std::pair cost{first.rank, -first.length};
-      if ((more_urgent || much_longer) && (best == nullptr || cost < best_cost)) {
+      const auto bid = bid_of(found->second.queues);
+      const bool first = std::tie(bid.rank, bid.long_teams) < std::tie(own.rank, own.long_teams);
+      const bool same = bid.rank == own.rank && bid.long_teams == own.long_teams;
+      const bool much_longer = same && bid.length > 2 * own.length + prefetch;
+      const std::tuple cost{bid.rank, bid.long_teams, -bid.length};
+      if ((first || much_longer) &&
+          (best == nullptr || cost < std::tuple{best_bid.rank, best_bid.long_teams, -best_bid.length})) {
         best = peer.get();
-        best_state = &found->second;
-        best_cost = cost;
+        best_bid = bid;
       }
     }
     if (best == nullptr) {
       return;
     }
-    const int count = std::min(wanted, -best_cost.second);
-    pull_from(service, *best, *best_state, count, own_rank == any_rank ? any_rank : best_cost.first);
+    const int count = std::min(wanted, best_bid.length);
+    pull_from(service, *best, count, best_bid);
     wanted -= count;
   }
 }
 
-void request_router::implementation::pull_from(routed_service& service, routed_peer& peer,
-                                               detail::peer_service& state, int count, int max_rank) {
+void request_router::implementation::pull_from(routed_service& service, routed_peer& peer, int count,
+                                               const queue_bid& bid) {
+  auto& state = peer.services[service.spec.id];
   state.pull_outstanding = count;
   state.pull_ends = now_ + options_.pull_timeout;
   add_wake(*state.pull_ends);
   auto& first = state.queues.front();
   first.length -= count;
+  first.short_teams -= bid.long_teams ? 0 : count;
   if (first.length <= 0) {
     state.queues.erase(state.queues.begin());
   }
-  emit(pull_from_peer{.to = peer.vm, .service = service.spec.id, .count = count, .max_rank = max_rank});
+  emit(pull_from_peer{.to = peer.vm,
+                      .service = service.spec.id,
+                      .count = count,
+                      .max_rank = bid.rank,
+                      .short_teams_only = !bid.long_teams});
 }
 
 }  // namespace rhubarbpath
--- a/src/coordination/request_router_impl.hpp
+++ b/src/coordination/request_router_impl.hpp
@@ -288,6 +288,7 @@
   void dispatch(routed_service& service);
   void dispatch_dirty();
   [[nodiscard]] work* next_work(routed_service& service, int max_rank, bool own_only);
+  [[nodiscard]] work* next_of_short_teams(routed_service& service, int max_rank);
   [[nodiscard]] bool too_near_deadline(const work& item) const;
   [[nodiscard]] routed_target* pick_target(const routed_service& service, const work& item) const;
   [[nodiscard]] bool trial_fits(const routed_target& target, const work& item) const;
@@ -296,8 +297,15 @@
   void forward(work& item, routed_peer& peer, bool pulled);
   void count_send(work& item);
   void pull(routed_service& service);
-  void pull_from(routed_service& service, routed_peer& peer, detail::peer_service& state, int count,
-                 int max_rank);
+  /// What waits here, seen as a bid for slots: work with a lower bid is served first.
+  struct queue_bid {
+    int rank{0};
+    bool long_teams{false};  ///< Only teams with long queues wait in this rank.
+    int length{0};
+    friend bool operator==(const queue_bid&, const queue_bid&) = default;
+  };
+  [[nodiscard]] static queue_bid bid_of(const std::vector<routing::rank_queue>& queues);
+  void pull_from(routed_service& service, routed_peer& peer, int count, const queue_bid& bid);
   [[nodiscard]] int outstanding_pulls(const routed_service& service);
 
   void run_timers();
--- a/src/coordination/request_router_targets.cpp
+++ b/src/coordination/request_router_targets.cpp
@@ -475,11 +475,11 @@
     if (length == 0) {
       continue;
     }
-    if (!report.queues.empty() && report.queues.back().rank == request_class->spec.rank) {
-      report.queues.back().length += length;
-    } else {
-      report.queues.push_back({request_class->spec.rank, length});
+    if (report.queues.empty() || report.queues.back().rank != request_class->spec.rank) {
+      report.queues.push_back({.rank = request_class->spec.rank});
     }
+    report.queues.back().length += length;
+    report.queues.back().short_teams += static_cast<int>(request_class->queue.size_of_short_teams());
   }
   return report;
 }
--- a/tests/coordination/router_cluster.hpp
+++ b/tests/coordination/router_cluster.hpp
@@ -364,8 +364,9 @@
                                        action.body, action.target, action.reason, action.load});
   }
   void act(int vm, const routing::pull_from_peer& action) {
-    transmit(action.to, routing::pull_arrived{vm_id{"vm" + std::to_string(vm)}, nodes_[vm]->number,
-                                              action.service, action.count, action.max_rank});
+    transmit(action.to,
+             routing::pull_arrived{vm_id{"vm" + std::to_string(vm)}, nodes_[vm]->number, action.service,
+                                   action.count, action.max_rank, action.short_teams_only});
   }
   void act(int vm, const routing::advertise_load& action) {
     for (int i = 0; i < vm_count(); ++i) {
