Serve flooding teams after other teams' less urgent classes

Strict class order lets a flood in one class starve other teams' less urgent classes. A team whose queue is long against the class's limit and the mean over all teams is now served last, from the flooded class downwards. An overload by all teams alike stays in class order. At the team's limit its least urgent request is dropped instead of a new urgent one.

--- a/benchmark/request_router.cpp
+++ b/benchmark/request_router.cpp
@@ -71,9 +71,11 @@
 struct scenario {
   double load{0.9};
   bool bad_workers{false};
-  bool flood{false};  ///< Team 0 adds twice the capacity in the class `preview`.
+  int flooded_class{-1};  ///< Team 0 adds twice the capacity in this class.
   duration length{seconds{20}};
   std::uint64_t seed{1};
+  duration load_interval{};
+  duration shortest_load_interval{};
 };
 
 /// Worker 3 takes ten times as long; worker 17 answers 500 after 1 ms.
@@ -121,8 +123,9 @@
     }
   };
   add(run.load * capacity_per_second, false);
-  if (run.flood) {
-    add(2.0 * 1000.0 * worker_count * slots_per_worker / classes[1].mean_ms, true);
+  if (run.flooded_class >= 0) {
+    const double mean_ms = classes[static_cast<std::size_t>(run.flooded_class)].mean_ms;
+    add(2.0 * 1000.0 * worker_count * slots_per_worker / mean_ms, true);
   }
   std::stable_sort(list.begin(), list.end(),
                    [](const auto& left, const auto& right) { return left.at < right.at; });
@@ -265,11 +268,16 @@
     }
     for (int i = 0; i < vm_count; ++i) {
       vms_.push_back(std::make_unique<vm>());
-      vms_[i]->router = std::make_unique<request_router>(
-          request_router::options{.self = members[i].vm,
-                                  .self_incarnation = incarnation{1},
-                                  .failure_domain = members[i].failure_domain},
-          random_);
+      request_router::options opts{.self = members[i].vm,
+                                   .self_incarnation = incarnation{1},
+                                   .failure_domain = members[i].failure_domain};
+      if (run.load_interval > duration{}) {
+        opts.load_interval = run.load_interval;
+      }
+      if (run.shortest_load_interval > duration{}) {
+        opts.shortest_load_interval = run.shortest_load_interval;
+      }
+      vms_[i]->router = std::make_unique<request_router>(opts, random_);
       vm_index_[members[i].vm.value()] = i;
     }
     for (int i = 0; i < worker_count; ++i) {
@@ -302,6 +310,8 @@
       const auto& request = arrivals_[index];
       const auto& profile = classes[static_cast<std::size_t>(request.request_class)];
       ++result_.by_class[static_cast<std::size_t>(request.request_class)].arrivals;
+      result_.by_class[static_cast<std::size_t>(request.request_class)].other_teams_arrivals +=
+          request.team != 0 ? 1 : 0;
       const auto sent = instant{warm_up + request.at};
       deliver(request.vm, routing::request_arrived{
                               .id = request_id{index + 1},
@@ -627,23 +637,30 @@
   return met;
 }
 
-int run_all(std::uint64_t seed, duration length, bool only_targets) {
+double ratio(const std::vector<double>& measured, const std::vector<double>& reference) {
+  return percentile(measured, 0.99) / percentile(reference, 0.99);
+}
+
+double good_share(const class_result& entry) {
+  return static_cast<double>(entry.good) / std::max(1, entry.arrivals);
+}
+
+/// Runs all ways over the loads and checks the targets against the shared queue and at overload.
+bool run_loads(const scenario& base, bool only_targets) {
   bool all_met = true;
+  run_result at_capacity;
   std::printf(
       "load work way          class         p50      p99    p99.9     good not_run   maybe   error\n");
-  run_result at_capacity;
-  run_result over;
-  double shared_p99 = 0;
-  double routed_p99 = 0;
-  std::array<double, 3> class_ratio{};
   for (const double load : {0.5, 0.9, 1.0, 1.2, 3.0}) {
     for (const bool bad : {false, true}) {
       if (only_targets && (bad || load == 0.5 || load == 1.2)) {
         continue;
       }
-      const scenario run{.load = load, .bad_workers = bad, .length = length, .seed = seed};
+      auto run = base;
+      run.load = load;
+      run.bad_workers = bad;
       const auto arrivals = make_arrivals(run);
-      const auto routed = routed_run{run, arrivals}.run();
+      auto routed = routed_run{run, arrivals}.run();
       const auto shared = shared_queue_run{run, arrivals}.run();
       print("routers", run, routed);
       print("shared queue", run, shared);
@@ -651,57 +668,60 @@
         print("round-robin", run, independent_run{run, arrivals, true}.run());
         print("independent", run, independent_run{run, arrivals, false}.run());
       }
-      print_cost(routed, arrivals.size(), length);
+      print_cost(routed, arrivals.size(), run.length);
       if (load == 0.9 && !bad) {
-        shared_p99 = percentile(all_latencies(shared), 0.99);
-        routed_p99 = percentile(all_latencies(routed), 0.99);
+        all_met &= check("p99 over that of one shared queue, all classes",
+                         ratio(all_latencies(routed), all_latencies(shared)), 1.3, true);
         for (std::size_t i = 0; i < classes.size(); ++i) {
-          class_ratio[i] = percentile(routed.by_class[i].latencies_ms, 0.99) /
-                           percentile(shared.by_class[i].latencies_ms, 0.99);
+          const auto name = std::string{"p99 over that of one shared queue, "} + classes[i].name;
+          all_met &=
+              check(name.c_str(), ratio(routed.by_class[i].latencies_ms, shared.by_class[i].latencies_ms),
+                    1.3, true);
         }
       }
-      if (load == 1.0 && !bad) {
-        at_capacity = routed;
-      }
       if (load == 3.0 && !bad) {
-        over = routed;
+        all_met &= check("goodput (work) over that at capacity",
+                         routed.good_work_ms / at_capacity.good_work_ms, 0.95, false);
+        all_met &= check("class order: share of good holds", good_share(routed.by_class[0]), 0.99, false);
+        all_met &= check("class order: share of good previews less that of stock",
+                         good_share(routed.by_class[1]) - good_share(routed.by_class[2]), 0.0, false);
+      }
+      if (load == 1.0 && !bad) {
+        at_capacity = std::move(routed);
       }
     }
   }
-  const scenario calm{.load = 0.6, .length = length, .seed = seed};
-  auto flooded = calm;
-  flooded.flood = true;
+  return all_met;
+}
+
+bool run_floods(const scenario& base) {
+  bool all_met = true;
+  auto calm = base;
+  calm.load = 0.6;
   const auto calm_list = make_arrivals(calm);
-  const auto flood_list = make_arrivals(flooded);
   const auto before = routed_run{calm, calm_list}.run();
-  const auto during = routed_run{flooded, flood_list}.run();
-  std::printf("flood: team 0 adds twice the capacity in the class preview at a load of 0.6\n");
+  std::printf("floods: team 0 adds twice the capacity in one class at a load of 0.6\n");
   print("calm", calm, before);
-  print("flood", flooded, during);
-
-  all_met &=
-      check("p99 at 0.9 load over that of one shared queue, all classes", routed_p99 / shared_p99, 1.3, true);
-  for (std::size_t i = 0; i < classes.size(); ++i) {
-    const auto name = std::string{"p99 at 0.9 load over that of one shared queue, "} + classes[i].name;
-    all_met &= check(name.c_str(), class_ratio[i], 1.3, true);
-  }
-  const auto share = [](const class_result& entry) {
-    return static_cast<double>(entry.good) / std::max(1, entry.arrivals);
-  };
-  all_met &= check("goodput (work) at 3 times capacity over that at capacity",
-                   over.good_work_ms / at_capacity.good_work_ms, 0.95, false);
-  all_met &=
-      check("class order at 3 times capacity: share of good holds", share(over.by_class[0]), 0.99, false);
-  all_met &= check("class order at 3 times capacity: share of good previews less stock",
-                   share(over.by_class[1]) - share(over.by_class[2]), 0.0, false);
-  for (std::size_t i = 0; i < classes.size(); ++i) {
-    const auto name = std::string{"other teams' p99 in a flood over that without, "} + classes[i].name;
-    all_met &= check(name.c_str(),
-                     percentile(during.by_class[i].other_teams_ms, 0.99) /
-                         percentile(before.by_class[i].other_teams_ms, 0.99),
-                     1.1, true);
+  for (std::size_t flooded = 0; flooded < classes.size(); ++flooded) {
+    auto run = calm;
+    run.flooded_class = static_cast<int>(flooded);
+    const auto list = make_arrivals(run);
+    const auto during = routed_run{run, list}.run();
+    const auto way = std::string{"flood "} + classes[flooded].name;
+    print(way.c_str(), run, during);
+    for (std::size_t i = 0; i < classes.size(); ++i) {
+      const auto& entry = during.by_class[i];
+      const auto name = way + ": other teams' p99 over that without, " + classes[i].name;
+      all_met &=
+          check(name.c_str(), ratio(entry.other_teams_ms, before.by_class[i].other_teams_ms), 1.1, true);
+      const auto good = way + ": other teams' share of good, " + classes[i].name;
+      all_met &=
+          check(good.c_str(),
+                static_cast<double>(entry.other_teams_ms.size()) / std::max(1, entry.other_teams_arrivals),
+                0.99, false);
+    }
   }
-  return all_met ? 0 : 1;
+  return all_met;
 }
 
 }  // namespace
@@ -713,8 +733,19 @@
     TCLAP::ValueArg<std::uint64_t> seed{"s", "seed", "Seed of the arrivals", false, 1, "number", command};
     TCLAP::ValueArg<int> length{"l", "length", "Seconds of arrivals per run", false, 20, "seconds", command};
     TCLAP::SwitchArg targets{"t", "targets", "Only the runs that the targets need", command};
+    TCLAP::ValueArg<int> interval{"i",  "load-interval", "Longest time between load reports", false, 0,
+                                  "ms", command};
+    TCLAP::ValueArg<int> shortest{
+        "e", "shortest-interval", "Shortest time between load reports", false, 0, "ms", command};
     command.parse(argc, argv);
-    return rhubarbpath::run_all(seed.getValue(), std::chrono::seconds{length.getValue()}, targets.getValue());
+    const rhubarbpath::scenario base{
+        .length = std::chrono::seconds{length.getValue()},
+        .seed = seed.getValue(),
+        .load_interval = std::chrono::milliseconds{interval.getValue()},
+        .shortest_load_interval = std::chrono::milliseconds{shortest.getValue()}};
+    const bool loads_met = rhubarbpath::run_loads(base, targets.getValue());
+    const bool floods_met = rhubarbpath::run_floods(base);
+    return loads_met && floods_met ? 0 : 1;
   } catch (const TCLAP::ArgException& error) {
     std::cerr << error.error() << " for argument " << error.argId() << '\n';
     return 2;
--- a/include/rhubarbpath/coordination/request_router.hpp
+++ b/include/rhubarbpath/coordination/request_router.hpp
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -62,9 +63,12 @@
   friend bool operator==(const member&, const member&) = default;
 };
 
+/// Stands for the requests of flooding teams, which are served after every class of other teams.
+inline constexpr int flooding_rank = std::numeric_limits<int>::max();
+
 /// Queue length of one class rank of a service.
 struct rank_queue {
-  int rank{0};
+  int rank{0};  ///< `flooding_rank` for all requests of flooding teams.
   int length{0};
   /// Of these, requests of teams whose queue is at most half as long as the longest team's. They
   /// wait although their teams do not flood this VM, so peers fetch them first.
@@ -342,6 +346,11 @@
 /// reported idle slots, or is queued in class order, teams in turn within a class, until a slot
 /// frees here or a peer pulls it.
 ///
+/// A team floods when its queue in one class is long, both against the class's limit and against
+/// the mean over the document's teams. Its requests of that class and of less urgent ones then come
+/// after those of all other teams, in class order among themselves. Strict class order alone would
+/// let one team's flood starve every other team's less urgent classes.
+///
 /// Verdicts: `not_run` is given only when no send to a target left, or each one failed before its
 /// first byte or was refused before work, and each forward was reported as `not_sent`. The VM at
 /// which a non-idempotent request arrived (the dispatcher) records its intent, and sends or
@@ -350,8 +359,8 @@
 ///
 /// Memory bounds, and what is dropped first:
 /// - Queued requests: `queue_limit` per class and `max_queued_requests` per team. At a full class
-///   queue the newest request of the team with the longest queue is refused with Retry-After; a
-///   team at its own limit has its new request refused.
+///   queue the newest request of the team with the longest queue is refused with Retry-After; at
+///   the team's limit it is the team's newest request in its least urgent class.
 /// - Requests that wait for an intent: `max_waiting_intents`; the new request is refused.
 /// - Calls and forwards in progress: bounded by slots, and by `max_requests` in total (callers that
 ///   repeat a key count as well); the new request is refused.
--- a/src/coordination/class_queue.hpp
+++ b/src/coordination/class_queue.hpp
@@ -31,24 +31,12 @@
     return true;
   }
 
-  /// The entry whose turn it is; null when the queue is empty.
-  [[nodiscard]] Item* front() const {
-    if (teams_.empty()) {
-      return nullptr;
-    }
-    auto turn = teams_.upper_bound(last_team_);
-    if (turn == teams_.end()) {
-      turn = teams_.begin();
-    }
-    return turn->second.begin()->second;
-  }
-
-  /// As `front`, among the teams whose queue is at most half as long as the longest.
-  [[nodiscard]] Item* front_of_short_teams() const {
-    const auto limit = longest() / 2;
+  /// The entry whose turn it is among the teams that `wanted` accepts; null when there is none.
+  template <class Predicate>
+  [[nodiscard]] Item* front_if(const Predicate& wanted) const {
     const auto first_from = [&](auto begin, auto end) -> Item* {
       for (auto it = begin; it != end; ++it) {
-        if (it->second.size() <= limit) {
+        if (wanted(it->first)) {
           return it->second.begin()->second;
         }
       }
@@ -59,14 +47,20 @@
     return found != nullptr ? found : first_from(teams_.begin(), turn);
   }
 
-  /// Entries of teams whose queue is at most half as long as the longest.
-  [[nodiscard]] std::size_t size_of_short_teams() const {
-    const auto limit = longest() / 2;
-    std::size_t total = 0;
+  /// Calls `visit(team, length)` for every team with entries.
+  template <class Visitor>
+  void for_each_team(const Visitor& visit) const {
+    for (const auto& [team, queue] : teams_) {
+      visit(team, queue.size());
+    }
+  }
+
+  [[nodiscard]] std::size_t longest() const {
+    std::size_t length = 0;
     for (const auto& [team, queue] : teams_) {
-      total += queue.size() <= limit ? queue.size() : 0;
+      length = std::max(length, queue.size());
     }
-    return total;
+    return length;
   }
 
   /// Gives the turn to the team after this one.
@@ -83,6 +77,12 @@
     return longest == nullptr ? nullptr : std::prev(longest->end())->second;
   }
 
+  /// The newest entry of one team; null when it has none.
+  [[nodiscard]] Item* newest_of(int team) const {
+    const auto found = teams_.find(team);
+    return found == teams_.end() ? nullptr : std::prev(found->second.end())->second;
+  }
+
   [[nodiscard]] std::size_t size_of(int team) const {
     const auto found = teams_.find(team);
     return found == teams_.end() ? 0 : found->second.size();
@@ -93,14 +93,6 @@
  private:
   using team_queue = absl::btree_map<std::uint64_t, Item*>;
 
-  [[nodiscard]] std::size_t longest() const {
-    std::size_t length = 0;
-    for (const auto& [team, queue] : teams_) {
-      length = std::max(length, queue.size());
-    }
-    return length;
-  }
-
   absl::btree_map<int, team_queue> teams_;
   std::size_t size_{0};
   int last_team_{-1};
--- a/src/coordination/request_router_dispatch.cpp
+++ b/src/coordination/request_router_dispatch.cpp
@@ -12,6 +12,12 @@
 namespace {
 
 constexpr int any_rank = std::numeric_limits<int>::max();
+/// A team floods a class when its queue reaches this part of the class's limit, and at least
+/// `least_flood`, and `flood_factor` times the mean over all teams. The mean keeps an overload by
+/// all teams alike in plain class order.
+constexpr std::size_t flood_limit_share = 4;
+constexpr std::size_t least_flood = 16;
+constexpr double flood_factor = 1.5;
 /// A trial call should be idempotent, because it is likely to fail. After this long without an
 /// idempotent request any request may be the trial.
 constexpr duration trial_patience = std::chrono::seconds{5};
@@ -34,6 +40,7 @@
 
 void request_router::implementation::dispatch(routed_service& service) {
   service.dirty = false;
+  find_flooding_teams(service);
   while (auto* item = next_work(service, any_rank, false)) {
     auto* target = pick_target(service, *item);
     if (target != nullptr) {
@@ -58,26 +65,65 @@
   service.dirty = false;
 }
 
+template <class Predicate>
+detail::work* request_router::implementation::next_of_class(routed_class& request_class,
+                                                            const Predicate& wanted) {
+  while (auto* item = request_class.queue.front_if(wanted)) {
+    if (request_class.queue.size() < 2 || !too_near_deadline(*item)) {
+      return item;
+    }
+    end_without_answer(*item, "the time left is too short for an answer under the present load",
+                       options_.retry_after);
+  }
+  return nullptr;
+}
+
 detail::work* request_router::implementation::next_work(routed_service& service, int max_rank,
                                                         bool own_only) {
   for (auto& request_class : service.classes) {
-    if (request_class->spec.rank > max_rank) {
+    const int rank = request_class->spec.rank;
+    if (rank > max_rank) {
       break;
     }
     if (!own_only && !request_class->pulled.empty()) {
       return request_class->pulled.front();
     }
-    while (auto* item = request_class->queue.front()) {
-      if (request_class->queue.size() < 2 || !too_near_deadline(*item)) {
-        return item;
-      }
-      end_without_answer(*item, "the time left is too short for an answer under the present load",
-                         options_.retry_after);
+    if (auto* item = next_of_class(*request_class, [&](int team) { return !service.floods(team, rank); })) {
+      return item;
+    }
+  }
+  if (service.flooding.empty() || max_rank < flooding_rank) {
+    return nullptr;
+  }
+  for (auto& request_class : service.classes) {
+    if (auto* item = next_of_class(*request_class, [](int /*team*/) { return true; })) {
+      return item;
     }
   }
   return nullptr;
 }
 
+void request_router::implementation::find_flooding_teams(routed_service& service) const {
+  service.flooding.clear();
+  for (const auto& request_class : service.classes) {
+    const auto threshold = std::max<std::size_t>(
+        least_flood,
+        static_cast<std::size_t>(std::max(0, request_class->spec.queue_limit)) / flood_limit_share);
+    if (request_class->queue.size() < threshold) {
+      continue;
+    }
+    const int rank = request_class->spec.rank;
+    const double mean = static_cast<double>(request_class->queue.size()) /
+                        static_cast<double>(std::max<std::size_t>(1, teams_.size()));
+    request_class->queue.for_each_team([&](int team, std::size_t length) {
+      const bool long_queue = length >= threshold && static_cast<double>(length) >= flood_factor * mean;
+      if (long_queue && !service.floods(team, rank)) {
+        service.flooding.emplace_back(team, rank);
+      }
+    });
+  }
+}
+
 /// Under overload the oldest request is often so near its deadline that the slot would be wasted. A
 /// request whose caller allowed little time from the start is judged by half of that time.
 bool request_router::implementation::too_near_deadline(const work& item) const {
@@ -228,7 +274,12 @@
     if (request_class->spec.rank > max_rank) {
       break;
     }
-    if (auto* item = request_class->queue.front_of_short_teams()) {
+    const int rank = request_class->spec.rank;
+    const auto limit = request_class->queue.longest() / 2;
+    const auto wanted = [&](int team) {
+      return request_class->queue.size_of(team) <= limit && !service.floods(team, rank);
+    };
+    if (auto* item = next_of_class(*request_class, wanted)) {
       return item;
     }
   }
@@ -238,7 +289,7 @@
 request_router::implementation::queue_bid request_router::implementation::bid_of(
     const std::vector<rank_queue>& queues) {
   if (queues.empty()) {
-    return {.rank = any_rank, .long_teams = true};
+    return {.rank = any_rank, .long_teams = true, .length = -1};
   }
   const auto& first = queues.front();
   const bool long_teams = first.short_teams == 0;
@@ -259,7 +310,7 @@
   }
   const int slots = static_cast<int>(service.own.size()) * service.spec.slots_per_target;
   const int prefetch = std::max(1, slots / slots_per_prefetch);
-  int wanted = (own.rank == any_rank ? idle_slots(service) : prefetch) - fetched;
+  int wanted = (own.length < 0 ? idle_slots(service) : prefetch) - fetched;
   if (wanted <= 0) {
     return;
   }
@@ -274,7 +325,8 @@
         continue;
       }
       const auto bid = bid_of(found->second.queues);
-      const bool first = std::tie(bid.rank, bid.long_teams) < std::tie(own.rank, own.long_teams);
+      const bool first =
+          own.length < 0 || std::tie(bid.rank, bid.long_teams) < std::tie(own.rank, own.long_teams);
       const bool same = bid.rank == own.rank && bid.long_teams == own.long_teams;
       const bool much_longer = same && bid.length > 2 * own.length + prefetch;
       const std::tuple cost{bid.rank, bid.long_teams, -bid.length};
--- a/src/coordination/request_router_impl.hpp
+++ b/src/coordination/request_router_impl.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -131,11 +132,18 @@
   int targets_in_document{0};
   int slots_used{0};  ///< Over the own targets.
   target_health health;
+  /// Flooding teams' indexes, with the rank of the most urgent class that each floods.
+  absl::InlinedVector<std::pair<int, int>, 2> flooding;
   bool dirty{false};  ///< Slots or queues changed since the last dispatch.
   // What the last report to all peers said.
   bool reported_idle{false};
   bool reported_queue{false};
 
+  [[nodiscard]] bool floods(int team, int rank) const {
+    return std::any_of(flooding.begin(), flooding.end(),
+                       [&](const auto& entry) { return entry.first == team && entry.second <= rank; });
+  }
+
   routed_service(target_health::options opts, random_source& random) : health{opts, random} {}
 };
 
@@ -261,6 +269,7 @@
   void ask_intent(work& item);
   void admit(work& item);
   [[nodiscard]] std::optional<std::string> admission_refusal(const work& item);
+  [[nodiscard]] static work* less_urgent_of_team(const work& item);
   void enqueue(work& item);
   void unqueue(work& item);
   void finish(work& item, const outcome& result, int status, const routing::shared_body& body);
@@ -289,6 +298,10 @@
   void dispatch_dirty();
   [[nodiscard]] work* next_work(routed_service& service, int max_rank, bool own_only);
   [[nodiscard]] work* next_of_short_teams(routed_service& service, int max_rank);
+  /// The next request of teams that `wanted` accepts; refuses those with too little time left.
+  template <class Predicate>
+  [[nodiscard]] work* next_of_class(routed_class& request_class, const Predicate& wanted);
+  void find_flooding_teams(routed_service& service) const;
   [[nodiscard]] bool too_near_deadline(const work& item) const;
   [[nodiscard]] routed_target* pick_target(const routed_service& service, const work& item) const;
   [[nodiscard]] bool trial_fits(const routed_target& target, const work& item) const;
--- a/src/coordination/request_router_targets.cpp
+++ b/src/coordination/request_router_targets.cpp
@@ -470,16 +470,34 @@
   service_load report{.service = service.spec.id,
                       .idle_slots = draining_since_ ? 0 : idle_slots(service),
                       .set_aside = service.health.set_aside_count()};
+  int flooding = 0;
   for (const auto& request_class : service.classes) {
-    const int length = static_cast<int>(request_class->queue.size());
-    if (length == 0) {
+    const auto& queue = request_class->queue;
+    if (queue.empty()) {
       continue;
     }
-    if (report.queues.empty() || report.queues.back().rank != request_class->spec.rank) {
-      report.queues.push_back({.rank = request_class->spec.rank});
+    const int rank = request_class->spec.rank;
+    const auto short_limit = queue.longest() / 2;
+    rank_queue entry{.rank = rank};
+    queue.for_each_team([&](int team, std::size_t size) {
+      const int length = static_cast<int>(size);
+      const bool floods = service.floods(team, rank);
+      flooding += floods ? length : 0;
+      entry.length += floods ? 0 : length;
+      entry.short_teams += !floods && size <= short_limit ? length : 0;
+    });
+    if (entry.length == 0) {
+      continue;
     }
-    report.queues.back().length += length;
-    report.queues.back().short_teams += static_cast<int>(request_class->queue.size_of_short_teams());
+    if (!report.queues.empty() && report.queues.back().rank == rank) {
+      report.queues.back().length += entry.length;
+      report.queues.back().short_teams += entry.short_teams;
+    } else {
+      report.queues.push_back(entry);
+    }
+  }
+  if (flooding > 0) {
+    report.queues.push_back({.rank = flooding_rank, .length = flooding});
   }
   return report;
 }
--- a/src/coordination/request_router_work.cpp
+++ b/src/coordination/request_router_work.cpp
@@ -144,8 +144,22 @@
   emit(record_intent{.intent = *item.intent, .deadline = item.content.deadline});
 }
 
+/// The newest queued request of the item's team in the least urgent class below the item's.
+detail::work* request_router::implementation::less_urgent_of_team(const work& item) {
+  auto& classes = item.request_class->service->classes;
+  for (auto it = classes.rbegin(); it != classes.rend(); ++it) {
+    if ((*it)->spec.rank <= item.request_class->spec.rank) {
+      return nullptr;
+    }
+    if (auto* newest = (*it)->queue.newest_of(item.team->index)) {
+      return newest;
+    }
+  }
+  return nullptr;
+}
+
 std::optional<std::string> request_router::implementation::admission_refusal(const work& item) {
-  if (item.team->queued >= item.team->max_queued) {
+  if (item.team->queued >= item.team->max_queued && less_urgent_of_team(item) == nullptr) {
     return "the team's queue limit is reached";
   }
   const auto& request_class = *item.request_class;
@@ -170,6 +184,11 @@
       return;
     }
   }
+  if (item.team->queued >= item.team->max_queued) {
+    if (auto* dropped = less_urgent_of_team(item)) {
+      end_without_answer(*dropped, "the team's queue limit is reached", options_.retry_after);
+    }
+  }
   auto& queue = item.request_class->queue;
   const auto limit = static_cast<std::size_t>(std::max(1, item.request_class->spec.queue_limit));
   if (queue.size() >= limit) {
