--- a/src/coordination/request_router.cpp
+++ b/src/coordination/request_router.cpp
@@ -276,7 +276,8 @@
   }
   peer->link_lost = false;
   for (int i = 0; i < event.count && peer->live(); ++i) {
-    auto* item = next_work(*service, event.max_rank, true);
+    auto* item = event.short_teams_only ? next_of_short_teams(*service, event.max_rank)
+                                        : next_work(*service, event.max_rank, true);
     if (item == nullptr) {
       break;
     }
@@ -404,8 +405,8 @@
     apply_load(*peer, event.load);
   }
   const auto found = forwards_.find(event.id);
-  if (found == forwards_.end() || found->second.to != event.from ||
-      found->second.to_incarnation != event.from_incarnation) {
+  if (event.to_incarnation != options_.self_incarnation || found == forwards_.end() ||
+      found->second.to != event.from || found->second.to_incarnation != event.from_incarnation) {
     return;
   }
   const auto sent = found->second;
