--- a/src/coordination/intent_dispatcher.cpp
+++ b/src/coordination/intent_dispatcher.cpp
@@ -35,8 +35,8 @@
     out.emplace_back(intent_answered{.id = event.id, .answer = std::move(answer)});
     return;
   }
-  for (auto it = deliveries_.lower_bound({event.key, 0}); it != deliveries_.end() && it->first.first == event.key;
-       ++it) {
+  for (auto it = deliveries_.lower_bound({event.key, 0});
+       it != deliveries_.end() && it->first.first == event.key; ++it) {
     if (const auto* const finish = std::get_if<peer::finish_intent>(&it->second.message)) {
       out.emplace_back(intent_answered{.id = event.id, .answer = finish->answer});
       return;
@@ -73,11 +73,11 @@
   drive(key, current, now, out);
 }
 
-void intent_dispatcher::drive(const idempotency_key& key, attempt& current, instant now, intent_actions& out) {
+void intent_dispatcher::drive(const idempotency_key& key, attempt& current, instant now,
+                              intent_actions& out) {
   for (std::size_t position = 0; position < current.registrars.count; ++position) {
     auto& target = current.slots.at(position);
-    const bool answered =
-        target.state == slot_state::acknowledged || target.state == slot_state::full;
+    const bool answered = target.state == slot_state::acknowledged || target.state == slot_state::full;
     // Two dispatchers that each hold one registrar would wait for each other. The first registrar
     // decides between them, so the second is asked only by the dispatcher that can hold the first.
     const bool must_wait = position == 1 && current.slots[0].state == slot_state::held;
@@ -88,11 +88,12 @@
     target.next_send = now + (held ? options_.poll_interval : options_.retry_interval);
     const auto& registrar = current.registrars.members.at(position);
     add_member(current.contacted, registrar);
-    out.emplace_back(send_intent_message{.to = registrar,
-                                         .message = peer::record_intent{.key = key,
-                                                                        .dispatch = dispatch_of(current),
-                                                                        .view = view_.number,
-                                                                        .first_attempt = current.first_attempt}});
+    out.emplace_back(
+        send_intent_message{.to = registrar,
+                            .message = peer::record_intent{.key = key,
+                                                           .dispatch = dispatch_of(current),
+                                                           .view = view_.number,
+                                                           .first_attempt = current.first_attempt}});
   }
 }
 
@@ -121,7 +122,8 @@
   }
   auto& current = found->second;
   if (answer.status == intent_status::finished) {
-    resolve(answer.key, answer.answer.value_or(may_have_run("the request was dispatched by another VM")), now, out);
+    resolve(answer.key, answer.answer.value_or(may_have_run("the request was dispatched by another VM")), now,
+            out);
     return;
   }
   const auto position = current.registrars.position_of(from);
@@ -141,7 +143,8 @@
       break;
     case intent_status::tainted:
       resolve(answer.key,
-              may_have_run("both registrars of the key were lost; an earlier attempt may have run"), now, out);
+              may_have_run("both registrars of the key were lost; an earlier attempt may have run"), now,
+              out);
       return;
     case intent_status::wrong_view:
     case intent_status::not_ready:
@@ -180,9 +183,9 @@
   auto& current = attempts_.find(key)->second;
   const auto count = current.registrars.count;
   const auto in_state = [&](slot_state state) {
-    return static_cast<std::size_t>(
-        std::count_if(current.slots.begin(), current.slots.begin() + static_cast<std::ptrdiff_t>(count),
-                      [&](const auto& target) { return target.state == state; }));
+    return static_cast<std::size_t>(std::count_if(current.slots.begin(),
+                                                  current.slots.begin() + static_cast<std::ptrdiff_t>(count),
+                                                  [&](const auto& target) { return target.state == state; }));
   };
   const auto acknowledged = in_state(slot_state::acknowledged);
   const bool waits = in_state(slot_state::held) > 0;
@@ -231,12 +234,12 @@
   }
   auto& current = attempts_.find(key)->second;
   const delivery_key id{key, current.sequence};
-  delivery finish{.message = peer::finish_intent{
-                      .key = key, .dispatch = dispatch_of(current), .answer = event.answer},
-                  .pending = current.contacted,
-                  .done = {},
-                  .next_send = {},
-                  .expires = {}};
+  delivery finish{
+      .message = peer::finish_intent{.key = key, .dispatch = dispatch_of(current), .answer = event.answer},
+      .pending = current.contacted,
+      .done = {},
+      .next_send = {},
+      .expires = {}};
   current.contacted.clear();
   const auto ended = take(key, now);
   for (const auto& waiting : ended.followers) {
@@ -249,8 +252,7 @@
                                intent_actions& out) {
   auto ended = take(key, now);
   const auto result = certainly_not_run(ended) ? verdict::not_run : verdict::may_have_run;
-  out.emplace_back(
-      intent_answered{.id = ended.id, .answer = refusal(result, reason, options_.retry_after)});
+  out.emplace_back(intent_answered{.id = ended.id, .answer = refusal(result, reason, options_.retry_after)});
   restart_followers(key, std::move(ended.followers), now, out);
 }
 
@@ -313,7 +315,9 @@
   for (const auto& member : value.pending) {
     if (live_.contains(member.id) || member.id == options_.self.id) {
       std::visit(
-          [&](const auto& message) { out.emplace_back(send_intent_message{.to = member, .message = message}); },
+          [&](const auto& message) {
+            out.emplace_back(send_intent_message{.to = member, .message = message});
+          },
           value.message);
     }
   }
@@ -355,7 +359,8 @@
                                         [&](const auto& entry) { return entry.deadline > now; });
     for (auto late = expired; late != waiting.end(); ++late) {
       out.emplace_back(intent_answered{
-          .id = late->id, .answer = may_have_run("the deadline passed while an earlier copy is in progress")});
+          .id = late->id,
+          .answer = may_have_run("the deadline passed while an earlier copy is in progress")});
     }
     requests_ -= static_cast<std::size_t>(waiting.end() - expired);
     waiting.erase(expired, waiting.end());
@@ -394,9 +399,10 @@
   // key has left through the registrars of a newer one. That needs the other registrar to have left
   // the view, so two answers in one view rule it out.
   const auto count = static_cast<std::ptrdiff_t>(current.registrars.count);
-  return count > 0 && std::all_of(current.slots.begin(), current.slots.begin() + count, [](const auto& target) {
-    return target.state == slot_state::acknowledged || target.state == slot_state::full;
-  });
+  return count > 0 &&
+         std::all_of(current.slots.begin(), current.slots.begin() + count, [](const auto& target) {
+           return target.state == slot_state::acknowledged || target.state == slot_state::full;
+         });
 }
 
 peer::kept_answer intent_dispatcher::may_have_run(std::string_view reason) const {
--- a/src/coordination/intent_dispatcher.hpp
+++ b/src/coordination/intent_dispatcher.hpp
@@ -62,7 +62,9 @@
   void set_live(const std::vector<live_member>& members);
   void tick(instant now, intent_actions& out);
 
-  [[nodiscard]] bool busy() const noexcept { return !recording_.empty() || !deliveries_.empty() || !followed_.empty(); }
+  [[nodiscard]] bool busy() const noexcept {
+    return !recording_.empty() || !deliveries_.empty() || !followed_.empty();
+  }
 
  private:
   /// A withdrawal or finish that is repeated until every registrar answered.
--- a/src/coordination/intent_registrar.cpp
+++ b/src/coordination/intent_registrar.cpp
@@ -71,7 +71,8 @@
   send(from, std::move(answer), out);
 }
 
-intent_status intent_registrar::record_new(range_state& range, const peer::record_intent& message, instant now) {
+intent_status intent_registrar::record_new(range_state& range, const peer::record_intent& message,
+                                           instant now) {
   if (message.view != view_.number) {
     return intent_status::wrong_view;
   }
@@ -399,7 +400,8 @@
     const auto pair = registrars_of(*found, index);
     if (range.ready_in >= older || !pair.position_of(options_.self.id)) {
       return {.number = older,
-              .registrars = {pair.members.begin(), pair.members.begin() + static_cast<std::ptrdiff_t>(pair.count)},
+              .registrars = {pair.members.begin(),
+                             pair.members.begin() + static_cast<std::ptrdiff_t>(pair.count)},
               .unable = {}};
     }
     // This VM was a registrar in the older view, was never ready in it and has left it. Nothing can
@@ -645,10 +647,9 @@
   }
   if (held != range.intents.end()) {
     const bool same = held->second.dispatch == entry.dispatch;
-    const bool local_wins =
-        same ? held->second.state != intent_state::recorded
-             : precedence(held->second.state) > precedence(entry.state) ||
-                   held->second.state == intent_state::finished;
+    const bool local_wins = same ? held->second.state != intent_state::recorded
+                                 : precedence(held->second.state) > precedence(entry.state) ||
+                                       held->second.state == intent_state::finished;
     if (local_wins) {
       return true;
     }
@@ -705,13 +706,13 @@
 }
 
 std::size_t intent_registrar::owned_ranges() const {
-  return static_cast<std::size_t>(std::count_if(ranges_.begin(), ranges_.end(),
-                                                [](const auto& range) { return range.state != phase::none; }));
+  return static_cast<std::size_t>(std::count_if(
+      ranges_.begin(), ranges_.end(), [](const auto& range) { return range.state != phase::none; }));
 }
 
 std::size_t intent_registrar::ready_ranges() const {
-  return static_cast<std::size_t>(std::count_if(ranges_.begin(), ranges_.end(),
-                                                [](const auto& range) { return range.state == phase::ready; }));
+  return static_cast<std::size_t>(std::count_if(
+      ranges_.begin(), ranges_.end(), [](const auto& range) { return range.state == phase::ready; }));
 }
 
 }  // namespace rhubarbpath::detail
--- a/src/coordination/intent_registrar.hpp
+++ b/src/coordination/intent_registrar.hpp
@@ -117,7 +117,7 @@
   const intent_registry::options& options_;
   view view_;
   view_number previous_view_;
-  bool majority_{false};  ///< The live list holds a majority of the current view.
+  bool majority_{false};                    ///< The live list holds a majority of the current view.
   std::vector<registrar_pair> registrars_;  ///< Of the current view, one per range.
   std::vector<range_state> ranges_;
   std::vector<std::uint32_t> pending_;
--- a/src/coordination/intent_registry.cpp
+++ b/src/coordination/intent_registry.cpp
@@ -77,7 +77,8 @@
   }
 }
 
-void intent_registry::deliver_to_self(std::size_t first, instant now, std::vector<intent_registry_action>& out) {
+void intent_registry::deliver_to_self(std::size_t first, instant now,
+                                      std::vector<intent_registry_action>& out) {
   for (std::size_t index = first; index < out.size();) {
     const auto* const sent = std::get_if<send_intent_message>(&out[index]);
     if (sent == nullptr || sent->to.id.vm != options_->self.id.vm) {
@@ -92,9 +93,17 @@
   }
 }
 
-std::size_t intent_registry::untransferred_ranges() const { return registrar_->untransferred_ranges(); }
-std::size_t intent_registry::intents() const { return registrar_->intents(); }
-std::size_t intent_registry::owned_ranges() const { return registrar_->owned_ranges(); }
-std::size_t intent_registry::ready_ranges() const { return registrar_->ready_ranges(); }
+std::size_t intent_registry::untransferred_ranges() const {
+  return registrar_->untransferred_ranges();
+}
+std::size_t intent_registry::intents() const {
+  return registrar_->intents();
+}
+std::size_t intent_registry::owned_ranges() const {
+  return registrar_->owned_ranges();
+}
+std::size_t intent_registry::ready_ranges() const {
+  return registrar_->ready_ranges();
+}
 
 }  // namespace rhubarbpath
--- a/src/coordination/view.cpp
+++ b/src/coordination/view.cpp
@@ -229,7 +229,8 @@
 
 /// Index of the member with the highest score among those that `accept` admits.
 template <class Accept>
-std::optional<std::size_t> highest(const std::vector<std::uint64_t>& hashes, std::uint32_t range, Accept accept) {
+std::optional<std::size_t> highest(const std::vector<std::uint64_t>& hashes, std::uint32_t range,
+                                   Accept accept) {
   std::optional<std::size_t> best;
   std::uint64_t best_score = 0;
   for (std::size_t index = 0; index < hashes.size(); ++index) {
