--- a/src/coordination/intent_registrar.cpp
+++ b/src/coordination/intent_registrar.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t max_waiters = 16;
 /// Time for one part of a transfer before another source is asked.
 constexpr duration transfer_timeout{300'000};
+/// Longest wait between two requests for a range that nobody can send yet.
+constexpr duration max_ask_wait{2'000'000};
 
 int precedence(intent_state state) {
   switch (state) {
@@ -224,12 +226,12 @@
       range.source.unable.push_back(from);
       range.asked.reset();
       range.cursor = {};
-      range.next_ask = now;
+      range.next_ask = now + range.ask_wait;
       break;
     case transfer_kind::retry:
       range.asked.reset();
       range.cursor = {};
-      range.next_ask = now + options_.retry_interval;
+      range.next_ask = now + range.ask_wait;
       break;
     case transfer_kind::request:
     case transfer_kind::completed:
@@ -339,9 +341,9 @@
   count_majority();
   for (std::uint32_t index = 0; index < key_range_count; ++index) {
     auto& range = ranges_[index];
-    range.confirmed.clear();
     if (!registrars_[index].position_of(options_.self.id)) {
       range.state = phase::none;
+      drop_if_confirmed(index);
       continue;
     }
     const bool was_ready = range.state == phase::ready;
@@ -354,11 +356,12 @@
 
 void intent_registrar::enter_range(std::uint32_t index, instant now, intent_actions& out) {
   auto& range = ranges_[index];
-  auto source = trace_source(index);
-  if (source.number == view_number{} || range.ready_in >= source.number) {
+  auto source = trace_source(index, view_.number);
+  if (has_range(range, source.number)) {
     range.source = std::move(source);
     range.state = phase::ready;
     range.ready_in = view_.number;
+    range.dropped = false;
     return;
   }
   if (range.state != phase::pending || range.source.number != source.number) {
@@ -367,8 +370,9 @@
   }
   range.asked.reset();
   range.cursor = {};
+  range.pending_in = view_.number;
   range.state = phase::pending;
-  range.next_ask = now;
+  restart_asking(index, now);
   pending_.push_back(index);
   drive(index, now, out);
 }
@@ -387,36 +391,36 @@
   }
 }
 
-intent_registrar::range_source intent_registrar::trace_source(std::uint32_t index) const {
+intent_registrar::range_source intent_registrar::trace_source(std::uint32_t index, view_number below) const {
   const auto& range = ranges_[index];
-  auto members = view_.members;
-  for (auto number = view_.number.value() - 1; number > 0; --number) {
+  for (auto number = below.value() - 1; number > 0; --number) {
     const view_number older{number};
-    auto found = members_at(view_, older);
-    if (!found) {
+    const auto members = members_at(view_, older);
+    if (!members) {
       // The changes do not reach back that far: nobody can be asked.
       return {.number = older, .registrars = {}, .unable = {}};
     }
-    const auto pair = registrars_of(*found, index);
+    const auto pair = registrars_of(*members, index);
     if (range.ready_in >= older || !pair.position_of(options_.self.id)) {
-      return {.number = older,
-              .registrars = {pair.members.begin(),
-                             pair.members.begin() + static_cast<std::ptrdiff_t>(pair.count)},
-              .unable = {}};
+      const auto end = pair.members.begin() + static_cast<std::ptrdiff_t>(pair.count);
+      return {.number = older, .registrars = {pair.members.begin(), end}, .unable = {}};
     }
-    // This VM was a registrar in the older view, was never ready in it and has left it. Nothing can
-    // have been dispatched there.
-    if (range.state == phase::pending && older == previous_view_) {
+    if (range.pending_in == older) {
       return range.source;
     }
   }
   return {};
 }
 
+bool intent_registrar::has_range(const range_state& range, view_number used) {
+  return used == view_number{} || (range.ready_in >= used && !range.dropped);
+}
+
 void intent_registrar::become_ready(std::uint32_t index, intent_actions& out) {
   auto& range = ranges_[index];
   range.state = phase::ready;
   range.ready_in = view_.number;
+  range.dropped = false;
   range.asked.reset();
   range.gone_since.reset();
   std::erase(pending_, index);
@@ -435,12 +439,17 @@
   become_ready(index, out);
 }
 
-void intent_registrar::set_live(const std::vector<live_member>& members) {
+void intent_registrar::set_live(const std::vector<live_member>& members, instant now) {
   live_.clear();
   for (const auto& member : members) {
     live_.insert(member.info.id);
   }
   count_majority();
+  for (const auto index : pending_) {
+    if (!ranges_[index].asked) {
+      restart_asking(index, now);
+    }
+  }
 }
 
 void intent_registrar::set_vm_list(const std::vector<vm_hint>& vms) {
@@ -504,7 +513,8 @@
 void intent_registrar::ask(std::uint32_t index, instant now, intent_actions& out) {
   auto& range = ranges_[index];
   const auto choices = candidates(index);
-  range.next_ask = now + transfer_timeout;
+  range.next_ask = now + transfer_timeout + range.ask_wait;
+  range.ask_wait = std::min(max_ask_wait, 2 * range.ask_wait);
   if (choices.empty()) {
     range.asked.reset();
     range.cursor = {};
@@ -520,6 +530,11 @@
   out.emplace_back(send_intent_message{.to = *range.asked, .message = std::move(request)});
 }
 
+void intent_registrar::restart_asking(std::uint32_t index, instant now) {
+  ranges_[index].ask_wait = options_.retry_interval;
+  ranges_[index].next_ask = now;
+}
+
 void intent_registrar::on_request(const member_id& from, const peer::transfer_intents& message, instant now,
                                   intent_actions& out) const {
   const auto& range = ranges_[message.range];
@@ -531,17 +546,20 @@
   reply.kind = transfer_kind::retry;
   // A VM that has not reached the target view could still acknowledge in the source view.
   const bool left_source = view_.number >= message.target && view_.number > message.source;
-  if (left_source && range.ready_in != view_number{} && range.ready_in >= message.source) {
+  if (left_source && has_range(range, message.source)) {
     reply = make_part(message, now);
   } else if (left_source) {
     const auto members = members_at(view_, message.source);
     const bool was_registrar =
         members && registrars_of(*members, message.range).position_of(options_.self.id).has_value();
-    if (was_registrar && range.state == phase::pending && range.source.number < message.source) {
-      reply.kind = transfer_kind::redirect;
-      reply.redirect_view = range.source.number;
-      reply.redirect_registrars = range.source.registrars;
-    } else if (was_registrar || range.state != phase::pending) {
+    if (was_registrar && range.ready_in < message.source) {
+      const bool waits_past = range.state == phase::pending && range.source.number < message.source;
+      const auto source = waits_past ? range.source : trace_source(message.range, message.source);
+      const bool traced = source.number == view_number{} || !source.registrars.empty();
+      reply.kind = traced ? transfer_kind::redirect : transfer_kind::unable;
+      reply.redirect_view = source.number;
+      reply.redirect_registrars = source.registrars;
+    } else if (range.state != phase::pending) {
       reply.kind = transfer_kind::unable;
     }
   }
@@ -611,7 +629,7 @@
   range.asked.reset();
   range.cursor = {};
   range.gone_since.reset();
-  if (range.source.number == view_number{} || range.ready_in >= range.source.number) {
+  if (has_range(range, range.source.number)) {
     become_ready(message.range, out);
     return;
   }
@@ -620,22 +638,34 @@
 
 void intent_registrar::on_completed(const member_id& from, const peer::transfer_intents& message) {
   auto& range = ranges_[message.range];
-  const auto& pair = registrars_[message.range];
-  const bool counts = message.target == view_.number && range.state == phase::none && pair.position_of(from);
-  if (!counts) {
+  if (message.target < std::max(view_.number, range.confirmed_view)) {
     return;
   }
-  if (!contains(range.confirmed, from)) {
+  // The confirmation may arrive before this VM reads the view that it belongs to.
+  if (message.target > range.confirmed_view) {
+    range.confirmed_view = message.target;
+    range.confirmed.clear();
+  }
+  if (!contains(range.confirmed, from) && range.confirmed.size() < registrar_pair{}.members.size()) {
     range.confirmed.push_back(from);
   }
-  if (range.confirmed.size() < pair.count) {
+  drop_if_confirmed(message.range);
+}
+
+void intent_registrar::drop_if_confirmed(std::uint32_t index) {
+  auto& range = ranges_[index];
+  const auto& pair = registrars_[index];
+  const auto holds = [&](const member_info& member) { return contains(range.confirmed, member.id); };
+  if (range.state != phase::none || range.confirmed_view != view_.number || pair.count == 0 ||
+      !std::all_of(pair.members.begin(), pair.members.begin() + static_cast<std::ptrdiff_t>(pair.count),
+                   holds)) {
     return;
   }
-  // Every later view traces the range to the new registrars.
+  // Every later view traces the range to these registrars.
   while (!range.intents.empty()) {
     erase(range, range.intents.begin());
   }
-  range.ready_in = {};
+  range.dropped = true;
 }
 
 bool intent_registrar::merge(std::uint32_t index, const peer::intent_entry& entry, instant now) {
@@ -701,7 +731,7 @@
 
 std::size_t intent_registrar::untransferred_ranges() const {
   return static_cast<std::size_t>(std::count_if(ranges_.begin(), ranges_.end(), [](const auto& range) {
-    return range.state == phase::none && range.ready_in != view_number{};
+    return range.state == phase::none && range.ready_in != view_number{} && !range.dropped;
   }));
 }
 
--- a/src/coordination/intent_registrar.hpp
+++ b/src/coordination/intent_registrar.hpp
@@ -27,7 +27,7 @@
 
   void on_message(const member_id& from, const intent_message& message, instant now, intent_actions& out);
   void adopt(const view& adopted, instant now, intent_actions& out);
-  void set_live(const std::vector<live_member>& members);
+  void set_live(const std::vector<live_member>& members, instant now);
   void set_vm_list(const std::vector<vm_hint>& vms);
   /// Acknowledges nothing before `until`.
   void fence(instant until);
@@ -58,14 +58,18 @@
     phase state{phase::none};
     /// Latest view in which this VM was ready for the range; zero for none.
     view_number ready_in;
+    bool dropped{false};     ///< The intents were dropped after the new registrars confirmed them.
+    view_number pending_in;  ///< Latest view in which this VM waited for the range from `source`.
     instant tainted_until{};
     range_source source;
     std::optional<member_info> asked;  ///< The VM that sends the range.
     idempotency_key cursor;
     std::size_t next_candidate{0};
     instant next_ask{};
+    duration ask_wait{};  ///< Grows while no source answers with the range.
     std::optional<instant> gone_since;
-    std::vector<member_id> confirmed;  ///< Registrars of the current view that hold the range.
+    view_number confirmed_view;
+    std::vector<member_id> confirmed;  ///< Registrars of `confirmed_view` that hold the range.
     absl::btree_map<idempotency_key, intent> intents;
   };
   struct expiry {
@@ -95,17 +99,24 @@
 
   void enter_range(std::uint32_t index, instant now, intent_actions& out);
   void announce_held(std::uint32_t index, const registrar_pair& before, intent_actions& out) const;
-  [[nodiscard]] range_source trace_source(std::uint32_t index) const;
+  /// The latest view below `below` in which the range may have been used. A view in which this VM was
+  /// a registrar that never became ready is passed over: nothing can have been dispatched in it.
+  [[nodiscard]] range_source trace_source(std::uint32_t index, view_number below) const;
+  [[nodiscard]] static bool has_range(const range_state& range, view_number used);
   void become_ready(std::uint32_t index, intent_actions& out);
   void become_tainted(std::uint32_t index, instant now, intent_actions& out);
   void drive(std::uint32_t index, instant now, intent_actions& out);
   [[nodiscard]] std::vector<member_info> candidates(std::uint32_t index) const;
   void ask(std::uint32_t index, instant now, intent_actions& out);
+  /// Asks again as soon as possible, because a source may have become available.
+  void restart_asking(std::uint32_t index, instant now);
   void on_request(const member_id& from, const peer::transfer_intents& message, instant now,
                   intent_actions& out) const;
   void on_entries(const peer::transfer_intents& message, instant now, intent_actions& out);
   void on_redirect(const peer::transfer_intents& message, instant now, intent_actions& out);
   void on_completed(const member_id& from, const peer::transfer_intents& message);
+  /// Drops a range that this VM left once all registrars of the current view hold it.
+  void drop_if_confirmed(std::uint32_t index);
   [[nodiscard]] peer::transfer_intents make_part(const peer::transfer_intents& request, instant now) const;
   /// False when the entry does not fit.
   bool merge(std::uint32_t index, const peer::intent_entry& entry, instant now);
--- a/src/coordination/intent_registry.cpp
+++ b/src/coordination/intent_registry.cpp
@@ -46,7 +46,7 @@
                    dispatcher_->adopt(value.adopted, now, out);
                  },
                  [&](const live_list_changed& value) {
-                   registrar_->set_live(value.members);
+                   registrar_->set_live(value.members, now);
                    dispatcher_->set_live(value.members);
                  },
                  [&](const vm_list_changed& value) { registrar_->set_vm_list(value.vms); },
