--- a/include/rhubarbpath/coordination/view.hpp
+++ b/include/rhubarbpath/coordination/view.hpp
@@ -86,7 +86,22 @@
   friend bool operator==(const registrar_pair&, const registrar_pair&) = default;
 };
 [[nodiscard]] registrar_pair registrars_of(const std::vector<member_info>& members, std::uint32_t range);
-/// The registrars of every range, in order.
-[[nodiscard]] std::vector<registrar_pair> registrar_table(const std::vector<member_info>& members);
+
+/// The registrars of every range of one view.
+class registrar_table {
+ public:
+  registrar_table() = default;
+  explicit registrar_table(std::vector<member_info> members);
+
+  [[nodiscard]] registrar_pair at(std::uint32_t range) const;
+  /// True when the member is a registrar of the range.
+  [[nodiscard]] bool holds(std::uint32_t range, const member_id& id) const;
+  [[nodiscard]] const std::vector<member_info>& members() const noexcept { return members_; }
+
+ private:
+  std::vector<member_info> members_;
+  std::size_t count_{0};  ///< Registrars per range.
+  std::vector<std::array<std::uint32_t, 2>> indices_;
+};
 
 }  // namespace rhubarbpath
--- a/src/coordination/intent_registrar.cpp
+++ b/src/coordination/intent_registrar.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t max_waiters = 16;
 /// Time for one part of a transfer before another source is asked.
 constexpr duration transfer_timeout{300'000};
+/// Interval at which a waiting range checks whether its sources are gone.
+constexpr duration check_interval{200'000};
 /// Longest wait between two requests for a range that nobody can send yet.
 constexpr duration max_ask_wait{2'000'000};
 
@@ -42,7 +44,7 @@
 }  // namespace
 
 intent_registrar::intent_registrar(const intent_registry::options& opts)
-    : options_{opts}, registrars_(key_range_count), ranges_(key_range_count) {}
+    : options_{opts}, ranges_(key_range_count) {}
 
 void intent_registrar::on_message(const member_id& from, const intent_message& message, instant now,
                                   intent_actions& out) {
@@ -227,11 +229,13 @@
       range.asked.reset();
       range.cursor = {};
       range.next_ask = now + range.ask_wait;
+      range.next_check = std::min(range.next_check, range.next_ask);
       break;
     case transfer_kind::retry:
       range.asked.reset();
       range.cursor = {};
       range.next_ask = now + range.ask_wait;
+      range.next_check = std::min(range.next_check, range.next_ask);
       break;
     case transfer_kind::request:
     case transfer_kind::completed:
@@ -333,15 +337,19 @@
   if (adopted.number <= view_.number) {
     return;
   }
-  const auto before = registrars_;
-  previous_view_ = view_.number;
+  const auto before =
+      tables_.empty() ? registrar_table{} : table_at(view_.number).value_or(registrar_table{});
   view_ = adopted;
-  registrars_ = registrar_table(view_.members);
+  while (tables_.size() > max_view_changes) {
+    tables_.erase(tables_.begin());
+  }
+  // A view that was out of reach may be in reach of the new view's changes.
+  std::erase_if(tables_, [](const auto& entry) { return !entry.second.has_value(); });
   pending_.clear();
   count_majority();
   for (std::uint32_t index = 0; index < key_range_count; ++index) {
     auto& range = ranges_[index];
-    if (!registrars_[index].position_of(options_.self.id)) {
+    if (!table_at(view_.number)->holds(index, options_.self.id)) {
       range.state = phase::none;
       drop_if_confirmed(index);
       continue;
@@ -349,7 +357,7 @@
     const bool was_ready = range.state == phase::ready;
     enter_range(index, now, out);
     if (was_ready && range.state == phase::ready) {
-      announce_held(index, before[index], out);
+      announce_held(index, before.at(index), out);
     }
   }
 }
@@ -377,11 +385,11 @@
   drive(index, now, out);
 }
 
-void intent_registrar::announce_held(std::uint32_t index, const registrar_pair& before,
-                                     intent_actions& out) const {
+void intent_registrar::announce_held(std::uint32_t index, const registrar_pair& before, intent_actions& out) {
+  const auto& current = table_at(view_.number);
   for (std::size_t position = 0; position < before.count; ++position) {
     const auto& former = before.members.at(position);
-    if (!registrars_[index].position_of(former.id)) {
+    if (!current->holds(index, former.id)) {
       peer::transfer_intents done;
       done.kind = transfer_kind::completed;
       done.range = index;
@@ -391,17 +399,31 @@
   }
 }
 
-intent_registrar::range_source intent_registrar::trace_source(std::uint32_t index, view_number below) const {
+const std::optional<registrar_table>& intent_registrar::table_at(view_number number) {
+  const auto found = tables_.find(number);
+  if (found != tables_.end()) {
+    return found->second;
+  }
+  auto members = members_at(view_, number);
+  auto table = members ? std::optional<registrar_table>{std::in_place, *std::move(members)} : std::nullopt;
+  return tables_.emplace(number, std::move(table)).first->second;
+}
+
+registrar_pair intent_registrar::current_registrars(std::uint32_t index) {
+  return table_at(view_.number)->at(index);
+}
+
+intent_registrar::range_source intent_registrar::trace_source(std::uint32_t index, view_number below) {
   const auto& range = ranges_[index];
   for (auto number = below.value() - 1; number > 0; --number) {
     const view_number older{number};
-    const auto members = members_at(view_, older);
-    if (!members) {
+    const auto& table = table_at(older);
+    if (!table) {
       // The changes do not reach back that far: nobody can be asked.
       return {.number = older, .registrars = {}, .unable = {}};
     }
-    const auto pair = registrars_of(*members, index);
-    if (range.ready_in >= older || !pair.position_of(options_.self.id)) {
+    if (range.ready_in >= older || !table->holds(index, options_.self.id)) {
+      const auto pair = table->at(index);
       const auto end = pair.members.begin() + static_cast<std::ptrdiff_t>(pair.count);
       return {.number = older, .registrars = {pair.members.begin(), end}, .unable = {}};
     }
@@ -476,6 +498,10 @@
 
 void intent_registrar::drive(std::uint32_t index, instant now, intent_actions& out) {
   auto& range = ranges_[index];
+  if (now < range.next_check) {
+    return;
+  }
+  range.next_check = now + check_interval;
   if (!sources_gone(range.source) || now < fenced_until_) {
     range.gone_since.reset();
   } else if (!range.gone_since) {
@@ -487,9 +513,10 @@
   if (now >= range.next_ask) {
     ask(index, now, out);
   }
+  range.next_check = std::min(range.next_check, range.next_ask);
 }
 
-std::vector<member_info> intent_registrar::candidates(std::uint32_t index) const {
+std::vector<member_info> intent_registrar::candidates(std::uint32_t index) {
   std::vector<member_info> result;
   const auto& range = ranges_[index];
   for (const auto& member : range.source.registrars) {
@@ -497,7 +524,7 @@
       result.push_back(member);
     }
   }
-  const auto& pair = registrars_[index];
+  const auto pair = current_registrars(index);
   for (std::size_t position = 0; position < pair.count; ++position) {
     // The other registrar of the current view may have received the range already. Without this
     // VM nothing has been dispatched in the current view, so its copy is as good.
@@ -533,10 +560,11 @@
 void intent_registrar::restart_asking(std::uint32_t index, instant now) {
   ranges_[index].ask_wait = options_.retry_interval;
   ranges_[index].next_ask = now;
+  ranges_[index].next_check = now;
 }
 
 void intent_registrar::on_request(const member_id& from, const peer::transfer_intents& message, instant now,
-                                  intent_actions& out) const {
+                                  intent_actions& out) {
   const auto& range = ranges_[message.range];
   peer::transfer_intents reply;
   reply.range = message.range;
@@ -549,9 +577,8 @@
   if (left_source && has_range(range, message.source)) {
     reply = make_part(message, now);
   } else if (left_source) {
-    const auto members = members_at(view_, message.source);
-    const bool was_registrar =
-        members && registrars_of(*members, message.range).position_of(options_.self.id).has_value();
+    const auto& table = table_at(message.source);
+    const bool was_registrar = table && table->holds(message.range, options_.self.id);
     if (was_registrar && range.ready_in < message.source) {
       const bool waits_past = range.state == phase::pending && range.source.number < message.source;
       const auto source = waits_past ? range.source : trace_source(message.range, message.source);
@@ -654,9 +681,12 @@
 
 void intent_registrar::drop_if_confirmed(std::uint32_t index) {
   auto& range = ranges_[index];
-  const auto& pair = registrars_[index];
+  if (range.state != phase::none || range.confirmed_view != view_.number) {
+    return;
+  }
+  const auto pair = current_registrars(index);
   const auto holds = [&](const member_info& member) { return contains(range.confirmed, member.id); };
-  if (range.state != phase::none || range.confirmed_view != view_.number || pair.count == 0 ||
+  if (pair.count == 0 ||
       !std::all_of(pair.members.begin(), pair.members.begin() + static_cast<std::ptrdiff_t>(pair.count),
                    holds)) {
     return;
@@ -704,19 +734,18 @@
   });
 }
 
-bool intent_registrar::others_cannot_acknowledge(const range_source& source) const {
+bool intent_registrar::others_cannot_acknowledge(const range_source& source) {
   // A registrar acknowledges only while it sees a majority of its view. When a majority of the
   // source view is visible here or gone from the platform, no other side has one.
   auto number = source.number;
-  auto members = members_at(view_, number);
-  while (!members && number < view_.number) {
+  while (!table_at(number) && number < view_.number) {
     number = number.next();
-    members = members_at(view_, number);
   }
-  const auto accounted = std::count_if(members->begin(), members->end(), [&](const auto& member) {
+  const auto& members = table_at(number)->members();
+  const auto accounted = std::count_if(members.begin(), members.end(), [&](const auto& member) {
     return live_.contains(member.id) || (listed_ && !listed_->contains(member.id.vm));
   });
-  return 2 * static_cast<std::size_t>(accounted) > members->size();
+  return 2 * static_cast<std::size_t>(accounted) > members.size();
 }
 
 bool intent_registrar::serves(const range_state& range, instant now) const {
--- a/src/coordination/intent_registrar.hpp
+++ b/src/coordination/intent_registrar.hpp
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <map>
 #include <optional>
 #include <queue>
 #include <string>
@@ -66,6 +67,7 @@
     idempotency_key cursor;
     std::size_t next_candidate{0};
     instant next_ask{};
+    instant next_check{};
     duration ask_wait{};  ///< Grows while no source answers with the range.
     std::optional<instant> gone_since;
     view_number confirmed_view;
@@ -98,20 +100,23 @@
   void expire(instant now);
 
   void enter_range(std::uint32_t index, instant now, intent_actions& out);
-  void announce_held(std::uint32_t index, const registrar_pair& before, intent_actions& out) const;
+  void announce_held(std::uint32_t index, const registrar_pair& before, intent_actions& out);
   /// The latest view below `below` in which the range may have been used. A view in which this VM was
   /// a registrar that never became ready is passed over: nothing can have been dispatched in it.
-  [[nodiscard]] range_source trace_source(std::uint32_t index, view_number below) const;
+  [[nodiscard]] range_source trace_source(std::uint32_t index, view_number below);
+  /// Nothing for a view before the known changes.
+  [[nodiscard]] const std::optional<registrar_table>& table_at(view_number number);
+  [[nodiscard]] registrar_pair current_registrars(std::uint32_t index);
   [[nodiscard]] static bool has_range(const range_state& range, view_number used);
   void become_ready(std::uint32_t index, intent_actions& out);
   void become_tainted(std::uint32_t index, instant now, intent_actions& out);
   void drive(std::uint32_t index, instant now, intent_actions& out);
-  [[nodiscard]] std::vector<member_info> candidates(std::uint32_t index) const;
+  [[nodiscard]] std::vector<member_info> candidates(std::uint32_t index);
   void ask(std::uint32_t index, instant now, intent_actions& out);
   /// Asks again as soon as possible, because a source may have become available.
   void restart_asking(std::uint32_t index, instant now);
   void on_request(const member_id& from, const peer::transfer_intents& message, instant now,
-                  intent_actions& out) const;
+                  intent_actions& out);
   void on_entries(const peer::transfer_intents& message, instant now, intent_actions& out);
   void on_redirect(const peer::transfer_intents& message, instant now, intent_actions& out);
   void on_completed(const member_id& from, const peer::transfer_intents& message);
@@ -121,15 +126,15 @@
   /// False when the entry does not fit.
   bool merge(std::uint32_t index, const peer::intent_entry& entry, instant now);
   [[nodiscard]] bool sources_gone(const range_source& source) const;
-  [[nodiscard]] bool others_cannot_acknowledge(const range_source& source) const;
+  [[nodiscard]] bool others_cannot_acknowledge(const range_source& source);
   [[nodiscard]] bool serves(const range_state& range, instant now) const;
   void count_majority();
 
   const intent_registry::options& options_;
   view view_;
-  view_number previous_view_;
-  bool majority_{false};                    ///< The live list holds a majority of the current view.
-  std::vector<registrar_pair> registrars_;  ///< Of the current view, one per range.
+  bool majority_{false};  ///< The live list holds a majority of the current view.
+  /// Registrars of the current view and of the older ones that were asked about.
+  std::map<view_number, std::optional<registrar_table>> tables_;
   std::vector<range_state> ranges_;
   std::vector<std::uint32_t> pending_;
   absl::flat_hash_set<member_id> live_;
--- a/src/coordination/view.cpp
+++ b/src/coordination/view.cpp
@@ -243,22 +243,25 @@
   return best;
 }
 
-registrar_pair pair_of(const std::vector<member_info>& members, const std::vector<std::uint64_t>& hashes,
-                       std::uint32_t range) {
-  registrar_pair result;
+/// Indices of the registrars; the second is only set with two members or more.
+std::array<std::uint32_t, 2> pair_of(const std::vector<member_info>& members,
+                                     const std::vector<std::uint64_t>& hashes, std::uint32_t range) {
   const auto first = highest(hashes, range, [](std::size_t) { return true; });
-  if (!first) {
-    return result;
-  }
-  result.members[result.count++] = members[*first];
   auto second = highest(hashes, range, [&](std::size_t index) {
     return members[index].failure_domain != members[*first].failure_domain;
   });
   if (!second) {
     second = highest(hashes, range, [&](std::size_t index) { return index != *first; });
   }
-  if (second) {
-    result.members[result.count++] = members[*second];
+  return {static_cast<std::uint32_t>(first.value_or(0)), static_cast<std::uint32_t>(second.value_or(0))};
+}
+
+registrar_pair to_pair(const std::vector<member_info>& members, const std::array<std::uint32_t, 2>& indices) {
+  registrar_pair result;
+  for (const auto index : indices) {
+    if (result.count < std::min<std::size_t>(members.size(), 2)) {
+      result.members.at(result.count++) = members[index];
+    }
   }
   return result;
 }
@@ -266,17 +269,29 @@
 }  // namespace
 
 registrar_pair registrars_of(const std::vector<member_info>& members, std::uint32_t range) {
-  return pair_of(members, hashes_of(members), range);
+  return to_pair(members, pair_of(members, hashes_of(members), range));
 }
 
-std::vector<registrar_pair> registrar_table(const std::vector<member_info>& members) {
-  const auto hashes = hashes_of(members);
-  std::vector<registrar_pair> table;
-  table.reserve(key_range_count);
+registrar_table::registrar_table(std::vector<member_info> members)
+    : members_{std::move(members)}, count_{std::min<std::size_t>(members_.size(), 2)} {
+  const auto hashes = hashes_of(members_);
+  indices_.reserve(key_range_count);
   for (std::uint32_t range = 0; range < key_range_count; ++range) {
-    table.push_back(pair_of(members, hashes, range));
+    indices_.push_back(pair_of(members_, hashes, range));
   }
-  return table;
+}
+
+registrar_pair registrar_table::at(std::uint32_t range) const {
+  return count_ == 0 ? registrar_pair{} : to_pair(members_, indices_[range]);
+}
+
+bool registrar_table::holds(std::uint32_t range, const member_id& id) const {
+  for (std::size_t position = 0; position < count_; ++position) {
+    if (members_[indices_[range].at(position)].id == id) {
+      return true;
+    }
+  }
+  return false;
 }
 
 }  // namespace rhubarbpath
--- a/tests/coordination/simulated_cluster.hpp
+++ b/tests/coordination/simulated_cluster.hpp
@@ -40,6 +40,7 @@
   std::optional<intent_registry> intents;
   std::vector<live_member> live;
   bool draining{false};
+  std::optional<instant> deadline;  ///< Earliest of the parts; unset after an event.
 };
 
 /// One caller request, as the checks need it.
