--- a/src/programs/shared/daemon_settings.cpp
+++ b/src/programs/shared/daemon_settings.cpp
@@ -105,8 +105,8 @@
     for (const auto& item : node) {
       vm_addresses peer;
       auto status = read_mapping(item, {{"vm", read_id(peer.vm)},
-                                              {"entry", read_address(peer.entry)},
-                                              {"scheduler", read_address(peer.scheduler)}});
+                                        {"entry", read_address(peer.entry)},
+                                        {"scheduler", read_address(peer.scheduler)}});
       if (!status.ok()) {
         return status;
       }
