Add rhubarbctl and the guarantee check of a document

Cause: operators need to check, compare, try and promote documents, and callers need to submit, follow, explain and cancel jobs from scripts.

Ruled out: reporting a lost answer to a write as a failure. The tool reads the row back and recognises its own write id; it repeats the same compare-and-swap while the row is unchanged. Also ruled out: finding the line of a guarantee problem in its sentence; guarantee_problem now carries the guarantee, and its sentence counts guarantees from 1, as the list in the file does.

Before: no tool.

Conclusion: a promotion is exactly the trial's bytes, one version up, or a named reason why not.

--- a/include/rhubarbpath/coordination/guarantee_plan.hpp
+++ b/include/rhubarbpath/coordination/guarantee_plan.hpp
@@ -38,7 +38,8 @@
 struct guarantee_problem {
   std::vector<team_id> teams;  ///< Teams whose guarantees compete for the space.
   proximity level{proximity::failure_domain};
-  std::string reason;  ///< A sentence for the operator who edits the document.
+  std::string reason;       ///< A sentence for the operator who edits the document.
+  guarantee_ref guarantee;  ///< The guarantee whose instances have no space; tells its line in a file.
   friend bool operator==(const guarantee_problem&, const guarantee_problem&) = default;
 };
 
--- a/src/coordination/guarantee_plan.cpp
+++ b/src/coordination/guarantee_plan.cpp
@@ -702,11 +702,11 @@
         order.push_back({{team.id, index}, &spec});
         continue;
       }
-      result.problems.push_back(
-          {{team.id},
-           spec.shape.within,
-           "team " + team.id.value() + ", guarantee " + std::to_string(index) +
-               ": a member has 1, 2, 4 or 8 accelerators and a shape at least 1 member"});
+      result.problems.push_back({{team.id},
+                                 spec.shape.within,
+                                 "team " + team.id.value() + ", guarantee " + std::to_string(index + 1) +
+                                     ": a member has 1, 2, 4 or 8 accelerators and a shape at least 1 member",
+                                 {team.id, index}});
     }
   }
   std::sort(order.begin(), order.end(), [](const wanted_guarantee& left, const wanted_guarantee& right) {
@@ -748,11 +748,12 @@
   const std::string where =
       spec.failure_domain ? "failure domain " + spec.failure_domain->value() : "any failure domain";
   std::string text = "team " + wanted.guarantee.team.value() + ", guarantee " +
-                     std::to_string(wanted.guarantee.guarantee) + " (" + describe(spec.shape) + "): ";
+                     std::to_string(wanted.guarantee.guarantee + 1) + " (" + describe(spec.shape) + "): ";
   if (!fits_alone) {
     text += "the shape does not fit into " + where +
             " even when all its workers are free; choose a smaller shape";
-    result.problems.push_back({{wanted.guarantee.team}, spec.shape.within, std::move(text)});
+    result.problems.push_back(
+        {{wanted.guarantee.team}, spec.shape.within, std::move(text), wanted.guarantee});
     return;
   }
   text += std::to_string(missing) + " of " + std::to_string(spec.count) + " instances do not fit into " +
@@ -766,7 +767,7 @@
   }
   text += "; reduce a guarantee or add workers";
   const auto level = open < spec.shape.accelerators() ? proximity::failure_domain : spec.shape.within;
-  result.problems.push_back({std::move(teams), level, std::move(text)});
+  result.problems.push_back({std::move(teams), level, std::move(text), wanted.guarantee});
 }
 
 guarantee_check assign_all(const environment_document& document, bool spread) {
--- /dev/null
+++ b/src/programs/rhubarbctl/entry_client.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "http_caller.hpp"
+#include "rhubarbpath/protocol/trace_context.hpp"
+#include "rhubarbpath/state/verdict.hpp"
+
+namespace rhubarbpath::ctl {
+
+/// Whether a call may be sent to another entry VM after the first may have received it.
+enum class repeatable { no, yes };
+
+/// An answer with the entry VM that gave it.
+struct entry_answer {
+  std::string entry;
+  http_response response;
+};
+
+/// Calls the entry VMs in the given order.
+class entry_client {
+ public:
+  entry_client(http_caller& caller, std::vector<std::string> entries, duration timeout);
+
+  /// Tries the next entry VM only when the one before certainly did not receive the request, refused it
+  /// as not run, or the call is repeatable. Without any answer the outcome tells whether it may have run.
+  [[nodiscard]] std::variant<entry_answer, outcome> call(const http_request& request, repeatable repeat,
+                                                         duration wait, const std::string& waiting_for);
+  [[nodiscard]] http_caller& caller() noexcept { return *caller_; }
+
+ private:
+  http_caller* caller_;
+  std::vector<std::string> entries_;
+  duration timeout_;
+  trace_context trace_;
+};
+
+}  // namespace rhubarbpath::ctl
--- a/src/protocol/api_json.cpp
+++ b/src/protocol/api_json.cpp
@@ -18,7 +18,6 @@
 
 using detail::json;
 using detail::json_fields;
-using detail::max_whole;
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
@@ -27,7 +26,8 @@
 constexpr std::size_t max_reason_bytes = 4096;
 constexpr std::size_t digest_bytes = 64;
 constexpr std::size_t job_id_digits = 24;
-constexpr std::int64_t max_instant_ms = max_whole / 1000;
+// The last millisecond of the year 9999; later times have no RFC 3339 form.
+constexpr std::int64_t max_instant_ms = 253'402'300'799'999;
 
 std::int64_t to_ms(duration value) {
   return duration_cast<milliseconds>(value).count();
