--- /dev/null
+++ b/include/rhubarbpath/coordination/gang_controller.hpp
@@ -0,0 +1,254 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "rhubarbpath/coordination/tick.hpp"
+#include "rhubarbpath/state/ids.hpp"
+#include "rhubarbpath/state/job.hpp"
+#include "rhubarbpath/state/units.hpp"
+#include "rhubarbpath/state/worker_api.hpp"
+
+namespace rhubarbpath {
+
+/// Starts all members. Sent only after the attempt's `job_placed` entry is in the log.
+struct gang_start {
+  job_id job;
+  attempt_number attempt;
+  job_spec spec;
+  std::vector<member_placement> placement;
+};
+
+/// A gang that the replayed log says may be running. It is kept if every member is reported, and otherwise
+/// ended as a whole.
+struct gang_adopt {
+  job_id job;
+  attempt_number attempt;
+  job_spec spec;
+  std::vector<member_placement> placement;
+};
+
+enum class gang_end { finished, failed, worker_lost, preempted, cancelled };
+
+/// Stops all members; with `end` preempted and a checkpointable job, after a checkpoint.
+struct gang_stop {
+  job_id job;
+  gang_end end{gang_end::cancelled};
+  std::string reason;
+};
+
+/// The end of the attempt is in the log, so that the workers may forget its tasks.
+struct gang_release {
+  job_id job;
+  attempt_number attempt;
+};
+
+/// The workers of the failure domain; all of them are asked for their tasks after a takeover.
+struct workers_changed {
+  std::vector<worker_id> workers;
+};
+
+/// The answer to the command `answers`.
+struct worker_reported {
+  call_id answers;
+  worker_report report;
+};
+
+/// No answer came back; the command may have taken effect.
+struct worker_call_failed {
+  call_id failed;
+};
+
+using gang_controller_event = std::variant<gang_start, gang_adopt, gang_stop, gang_release, workers_changed,
+                                           worker_reported, worker_call_failed, tick>;
+
+/// Asks the transport to send one command; it must answer or fail within `timeout`. At most one command per
+/// worker is in flight, so that a stop never overtakes its start.
+struct worker_send {
+  call_id sent;
+  worker_id worker;
+  epoch sender_epoch;
+  worker_command command;
+  duration timeout{};
+};
+
+/// Every member was reported as running.
+struct gang_running {
+  job_id job;
+  attempt_number attempt;
+};
+
+/// No member runs any more: each was reported as ended, or its worker's lease has expired.
+struct gang_ended {
+  job_id job;
+  attempt_number attempt;
+  gang_end end{gang_end::finished};
+  std::string reason;
+  std::optional<worker_id> worker;  ///< The worker whose member failed or that is unreachable.
+  duration attained_service{};      ///< Run time of this attempt that need not be repeated.
+};
+
+struct worker_reachability {
+  worker_id worker;
+  bool reachable{true};
+};
+
+/// Every gang given by `gang_adopt` was kept or is being ended.
+struct adoption_finished {};
+
+/// A worker follows a newer epoch. The controller sends nothing more.
+struct epoch_superseded {
+  epoch newer;
+};
+
+using gang_controller_action = std::variant<worker_send, gang_running, gang_ended, worker_reachability,
+                                            adoption_finished, epoch_superseded>;
+
+/// Runs the gangs of one failure domain under one epoch.
+///
+/// A member's lease on its worker never reaches beyond `lease` after the last moment at which every member
+/// of its gang was reported as running. A gang of which a part is lost therefore runs partly for at most
+/// `lease`, even when the controller cannot reach a worker that another holder cannot reach either.
+class gang_controller {
+ public:
+  struct options {
+    epoch current_epoch;
+    call_id first_call{1};
+    duration lease{15'000'000};
+    duration renew_interval{4'000'000};  ///< For workers that run tasks.
+    duration idle_interval{10'000'000};  ///< For workers that run none; finds out that they are gone.
+    duration command_timeout{1'000'000};
+    duration retry_wait{500'000};
+    duration unreachable_after{4'000'000};  ///< Without an answer since the first command that failed.
+    duration start_timeout{5'000'000};      ///< From the first start command until all members run.
+    duration adoption_timeout{3'000'000};
+    duration adoption_lease{6'000'000};      ///< Lease granted before a gang is known to be whole.
+    duration checkpoint_timeout{1'500'000};  ///< Then members are stopped, so that 2 s suffice in all.
+    /// Members that finish further apart than this end the attempt as failed.
+    duration finish_spread{2'000'000};
+    duration poll_interval{500'000};  ///< Between reports while a gang's members disagree.
+    std::size_t max_in_flight{128};
+  };
+
+  explicit gang_controller(options opts);
+  void handle(const gang_controller_event& event, instant now, std::vector<gang_controller_action>& out);
+  [[nodiscard]] std::optional<instant> next_deadline() const;
+  [[nodiscard]] call_id next_call() const noexcept { return next_call_; }
+
+ private:
+  enum class member_state { unknown, running, finished, failed, gone };
+  enum class gang_phase { adopting, starting, running, checkpointing, stopping, ended };
+  struct member {
+    member_placement at;
+    member_state state{member_state::unknown};
+    bool start_pending{false};
+    bool start_sent{false};
+    bool checkpoint_pending{false};
+    bool stop_pending{false};
+    instant confirmed{};  ///< Send time of the last command whose answer reported it as running.
+    duration run_time{};
+    duration checkpointed{};
+  };
+  struct gang {
+    job_id job;
+    attempt_number attempt;
+    job_spec spec;
+    std::vector<member> members;
+    gang_phase phase{gang_phase::starting};
+    instant phase_since{};
+    gang_end end{gang_end::finished};
+    std::string reason;
+    std::optional<worker_id> blamed;
+    std::optional<instant> first_finished;
+    std::optional<instant> due;
+  };
+  struct sent_command {
+    call_id call;
+    worker_command command;
+    instant at{};
+  };
+  struct worker_state {
+    bool listed{false};
+    std::optional<sent_command> in_flight;
+    std::optional<instant> failing_since;  ///< Send time of the first command without an answer.
+    instant last_answer{};
+    bool reachable{true};
+    bool queried{false};    ///< Has answered in this epoch, so that it refuses older epochs.
+    instant lease_until{};  ///< Upper bound of the task leases that this part granted.
+    instant next_renew{};
+    instant not_before{};          ///< Earliest next send after a failure.
+    std::deque<task_ref> cleanup;  ///< Tasks to stop or forget that no gang here owns.
+    std::set<job_id> gangs;
+    std::optional<instant> due;
+  };
+  using actions = std::vector<gang_controller_action>;
+
+  void on(const gang_start& event, instant now, actions& out);
+  void on(const gang_adopt& event, instant now, actions& out);
+  void on(const gang_stop& event, instant now, actions& out);
+  void on(const gang_release& event, instant now, actions& out);
+  void on(const workers_changed& event, instant now, actions& out);
+  void on(const worker_reported& event, instant now, actions& out);
+  void on(const worker_call_failed& event, instant now, actions& out);
+  void on(const tick& event, instant now, actions& out);
+
+  gang& add_gang(const job_id& job, attempt_number attempt, const job_spec& spec,
+                 const std::vector<member_placement>& placement, gang_phase phase, instant now);
+  void command_answered(const worker_command& command);
+  [[nodiscard]] member* find_member(const task_ref& task);
+  void apply_report(const worker_id& id, worker_state& worker, const worker_report& report, instant sent);
+  void clean_up(worker_state& worker, const worker_id& id, const worker_report& report,
+                const worker_command& answered, instant now);
+  static void apply_task(const gang& owner, member& target, const task_report* report, instant sent);
+  void command_failed(const worker_id& id, worker_state& worker, instant now, actions& out);
+  void set_reachable(const worker_id& id, worker_state& worker, bool reachable, actions& out);
+
+  void run(instant now, actions& out);
+  void advance_gang(gang& target, instant now, actions& out);
+  void advance_adopting(gang& target, instant now, actions& out);
+  void advance_starting(gang& target, instant now, actions& out);
+  void advance_running(gang& target, instant now);
+  void advance_checkpointing(gang& target, instant now);
+  void advance_stopping(gang& target, instant now, actions& out);
+  [[nodiscard]] bool fail_on_lost_member(gang& target, instant now);
+  void become_running(gang& target, instant now, actions& out);
+  void fail(gang& target, gang_end end, std::string reason, std::optional<worker_id> blamed, instant now);
+  void begin_stop(gang& target, instant now);
+  void finish(gang& target, actions& out);
+  void poll_members(gang& target, instant now);
+  [[nodiscard]] std::optional<instant> gang_due(const gang& target) const;
+  [[nodiscard]] instant lease_end(const gang& target, const member& of) const;
+
+  void advance_worker(const worker_id& id, worker_state& worker, instant now, actions& out);
+  [[nodiscard]] std::optional<worker_command> next_command(const worker_id& id, worker_state& worker,
+                                                           instant now);
+  [[nodiscard]] std::optional<worker_command> member_command(const worker_id& id, const worker_state& worker,
+                                                             instant now);
+  [[nodiscard]] duration renewable_lease(const worker_id& id, const worker_state& worker, instant now) const;
+  [[nodiscard]] duration gang_lease(const gang& target, instant now) const;
+  [[nodiscard]] worker_state& worker_of(const worker_id& id, instant now);
+  void touch(const gang& target);
+
+  options options_;
+  std::map<job_id, gang> gangs_;
+  std::map<worker_id, worker_state> workers_;
+  std::map<call_id, worker_id> calls_;
+  std::set<job_id> dirty_gangs_;
+  std::set<worker_id> dirty_workers_;
+  std::set<std::pair<instant, job_id>> gangs_due_;
+  std::set<std::pair<instant, worker_id>> workers_due_;
+  std::set<job_id> adopting_;
+  bool adoption_announced_{false};
+  bool superseded_{false};
+  call_id next_call_;
+};
+
+}  // namespace rhubarbpath
