Drain waiting job queries, report forwards that found no link, check history under faults

A draining entry VM took 10 s to exit because long polls of jobs kept it busy; it now answers them with the present state. A forward to a peer whose link was not open was dropped in silence and waited for its deadline.

--- a/include/rhubarbpath/coordination/gang_controller.hpp
+++ b/include/rhubarbpath/coordination/gang_controller.hpp
@@ -123,7 +123,11 @@
     epoch current_epoch;
     call_id first_call{1};
     duration lease{15'000'000};
-    duration renew_interval{4'000'000};  ///< For workers that run tasks.
+    /// For workers that run tasks. A job's end is seen at the next report, so a controller with few
+    /// gangs asks more often, down to the shortest interval.
+    duration renew_interval{4'000'000};
+    duration shortest_renew_interval{500'000};
+    int gangs_per_second{50};            ///< Reports cost processor time; this bounds their rate.
     duration idle_interval{10'000'000};  ///< For workers that run none; finds out that they are gone.
     duration command_timeout{1'000'000};
     duration retry_wait{500'000};
@@ -224,6 +228,7 @@
   void begin_stop(gang& target, instant now);
   void finish(gang& target, actions& out);
   void poll_members(gang& target, instant now);
+  [[nodiscard]] duration renew_interval() const;
   [[nodiscard]] std::optional<instant> gang_due(const gang& target) const;
   [[nodiscard]] instant lease_end(const gang& target, const member& of) const;
 
--- a/include/rhubarbpath/coordination/job_gateway.hpp
+++ b/include/rhubarbpath/coordination/job_gateway.hpp
@@ -68,6 +68,9 @@
   std::optional<job_record> record;
 };
 
+/// This process shuts down: queries that wait for a job's end are answered with its present state.
+struct drain {};
+
 // ---- Actions ----
 
 enum class owner_message { submit, query, cancel };
@@ -97,7 +100,7 @@
 
 using job_gateway_event =
     std::variant<gateway::submission, gateway::query, gateway::cancellation, gateway::owner_known,
-                 gateway::owner_lost, gateway::owner_answered, store_call_result, tick>;
+                 gateway::owner_lost, gateway::owner_answered, gateway::drain, store_call_result, tick>;
 using job_gateway_action =
     std::variant<store_call, store_call_cancelled, gateway::send_to_owner, gateway::answer>;
 
@@ -163,6 +166,7 @@
   void on(const gateway::owner_known& event, instant now, actions& out);
   void on(const gateway::owner_lost& event, instant now, actions& out);
   void on(const gateway::owner_answered& event, instant now, actions& out);
+  void on(const gateway::drain& event, instant now, actions& out);
   void on(const store_call_result& event, instant now, actions& out);
   void on(const tick& event, instant now, actions& out);
 
@@ -185,6 +189,7 @@
   std::map<failure_domain_id, owner> owners_;
   std::map<job_id, failure_domain_id> claims_;
   std::deque<job_id> claim_order_;
+  bool draining_{false};
   call_id next_call_;
 };
 
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -90,8 +90,10 @@
 set_faults() { curl -sf -X POST -d "$1" "http://$(platform_address)/faults" >/dev/null; }
 
 promote_document() {
-  "$bin/rhubarbctl" trial --store "$(platform_address)" "$document"
-  "$bin/rhubarbctl" promote --store "$(platform_address)" --expected-version 0
+  local digest
+  digest=$(sha256sum "$document" | cut -c1-64)
+  "$bin/rhubarbctl" trial "$document" --store "$(platform_address)"
+  "$bin/rhubarbctl" promote --store "$(platform_address)" --digest "$digest" --expected-version 0
 }
 
 stop_all() {
--- a/src/coordination/gang_controller.cpp
+++ b/src/coordination/gang_controller.cpp
@@ -580,6 +580,12 @@
   }
 }
 
+duration gang_controller::renew_interval() const {
+  constexpr duration second{1'000'000};
+  const duration spread = second * static_cast<std::int64_t>(gangs_.size()) / options_.gangs_per_second;
+  return std::clamp(spread, options_.shortest_renew_interval, options_.renew_interval);
+}
+
 std::optional<worker_command> gang_controller::next_command(const worker_id& id, worker_state& worker,
                                                             instant now) {
   // A stop goes before everything else, and while one is due nothing renews the worker's leases.
@@ -594,7 +600,7 @@
   if (now < worker.next_renew) {
     return std::nullopt;
   }
-  worker.next_renew = now + (worker.gangs.empty() ? options_.idle_interval : options_.renew_interval);
+  worker.next_renew = now + (worker.gangs.empty() ? options_.idle_interval : renew_interval());
   return renew_tasks{.lease = renewable_lease(id, worker, now)};
 }
 
--- a/src/coordination/job_gateway.cpp
+++ b/src/coordination/job_gateway.cpp
@@ -153,6 +153,15 @@
   pending.next_send = now + std::min(*event.result.retry_after, options_.resend_interval);
 }
 
+void job_gateway::on(const gateway::drain& /*event*/, instant now, actions& out) {
+  draining_ = true;
+  for (auto& [id, pending] : requests_) {
+    if (pending.at == phase::at_owner && pending.wait > duration::zero()) {
+      send(id, pending, now, out);
+    }
+  }
+}
+
 void job_gateway::on(const store_call_result& event, instant now, actions& out) {
   const auto call = calls_.find(event.id);
   if (call == calls_.end()) {
@@ -282,13 +291,14 @@
   }
   pending.sent = true;
   const auto rest = std::max(pending.deadline - now, duration::zero());
-  out.emplace_back(gateway::send_to_owner{.owner = holder,
-                                          .id = id,
-                                          .kind = pending.kind,
-                                          .failure_domain = pending.failure_domain,
-                                          .job = pending.job,
-                                          .spec = pending.spec,
-                                          .wait = std::min(pending.wait, rest)});
+  out.emplace_back(
+      gateway::send_to_owner{.owner = holder,
+                             .id = id,
+                             .kind = pending.kind,
+                             .failure_domain = pending.failure_domain,
+                             .job = pending.job,
+                             .spec = pending.spec,
+                             .wait = draining_ ? duration::zero() : std::min(pending.wait, rest)});
 }
 
 void job_gateway::expire(request_id id, actions& out) {
--- a/src/programs/rhubarb-entry/job_endpoint.cpp
+++ b/src/programs/rhubarb-entry/job_endpoint.cpp
@@ -19,6 +19,8 @@
 constexpr duration settle_within = std::chrono::seconds{12};
 /// Time beyond a caller's own wait in which the owner's answer may still arrive.
 constexpr duration answer_margin = std::chrono::seconds{3};
+/// How long a draining VM still takes calls; the same as the request router's.
+constexpr duration drain_accept_time = std::chrono::seconds{1};
 
 std::string_view kind_name(gateway::owner_message kind) {
   switch (kind) {
@@ -63,7 +65,18 @@
       store_client_{store.add_client([this](const store_call_result& result) { feed(result); })},
       timer_{loop, [this] { feed(tick{}); }} {}
 
+void job_endpoint::drain() {
+  refuse_from_ = loop_.now() + drain_accept_time;
+  feed(gateway::drain{});
+}
+
 void job_endpoint::handle(const http_request& request, std::string_view path, const http_responder& reply) {
+  if (refuse_from_ && loop_.now() >= *refuse_from_) {
+    reply.send(outcome_response(answer_kind::unavailable, {.result = verdict::not_run,
+                                                           .reason = "this entry VM is shutting down",
+                                                           .retry_after = drain_accept_time}));
+    return;
+  }
   if (document_ == nullptr) {
     reply.send(refusal(answer_kind::unavailable, "no document is in force yet"));
     return;
--- a/src/programs/rhubarb-entry/job_endpoint.hpp
+++ b/src/programs/rhubarb-entry/job_endpoint.hpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,6 +33,9 @@
   /// Returns false for a message that is not about jobs.
   bool on_message(const member_info& from, const peer::message& message);
   void on_link_lost(const vm_id& vm);
+  /// Answers waiting queries at once, and refuses new calls after the time in which the load balancer
+  /// notices that this VM is not ready.
+  void drain();
 
   [[nodiscard]] std::vector<failure_domain_status> failure_domains() const;
   [[nodiscard]] std::size_t in_progress() const noexcept { return gateway_.requests_in_progress(); }
@@ -68,6 +72,7 @@
   std::map<failure_domain_id, failure_domain_load> loads_;
   std::map<request_id, waiting_caller> callers_;
   request_id last_request_;
+  std::optional<instant> refuse_from_;
 };
 
 }  // namespace rhubarbpath
--- a/src/programs/rhubarb-entry/service_endpoint.cpp
+++ b/src/programs/rhubarb-entry/service_endpoint.cpp
@@ -406,18 +406,35 @@
 
 void service_endpoint::run(const routing::forward_request& action) {
   const auto remaining = std::max(action.content.deadline - loop_.now(), duration::zero());
-  mesh_.send_open(action.to, peer::forward_request{.id = action.id,
-                                                   .to_incarnation = action.to_incarnation,
-                                                   .service = action.content.service,
-                                                   .request_class = action.content.request_class,
-                                                   .team = action.content.team,
-                                                   .non_idempotent = action.content.non_idempotent,
-                                                   .deadline = remaining,
-                                                   .body = body_text(action.content.body),
-                                                   .traceparent = action.content.traceparent,
-                                                   .intent = action.intent,
-                                                   .avoid = action.avoid,
-                                                   .pulled = action.pulled});
+  const bool sent =
+      mesh_.send_open(action.to, peer::forward_request{.id = action.id,
+                                                       .to_incarnation = action.to_incarnation,
+                                                       .service = action.content.service,
+                                                       .request_class = action.content.request_class,
+                                                       .team = action.content.team,
+                                                       .non_idempotent = action.content.non_idempotent,
+                                                       .deadline = remaining,
+                                                       .body = body_text(action.content.body),
+                                                       .traceparent = action.content.traceparent,
+                                                       .intent = action.intent,
+                                                       .avoid = action.avoid,
+                                                       .pulled = action.pulled});
+  if (sent) {
+    return;
+  }
+  // A restarted peer is a member before its link is open; without this answer the request would wait
+  // for its deadline.
+  loop_.post([this, to = action.to, incarnation = action.to_incarnation, id = action.id] {
+    feed_router(routing::forward_answered{.from = to,
+                                          .from_incarnation = incarnation,
+                                          .id = id,
+                                          .result = routing::forward_result::not_sent,
+                                          .status = 0,
+                                          .body = {},
+                                          .target = {},
+                                          .reason = "no link to the peer is open",
+                                          .load = {}});
+  });
 }
 
 void service_endpoint::run(const routing::answer_peer& action) {
--- a/tools/history_check/callers.cpp
+++ b/tools/history_check/callers.cpp
@@ -14,6 +14,8 @@
 constexpr duration retry_wait = std::chrono::milliseconds{300};
 constexpr duration job_poll_wait = std::chrono::seconds{2};
 constexpr int max_job_submissions = 40;
+constexpr duration ready_interval = std::chrono::milliseconds{200};
+constexpr duration ready_timeout = std::chrono::seconds{1};
 
 std::string text_member(const nlohmann::json& body, const char* name) {
   return body.is_object() && body.contains(name) && body[name].is_string() ? body[name].get<std::string>()
@@ -31,6 +33,7 @@
 void callers::run() {
   started_ = loop_.now();
   give_up_ = started_ + options_.run_time + options_.settle_time;
+  const auto ready_timer = loop_.run_every(ready_interval, [this] { check_ready(); });
   const auto request_timer = loop_.run_every(options_.request_interval, [this] {
     if (sending_ && !options_.requests.empty()) {
       start_request();
@@ -51,7 +54,22 @@
 }
 
 const std::string& callers::any_entry() {
-  return options_.entries[random_.below(options_.entries.size())];
+  const auto& candidates = ready_.empty() ? options_.entries : ready_;
+  return candidates[random_.below(candidates.size())];
+}
+
+void callers::check_ready() {
+  for (const auto& entry : options_.entries) {
+    const http_request probe{.method = "GET", .path = "/readyz", .query = {}, .headers = {}, .body = {}};
+    client_.call(entry, probe, ready_timeout, [this, entry](const http_result& result) {
+      const auto* response = std::get_if<http_response>(&result);
+      constexpr int ok = 200;
+      std::erase(ready_, entry);
+      if (response != nullptr && response->status == ok) {
+        ready_.push_back(entry);
+      }
+    });
+  }
 }
 
 void callers::later(duration delay, event_loop::callback call) {
@@ -89,6 +107,9 @@
                   {"Idempotency-Key", record.key},
                   {"Rhubarb-Deadline-Ms", std::to_string(options_.request_deadline.count() / 1000)}},
       .body = record.key};
+  if (record.tries.empty()) {
+    request.headers.emplace_back("Rhubarb-First-Attempt", "true");
+  }
   client_.call(any_entry(), request, options_.request_deadline + overdue_margin,
                [this, index, kind, started](const http_result& result) {
                  on_request_result(index, kind, started, result);
--- a/tools/history_check/callers.hpp
+++ b/tools/history_check/callers.hpp
@@ -65,6 +65,7 @@
   void later(duration delay, event_loop::callback call);
   void finish_one();
   const std::string& any_entry();
+  void check_ready();
 
   event_loop& loop_;
   options options_;
@@ -76,6 +77,8 @@
   instant started_{};
   instant give_up_{};
   bool sending_{true};
+  /// Entries that answered `/readyz` last; stands for the platform's load balancer.
+  std::vector<std::string> ready_;
   std::map<std::uint64_t, timer_handle> delayed_;
   std::uint64_t last_delayed_{0};
 };
--- a/tools/history_check/history.cpp
+++ b/tools/history_check/history.cpp
@@ -92,6 +92,24 @@
   return attempts;
 }
 
+/// The states of a job's tasks by attempt, for the message of a violation.
+std::string describe(const std::string& job,
+                     const std::map<attempt_key, std::vector<const task_run*>>& attempts) {
+  std::string text;
+  for (const auto& [key, members] : attempts) {
+    if (std::get<0>(key) != job) {
+      continue;
+    }
+    text += fmt::format(" [attempt {}:", std::get<1>(key));
+    for (const auto* task : members) {
+      text += fmt::format(" member {} state {} ran {} ms", task->member, task->state,
+                          (task->ended - task->started).count() / 1000);
+    }
+    text += "]";
+  }
+  return text;
+}
+
 /// Longest single stretch in which some members ran and others did not.
 duration longest_partial(const std::vector<const task_run*>& members, int expected, instant end) {
   std::set<instant> edges;
@@ -136,7 +154,8 @@
     out.push_back(fmt::format("P3: job {} was accepted and reached no final state", job.job));
   }
   if (job.final_state == "finished" && whole_attempts == 0) {
-    out.push_back(fmt::format("P2: job {} is finished and no attempt ran whole", job.job));
+    out.push_back(fmt::format("P2: job {} is finished and no attempt ran whole:{}", job.job,
+                              describe(job.job, attempts)));
   }
   if (whole_attempts > 1) {
     out.push_back(fmt::format("P5: job {} ran whole {} times", job.job, whole_attempts));
@@ -188,4 +207,18 @@
   return found;
 }
 
+std::vector<std::string> find_uncertain(const std::vector<request_history>& requests) {
+  violations found;
+  for (const auto& request : requests) {
+    for (const auto& attempt : request.tries) {
+      const bool cut = attempt.answered ? attempt.result == verdict::may_have_run : !attempt.unsent;
+      if (cut) {
+        found.push_back(fmt::format("P7: request {} of class {} was cut: {}", request.key,
+                                    request.request_class, attempt.reason));
+      }
+    }
+  }
+  return found;
+}
+
 }  // namespace rhubarbpath::history_check
--- a/tools/history_check/history.hpp
+++ b/tools/history_check/history.hpp
@@ -73,4 +73,8 @@
                                                        const std::vector<job_history>& jobs,
                                                        const platform_history& platform, instant end);
 
+/// Requests that were cut: in a run whose only events are graceful shutdowns no answer is uncertain and
+/// no connection breaks after the request was sent (P7).
+[[nodiscard]] std::vector<std::string> find_uncertain(const std::vector<request_history>& requests);
+
 }  // namespace rhubarbpath::history_check
--- a/tools/history_check/main.cpp
+++ b/tools/history_check/main.cpp
@@ -17,6 +17,7 @@
 struct settings {
   callers::options load;
   std::string platform;
+  bool no_uncertain{false};
 };
 
 std::vector<std::string> split(const std::string& text, char separator) {
@@ -69,6 +70,7 @@
   TCLAP::ValueArg<int> request_ms{"", "request-ms", "time between requests", false, 10, "MS", line};
   TCLAP::ValueArg<int> job_ms{"", "job-ms", "time between jobs", false, 500, "MS", line};
   TCLAP::ValueArg<std::uint64_t> seed{"", "seed", "seed of the random source", false, 1, "N", line};
+  TCLAP::SwitchArg certain{"", "no-uncertain", "an answer may_have_run is a violation of P7", line};
   line.parse(argc, argv);
   settings chosen;
   chosen.platform = platform.getValue();
@@ -84,6 +86,7 @@
   chosen.load.request_interval = std::chrono::milliseconds{request_ms.getValue()};
   chosen.load.job_interval = std::chrono::milliseconds{job_ms.getValue()};
   chosen.load.seed = seed.getValue();
+  chosen.no_uncertain = certain.getValue();
   return chosen;
 }
 
@@ -177,7 +180,11 @@
   for (const auto& [path, count] : history->store_calls) {
     fmt::print("store calls {}: {}\n", path, count);
   }
-  const auto violations = find_violations(all.requests(), all.jobs(), *history, end);
+  auto violations = find_violations(all.requests(), all.jobs(), *history, end);
+  if (chosen.no_uncertain) {
+    const auto uncertain = find_uncertain(all.requests());
+    violations.insert(violations.end(), uncertain.begin(), uncertain.end());
+  }
   for (const auto& violation : violations) {
     fmt::print("VIOLATION {}\n", violation);
   }
