Pass the meant incarnation of a forward's answer to the router

The router ignores answers meant for another incarnation, and the daemon left the field empty, so every forwarded request waited for its deadline. scripts/fault-run drain_entry showed it: all requests that reached a VM in its first 2 s timed out, while peers had answered them.

--- a/src/programs/rhubarb-entry/service_endpoint.cpp
+++ b/src/programs/rhubarb-entry/service_endpoint.cpp
@@ -187,11 +187,9 @@
     return true;
   }
   if (const auto* answer = std::get_if<peer::forward_answer>(&message)) {
-    if (answer->to_incarnation != self_.id.incarnation) {
-      return true;  // Meant for an earlier process of this VM, whose forward numbers mean nothing here.
-    }
     feed_router(routing::forward_answered{.from = id.vm,
                                           .from_incarnation = id.incarnation,
+                                          .to_incarnation = answer->to_incarnation,
                                           .id = answer->id,
                                           .result = answer->result,
                                           .status = static_cast<int>(answer->status),
@@ -427,6 +425,7 @@
   loop_.post([this, to = action.to, incarnation = action.to_incarnation, id = action.id] {
     feed_router(routing::forward_answered{.from = to,
                                           .from_incarnation = incarnation,
+                                          .to_incarnation = self_.id.incarnation,
                                           .id = id,
                                           .result = routing::forward_result::not_sent,
                                           .status = 0,
