Recognise flooding teams by the load they offer

Cause: queue length as the measure missed a flood whose requests were served at once by their rank (holds), so that the queue stayed short while other teams' previews starved. Arrival rate times mean attempt time does not depend on the order of service.

--- a/benchmark/request_router.cpp
+++ b/benchmark/request_router.cpp
@@ -113,7 +113,7 @@
     const double end = std::chrono::duration<double>(run.length).count();
     while ((at += -std::log(1.0 - uniform(engine)) / rate) < end) {
       const double draw = uniform(engine);
-      const int chosen = flood ? 1
+      const int chosen = flood ? run.flooded_class
                                : (draw < classes[0].share                      ? 0
                                   : draw < classes[0].share + classes[1].share ? 1
                                                                                : 2);
@@ -148,6 +148,7 @@
   double good_work_ms{0};  ///< Service time of the good answers that came between 3 s and the last arrival.
   double router_ns{0};
   std::uint64_t load_messages{0};
+  std::uint64_t pull_answers{0};  ///< Load reports to one peer that pulled.
   std::uint64_t forwards{0};
   std::uint64_t refused_forwards{0};
   std::uint64_t pulls{0};
@@ -378,7 +379,7 @@
   void act(int from, const routing::advertise_load& action) {
     for (int to = 0; to < vm_count; ++to) {
       if (to != from && (!action.to || vm_index_.at(action.to->value()) == to)) {
-        ++result_.load_messages;
+        ++(action.to ? result_.pull_answers : result_.load_messages);
         transmit(from, to,
                  routing::peer_load{vm_id{"vm" + std::to_string(from)}, incarnation{1}, action.load});
       }
@@ -614,13 +615,18 @@
 void print_cost(const run_result& result, std::size_t requests, duration length) {
   const double vm_seconds = vm_count * std::chrono::duration<double>(length).count();
   std::printf(
-      "     routers: %.0f ns CPU per request, %.1f load messages/s per VM, forwards %.1f%% (refused %.1f%%), "
-      "pulls %.1f%%, refused by targets %llu\n",
+      "     routers: %.0f ns CPU per request, %.1f load and %.1f pull answer messages/s per VM, forwards "
+      "%.1f%% (refused %.1f%%), "
+      "pulls %.1f%%, refused by targets %llu, good work %.1f%% of slots\n",
       result.router_ns, static_cast<double>(result.load_messages) / vm_seconds,
+      static_cast<double>(result.pull_answers) / vm_seconds,
       100.0 * static_cast<double>(result.forwards) / static_cast<double>(requests),
       100.0 * static_cast<double>(result.refused_forwards) / static_cast<double>(requests),
       100.0 * static_cast<double>(result.pulls) / static_cast<double>(requests),
-      static_cast<unsigned long long>(result.refused_by_target));
+      static_cast<unsigned long long>(result.refused_by_target),
+      100.0 * result.good_work_ms /
+          (worker_count * slots_per_worker *
+           std::chrono::duration<double, std::milli>(length - steady_after).count()));
 }
 
 std::vector<double> all_latencies(const run_result& result) {
@@ -709,6 +715,7 @@
     const auto during = routed_run{run, list}.run();
     const auto way = std::string{"flood "} + classes[flooded].name;
     print(way.c_str(), run, during);
+    print_cost(during, list.size(), run.length);
     for (std::size_t i = 0; i < classes.size(); ++i) {
       const auto& entry = during.by_class[i];
       const auto name = way + ": other teams' p99 over that without, " + classes[i].name;
--- a/include/rhubarbpath/coordination/request_router.hpp
+++ b/include/rhubarbpath/coordination/request_router.hpp
@@ -346,10 +346,11 @@
 /// reported idle slots, or is queued in class order, teams in turn within a class, until a slot
 /// frees here or a peer pulls it.
 ///
-/// A team floods when its queue in one class is long, both against the class's limit and against
-/// the mean over the document's teams. Its requests of that class and of less urgent ones then come
-/// after those of all other teams, in class order among themselves. Strict class order alone would
-/// let one team's flood starve every other team's less urgent classes.
+/// A team floods when the load it offers to this VM, counted from its most urgent class, is above
+/// what the other teams leave of the VM's part of all slots, and above an equal share. Its requests
+/// of the class with which it exceeds them, and of less urgent ones, then come after those of all
+/// other teams, in class order among themselves. Strict class order alone would let one team's flood
+/// starve every other team's less urgent classes.
 ///
 /// Verdicts: `not_run` is given only when no send to a target left, or each one failed before its
 /// first byte or was refused before work, and each forward was reported as `not_sent`. The VM at
--- a/src/coordination/request_router.cpp
+++ b/src/coordination/request_router.cpp
@@ -175,6 +175,7 @@
     refuse_arrival(event, "this entry VM is shutting down", true);
     return;
   }
+  request_class->arrivals[team->second.index].count(now_, arrival_window(*request_class));
   auto& item = add_work(event.content, *request_class, &team->second);
   auto& content = item.content;
   content.non_idempotent = content.non_idempotent || request_class->spec.non_idempotent;
@@ -283,6 +284,7 @@
     }
     forward(*item, *peer, true);
   }
+  // Tells the peer what is left, so that it neither waits in vain nor stops early.
   send_load(event.from);
 }
 
@@ -315,8 +317,7 @@
   auto& target = *call.target;
   --target.connections_used;
   if (call.held_until) {
-    held_slots_[next_hold_] = &target;
-    timers_.insert({std::max(now_, *call.held_until), detail::timer_kind::slot_release, next_hold_++});
+    hold_slot(target, *call.held_until);
     return;
   }
   release_slot(target);
@@ -350,14 +351,12 @@
   auto& target = *call.target;
   --target.connections_used;
   if (call.held_until) {
-    held_slots_[next_hold_] = &target;
-    timers_.insert({std::max(now_, *call.held_until), detail::timer_kind::slot_release, next_hold_++});
+    hold_slot(target, *call.held_until);
     return;
   }
   if (event.bytes_sent) {
     // The target may still work on the request after its connection broke.
-    held_slots_[next_hold_] = &target;
-    timers_.insert({now_ + options_.cancelled_slot_hold, detail::timer_kind::slot_release, next_hold_++});
+    hold_slot(target, now_ + options_.cancelled_slot_hold);
   } else {
     release_slot(target);
   }
--- a/src/coordination/request_router_dispatch.cpp
+++ b/src/coordination/request_router_dispatch.cpp
@@ -11,13 +11,14 @@
 
 namespace {
 
+using std::chrono::milliseconds;
+
 constexpr int any_rank = std::numeric_limits<int>::max();
-/// A team floods a class when its queue reaches this part of the class's limit, and at least
-/// `least_flood`, and `flood_factor` times the mean over all teams. The mean keeps an overload by
-/// all teams alike in plain class order.
-constexpr std::size_t flood_limit_share = 4;
-constexpr std::size_t least_flood = 16;
-constexpr double flood_factor = 1.5;
+/// How often the flooding teams are determined anew, and the window of the arrival rates behind it.
+/// The window bounds how long a flood may delay other teams before it is seen.
+constexpr duration flood_check_interval = milliseconds{20};
+constexpr duration shortest_arrival_window = milliseconds{200};
+constexpr double arrivals_per_slot = 4.0;
 /// A trial call should be idempotent, because it is likely to fail. After this long without an
 /// idempotent request any request may be the trial.
 constexpr duration trial_patience = std::chrono::seconds{5};
@@ -92,7 +93,7 @@
       return item;
     }
   }
-  if (service.flooding.empty() || max_rank < flooding_rank) {
+  if (max_rank < flooding_rank) {
     return nullptr;
   }
   for (auto& request_class : service.classes) {
@@ -103,27 +104,49 @@
   return nullptr;
 }
 
+/// The load that a team offers is compared with what the others leave of this VM's part of all
+/// slots, or with an equal share if that is more. Queue lengths and calls in progress would be a
+/// worse measure: they depend on the order of service, so a team that once came last would stay last.
 void request_router::implementation::find_flooding_teams(routed_service& service) const {
+  if (now_ < service.flooding_at + flood_check_interval) {
+    return;
+  }
+  service.flooding_at = now_;
   service.flooding.clear();
+  absl::btree_map<int, double> offered;
+  double offered_by_all = 0;
   for (const auto& request_class : service.classes) {
-    const auto threshold = std::max<std::size_t>(
-        least_flood,
-        static_cast<std::size_t>(std::max(0, request_class->spec.queue_limit)) / flood_limit_share);
-    if (request_class->queue.size() < threshold) {
-      continue;
+    for (const auto& [team, rate] : request_class->arrivals) {
+      const double load = rate.at(now_, arrival_window(*request_class)) * request_class->mean_attempt_time;
+      offered[team] += load;
+      offered_by_all += load;
     }
-    const int rank = request_class->spec.rank;
-    const double mean = static_cast<double>(request_class->queue.size()) /
-                        static_cast<double>(std::max<std::size_t>(1, teams_.size()));
-    request_class->queue.for_each_team([&](int team, std::size_t length) {
-      const bool long_queue = length >= threshold && static_cast<double>(length) >= flood_factor * mean;
-      if (long_queue && !service.floods(team, rank)) {
-        service.flooding.emplace_back(team, rank);
+  }
+  const double slots = static_cast<double>(service.targets_in_document) * service.spec.slots_per_target /
+                       static_cast<double>(std::max<std::size_t>(1, members_.size()));
+  const double share = slots / static_cast<double>(std::max<std::size_t>(1, offered.size()));
+  for (const auto& [team, total] : offered) {
+    const double allowed = std::max(share, slots - (offered_by_all - total));
+    double load = 0;
+    for (const auto& request_class : service.classes) {
+      const auto rate = request_class->arrivals.find(team);
+      if (rate != request_class->arrivals.end()) {
+        load += rate->second.at(now_, arrival_window(*request_class)) * request_class->mean_attempt_time;
+      }
+      if (load > allowed) {
+        service.flooding.emplace_back(team, request_class->spec.rank);
+        break;
       }
-    });
+    }
   }
 }
 
+/// Long requests arrive rarely, so that their rate needs a longer window.
+duration request_router::implementation::arrival_window(const routed_class& request_class) {
+  const duration needed{static_cast<duration::rep>(arrivals_per_slot * request_class.mean_attempt_time)};
+  return std::max(shortest_arrival_window, needed);
+}
+
 /// Under overload the oldest request is often so near its deadline that the slot would be wasted. A
 /// request whose caller allowed little time from the start is judged by half of that time.
 bool request_router::implementation::too_near_deadline(const work& item) const {
--- a/src/coordination/request_router_impl.hpp
+++ b/src/coordination/request_router_impl.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -106,6 +107,24 @@
   bool maybe_ran{false};  ///< An earlier attempt ended without a whole answer.
 };
 
+/// Arrivals per microsecond, with older ones counting exponentially less.
+struct decaying_rate {
+  double sum{0};
+  instant updated{};
+
+  [[nodiscard]] double decayed(instant now, duration window) const {
+    return sum *
+           std::exp(-static_cast<double>((now - updated).count()) / static_cast<double>(window.count()));
+  }
+  [[nodiscard]] double at(instant now, duration window) const {
+    return decayed(now, window) / static_cast<double>(window.count());
+  }
+  void count(instant now, duration window) {
+    sum = decayed(now, window) + 1.0;
+    updated = now;
+  }
+};
+
 struct routed_class {
   request_class_spec spec;
   routed_service* service{nullptr};
@@ -113,7 +132,9 @@
   int works{0};  ///< Works of any phase that point here.
   class_queue<work> queue;
   std::deque<work*> pulled;
-  double attempt_time_p95{0};  ///< Microseconds; estimate over ended attempts.
+  absl::btree_map<int, decaying_rate> arrivals;  ///< By team index.
+  double mean_attempt_time{0};                   ///< Microseconds; moving average over ended attempts.
+  double attempt_time_p95{0};                    ///< Microseconds; estimate over ended attempts.
 };
 
 struct peer_service {
@@ -132,9 +153,10 @@
   int targets_in_document{0};
   int slots_used{0};  ///< Over the own targets.
   target_health health;
-  /// Flooding teams' indexes, with the rank of the most urgent class that each floods.
+  /// Flooding teams' indexes, with the rank of the class from which on they come last.
   absl::InlinedVector<std::pair<int, int>, 2> flooding;
-  bool dirty{false};  ///< Slots or queues changed since the last dispatch.
+  instant flooding_at{};  ///< When `flooding` was determined.
+  bool dirty{false};      ///< Slots or queues changed since the last dispatch.
   // What the last report to all peers said.
   bool reported_idle{false};
   bool reported_queue{false};
@@ -286,6 +308,7 @@
   void cancel_local_calls(work& item);
   void cancel(routing::target_call_id id, detail::target_call& call, const routed_class* request_class);
   void release_slot(routed_target& target);
+  void hold_slot(routed_target& target, instant until);
   void hedge(work& item);
   void answer(request_id caller, const outcome& result, int status, const routing::shared_body& body);
   [[nodiscard]] verdict unsent_verdict(const work& item) const;
@@ -302,6 +325,7 @@
   template <class Predicate>
   [[nodiscard]] work* next_of_class(routed_class& request_class, const Predicate& wanted);
   void find_flooding_teams(routed_service& service) const;
+  [[nodiscard]] static duration arrival_window(const routed_class& request_class);
   [[nodiscard]] bool too_near_deadline(const work& item) const;
   [[nodiscard]] routed_target* pick_target(const routed_service& service, const work& item) const;
   [[nodiscard]] bool trial_fits(const routed_target& target, const work& item) const;
--- a/src/coordination/request_router_targets.cpp
+++ b/src/coordination/request_router_targets.cpp
@@ -184,6 +184,11 @@
   for (auto it = teams_.begin(); it != teams_.end();) {
     const auto current = it++;
     if (!current->second.in_document && current->second.works == 0) {
+      for (auto& [id, service] : services_) {
+        for (auto& request_class : service->classes) {
+          request_class->arrivals.erase(current->second.index);
+        }
+      }
       teams_.erase(current);
     }
   }
@@ -481,10 +486,10 @@
     rank_queue entry{.rank = rank};
     queue.for_each_team([&](int team, std::size_t size) {
       const int length = static_cast<int>(size);
-      const bool floods = service.floods(team, rank);
-      flooding += floods ? length : 0;
-      entry.length += floods ? 0 : length;
-      entry.short_teams += !floods && size <= short_limit ? length : 0;
+      const bool last = service.floods(team, rank);
+      flooding += last ? length : 0;
+      entry.length += last ? 0 : length;
+      entry.short_teams += !last && size <= short_limit ? length : 0;
     });
     if (entry.length == 0) {
       continue;
--- a/src/coordination/request_router_work.cpp
+++ b/src/coordination/request_router_work.cpp
@@ -17,6 +17,7 @@
 /// Step of the quantile estimate, as a share of its value.
 constexpr double estimate_step = 0.05;
 constexpr double estimated_quantile = 0.95;
+constexpr double mean_step = 0.02;
 
 constexpr bool is_server_error(int status) {
   return status >= 500;
@@ -434,6 +435,11 @@
   }
 }
 
+void request_router::implementation::hold_slot(routed_target& target, instant until) {
+  held_slots_[next_hold_] = &target;
+  timers_.insert({std::max(now_, until), timer_kind::slot_release, next_hold_++});
+}
+
 void request_router::implementation::release_slot(routed_target& target) {
   --target.slots_used;
   --target.service->slots_used;
@@ -479,6 +485,8 @@
   } else {
     estimate -= estimate * estimate_step * (1.0 - estimated_quantile);
   }
+  auto& mean = request_class.mean_attempt_time;
+  mean = mean <= 0.0 ? value : mean + mean_step * (value - mean);
 }
 
 }  // namespace rhubarbpath
