--- a/benchmark/request_router.cpp
+++ b/benchmark/request_router.cpp
@@ -13,7 +13,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <queue>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -168,13 +167,17 @@
 /// A queue of actions in logical time.
 class simulation {
  public:
-  void at(instant when, std::function<void()> action) { events_.push({when, next_++, std::move(action)}); }
+  void at(instant when, std::function<void()> action) {
+    events_.push_back({when, next_++, std::move(action)});
+    std::push_heap(events_.begin(), events_.end());
+  }
   void after(duration delay, std::function<void()> action) { at(now_ + delay, std::move(action)); }
   [[nodiscard]] instant now() const { return now_; }
   void run_until(instant end) {
-    while (!events_.empty() && events_.top().when <= end) {
-      auto next = std::move(const_cast<event&>(events_.top()));  // The queue gives no other way to move out.
-      events_.pop();
+    while (!events_.empty() && events_.front().when <= end) {
+      std::pop_heap(events_.begin(), events_.end());
+      const auto next = std::move(events_.back());
+      events_.pop_back();
       now_ = next.when;
       next.action();
     }
@@ -189,7 +192,7 @@
       return when != other.when ? when > other.when : number > other.number;
     }
   };
-  std::priority_queue<event> events_;
+  std::vector<event> events_;  ///< A heap; `std::priority_queue` cannot move its top out.
   instant now_{};
   std::uint64_t next_{0};
 };
@@ -263,6 +266,7 @@
       : run_{run}, arrivals_{arrivals}, random_{run.seed + 1}, busy_(worker_count, 0) {
     const auto document = make_document();
     std::vector<routing::member> members;
+    members.reserve(vm_count);
     for (int i = 0; i < vm_count; ++i) {
       members.push_back({vm_id{"vm" + std::to_string(i)}, incarnation{1},
                          failure_domain_id{"fd" + std::to_string(domain_of_vm(i))}});
