--- a/include/rhubarbpath/coordination/request_router.hpp
+++ b/include/rhubarbpath/coordination/request_router.hpp
@@ -347,10 +347,11 @@
 /// reported idle slots, or is queued in class order, teams in turn within a class, until a slot
 /// frees here or a peer pulls it.
 ///
-/// A team floods when its queue in one class is long, both against the class's limit and against
-/// the mean over the document's teams. Its requests of that class and of less urgent ones then come
-/// after those of all other teams, in class order among themselves. Strict class order alone would
-/// let one team's flood starve every other team's less urgent classes.
+/// A team floods when the load it offers to this VM, counted from its most urgent class, is above
+/// what the other teams leave of the VM's part of all slots, and above an equal share. Its requests
+/// of the class with which it exceeds them, and of less urgent ones, then come after those of all
+/// other teams, in class order among themselves. Strict class order alone would let one team's flood
+/// starve every other team's less urgent classes.
 ///
 /// Verdicts: `not_run` is given only when no send to a target left, or each one failed before its
 /// first byte or was refused before work, and each forward was reported as `not_sent`. The VM at
@@ -390,12 +391,14 @@
     /// How long the slot of a cancelled call stays counted: a target does not notice a closed
     /// connection at once.
     duration cancelled_slot_hold{std::chrono::seconds{1}};
-    /// How long a target that refused above its slots is left alone.
+    /// How long a target that refused above its slots, or a peer that refused a forward which might
+    /// have waited there, is left alone.
     duration refusal_wait{std::chrono::milliseconds{50}};
-    /// Longest and shortest interval between two load reports to all peers. The longest keeps
-    /// control traffic below 9 KB/s; the shortest applies when idle slots or queues appear or vanish.
-    duration load_interval{std::chrono::milliseconds{200}};
-    duration shortest_load_interval{std::chrono::milliseconds{20}};
+    /// Longest and shortest interval between two load reports to all peers. At these values a report
+    /// of 120 bytes to 8 peers costs up to 5 KB/s, of 9 KB/s allowed for control in all. The shortest
+    /// applies when idle slots or queues appear or vanish.
+    duration load_interval{std::chrono::milliseconds{500}};
+    duration shortest_load_interval{std::chrono::milliseconds{200}};
     /// A pull that brought nothing for this long no longer counts as outstanding.
     duration pull_timeout{std::chrono::milliseconds{20}};
     /// How long a draining VM keeps sending to its targets: shorter than `takeover_wait`, so that
--- a/src/coordination/request_router.cpp
+++ b/src/coordination/request_router.cpp
@@ -175,6 +175,7 @@
     refuse_arrival(event, "this entry VM is shutting down", true);
     return;
   }
+  request_class->arrivals[team->second.index].count(now_, arrival_window(*request_class));
   auto& item = add_work(event.content, *request_class, &team->second);
   auto& content = item.content;
   content.non_idempotent = content.non_idempotent || request_class->spec.non_idempotent;
@@ -244,7 +245,8 @@
   auto* target = homes_held() ? nullptr : pick_target(*request_class->service, item);
   const auto pulled_limit = request_class->service->own.size() *
                             static_cast<std::size_t>(request_class->service->spec.slots_per_target);
-  const bool may_wait = event.pulled && request_class->pulled.size() < pulled_limit && !draining_since_;
+  const bool asked_for = event.pulled && request_class->pulled.size() < pulled_limit;
+  const bool may_wait = !draining_since_ && (asked_for || yields_to(*request_class->service, item));
   if (target == nullptr && !may_wait) {
     erase_work(item);
     refuse("no free slot at the home VM");
@@ -283,6 +285,7 @@
     }
     forward(*item, *peer, true);
   }
+  // Tells the peer what is left, so that it neither waits in vain nor stops early.
   send_load(event.from);
 }
 
@@ -315,8 +318,7 @@
   auto& target = *call.target;
   --target.connections_used;
   if (call.held_until) {
-    held_slots_[next_hold_] = &target;
-    timers_.insert({std::max(now_, *call.held_until), detail::timer_kind::slot_release, next_hold_++});
+    hold_slot(target, *call.held_until);
     return;
   }
   release_slot(target);
@@ -350,14 +352,12 @@
   auto& target = *call.target;
   --target.connections_used;
   if (call.held_until) {
-    held_slots_[next_hold_] = &target;
-    timers_.insert({std::max(now_, *call.held_until), detail::timer_kind::slot_release, next_hold_++});
+    hold_slot(target, *call.held_until);
     return;
   }
   if (event.bytes_sent) {
     // The target may still work on the request after its connection broke.
-    held_slots_[next_hold_] = &target;
-    timers_.insert({now_ + options_.cancelled_slot_hold, detail::timer_kind::slot_release, next_hold_++});
+    hold_slot(target, now_ + options_.cancelled_slot_hold);
   } else {
     release_slot(target);
   }
@@ -432,6 +432,9 @@
       if (event.target) {
         attempt_failed(item, false, event.target, event.reason);
       } else {
+        if (const auto peer = peers_.find(event.from); peer != peers_.end()) {
+          peer->second->services[item.content.service].refuses_until = now_ + options_.refusal_wait;
+        }
         forward_refused(item);
       }
       return;
--- a/src/coordination/request_router_dispatch.cpp
+++ b/src/coordination/request_router_dispatch.cpp
@@ -11,16 +11,20 @@
 
 namespace {
 
+using std::chrono::milliseconds;
+
 constexpr int any_rank = std::numeric_limits<int>::max();
-/// A team floods a class when its queue reaches this part of the class's limit, and at least
-/// `least_flood`, and `flood_factor` times the mean over all teams. The mean keeps an overload by
-/// all teams alike in plain class order.
-constexpr std::size_t flood_limit_share = 4;
-constexpr std::size_t least_flood = 16;
-constexpr double flood_factor = 1.5;
+/// How often the flooding teams are determined anew, and the window of the arrival rates behind it.
+/// The window bounds how long a flood may delay other teams before it is seen.
+constexpr duration flood_check_interval = milliseconds{20};
+constexpr duration shortest_arrival_window = milliseconds{200};
+constexpr double arrivals_per_slot = 4.0;
 /// A trial call should be idempotent, because it is likely to fail. After this long without an
 /// idempotent request any request may be the trial.
 constexpr duration trial_patience = std::chrono::seconds{5};
+/// Time that a request must have left, in 95% quantiles of the attempt time. The longest attempts
+/// hold a large part of the slots' time, so the quantile itself would waste much of it.
+constexpr double safe_time_factor = 3.0;
 /// Preference for a peer in this failure domain, as a factor on its idle slots.
 constexpr int same_domain_weight = 4;
 /// Share of the own slots for which more urgent work of peers is fetched ahead of need. It covers
@@ -56,6 +60,9 @@
       break;
     }
     auto* peer = pick_peer(service);
+    if (peer == nullptr) {
+      peer = pick_yielding_peer(service, *item);
+    }
     if (peer == nullptr) {
       break;
     }
@@ -92,7 +99,7 @@
       return item;
     }
   }
-  if (service.flooding.empty() || max_rank < flooding_rank) {
+  if (max_rank < flooding_rank) {
     return nullptr;
   }
   for (auto& request_class : service.classes) {
@@ -103,33 +110,55 @@
   return nullptr;
 }
 
+/// The load that a team offers is compared with what the others leave of this VM's part of all
+/// slots, or with an equal share if that is more. Queue lengths and calls in progress would be a
+/// worse measure: they depend on the order of service, so a team that once came last would stay last.
 void request_router::implementation::find_flooding_teams(routed_service& service) const {
+  if (now_ < service.flooding_at + flood_check_interval) {
+    return;
+  }
+  service.flooding_at = now_;
   service.flooding.clear();
+  absl::btree_map<int, double> offered;
+  double offered_by_all = 0;
   for (const auto& request_class : service.classes) {
-    const auto threshold = std::max<std::size_t>(
-        least_flood,
-        static_cast<std::size_t>(std::max(0, request_class->spec.queue_limit)) / flood_limit_share);
-    if (request_class->queue.size() < threshold) {
-      continue;
+    for (const auto& [team, rate] : request_class->arrivals) {
+      const double load = rate.at(now_, arrival_window(*request_class)) * request_class->mean_attempt_time;
+      offered[team] += load;
+      offered_by_all += load;
     }
-    const int rank = request_class->spec.rank;
-    const double mean = static_cast<double>(request_class->queue.size()) /
-                        static_cast<double>(std::max<std::size_t>(1, teams_.size()));
-    request_class->queue.for_each_team([&](int team, std::size_t length) {
-      const bool long_queue = length >= threshold && static_cast<double>(length) >= flood_factor * mean;
-      if (long_queue && !service.floods(team, rank)) {
-        service.flooding.emplace_back(team, rank);
+  }
+  const double slots = static_cast<double>(service.targets_in_document) * service.spec.slots_per_target /
+                       static_cast<double>(std::max<std::size_t>(1, members_.size()));
+  const double share = slots / static_cast<double>(std::max<std::size_t>(1, offered.size()));
+  for (const auto& [team, total] : offered) {
+    const double allowed = std::max(share, slots - (offered_by_all - total));
+    double load = 0;
+    for (const auto& request_class : service.classes) {
+      const auto rate = request_class->arrivals.find(team);
+      if (rate != request_class->arrivals.end()) {
+        load += rate->second.at(now_, arrival_window(*request_class)) * request_class->mean_attempt_time;
+      }
+      if (load > allowed) {
+        service.flooding.emplace_back(team, request_class->spec.rank);
+        break;
       }
-    });
+    }
   }
 }
 
+/// Long requests arrive rarely, so that their rate needs a longer window.
+duration request_router::implementation::arrival_window(const routed_class& request_class) {
+  const duration needed{static_cast<duration::rep>(arrivals_per_slot * request_class.mean_attempt_time)};
+  return std::max(shortest_arrival_window, needed);
+}
+
 /// Under overload the oldest request is often so near its deadline that the slot would be wasted. A
 /// request whose caller allowed little time from the start is judged by half of that time.
 bool request_router::implementation::too_near_deadline(const work& item) const {
   const duration left = item.content.deadline - now_;
   const duration allowed = item.content.deadline - item.arrived_at;
-  const duration needed{static_cast<duration::rep>(item.request_class->attempt_time_p95)};
+  const duration needed{static_cast<duration::rep>(safe_time_factor * item.request_class->attempt_time_p95)};
   return left < std::min(needed, allowed / 2);
 }
 
@@ -196,6 +225,41 @@
   return nullptr;
 }
 
+/// A peer whose queues hold only less urgent work serves this request with its next free slot.
+detail::routed_peer* request_router::implementation::pick_yielding_peer(const routed_service& service,
+                                                                        const work& item) {
+  const int rank = item.request_class->spec.rank;
+  if (service.floods(item.team->index, rank)) {
+    return nullptr;
+  }
+  absl::InlinedVector<routed_peer*, 16> yielding;
+  for (auto& [vm, peer] : peers_) {
+    const auto found = peer->services.find(service.spec.id);
+    if (peer->live() && !peer->draining && found != peer->services.end() && !found->second.queues.empty() &&
+        found->second.queues.front().rank > rank && found->second.refuses_until <= now_) {
+      yielding.push_back(peer.get());
+    }
+  }
+  return yielding.empty() ? nullptr : yielding[random_->below(yielding.size())];
+}
+
+/// Whether a forward that was not asked for may wait here: it goes before all that waits here, and
+/// no more than a few such requests wait already.
+bool request_router::implementation::yields_to(const routed_service& service, const work& item) const {
+  const auto own = bid_of(service_report(service).queues);
+  std::size_t waiting = 0;
+  for (const auto& request_class : service.classes) {
+    waiting += request_class->pulled.size();
+  }
+  return own.length >= 0 && own.rank > item.request_class->spec.rank &&
+         waiting < static_cast<std::size_t>(prefetch_slots(service));
+}
+
+int request_router::implementation::prefetch_slots(const routed_service& service) {
+  return std::max(1,
+                  static_cast<int>(service.own.size()) * service.spec.slots_per_target / slots_per_prefetch);
+}
+
 void request_router::implementation::count_send(work& item) {
   ++item.sends;
   if (item.team != nullptr) {
@@ -308,8 +372,7 @@
   for (const auto& request_class : service.classes) {
     fetched += static_cast<int>(request_class->pulled.size());
   }
-  const int slots = static_cast<int>(service.own.size()) * service.spec.slots_per_target;
-  const int prefetch = std::max(1, slots / slots_per_prefetch);
+  const int prefetch = prefetch_slots(service);
   int wanted = (own.length < 0 ? idle_slots(service) : prefetch) - fetched;
   if (wanted <= 0) {
     return;
