--- a/include/rhubarbpath/coordination/lease_keeper.hpp
+++ b/include/rhubarbpath/coordination/lease_keeper.hpp
@@ -73,6 +73,9 @@
     std::size_t watchers{3};       ///< Candidates of lower rank watch the lease row; others look rarely.
     duration watch_wait{1'500'000};
     duration passive_poll{30'000'000};
+    /// A candidate that could not reach the store waits this long, so that the holder, whose lease expired
+    /// in the outage, can take it again and keeps its epoch.
+    duration outage_grace{4'000'000};
     duration pause_threshold{1'000'000};   ///< A longer time without an event counts as a pause.
     duration rebalance_after{30'000'000};  ///< A holder that is not preferred hands over after this time.
   };
@@ -101,6 +104,7 @@
   void run_timers(instant now, actions& out);
   void look(instant now, actions& out);
   void on_lease_row(const store_response& response, instant now, actions& out);
+  [[nodiscard]] duration acquisition_delay(instant now) const;
   void on_row_absent(instant now, actions& out);
   void grant(instant now, actions& out);
   void on_granted(const store_response& response, instant now, actions& out);
@@ -133,6 +137,7 @@
   instant valid_until_{};
   instant wake_at_{};  ///< When a passive, delaying or holding keeper acts next.
   instant wait_after_release_{};
+  std::optional<instant> last_failed_look_;
   std::optional<instant> last_handled_;
 };
 
--- a/src/coordination/lease_keeper.cpp
+++ b/src/coordination/lease_keeper.cpp
@@ -153,6 +153,7 @@
 
 void lease_keeper::on_lease_row(const store_response& response, instant now, actions& out) {
   if (std::holds_alternative<store_failure>(response)) {
+    last_failed_look_ = now;
     wait_until(now + random_->jittered(failed_look_wait), out);
     return;
   }
@@ -179,12 +180,21 @@
     wait_until(now, out);
     return;
   }
-  if (*rank_ == 0 || delay_served_) {
+  const auto delay = acquisition_delay(now);
+  if (delay <= duration{} || delay_served_) {
     grant(now, out);
     return;
   }
   phase_ = phase::delaying;
-  wake_at_ = now + options_.rank_delay * static_cast<std::int64_t>(*rank_);
+  wake_at_ = now + delay;
+}
+
+duration lease_keeper::acquisition_delay(instant now) const {
+  auto delay = options_.rank_delay * static_cast<std::int64_t>(rank_.value_or(0));
+  if (last_failed_look_) {
+    delay += std::max(duration{}, *last_failed_look_ + options_.outage_grace - now);
+  }
+  return delay;
 }
 
 void lease_keeper::grant(instant now, actions& out) {
--- /dev/null
+++ b/tests/coordination/domain_owner_test.cpp
@@ -0,0 +1,192 @@
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "simulated_domain.hpp"
+
+namespace rhubarbpath {
+namespace {
+
+using simulation::domain_world;
+using simulation::second;
+
+constexpr duration takeover_bound = 8 * second;
+
+/// A world whose first owner acts.
+struct owned_world : domain_world {
+  explicit owned_world(std::uint64_t seed, int schedulers = 3) : domain_world{seed, schedulers} {
+    REQUIRE(wait_for_owner(epoch{}, takeover_bound));
+  }
+  [[nodiscard]] std::string owner_name() { return owner()->vm().value(); }
+};
+
+/// Faults of every kind at random times, then a quiet period in which everything must settle.
+void run_random_domain(std::uint64_t seed) {
+  domain_world world{seed, 3};
+  world.store.faults = {
+      .answer_lost = 0.03, .request_lost = 0.02, .delayed = 0.03, .limited = 0.02, .stale_list = 0.3};
+  world.worker_loss = 0.02;
+  const std::vector<std::string> names{"s0", "s1", "s2"};
+  int jobs = 0;
+  for (int step = 0; step < 120; ++step) {
+    const auto name = names[world.random.below(names.size())];
+    auto& process = *world.processes.at(name);
+    const auto choice = world.random.below(100);
+    const auto any_job = "j" + std::to_string(world.random.below(static_cast<std::uint64_t>(jobs) + 1));
+    if (choice < 30) {
+      const auto target = world.owner() == nullptr ? name : world.owner()->vm().value();
+      const auto members = 1 + static_cast<int>(world.random.below(3));
+      const auto run_time = duration{static_cast<std::int64_t>(world.random.below(20'000'000))};
+      world.submit(target, "j" + std::to_string(++jobs), members, run_time);
+    } else if (choice < 40) {
+      world.query(name, any_job);
+    } else if (choice < 45) {
+      world.cancel(world.owner() == nullptr ? name : world.owner()->vm().value(), any_job);
+    } else if (choice < 50) {
+      world.crash(name);
+      world.run(duration{static_cast<std::int64_t>(world.random.below(3'000'000))});
+      world.start(name);
+    } else if (choice < 60) {
+      process.frozen() ? process.resume() : process.freeze();
+      world.announce_schedulers();
+    } else if (choice < 63) {
+      world.store.down = !world.store.down;
+    } else if (choice < 67) {
+      auto& worker = world.workers.at(worker_id{"w" + std::to_string(world.random.below(6))});
+      worker.unreachable = !worker.unreachable;
+    } else {
+      world.run(duration{static_cast<std::int64_t>(world.random.below(2'500'000))});
+    }
+    world.run(duration{static_cast<std::int64_t>(world.random.below(200'000))});
+  }
+  world.store.down = false;
+  world.store.faults = {};
+  world.worker_loss = 0;
+  for (auto& [id, worker] : world.workers) {
+    worker.unreachable = false;
+  }
+  for (const auto& [name, process] : world.processes) {
+    process->resume();
+  }
+  world.announce_schedulers();
+  world.run(300 * second);
+  auto* owner = world.owner();
+  RC_ASSERT(owner != nullptr);
+  const auto& committed = owner->part().committed()->jobs;
+  for (const auto& job : world.accepted) {
+    RC_ASSERT(committed.contains(job));
+    RC_ASSERT(is_final(committed.at(job).state));
+  }
+  for (const auto& [job, state] : world.final_states) {
+    RC_ASSERT(committed.at(job).state == state);
+  }
+  RC_ASSERT(world.answered_requests.size() == world.answers);
+}
+
+}  // namespace
+
+// Guards against two owners in one epoch, a lost or doubled job, a gang that runs partly, a start or an
+// answer before its log entry, and a job that never ends, under any mix of faults.
+TEST_CASE("domain_owner_under_random_faults_keeps_its_promises") {
+  REQUIRE(rc::check([] { run_random_domain(*rc::gen::arbitrary<std::uint64_t>()); }));
+}
+
+// Guards against a domain without an owner for longer than the bound, and against running gangs that a
+// takeover ends.
+TEST_CASE("domain_owner_crash_is_taken_over_within_8_s_and_gangs_run_on") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    owned_world world{seed};
+    world.submit(world.owner_name(), "long", 3, 60 * second);
+    world.run(duration{static_cast<std::int64_t>(2'000'000 + seed * 173'000)});
+    REQUIRE(world.state_of("long") == job_state::running);
+    const auto before = world.owner()->part().current_epoch();
+    world.crash(world.owner_name());
+    const auto taken = world.wait_for_owner(before, takeover_bound);
+    REQUIRE(taken);
+    world.run(5 * second);
+    CHECK(world.state_of("long") == job_state::running);
+    CHECK(world.logged_placed.size() == 1);
+    world.run(60 * second);
+    CHECK(world.state_of("long") == job_state::finished);
+  }
+}
+
+// Guards against an owner that goes on after a pause, although another one took over meanwhile.
+TEST_CASE("domain_owner_paused_past_lease_stops_before_it_acts") {
+  owned_world world{30};
+  auto& paused = *world.owner();
+  paused.freeze();
+  world.announce_schedulers();
+  REQUIRE(world.wait_for_owner(paused.part().current_epoch(), takeover_bound));
+  world.submit(paused.vm().value(), "late", 1, second);
+  const auto answers = world.answers;
+  paused.resume();
+  CHECK_FALSE(paused.part().owns());
+  CHECK(world.answers == answers + 1);
+  CHECK(world.accepted.empty());
+}
+
+// Guards against a gap in ownership when a process drains.
+TEST_CASE("domain_owner_drain_hands_over_without_a_gap") {
+  owned_world world{31};
+  world.submit(world.owner_name(), "long", 2, 30 * second);
+  world.run(3 * second);
+  const auto before = world.owner()->part().current_epoch();
+  const auto first = world.owner_name();
+  world.processes.at(first)->send(drain_requested{});
+  for (int i = 0; i < 200 && world.owner()->part().current_epoch() == before; ++i) {
+    REQUIRE(world.owner() != nullptr);
+    world.run(duration{10'000});
+  }
+  CHECK(world.owner()->part().current_epoch() > before);
+  world.run(second);
+  CHECK(world.processes.at(first)->drained());
+  CHECK(world.state_of("long") == job_state::running);
+}
+
+// Guards against a start during an outage, and against running gangs that an outage ends.
+TEST_CASE("domain_owner_store_outage_keeps_gangs_and_starts_nothing") {
+  owned_world world{32};
+  const auto name = world.owner_name();
+  world.submit(name, "running", 2, 60 * second);
+  world.run(3 * second);
+  world.store.down = true;
+  world.run(second);
+  world.submit(name, "new", 1, second);
+  world.run(3 * second);
+  world.submit(name, "newer", 1, second);
+  world.run(30 * second);
+  CHECK(world.owner() != nullptr);
+  CHECK(world.accepted.size() == 1);
+  CHECK(world.answers == 3);
+  CHECK(world.logged_placed.size() == 1);
+  world.store.down = false;
+  world.run(8 * second);
+  CHECK(world.state_of("running") == job_state::running);
+  CHECK(world.owner_name() == name);
+  CHECK(world.state_of("new") == job_state::finished);
+  CHECK(world.longest_partial <= second);
+}
+
+// Guards against a repeated message that creates, runs or cancels a job twice.
+TEST_CASE("domain_owner_repeated_messages_are_answered_alike") {
+  owned_world world{33};
+  const auto name = world.owner_name();
+  for (int i = 0; i < 3; ++i) {
+    world.submit(name, "job", 1, 5 * second);
+  }
+  world.run(2 * second);
+  world.submit(name, "job", 1, 5 * second);
+  world.cancel(name, "job");
+  world.cancel(name, "job");
+  world.run(2 * second);
+  world.cancel(name, "job");
+  world.run(second);
+  CHECK(world.answers == 7);
+  CHECK(world.logged_placed.size() == 1);
+  CHECK(world.state_of("job") == job_state::cancelled);
+}
+
+}  // namespace rhubarbpath
