Bound the time for which a part of a gang runs by 15 s

A worker without a known gang was renewed for 15 s too, which prolonged tasks that no gang owns. Ruled out: a shorter lease for all gangs, because a takeover may take 8 s and must find them running.

--- a/include/rhubarbpath/coordination/gang_controller.hpp
+++ b/include/rhubarbpath/coordination/gang_controller.hpp
@@ -122,6 +122,8 @@
   struct options {
     epoch current_epoch;
     call_id first_call{1};
+    /// Longest time for which a part of a gang may run. Workers get less by `command_timeout`, because their
+    /// lease counts from when a command arrives.
     duration lease{15'000'000};
     duration renew_interval{4'000'000};  ///< For workers that run tasks.
     duration idle_interval{10'000'000};  ///< For workers that run none; finds out that they are gone.
@@ -130,7 +132,8 @@
     duration unreachable_after{4'000'000};  ///< Without an answer since the first command that failed.
     duration start_timeout{5'000'000};      ///< From the first start command until all members run.
     duration adoption_timeout{3'000'000};
-    duration adoption_lease{6'000'000};      ///< Lease granted before a gang is known to be whole.
+    /// Lease of members while it is not known that all of their gang run: at a start and in an adoption.
+    duration unconfirmed_lease{8'000'000};
     duration checkpoint_timeout{1'500'000};  ///< Then members are stopped, so that 2 s suffice in all.
     /// Members that finish further apart than this end the attempt as failed.
     duration finish_spread{2'000'000};
--- a/src/coordination/gang_controller.cpp
+++ b/src/coordination/gang_controller.cpp
@@ -391,6 +391,10 @@
 void gang_controller::become_running(gang& target, instant now, actions& out) {
   target.phase = gang_phase::running;
   target.phase_since = now;
+  for (const auto& each : target.members) {
+    workers_.at(each.at.worker).next_renew = now;  // Until then members have the shorter lease.
+    dirty_workers_.insert(each.at.worker);
+  }
   out.emplace_back(gang_running{.job = target.job, .attempt = target.attempt});
   advance_running(target, now);
 }
@@ -638,7 +642,8 @@
 
 duration gang_controller::renewable_lease(const worker_id& id, const worker_state& worker,
                                           instant now) const {
-  auto lease = options_.lease;
+  // The log names every gang that may run. On a worker without one, all tasks are to end.
+  auto lease = worker.gangs.empty() ? shortest_lease : options_.lease - options_.command_timeout;
   for (const auto& job : worker.gangs) {
     const auto& owner = gangs_.at(job);
     const bool here = std::any_of(owner.members.begin(), owner.members.end(), [&](const member& each) {
@@ -654,7 +659,8 @@
 
 /// The lease that a member may get now: it ends at most `lease` after all members were last known to run.
 duration gang_controller::gang_lease(const gang& target, instant now) const {
-  const auto from = target.phase == gang_phase::adopting ? options_.adoption_lease : options_.lease;
+  const bool unconfirmed = target.phase == gang_phase::adopting || target.phase == gang_phase::starting;
+  const auto from = unconfirmed ? options_.unconfirmed_lease : options_.lease - options_.command_timeout;
   auto oldest = now;
   for (const auto& each : target.members) {
     oldest = std::min(oldest, each.confirmed);
