--- a/src/coordination/gang_controller.cpp
+++ b/src/coordination/gang_controller.cpp
@@ -73,6 +73,9 @@
 void gang_controller::on(const gang_adopt& event, instant now, actions& /*out*/) {
   add_gang(event.job, event.attempt, event.spec, event.placement, gang_phase::adopting, now);
   adopting_.insert(event.job);
+  for (const auto& at : event.placement) {
+    worker_of(at.worker, now).next_renew = now;  // Asks for a report at once.
+  }
 }
 
 gang_controller::gang& gang_controller::add_gang(const job_id& job, attempt_number attempt,
