--- a/include/rhubarbpath/coordination/cell_tree.hpp
+++ b/include/rhubarbpath/coordination/cell_tree.hpp
@@ -64,6 +64,8 @@
   [[nodiscard]] std::uint32_t used(int worker) const { return used_[worker]; }
   [[nodiscard]] std::uint32_t held(int worker) const { return held_[worker]; }
   [[nodiscard]] bool lost(int worker) const { return lost_[worker] != 0; }
+  /// Workers of the rack whose accelerators are all open, counted in groups of 8.
+  [[nodiscard]] int whole_groups(int rack) const { return rack_groups_[rack][levels - 1]; }
   /// Open accelerators of the whole failure domain.
   [[nodiscard]] int open_accelerators() const noexcept { return open_total_; }
 
@@ -106,7 +108,7 @@
 
 /// Finds space for all members of a shape inside the masks that `mask_of` returns per worker, at the lowest
 /// sum of `cost` over the blocks. A block of infinite cost is not used. Looks at about `max_evaluations`
-/// blocks from the rack `first_rack` on, and stops at the first place that costs nothing.
+/// blocks from the rack `first_rack` on.
 struct cheapest_fit_request {
   accelerator_shape shape;
   std::function<std::uint32_t(int)> mask_of;
--- a/include/rhubarbpath/coordination/placement.hpp
+++ b/include/rhubarbpath/coordination/placement.hpp
@@ -21,6 +21,7 @@
   guarantee,    ///< A guaranteed job reclaims the space.
   reservation,  ///< A large gang reserved the space before the job was placed there, or waited its limit.
   fair_share,   ///< A job with less attained service or a deadline goes first.
+  migration,    ///< The job moves to another worker, so that larger space is left together.
   cancelled,    ///< The job itself was cancelled; no checkpoint is needed.
   invalid,      ///< The restored placement is not a whole gang on known, otherwise free accelerators.
 };
@@ -48,16 +49,16 @@
     duration deadline_lead{std::chrono::hours{6}};
     duration deadline_slack{std::chrono::hours{2}};
     /// A blocked job gets a reservation after this waiting time.
-    duration reserve_after{std::chrono::minutes{5}};
+    duration reserve_after{std::chrono::minutes{10}};
     /// A reservation preempts work that was there before it after this time.
-    duration reservation_limit{std::chrono::minutes{30}};
+    duration reservation_limit{std::chrono::hours{1}};
     int max_reservations{4};
     /// A job preempted this often is chosen as a victim only if nothing else can free the space.
     int preemption_limit{3};
     /// Shortest run time of an attempt before it can be preempted for another preemptible job.
     duration fair_share_quantum{std::chrono::minutes{10}};
     /// Lead in the queue order that another preemptible job needs before it preempts.
-    duration fair_share_margin{std::chrono::hours{1}};
+    duration fair_share_margin{std::chrono::hours{4}};
     /// Blocked jobs that one tick may help by preemption.
     int fair_share_jobs_per_tick{4};
     /// Attempts of one job that may fail on live workers before it ends as failed.
--- a/src/coordination/cell_tree.cpp
+++ b/src/coordination/cell_tree.cpp
@@ -350,7 +350,6 @@
                                                 const cheapest_fit_request& request) {
   std::optional<cheapest_fit_result> best;
   std::vector<priced_block> blocks;
-  const auto settled = [&] { return best && best->cost <= 0; };
   int evaluations = 0;
   for (int step = 0; step < topology.racks(); ++step) {
     const int rack = (request.first_rack + step) % topology.racks();
@@ -368,7 +367,7 @@
       blocks.clear();
     }
     const bool enough = best || blocks.size() >= static_cast<std::size_t>(request.shape.members);
-    if (settled() || (enough && evaluations >= request.max_evaluations)) {
+    if (enough && evaluations >= request.max_evaluations) {
       break;
     }
   }
--- a/src/coordination/guarantee_plan.cpp
+++ b/src/coordination/guarantee_plan.cpp
@@ -434,12 +434,12 @@
   for (auto first = ranked.begin(); first != ranked.end() && !best;) {
     const auto last =
         std::find_if(first, ranked.end(), [&](const auto& each) { return each.first != first->first; });
-    for (auto each = first; each != last && !(best && best->cost <= 0); ++each) {
+    for (auto each = first; each != last; ++each) {
       claim_within_binding(each->second, shape, cost, best);
     }
     // Unclaimed instances of one guarantee are interchangeable for a move: one of each is enough.
     std::set<int> tried;
-    for (auto each = first; each != last && !(best && best->cost <= 0); ++each) {
+    for (auto each = first; each != last; ++each) {
       if (!pinned(each->second) && tried.insert(instances_[each->second].guarantee.guarantee).second) {
         claim_moved(each->second, shape, cost, best);
       }
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -16,6 +16,15 @@
          left.job_classes == right.job_classes && left.budget == right.budget;
 }
 
+/// Adds the part of an hourly budget that the elapsed time earns. Five minutes' worth may be spent at once.
+void refill(double& tokens, int per_hour, double elapsed_seconds) {
+  constexpr double seconds_per_hour = 3600;
+  constexpr double burst_share = 1.0 / 12;
+  const double budget = per_hour;
+  const double burst = std::max(budget * burst_share, std::min(budget, 1.0));
+  tokens = std::min(tokens + budget * elapsed_seconds / seconds_per_hour, burst);
+}
+
 }  // namespace
 
 placement::placement(options opts) : engine_{std::make_unique<engine>(opts)} {}
@@ -295,15 +304,13 @@
   if (document_ == nullptr) {
     return;
   }
-  constexpr double seconds_per_hour = 3600;
-  constexpr double burst_share = 1.0 / 12;  // Five minutes' worth of preemptions may come at once.
-  const double per_hour = document_->budget.preemptions_per_hour;
-  preemption_tokens_ = std::min(preemption_tokens_ + per_hour * elapsed / seconds_per_hour,
-                                std::max(per_hour * burst_share, std::min(per_hour, 1.0)));
+  refill(preemption_tokens_, document_->budget.preemptions_per_hour, elapsed);
+  refill(migration_tokens_, document_->budget.migrations_per_hour, elapsed);
   settle_plan();
   pass();
   add_reservations();
   share_fairly();
+  migrate();
 }
 
 void placement::engine::feed_health(const worker_health_event& input) {
--- a/src/coordination/placement_engine.hpp
+++ b/src/coordination/placement_engine.hpp
@@ -169,6 +169,16 @@
   [[nodiscard]] bool fair_victim(const job& victim, const job& claimant) const;
   [[nodiscard]] const reservation* reservation_of(const job& owner) const;
 
+  // Migration.
+  void migrate();
+  [[nodiscard]] std::vector<accelerator_shape> wanted_shapes() const;
+  /// Free accelerators that the wanted shapes can use, summed over the shapes.
+  [[nodiscard]] double usable_score() const;
+  /// The worker's jobs if all of them can move, otherwise none.
+  [[nodiscard]] std::vector<job*> movable_jobs(int worker) const;
+  /// The score after the jobs moved to other workers; nothing if they do not fit there.
+  [[nodiscard]] std::optional<double> score_without(int worker, const std::vector<job*>& moved);
+
   // Explanations.
   [[nodiscard]] std::string explain_guaranteed(const job& item) const;
   [[nodiscard]] std::string explain_preemptible(const job& item) const;
@@ -201,6 +211,8 @@
   bool space_changed_{false};
   bool plan_changed_{false};
   double preemption_tokens_{0};
+  double migration_tokens_{0};
+  int next_migration_worker_{0};
   instant last_tick_{};
   instant now_{};
   std::vector<action>* out_{nullptr};
--- a/src/coordination/placement_preemption.cpp
+++ b/src/coordination/placement_preemption.cpp
@@ -23,6 +23,15 @@
 /// Small costs that only break ties between places that need no preemption.
 constexpr double reserved_cost = 0.25;
 constexpr double held_cost = 0.5;
+/// Weight of whole workers in the rack and of open accelerators in the worker: far below any other cost, so
+/// that it only decides which free space is broken.
+constexpr double whole_worker_cost = 1e-3;
+constexpr double open_accelerator_cost = 1e-4;
+/// A job moves only after this run time, because most short jobs end soon anyway.
+constexpr duration shortest_run_before_migration{std::chrono::minutes{2}};
+/// Bounds the cost of a tick: candidates times racks.
+constexpr int migration_effort = 20'000;
+constexpr int most_migration_candidates = 64;
 /// Blocks priced when a preemptible job looks for victims: bounds the cost of a tick.
 constexpr int victim_evaluations = 1024;
 
@@ -59,7 +68,8 @@
   double cost = (reserved_[block.worker] & block.mask) != 0 ? reserved_cost : 0;
   cost += (tree_->held(block.worker) & block.mask) != 0 ? held_cost : 0;
   if ((tree_->used(block.worker) & block.mask) == 0) {
-    return cost;
+    return cost + whole_worker_cost * tree_->whole_groups(topology_->rack_of(block.worker)) +
+           open_accelerator_cost * std::popcount(tree_->open(block.worker));
   }
   for (const auto& task : tasks_on_[block.worker]) {
     cost += (task.mask & block.mask) != 0 ? victim_cost(*task.owner) : 0;
@@ -166,7 +176,8 @@
 }
 
 bool placement::engine::fair_victim(const job& victim, const job& claimant) const {
-  if (!victim.preemptible() || victim.stopping || victim.record.preemptions >= options_.preemption_limit) {
+  if (!victim.preemptible() || victim.stopping || !victim.record.spec.checkpointable ||
+      victim.record.preemptions >= options_.preemption_limit) {
     return false;
   }
   const duration run = now_ - victim.placed_at;
@@ -216,6 +227,93 @@
   }
 }
 
+double placement::engine::usable_score() const {
+  double score = 0;
+  for (const auto& shape : wanted_shapes()) {
+    score += tree_->usable_accelerators(shape);
+  }
+  // Concentrates whole workers in few racks, also where one move alone frees no space for a larger shape.
+  constexpr double concentration = 0.01;
+  for (int rack = 0; rack < topology_->racks(); ++rack) {
+    score += concentration * tree_->whole_groups(rack) * tree_->whole_groups(rack);
+  }
+  return score;
+}
+
+std::vector<placement::engine::job*> placement::engine::movable_jobs(int worker) const {
+  std::vector<job*> movable;
+  for (const auto& task : tasks_on_[worker]) {
+    auto& item = *task.owner;
+    const bool can_move = item.preemptible() && !item.stopping && item.record.spec.checkpointable &&
+                          item.shape().members == 1 && item.record.preemptions < options_.preemption_limit &&
+                          now_ - item.placed_at >= shortest_run_before_migration;
+    if (!can_move) {
+      return {};
+    }
+    movable.push_back(&item);
+  }
+  return movable;
+}
+
+std::optional<double> placement::engine::score_without(int worker, const std::vector<job*>& moved) {
+  for (const auto* item : moved) {
+    tree_->release(item->cells.front());
+  }
+  std::vector<cell_block> used;
+  for (const auto* item : moved) {
+    const auto cells = tree_->best_fit(item->shape(), [worker](int other) { return other == worker; });
+    if (cells) {
+      used.push_back(cells->front());
+      tree_->use(used.back());
+    }
+  }
+  std::optional<double> score;
+  if (used.size() == moved.size()) {
+    score = usable_score();
+  }
+  for (const auto& cell : used) {
+    tree_->release(cell);
+  }
+  for (const auto* item : moved) {
+    tree_->use(item->cells.front());
+  }
+  return score;
+}
+
+void placement::engine::migrate() {
+  if (migration_tokens_ < 1 || topology_->racks() == 0) {
+    return;
+  }
+  const int limit = std::clamp(migration_effort / topology_->racks(), 1, most_migration_candidates);
+  const double before = usable_score();
+  std::optional<double> best;
+  std::vector<job*> chosen;
+  int candidates = 0;
+  for (int step = 0; step < topology_->workers() && candidates < limit; ++step) {
+    next_migration_worker_ = (next_migration_worker_ + 1) % topology_->workers();
+    const int worker = next_migration_worker_;
+    if (tree_->lost(worker) || tree_->held(worker) != 0 || tasks_on_[worker].empty()) {
+      continue;
+    }
+    auto moved = movable_jobs(worker);
+    if (moved.empty() || static_cast<double>(moved.size()) > migration_tokens_) {
+      continue;
+    }
+    ++candidates;
+    const auto score = score_without(worker, moved);
+    const double accelerators = std::popcount(tree_->used(worker));
+    // A move must free more space for the wanted shapes than it stops for a moment.
+    if (score && *score - before > accelerators && (!best || *score > *best)) {
+      best = score;
+      chosen = std::move(moved);
+    }
+  }
+  for (auto* item : chosen) {
+    migration_tokens_ -= 1;
+    preempt(*item, preemption_cause::migration, "the job moves to leave larger space together");
+  }
+}
+
 std::string placement::engine::why_waiting(const job_id& id) const {
   const auto found = jobs_.find(id);
   if (found == jobs_.end() || found->second->at == phase::active) {
@@ -283,11 +381,7 @@
   return result;
 }
 
-double placement::engine::fragmentation() const {
-  if (tree_ == nullptr) {
-    return 0;
-  }
-  const int idle = free_accelerators();
+std::vector<accelerator_shape> placement::engine::wanted_shapes() const {
   std::vector<accelerator_shape> shapes;
   const auto add = [&](const accelerator_shape& shape) {
     if (std::find(shapes.begin(), shapes.end(), shape) == shapes.end()) {
@@ -300,14 +394,20 @@
   for (const auto& share : plan_->shares()) {
     add(share.shape);
   }
-  if (idle == 0 || shapes.empty()) {
+  return shapes;
+}
+
+double placement::engine::fragmentation() const {
+  const int idle = free_accelerators();
+  if (tree_ == nullptr || idle == 0) {
     return 0;
   }
+  const auto shapes = wanted_shapes();
   double unusable = 0;
   for (const auto& shape : shapes) {
     unusable += 1.0 - static_cast<double>(tree_->usable_accelerators(shape)) / idle;
   }
-  return unusable / static_cast<double>(shapes.size());
+  return shapes.empty() ? 0 : unusable / static_cast<double>(shapes.size());
 }
 
 int placement::engine::free_accelerators() const {
