Place by least loss for the wanted shapes and migrate gangs

Cause of the missed fragmentation target: whole workers were taken from the rack with the fewest of them, also where that destroyed the last space for a rack-wide shape. Best fit now counts what the guaranteed and waiting shapes can no longer use.

--- a/include/rhubarbpath/coordination/cell_tree.hpp
+++ b/include/rhubarbpath/coordination/cell_tree.hpp
@@ -77,8 +77,14 @@
   /// A lost worker has no open accelerators; its used and held masks are kept.
   void set_lost(int worker, bool lost);
 
-  /// Finds open space for all members of a shape, one block per member, and leaves large aligned groups
-  /// whole where it can. `avoid` excludes workers. Returns nothing when the shape does not fit.
+  /// Shapes that should stay possible: `best_fit` prefers space that they cannot use.
+  void set_wanted(std::vector<accelerator_shape> shapes) { wanted_ = std::move(shapes); }
+  /// Accelerators, summed over the wanted shapes, that these could no longer use if the open part of `cells`
+  /// were used.
+  [[nodiscard]] int loss(const std::vector<cell_block>& cells) const;
+
+  /// Finds open space for all members of a shape, one block per member, with the least `loss` and otherwise
+  /// with the smallest groups broken. `avoid` excludes workers. Returns nothing when the shape does not fit.
   [[nodiscard]] std::optional<std::vector<cell_block>> best_fit(
       const accelerator_shape& shape, const std::function<bool(int)>& avoid = nullptr) const;
 
@@ -87,6 +93,8 @@
 
  private:
   void update(int worker);
+  [[nodiscard]] std::vector<cell_block> cells_in_rack(const accelerator_shape& shape, int rack,
+                                                      const std::function<bool(int)>& avoid) const;
   [[nodiscard]] std::optional<std::vector<cell_block>> fit_worker(
       const accelerator_shape& shape, const std::function<bool(int)>& avoid) const;
   [[nodiscard]] std::optional<std::vector<cell_block>> fit_rack(const accelerator_shape& shape,
@@ -103,6 +111,7 @@
   std::vector<level_counts> worker_maximal_;  ///< Open aligned groups that are part of no larger one.
   std::vector<level_counts> rack_groups_;
   level_counts domain_groups_{};
+  std::vector<accelerator_shape> wanted_;
   int open_total_{0};
 };
 
@@ -113,6 +122,8 @@
   accelerator_shape shape;
   std::function<std::uint32_t(int)> mask_of;
   std::function<double(const cell_block&)> cost;
+  /// Added once per place, for what its blocks cost together; may be empty.
+  std::function<double(const std::vector<cell_block>&)> place_cost{};
   int first_rack{0};
   int max_evaluations{1024};
 };
--- a/include/rhubarbpath/coordination/guarantee_plan.hpp
+++ b/include/rhubarbpath/coordination/guarantee_plan.hpp
@@ -81,6 +81,10 @@
   };
   /// Cost of taking an aligned group for a claim, for example the work that would be preempted there.
   using block_cost = std::function<double(const cell_block&)>;
+  struct claim_cost {
+    block_cost block;
+    std::function<double(const std::vector<cell_block>&)> place;  ///< Added for all cells of the claim.
+  };
 
   explicit guarantee_plan(options opts);
 
@@ -93,7 +97,7 @@
   /// Finds the cheapest place for a guaranteed job of the team: an instance's binding, moved to other cells
   /// if that is cheaper. Changes nothing until `commit`.
   [[nodiscard]] std::optional<claim> find_claim(const team_id& team, const accelerator_shape& shape,
-                                                const block_cost& cost) const;
+                                                const claim_cost& cost) const;
   /// Takes a claim that `find_claim` returned; no other call may come between.
   void commit(const claim& taken);
   /// Claims the cells of a restored job for an instance of its team. Returns the instance, or nothing if no
@@ -114,9 +118,9 @@
   struct candidate;
   [[nodiscard]] bool covered(const instance& target) const;
   [[nodiscard]] bool pinned(int index) const { return instances_[index].claimed_accelerators() > 0; }
-  void claim_within_binding(int index, const accelerator_shape& shape, const block_cost& cost,
+  void claim_within_binding(int index, const accelerator_shape& shape, const claim_cost& cost,
                             std::optional<candidate>& best) const;
-  void claim_moved(int index, const accelerator_shape& shape, const block_cost& cost,
+  void claim_moved(int index, const accelerator_shape& shape, const claim_cost& cost,
                    std::optional<candidate>& best) const;
   [[nodiscard]] std::optional<std::vector<cell_block>> cover(int index, const std::vector<cell_block>& cells);
   void bind(int index, std::vector<cell_block> cells);
--- a/src/coordination/cell_tree.cpp
+++ b/src/coordination/cell_tree.cpp
@@ -89,8 +89,9 @@
 }
 
 /// Keeps the cheapest blocks for all members if there are enough and they cost less than `best`.
-void offer(const accelerator_shape& shape, std::vector<priced_block>& blocks,
+void offer(const cheapest_fit_request& request, std::vector<priced_block>& blocks,
            std::optional<cheapest_fit_result>& best) {
+  const auto& shape = request.shape;
   const auto members = static_cast<std::size_t>(shape.members);
   if (blocks.size() < members) {
     return;
@@ -107,10 +108,13 @@
   if (best && best->cost <= total) {
     return;
   }
-  best.emplace();
-  best->cost = total;
+  std::vector<cell_block> cells;
   for (std::size_t member = 0; member < members; ++member) {
-    best->cells.push_back(blocks[member].block);
+    cells.push_back(blocks[member].block);
+  }
+  total += request.place_cost ? request.place_cost(cells) : 0;
+  if (!best || total < best->cost) {
+    best = cheapest_fit_result{std::move(cells), total};
   }
 }
 
@@ -231,17 +235,69 @@
   return std::nullopt;
 }
 
+int cell_tree::loss(const std::vector<cell_block>& cells) const {
+  if (wanted_.empty()) {
+    return 0;
+  }
+  // The groups that disappear, per touched worker and rack. Gangs touch few of them.
+  std::vector<std::pair<int, std::uint32_t>> masks;
+  for (const auto& cell : cells) {
+    const auto same = [&](const auto& each) { return each.first == cell.worker; };
+    const auto found = std::find_if(masks.begin(), masks.end(), same);
+    if (found == masks.end()) {
+      masks.emplace_back(cell.worker, cell.mask);
+    } else {
+      found->second |= cell.mask;
+    }
+  }
+  int total = 0;
+  std::vector<std::pair<int, level_counts>> racks;
+  for (const auto& [worker, mask] : masks) {
+    const level_counts after = all_groups(maximal_groups(open_[worker] & ~mask));
+    const int rack = topology_->rack_of(worker);
+    auto found =
+        std::find_if(racks.begin(), racks.end(), [rack](const auto& each) { return each.first == rack; });
+    if (found == racks.end()) {
+      racks.emplace_back(rack, rack_groups_[rack]);
+      found = racks.end() - 1;
+    }
+    for (int level = 0; level < levels; ++level) {
+      found->second[level] += after[level] - worker_groups_[worker][level];
+    }
+    for (const auto& shape : wanted_) {
+      const int level = level_of(shape.accelerators_per_member);
+      if (shape.within == proximity::worker) {
+        const int copies = worker_groups_[worker][level] / shape.members - after[level] / shape.members;
+        total += copies * shape.accelerators();
+      }
+    }
+  }
+  for (const auto& [rack, after] : racks) {
+    for (const auto& shape : wanted_) {
+      const int level = level_of(shape.accelerators_per_member);
+      if (shape.within == proximity::rack) {
+        const int copies = rack_groups_[rack][level] / shape.members - after[level] / shape.members;
+        total += copies * shape.accelerators();
+      }
+    }
+  }
+  return total;
+}
+
 std::optional<std::vector<cell_block>> cell_tree::fit_worker(const accelerator_shape& shape,
                                                              const std::function<bool(int)>& avoid) const {
   const int level = level_of(shape.accelerators_per_member);
-  // Smallest group broken, then fewest open accelerators in the worker, then fewest whole workers in the
-  // rack: every criterion leaves larger cells whole for later gangs.
-  using score = std::tuple<int, int, int>;
-  std::optional<std::pair<score, int>> best;
+  // In each rack: smallest group broken, then fewest open accelerators. Among the racks: least loss, then the
+  // same order, then fewest whole workers.
+  using worker_score = std::pair<int, int>;
+  using score = std::tuple<int, worker_score, int>;
+  std::optional<score> best;
+  std::vector<cell_block> best_cells;
   for (int rack = 0; rack < topology_->racks(); ++rack) {
     if (rack_groups_[rack][level] < shape.members) {
       continue;
     }
+    std::optional<std::pair<worker_score, int>> best_here;
     for (const int worker : topology_->rack_workers(rack)) {
       if (worker_groups_[worker][level] < shape.members || (avoid && avoid(worker))) {
         continue;
@@ -250,59 +306,68 @@
       while (broken < levels - 1 && worker_maximal_[worker][broken] == 0) {
         ++broken;
       }
-      const score candidate{broken, std::popcount(open_[worker]), rack_groups_[rack][whole_worker_level]};
-      if (!best || candidate < best->first) {
-        best = {candidate, worker};
+      const worker_score candidate{broken, std::popcount(open_[worker])};
+      if (!best_here || candidate < best_here->first) {
+        best_here = {candidate, worker};
       }
     }
-  }
-  if (!best) {
-    return std::nullopt;
-  }
-  std::vector<cell_block> cells;
-  take_aligned(best->second, open_[best->second], shape.accelerators_per_member, shape.members, cells);
-  return cells;
-}
-
-std::optional<std::vector<cell_block>> cell_tree::fit_rack(const accelerator_shape& shape,
-                                                           const std::function<bool(int)>& avoid) const {
-  const int level = level_of(shape.accelerators_per_member);
-  const auto available = [&](int worker) {
-    return avoid && avoid(worker) ? 0 : worker_groups_[worker][level];
-  };
-  std::optional<std::pair<std::pair<int, int>, int>> best;
-  for (int rack = 0; rack < topology_->racks(); ++rack) {
-    int groups = rack_groups_[rack][level];
-    if (groups < shape.members) {
+    if (!best_here) {
       continue;
     }
-    if (avoid) {
-      const auto& workers = topology_->rack_workers(rack);
-      groups = std::accumulate(workers.begin(), workers.end(), 0,
-                               [&](int sum, int worker) { return sum + available(worker); });
+    const int worker = best_here->second;
+    std::vector<cell_block> cells;
+    take_aligned(worker, open_[worker], shape.accelerators_per_member, shape.members, cells);
+    const score candidate{loss(cells), best_here->first, rack_groups_[rack][whole_worker_level]};
+    if (!best || candidate < *best) {
+      best = candidate;
+      best_cells = std::move(cells);
     }
-    const std::pair candidate{rack_groups_[rack][whole_worker_level], groups};
-    if (groups >= shape.members && (!best || candidate < best->first)) {
-      best = {candidate, rack};
-    }
-  }
-  if (!best) {
-    return std::nullopt;
   }
-  auto workers = topology_->rack_workers(best->second);
+  return best ? std::optional{std::move(best_cells)} : std::nullopt;
+}
+
+std::vector<cell_block> cell_tree::cells_in_rack(const accelerator_shape& shape, int rack,
+                                                 const std::function<bool(int)>& avoid) const {
+  auto workers = topology_->rack_workers(rack);
   std::sort(workers.begin(), workers.end(), [&](int left, int right) {
     return std::pair{std::popcount(open_[left]), left} < std::pair{std::popcount(open_[right]), right};
   });
   std::vector<cell_block> cells;
   int missing = shape.members;
   for (const int worker : workers) {
-    if (missing > 0 && available(worker) > 0) {
+    if (missing > 0 && !(avoid && avoid(worker))) {
       missing -= take_aligned(worker, open_[worker], shape.accelerators_per_member, missing, cells);
     }
   }
+  if (missing > 0) {
+    cells.clear();
+  }
   return cells;
 }
 
+std::optional<std::vector<cell_block>> cell_tree::fit_rack(const accelerator_shape& shape,
+                                                           const std::function<bool(int)>& avoid) const {
+  const int level = level_of(shape.accelerators_per_member);
+  using score = std::tuple<int, int, int>;
+  std::optional<score> best;
+  std::vector<cell_block> best_cells;
+  for (int rack = 0; rack < topology_->racks(); ++rack) {
+    if (rack_groups_[rack][level] < shape.members) {
+      continue;
+    }
+    auto cells = cells_in_rack(shape, rack, avoid);
+    if (cells.empty()) {
+      continue;
+    }
+    const score candidate{loss(cells), rack_groups_[rack][whole_worker_level], rack_groups_[rack][level]};
+    if (!best || candidate < *best) {
+      best = candidate;
+      best_cells = std::move(cells);
+    }
+  }
+  return best ? std::optional{std::move(best_cells)} : std::nullopt;
+}
+
 std::optional<std::vector<cell_block>> cell_tree::fit_domain(const accelerator_shape& shape,
                                                              const std::function<bool(int)>& avoid) const {
   const int level = level_of(shape.accelerators_per_member);
@@ -358,12 +423,12 @@
       price_worker(request, worker, blocks);
       evaluations += 1 + static_cast<int>(blocks.size() - before);
       if (request.shape.within == proximity::worker) {
-        offer(request.shape, blocks, best);
+        offer(request, blocks, best);
         blocks.clear();
       }
     }
     if (request.shape.within == proximity::rack) {
-      offer(request.shape, blocks, best);
+      offer(request, blocks, best);
       blocks.clear();
     }
     const bool enough = best || blocks.size() >= static_cast<std::size_t>(request.shape.members);
@@ -372,7 +437,7 @@
     }
   }
   if (request.shape.within == proximity::failure_domain) {
-    offer(request.shape, blocks, best);
+    offer(request, blocks, best);
   }
   return best;
 }
@@ -384,7 +449,7 @@
     price_worker(request, worker, blocks);
   }
   std::optional<cheapest_fit_result> best;
-  offer(request.shape, blocks, best);
+  offer(request, blocks, best);
   return best;
 }
 
--- a/src/coordination/guarantee_plan.cpp
+++ b/src/coordination/guarantee_plan.cpp
@@ -337,7 +337,7 @@
 /// Picks the cheapest blocks for `shape` in the unclaimed parts of a binding.
 std::optional<cheapest_fit_result> pick_inside(const fleet_topology& topology, const accelerator_shape& shape,
                                                const std::map<int, std::uint32_t>& available,
-                                               const guarantee_plan::block_cost& cost) {
+                                               const guarantee_plan::claim_cost& cost) {
   // The binding's own racks are few; a copy of the search over the whole failure domain would be slow.
   std::optional<cheapest_fit_result> best;
   std::map<int, std::vector<int>> places;
@@ -348,8 +348,10 @@
     places[place].push_back(worker);
   }
   for (const auto& [place, workers] : places) {
-    auto found = cheapest_fit_in(
-        workers, {.shape = shape, .mask_of = [&](int worker) { return available.at(worker); }, .cost = cost});
+    auto found = cheapest_fit_in(workers, {.shape = shape,
+                                           .mask_of = [&](int worker) { return available.at(worker); },
+                                           .cost = cost.block,
+                                           .place_cost = cost.place});
     if (found && (!best || found->cost < best->cost)) {
       best = std::move(found);
     }
@@ -359,7 +361,7 @@
 
 }  // namespace
 
-void guarantee_plan::claim_within_binding(int index, const accelerator_shape& shape, const block_cost& cost,
+void guarantee_plan::claim_within_binding(int index, const accelerator_shape& shape, const claim_cost& cost,
                                           std::optional<candidate>& best) const {
   const auto& target = instances_[index];
   std::map<int, std::uint32_t> available;
@@ -379,7 +381,7 @@
   }
 }
 
-void guarantee_plan::claim_moved(int index, const accelerator_shape& shape, const block_cost& cost,
+void guarantee_plan::claim_moved(int index, const accelerator_shape& shape, const claim_cost& cost,
                                  std::optional<candidate>& best) const {
   const auto& target = instances_[index];
   next_rack_ = topology_->racks() == 0 ? 0 : (next_rack_ + 1) % topology_->racks();
@@ -395,7 +397,8 @@
       {.shape = target.shape,
        .mask_of =
            [&](int worker) { return unbound_.open(worker) | (unbound_.lost(worker) ? 0 : own(worker)); },
-       .cost = cost,
+       .cost = cost.block,
+       .place_cost = cost.place,
        .first_rack = next_rack_,
        .max_evaluations = claim_evaluations});
   if (!place) {
@@ -413,7 +416,7 @@
 
 std::optional<guarantee_plan::claim> guarantee_plan::find_claim(const team_id& team,
                                                                 const accelerator_shape& shape,
-                                                                const block_cost& cost) const {
+                                                                const claim_cost& cost) const {
   const auto found = by_team_.find(team);
   if (found == by_team_.end()) {
     return std::nullopt;
--- a/src/coordination/placement_preemption.cpp
+++ b/src/coordination/placement_preemption.cpp
@@ -25,8 +25,8 @@
 constexpr double held_cost = 0.5;
 /// Weight of whole workers in the rack and of open accelerators in the worker: far below any other cost, so
 /// that it only decides which free space is broken.
-constexpr double whole_worker_cost = 1e-3;
-constexpr double open_accelerator_cost = 1e-4;
+constexpr double whole_worker_cost = 1e-5;
+constexpr double open_accelerator_cost = 1e-6;
 /// A job moves only after this run time, because most short jobs end soon anyway.
 constexpr duration shortest_run_before_migration{std::chrono::minutes{2}};
 /// Bounds the cost of a tick: candidates times racks.
@@ -245,37 +245,47 @@
   for (const auto& task : tasks_on_[worker]) {
     auto& item = *task.owner;
     const bool can_move = item.preemptible() && !item.stopping && item.record.spec.checkpointable &&
-                          item.shape().members == 1 && item.record.preemptions < options_.preemption_limit &&
+                          item.record.preemptions < options_.preemption_limit &&
                           now_ - item.placed_at >= shortest_run_before_migration;
     if (!can_move) {
       return {};
     }
-    movable.push_back(&item);
+    if (std::find(movable.begin(), movable.end(), &item) == movable.end()) {
+      movable.push_back(&item);
+    }
   }
   return movable;
 }
 
 std::optional<double> placement::engine::score_without(int worker, const std::vector<job*>& moved) {
+  const auto change = [this](const std::vector<cell_block>& cells, bool use) {
+    for (const auto& cell : cells) {
+      if (use) {
+        tree_->use(cell);
+      } else {
+        tree_->release(cell);
+      }
+    }
+  };
   for (const auto* item : moved) {
-    tree_->release(item->cells.front());
+    change(item->cells, false);
   }
-  std::vector<cell_block> used;
+  std::vector<std::vector<cell_block>> found;
   for (const auto* item : moved) {
-    const auto cells = tree_->best_fit(item->shape(), [worker](int other) { return other == worker; });
-    if (cells) {
-      used.push_back(cells->front());
-      tree_->use(used.back());
+    if (auto cells = tree_->best_fit(item->shape(), [worker](int other) { return other == worker; })) {
+      change(*cells, true);
+      found.push_back(std::move(*cells));
     }
   }
   std::optional<double> score;
-  if (used.size() == moved.size()) {
+  if (found.size() == moved.size()) {
     score = usable_score();
   }
-  for (const auto& cell : used) {
-    tree_->release(cell);
+  for (const auto& cells : found) {
+    change(cells, false);
   }
   for (const auto* item : moved) {
-    tree_->use(item->cells.front());
+    change(item->cells, true);
   }
   return score;
 }
@@ -301,7 +311,10 @@
     }
     ++candidates;
     const auto score = score_without(worker, moved);
-    const double accelerators = std::popcount(tree_->used(worker));
+    double accelerators = 0;
+    for (const auto* item : moved) {
+      accelerators += item->shape().accelerators();
+    }
     // A move must free more space for the wanted shapes than it stops for a moment.
     if (score && *score - before > accelerators && (!best || *score > *best)) {
       best = score;
--- a/src/coordination/placement_queue.cpp
+++ b/src/coordination/placement_queue.cpp
@@ -10,6 +10,10 @@
 namespace rhubarbpath {
 namespace {
 
+/// Weight of space that other shapes lose: far below the cost of a preemption, so that it only decides which
+/// free space is taken.
+constexpr double loss_cost = 1e-4;
+
 constexpr duration day{std::chrono::hours{24}};
 
 /// A shape that fits nowhere rules out every shape that needs at least as much in the same place.
@@ -143,6 +147,7 @@
 void placement::engine::pass() {
   space_changed_ = false;
   blocked_.clear();
+  tree_->set_wanted(wanted_shapes());
   update_reservations();
   auto next = heads_.begin();
   while (next != heads_.end()) {
@@ -233,8 +238,10 @@
 }
 
 bool placement::engine::try_claim(job& item) {
-  auto claim = plan_->find_claim(item.record.spec.team, item.shape(),
-                                 [this](const cell_block& block) { return block_cost(block); });
+  auto claim = plan_->find_claim(
+      item.record.spec.team, item.shape(),
+      {.block = [this](const cell_block& block) { return block_cost(block); },
+       .place = [this](const std::vector<cell_block>& cells) { return loss_cost * tree_->loss(cells); }});
   if (!claim) {
     return false;
   }
