--- a/include/rhubarbpath/coordination/cell_tree.hpp
+++ b/include/rhubarbpath/coordination/cell_tree.hpp
@@ -93,6 +93,8 @@
 
  private:
   void update(int worker);
+  /// The rack's open groups of the sizes that wanted shapes need in one rack.
+  [[nodiscard]] level_counts wanted_groups(int rack) const;
   [[nodiscard]] std::vector<cell_block> cells_in_rack(const accelerator_shape& shape, int rack,
                                                       const std::function<bool(int)>& avoid) const;
   [[nodiscard]] std::optional<std::vector<cell_block>> fit_worker(
@@ -126,6 +128,8 @@
   std::function<double(const std::vector<cell_block>&)> place_cost{};
   int first_rack{0};
   int max_evaluations{1024};
+  /// Stop at `max_evaluations` even if nothing was found; otherwise only a found place ends the search.
+  bool give_up{false};
 };
 struct cheapest_fit_result {
   std::vector<cell_block> cells;
--- a/include/rhubarbpath/coordination/guarantee_plan.hpp
+++ b/include/rhubarbpath/coordination/guarantee_plan.hpp
@@ -2,12 +2,12 @@
 
 #include <absl/container/flat_hash_map.h>
 
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -22,7 +22,9 @@
   team_id team;
   int guarantee{0};
   friend bool operator==(const guarantee_ref&, const guarantee_ref&) = default;
-  friend auto operator<=>(const guarantee_ref&, const guarantee_ref&) = default;
+  friend bool operator<(const guarantee_ref& left, const guarantee_ref& right) {
+    return std::tie(left.team, left.guarantee) < std::tie(right.team, right.guarantee);
+  }
 };
 
 /// `count` instances of a guarantee that one failure domain must keep.
--- a/src/coordination/cell_tree.cpp
+++ b/src/coordination/cell_tree.cpp
@@ -284,6 +284,17 @@
   return total;
 }
 
+cell_tree::level_counts cell_tree::wanted_groups(int rack) const {
+  level_counts counts{};
+  for (const auto& shape : wanted_) {
+    const int level = level_of(shape.accelerators_per_member);
+    if (shape.within == proximity::rack) {
+      counts[level] = rack_groups_[rack][level];
+    }
+  }
+  return counts;
+}
+
 std::optional<std::vector<cell_block>> cell_tree::fit_worker(const accelerator_shape& shape,
                                                              const std::function<bool(int)>& avoid) const {
   const int level = level_of(shape.accelerators_per_member);
@@ -293,6 +304,7 @@
   using score = std::tuple<int, worker_score, int>;
   std::optional<score> best;
   std::vector<cell_block> best_cells;
+  absl::flat_hash_map<std::pair<std::uint32_t, level_counts>, int> losses;
   for (int rack = 0; rack < topology_->racks(); ++rack) {
     if (rack_groups_[rack][level] < shape.members) {
       continue;
@@ -315,9 +327,18 @@
       continue;
     }
     const int worker = best_here->second;
+    // The loss depends only on this key; large fleets have few different ones.
+    const auto key = std::pair{open_[worker], wanted_groups(rack)};
+    const auto known = losses.find(key);
+    const int lost = known == losses.end() ? -1 : known->second;
+    if (lost >= 0 && best && score{lost, best_here->first, rack_groups_[rack][whole_worker_level]} >= *best) {
+      continue;
+    }
     std::vector<cell_block> cells;
     take_aligned(worker, open_[worker], shape.accelerators_per_member, shape.members, cells);
-    const score candidate{loss(cells), best_here->first, rack_groups_[rack][whole_worker_level]};
+    const score candidate{lost >= 0 ? lost : loss(cells), best_here->first,
+                          rack_groups_[rack][whole_worker_level]};
+    losses.emplace(key, std::get<0>(candidate));
     if (!best || candidate < *best) {
       best = candidate;
       best_cells = std::move(cells);
@@ -351,15 +372,26 @@
   using score = std::tuple<int, int, int>;
   std::optional<score> best;
   std::vector<cell_block> best_cells;
+  absl::flat_hash_map<level_counts, int> losses;
   for (int rack = 0; rack < topology_->racks(); ++rack) {
     if (rack_groups_[rack][level] < shape.members) {
       continue;
     }
+    // Whole groups are all alike, so that their loss depends only on this key.
+    const auto key = wanted_groups(rack);
+    const auto known = level == whole_worker_level ? losses.find(key) : losses.end();
+    const int lost = known == losses.end() ? -1 : known->second;
+    const score expected{lost, rack_groups_[rack][whole_worker_level], rack_groups_[rack][level]};
+    if (lost >= 0 && best && expected >= *best) {
+      continue;
+    }
     auto cells = cells_in_rack(shape, rack, avoid);
     if (cells.empty()) {
       continue;
     }
-    const score candidate{loss(cells), rack_groups_[rack][whole_worker_level], rack_groups_[rack][level]};
+    const score candidate{lost >= 0 ? lost : loss(cells), rack_groups_[rack][whole_worker_level],
+                          rack_groups_[rack][level]};
+    losses.emplace(key, std::get<0>(candidate));
     if (!best || candidate < *best) {
       best = candidate;
       best_cells = std::move(cells);
@@ -432,7 +464,7 @@
       blocks.clear();
     }
     const bool enough = best || blocks.size() >= static_cast<std::size_t>(request.shape.members);
-    if (enough && evaluations >= request.max_evaluations) {
+    if (evaluations >= request.max_evaluations && (enough || request.give_up)) {
       break;
     }
   }
--- a/src/coordination/placement_engine.hpp
+++ b/src/coordination/placement_engine.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -64,7 +65,12 @@
     proximity within{proximity::worker};
     bool guaranteed{false};
     bool failed_before{false};  ///< These jobs avoid workers, so their search says nothing about others.
-    friend auto operator<=>(const group_key&, const group_key&) = default;
+    friend bool operator<(const group_key& left, const group_key& right) {
+      return left.tied() < right.tied();
+    }
+    [[nodiscard]] std::tuple<const team_id&, int, int, proximity, bool, bool> tied() const {
+      return {team, size, members, within, guaranteed, failed_before};
+    }
   };
   using queue_position = std::pair<instant, std::uint64_t>;
   struct group {
@@ -142,11 +148,11 @@
   bool try_claim(job& item);
   /// Grows whenever a claim of the team may succeed that failed before.
   [[nodiscard]] std::uint64_t claim_generation(const team_id& team) const;
-  void place(job& item, std::vector<cell_block> cells);
+  void place(job& item, const std::vector<cell_block>& cells);
   void occupy(job& item, const std::vector<cell_block>& cells);
   void vacate(job& item);
   void release_claim(job& item);
-  void hold(job& item, std::vector<cell_block> cells, preemption_cause cause);
+  void hold(job& item, const std::vector<cell_block>& cells, preemption_cause cause);
   void settle_hold(job& item);
   void abandon_hold(job& item);
   void drop_hold(job& item);
@@ -162,6 +168,7 @@
   [[nodiscard]] std::uint32_t lendable(int worker) const;
   void update_reservations();
   void add_reservations();
+  [[nodiscard]] int next_search_rack();
   void drop_reservation(const job& owner);
   void drop_overlapping_reservations(const std::vector<cell_block>& cells);
   bool fire(const reservation& due);
@@ -213,6 +220,7 @@
   double preemption_tokens_{0};
   double migration_tokens_{0};
   int next_migration_worker_{0};
+  int search_rack_{0};
   instant last_tick_{};
   instant now_{};
   std::vector<action>* out_{nullptr};
--- a/src/coordination/placement_preemption.cpp
+++ b/src/coordination/placement_preemption.cpp
@@ -107,16 +107,24 @@
 
 bool placement::engine::fire(const reservation& due) {
   auto& owner = *due.owner;
-  auto cells = due.cells;
+  const auto cells = due.cells;
   dequeue(owner);
   if (occupants(cells).empty()) {
-    place(owner, std::move(cells));
+    place(owner, cells);
   } else {
-    hold(owner, std::move(cells), preemption_cause::reservation);
+    hold(owner, cells, preemption_cause::reservation);
   }
   return true;
 }
 
+int placement::engine::next_search_rack() {
+  // Searches of one tick look at a part of a large fleet; the next ones continue elsewhere.
+  constexpr int racks_per_search = 64;
+  search_rack_ =
+      topology_->racks() <= racks_per_search ? 0 : (search_rack_ + racks_per_search) % topology_->racks();
+  return search_rack_;
+}
+
 void placement::engine::add_reservations() {
   std::vector<job*> candidates;
   for (const auto& [position, target] : heads_) {
@@ -134,8 +142,9 @@
         cheapest_fit(*topology_, {.shape = item->shape(),
                                   .mask_of = [this](int worker) { return lendable(worker); },
                                   .cost = [this](const cell_block& block) { return block_cost(block); },
-                                  .first_rack = 0,
-                                  .max_evaluations = victim_evaluations});
+                                  .first_rack = next_search_rack(),
+                                  .max_evaluations = victim_evaluations,
+                                  .give_up = true});
     if (!place_found) {
       continue;
     }
@@ -202,19 +211,24 @@
     const auto cost = [&](const cell_block& block) {
       double sum = 0;
       for (const auto& task : tasks_on_[block.worker]) {
-        if ((task.mask & block.mask) != 0) {
-          sum += fair_victim(*task.owner, *item) ? victim_cost(*task.owner) : infinite;
+        if ((task.mask & block.mask) == 0) {
+          continue;
+        }
+        if (!fair_victim(*task.owner, *item)) {
+          return infinite;
         }
+        sum += victim_cost(*task.owner);
       }
       return sum;
     };
     auto found = cheapest_fit(*topology_, {.shape = item->shape(),
                                            .mask_of = [this](int worker) { return lendable(worker); },
                                            .cost = cost,
-                                           .first_rack = 0,
-                                           .max_evaluations = victim_evaluations});
+                                           .first_rack = next_search_rack(),
+                                           .max_evaluations = victim_evaluations,
+                                           .give_up = true});
     // Space without victims is left to the ordinary pass, which knows the workers to avoid.
-    const auto victims = found ? static_cast<double>(occupants(found->cells).size()) : 0;
+    const auto victims = found ? static_cast<double>(occupants(found->cells).size()) : 0.0;
     if (victims == 0) {
       continue;
     }
@@ -223,7 +237,7 @@
     }
     preemption_tokens_ -= victims;
     dequeue(*item);
-    hold(*item, std::move(found->cells), preemption_cause::fair_share);
+    hold(*item, found->cells, preemption_cause::fair_share);
   }
 }
 
--- a/src/coordination/placement_queue.cpp
+++ b/src/coordination/placement_queue.cpp
@@ -213,7 +213,7 @@
     return false;
   }
   dequeue(item);
-  place(item, std::move(*cells));
+  place(item, *cells);
   return true;
 }
 
@@ -230,7 +230,7 @@
     if (take_aligned(*worker, topology_->capacity(*worker), item.shape().accelerators_per_member, 1, cells) ==
         1) {
       dequeue(item);
-      place(item, std::move(cells));
+      place(item, cells);
       return true;
     }
   }
@@ -260,13 +260,13 @@
   }
   drop_overlapping_reservations(claim->cells);
   plan_->commit(*claim);
-  auto cells = claim->cells;
+  const auto cells = claim->cells;
   item.claim = std::move(*claim);
   set_pinned(item, true);
   if (occupants(cells).empty()) {
-    place(item, std::move(cells));
+    place(item, cells);
   } else {
-    hold(item, std::move(cells), preemption_cause::guarantee);
+    hold(item, cells, preemption_cause::guarantee);
   }
   return true;
 }
@@ -281,7 +281,7 @@
   }
 }
 
-void placement::engine::place(job& item, std::vector<cell_block> cells) {
+void placement::engine::place(job& item, const std::vector<cell_block>& cells) {
   item.record.attempt = item.record.attempt.next();
   item.record.state = job_state::starting;
   item.record.placement.clear();
@@ -358,9 +358,9 @@
   return found;
 }
 
-void placement::engine::hold(job& item, std::vector<cell_block> cells, preemption_cause cause) {
+void placement::engine::hold(job& item, const std::vector<cell_block>& cells, preemption_cause cause) {
   item.at = phase::holding;
-  item.cells = std::move(cells);
+  item.cells = cells;
   ++waiting_;
   ++teams_.at(item.record.spec.team).waiting;
   for (const auto& cell : item.cells) {
@@ -396,9 +396,9 @@
   if (!free) {
     return;
   }
-  auto cells = item.cells;
+  const auto cells = item.cells;
   drop_hold(item);
-  place(item, std::move(cells));
+  place(item, cells);
 }
 
 void placement::engine::abandon_hold(job& item) {
--- a/tests/coordination/placement_machine.hpp
+++ b/tests/coordination/placement_machine.hpp
@@ -2,6 +2,7 @@
 
 #include <bit>
 #include <cstdint>
+#include <ctime>
 #include <functional>
 #include <map>
 #include <memory>
