--- a/include/rhubarbpath/coordination/cell_tree.hpp
+++ b/include/rhubarbpath/coordination/cell_tree.hpp
@@ -64,6 +64,8 @@
   [[nodiscard]] std::uint32_t used(int worker) const { return used_[worker]; }
   [[nodiscard]] std::uint32_t held(int worker) const { return held_[worker]; }
   [[nodiscard]] bool lost(int worker) const { return lost_[worker] != 0; }
+  /// Workers of the rack whose accelerators are all open, counted in groups of 8.
+  [[nodiscard]] int whole_groups(int rack) const { return rack_groups_[rack][levels - 1]; }
   /// Open accelerators of the whole failure domain.
   [[nodiscard]] int open_accelerators() const noexcept { return open_total_; }
 
@@ -75,8 +77,14 @@
   /// A lost worker has no open accelerators; its used and held masks are kept.
   void set_lost(int worker, bool lost);
 
-  /// Finds open space for all members of a shape, one block per member, and leaves large aligned groups
-  /// whole where it can. `avoid` excludes workers. Returns nothing when the shape does not fit.
+  /// Shapes that should stay possible: `best_fit` prefers space that they cannot use.
+  void set_wanted(std::vector<accelerator_shape> shapes) { wanted_ = std::move(shapes); }
+  /// Accelerators, summed over the wanted shapes, that these could no longer use if the open part of `cells`
+  /// were used.
+  [[nodiscard]] int loss(const std::vector<cell_block>& cells) const;
+
+  /// Finds open space for all members of a shape, one block per member, with the least `loss` and otherwise
+  /// with the smallest groups broken. `avoid` excludes workers. Returns nothing when the shape does not fit.
   [[nodiscard]] std::optional<std::vector<cell_block>> best_fit(
       const accelerator_shape& shape, const std::function<bool(int)>& avoid = nullptr) const;
 
@@ -85,6 +93,10 @@
 
  private:
   void update(int worker);
+  /// The rack's open groups of the sizes that wanted shapes need in one rack.
+  [[nodiscard]] level_counts wanted_groups(int rack) const;
+  [[nodiscard]] std::vector<cell_block> cells_in_rack(const accelerator_shape& shape, int rack,
+                                                      const std::function<bool(int)>& avoid) const;
   [[nodiscard]] std::optional<std::vector<cell_block>> fit_worker(
       const accelerator_shape& shape, const std::function<bool(int)>& avoid) const;
   [[nodiscard]] std::optional<std::vector<cell_block>> fit_rack(const accelerator_shape& shape,
@@ -101,18 +113,23 @@
   std::vector<level_counts> worker_maximal_;  ///< Open aligned groups that are part of no larger one.
   std::vector<level_counts> rack_groups_;
   level_counts domain_groups_{};
+  std::vector<accelerator_shape> wanted_;
   int open_total_{0};
 };
 
 /// Finds space for all members of a shape inside the masks that `mask_of` returns per worker, at the lowest
 /// sum of `cost` over the blocks. A block of infinite cost is not used. Looks at about `max_evaluations`
-/// blocks from the rack `first_rack` on, and stops at the first place that costs nothing.
+/// blocks from the rack `first_rack` on.
 struct cheapest_fit_request {
   accelerator_shape shape;
   std::function<std::uint32_t(int)> mask_of;
   std::function<double(const cell_block&)> cost;
+  /// Added once per place, for what its blocks cost together; may be empty.
+  std::function<double(const std::vector<cell_block>&)> place_cost{};
   int first_rack{0};
   int max_evaluations{1024};
+  /// Stop at `max_evaluations` even if nothing was found; otherwise only a found place ends the search.
+  bool give_up{false};
 };
 struct cheapest_fit_result {
   std::vector<cell_block> cells;
--- a/src/coordination/placement_preemption.cpp
+++ b/src/coordination/placement_preemption.cpp
@@ -23,6 +23,15 @@
 /// Small costs that only break ties between places that need no preemption.
 constexpr double reserved_cost = 0.25;
 constexpr double held_cost = 0.5;
+/// Weight of whole workers in the rack and of open accelerators in the worker: far below any other cost, so
+/// that it only decides which free space is broken.
+constexpr double whole_worker_cost = 1e-5;
+constexpr double open_accelerator_cost = 1e-6;
+/// A job moves only after this run time, because most short jobs end soon anyway.
+constexpr duration shortest_run_before_migration{std::chrono::minutes{2}};
+/// Bounds the cost of a tick: candidates times racks.
+constexpr int migration_effort = 20'000;
+constexpr int most_migration_candidates = 64;
 /// Blocks priced when a preemptible job looks for victims: bounds the cost of a tick.
 constexpr int victim_evaluations = 1024;
 
@@ -59,7 +68,8 @@
   double cost = (reserved_[block.worker] & block.mask) != 0 ? reserved_cost : 0;
   cost += (tree_->held(block.worker) & block.mask) != 0 ? held_cost : 0;
   if ((tree_->used(block.worker) & block.mask) == 0) {
-    return cost;
+    return cost + whole_worker_cost * tree_->whole_groups(topology_->rack_of(block.worker)) +
+           open_accelerator_cost * std::popcount(tree_->open(block.worker));
   }
   for (const auto& task : tasks_on_[block.worker]) {
     cost += (task.mask & block.mask) != 0 ? victim_cost(*task.owner) : 0;
@@ -97,16 +107,24 @@
 
 bool placement::engine::fire(const reservation& due) {
   auto& owner = *due.owner;
-  auto cells = due.cells;
+  const auto cells = due.cells;
   dequeue(owner);
   if (occupants(cells).empty()) {
-    place(owner, std::move(cells));
+    place(owner, cells);
   } else {
-    hold(owner, std::move(cells), preemption_cause::reservation);
+    hold(owner, cells, preemption_cause::reservation);
   }
   return true;
 }
 
+int placement::engine::next_search_rack() {
+  // Searches of one tick look at a part of a large fleet; the next ones continue elsewhere.
+  constexpr int racks_per_search = 64;
+  search_rack_ =
+      topology_->racks() <= racks_per_search ? 0 : (search_rack_ + racks_per_search) % topology_->racks();
+  return search_rack_;
+}
+
 void placement::engine::add_reservations() {
   std::vector<job*> candidates;
   for (const auto& [position, target] : heads_) {
@@ -124,8 +142,9 @@
         cheapest_fit(*topology_, {.shape = item->shape(),
                                   .mask_of = [this](int worker) { return lendable(worker); },
                                   .cost = [this](const cell_block& block) { return block_cost(block); },
-                                  .first_rack = 0,
-                                  .max_evaluations = victim_evaluations});
+                                  .first_rack = next_search_rack(),
+                                  .max_evaluations = victim_evaluations,
+                                  .give_up = true});
     if (!place_found) {
       continue;
     }
@@ -166,7 +185,8 @@
 }
 
 bool placement::engine::fair_victim(const job& victim, const job& claimant) const {
-  if (!victim.preemptible() || victim.stopping || victim.record.preemptions >= options_.preemption_limit) {
+  if (!victim.preemptible() || victim.stopping || !victim.record.spec.checkpointable ||
+      victim.record.preemptions >= options_.preemption_limit) {
     return false;
   }
   const duration run = now_ - victim.placed_at;
@@ -191,19 +211,24 @@
     const auto cost = [&](const cell_block& block) {
       double sum = 0;
       for (const auto& task : tasks_on_[block.worker]) {
-        if ((task.mask & block.mask) != 0) {
-          sum += fair_victim(*task.owner, *item) ? victim_cost(*task.owner) : infinite;
+        if ((task.mask & block.mask) == 0) {
+          continue;
+        }
+        if (!fair_victim(*task.owner, *item)) {
+          return infinite;
         }
+        sum += victim_cost(*task.owner);
       }
       return sum;
     };
     auto found = cheapest_fit(*topology_, {.shape = item->shape(),
                                            .mask_of = [this](int worker) { return lendable(worker); },
                                            .cost = cost,
-                                           .first_rack = 0,
-                                           .max_evaluations = victim_evaluations});
+                                           .first_rack = next_search_rack(),
+                                           .max_evaluations = victim_evaluations,
+                                           .give_up = true});
     // Space without victims is left to the ordinary pass, which knows the workers to avoid.
-    const auto victims = found ? static_cast<double>(occupants(found->cells).size()) : 0;
+    const auto victims = found ? static_cast<double>(occupants(found->cells).size()) : 0.0;
     if (victims == 0) {
       continue;
     }
@@ -212,7 +237,107 @@
     }
     preemption_tokens_ -= victims;
     dequeue(*item);
-    hold(*item, std::move(found->cells), preemption_cause::fair_share);
+    hold(*item, found->cells, preemption_cause::fair_share);
+  }
+}
+
+double placement::engine::usable_score() const {
+  double score = 0;
+  for (const auto& shape : wanted_shapes()) {
+    score += tree_->usable_accelerators(shape);
+  }
+  // Concentrates whole workers in few racks, also where one move alone frees no space for a larger shape.
+  constexpr double concentration = 0.01;
+  for (int rack = 0; rack < topology_->racks(); ++rack) {
+    score += concentration * tree_->whole_groups(rack) * tree_->whole_groups(rack);
+  }
+  return score;
+}
+
+std::vector<placement::engine::job*> placement::engine::movable_jobs(int worker) const {
+  std::vector<job*> movable;
+  for (const auto& task : tasks_on_[worker]) {
+    auto& item = *task.owner;
+    const bool can_move = item.preemptible() && !item.stopping && item.record.spec.checkpointable &&
+                          item.record.preemptions < options_.preemption_limit &&
+                          now_ - item.placed_at >= shortest_run_before_migration;
+    if (!can_move) {
+      return {};
+    }
+    if (std::find(movable.begin(), movable.end(), &item) == movable.end()) {
+      movable.push_back(&item);
+    }
+  }
+  return movable;
+}
+
+std::optional<double> placement::engine::score_without(int worker, const std::vector<job*>& moved) {
+  const auto change = [this](const std::vector<cell_block>& cells, bool use) {
+    for (const auto& cell : cells) {
+      if (use) {
+        tree_->use(cell);
+      } else {
+        tree_->release(cell);
+      }
+    }
+  };
+  for (const auto* item : moved) {
+    change(item->cells, false);
+  }
+  std::vector<std::vector<cell_block>> found;
+  for (const auto* item : moved) {
+    if (auto cells = tree_->best_fit(item->shape(), [worker](int other) { return other == worker; })) {
+      change(*cells, true);
+      found.push_back(std::move(*cells));
+    }
+  }
+  std::optional<double> score;
+  if (found.size() == moved.size()) {
+    score = usable_score();
+  }
+  for (const auto& cells : found) {
+    change(cells, false);
+  }
+  for (const auto* item : moved) {
+    change(item->cells, true);
+  }
+  return score;
+}
+
+void placement::engine::migrate() {
+  if (migration_tokens_ < 1 || topology_->racks() == 0) {
+    return;
+  }
+  const int limit = std::clamp(migration_effort / topology_->racks(), 1, most_migration_candidates);
+  const double before = usable_score();
+  std::optional<double> best;
+  std::vector<job*> chosen;
+  int candidates = 0;
+  for (int step = 0; step < topology_->workers() && candidates < limit; ++step) {
+    next_migration_worker_ = (next_migration_worker_ + 1) % topology_->workers();
+    const int worker = next_migration_worker_;
+    if (tree_->lost(worker) || tree_->held(worker) != 0 || tasks_on_[worker].empty()) {
+      continue;
+    }
+    auto moved = movable_jobs(worker);
+    if (moved.empty() || static_cast<double>(moved.size()) > migration_tokens_) {
+      continue;
+    }
+    ++candidates;
+    const auto score = score_without(worker, moved);
+    double accelerators = 0;
+    for (const auto* item : moved) {
+      accelerators += item->shape().accelerators();
+    }
+    // A move must free more space for the wanted shapes than it stops for a moment.
+    if (score && *score - before > accelerators && (!best || *score > *best)) {
+      best = score;
+      chosen = std::move(moved);
+    }
+  }
+  for (auto* item : chosen) {
+    migration_tokens_ -= 1;
+    preempt(*item, preemption_cause::migration, "the job moves to leave larger space together");
   }
 }
 
@@ -283,11 +408,7 @@
   return result;
 }
 
-double placement::engine::fragmentation() const {
-  if (tree_ == nullptr) {
-    return 0;
-  }
-  const int idle = free_accelerators();
+std::vector<accelerator_shape> placement::engine::wanted_shapes() const {
   std::vector<accelerator_shape> shapes;
   const auto add = [&](const accelerator_shape& shape) {
     if (std::find(shapes.begin(), shapes.end(), shape) == shapes.end()) {
@@ -300,14 +421,20 @@
   for (const auto& share : plan_->shares()) {
     add(share.shape);
   }
-  if (idle == 0 || shapes.empty()) {
+  return shapes;
+}
+
+double placement::engine::fragmentation() const {
+  const int idle = free_accelerators();
+  if (tree_ == nullptr || idle == 0) {
     return 0;
   }
+  const auto shapes = wanted_shapes();
   double unusable = 0;
   for (const auto& shape : shapes) {
     unusable += 1.0 - static_cast<double>(tree_->usable_accelerators(shape)) / idle;
   }
-  return unusable / static_cast<double>(shapes.size());
+  return shapes.empty() ? 0 : unusable / static_cast<double>(shapes.size());
 }
 
 int placement::engine::free_accelerators() const {
--- a/src/coordination/placement_queue.cpp
+++ b/src/coordination/placement_queue.cpp
@@ -10,6 +10,10 @@
 namespace rhubarbpath {
 namespace {
 
+/// Weight of space that other shapes lose: far below the cost of a preemption, so that it only decides which
+/// free space is taken.
+constexpr double loss_cost = 1e-4;
+
 constexpr duration day{std::chrono::hours{24}};
 
 /// A shape that fits nowhere rules out every shape that needs at least as much in the same place.
@@ -143,6 +147,7 @@
 void placement::engine::pass() {
   space_changed_ = false;
   blocked_.clear();
+  tree_->set_wanted(wanted_shapes());
   update_reservations();
   auto next = heads_.begin();
   while (next != heads_.end()) {
@@ -208,7 +213,7 @@
     return false;
   }
   dequeue(item);
-  place(item, std::move(*cells));
+  place(item, *cells);
   return true;
 }
 
@@ -225,7 +230,7 @@
     if (take_aligned(*worker, topology_->capacity(*worker), item.shape().accelerators_per_member, 1, cells) ==
         1) {
       dequeue(item);
-      place(item, std::move(cells));
+      place(item, cells);
       return true;
     }
   }
@@ -233,8 +238,10 @@
 }
 
 bool placement::engine::try_claim(job& item) {
-  auto claim = plan_->find_claim(item.record.spec.team, item.shape(),
-                                 [this](const cell_block& block) { return block_cost(block); });
+  auto claim = plan_->find_claim(
+      item.record.spec.team, item.shape(),
+      {.block = [this](const cell_block& block) { return block_cost(block); },
+       .place = [this](const std::vector<cell_block>& cells) { return loss_cost * tree_->loss(cells); }});
   if (!claim) {
     return false;
   }
@@ -253,13 +260,13 @@
   }
   drop_overlapping_reservations(claim->cells);
   plan_->commit(*claim);
-  auto cells = claim->cells;
+  const auto cells = claim->cells;
   item.claim = std::move(*claim);
   set_pinned(item, true);
   if (occupants(cells).empty()) {
-    place(item, std::move(cells));
+    place(item, cells);
   } else {
-    hold(item, std::move(cells), preemption_cause::guarantee);
+    hold(item, cells, preemption_cause::guarantee);
   }
   return true;
 }
@@ -274,7 +281,7 @@
   }
 }
 
-void placement::engine::place(job& item, std::vector<cell_block> cells) {
+void placement::engine::place(job& item, const std::vector<cell_block>& cells) {
   item.record.attempt = item.record.attempt.next();
   item.record.state = job_state::starting;
   item.record.placement.clear();
@@ -351,9 +358,9 @@
   return found;
 }
 
-void placement::engine::hold(job& item, std::vector<cell_block> cells, preemption_cause cause) {
+void placement::engine::hold(job& item, const std::vector<cell_block>& cells, preemption_cause cause) {
   item.at = phase::holding;
-  item.cells = std::move(cells);
+  item.cells = cells;
   ++waiting_;
   ++teams_.at(item.record.spec.team).waiting;
   for (const auto& cell : item.cells) {
@@ -389,9 +396,9 @@
   if (!free) {
     return;
   }
-  auto cells = item.cells;
+  const auto cells = item.cells;
   drop_hold(item);
-  place(item, std::move(cells));
+  place(item, cells);
 }
 
 void placement::engine::abandon_hold(job& item) {
