Read job answers that know only the job's id

Cause: when the answer to a claim write is lost, an entry VM knows the id of the job and nothing else. The record was encoded with an empty specification, which the decoder rejected, so rhubarbctl reported an answer without a verdict.

Ruled out: loosening the checks of the specification, because the same reader checks submissions.

Before: decoding {verdict: may_have_run, job: {id}} failed.

Conclusion: the caller gets the verdict, the id and the wait.

--- a/include/rhubarbpath/protocol/api_json.hpp
+++ b/include/rhubarbpath/protocol/api_json.hpp
@@ -50,6 +50,7 @@
 [[nodiscard]] std::string encode_job_answer(const job_answer& answer);
 [[nodiscard]] absl::StatusOr<job_answer> decode_job_answer(std::string_view body);
 
+/// The member spec is left out while only the job's id is known.
 [[nodiscard]] std::string encode_job_record(const job_record& record);
 [[nodiscard]] absl::StatusOr<job_record> decode_job_record(std::string_view body);
 
--- a/src/programs/rhubarbctl/job_commands.cpp
+++ b/src/programs/rhubarbctl/job_commands.cpp
@@ -90,6 +90,9 @@
 }
 
 std::string describe_job(const job_record& job) {
+  if (job.spec.team.empty()) {
+    return fmt::format("job {}\n", job.id.value());
+  }
   auto text = fmt::format("job {}: {}{}{}\n", job.id.value(), to_string(job.state),
                           job.reason.empty() ? "" : ", ", job.reason);
   text +=
@@ -336,6 +339,9 @@
 namespace {
 
 std::string explain(const job_record& job) {
+  if (job.spec.team.empty()) {
+    return fmt::format("Only the id of job {} is known now.\n", job.id.value());
+  }
   constexpr std::array<std::string_view, 8> sentences{
       "waits",    "is being started",         "runs",          "is being stopped",
       "finished", "failed and ends for good", "was cancelled", "was refused"};
--- a/src/protocol/api_json.cpp
+++ b/src/protocol/api_json.cpp
@@ -151,16 +151,19 @@
   for (const auto& member : record.placement) {
     placement.push_back(placement_to_json(member));
   }
-  return {{"id", record.id.value()},
-          {"state", to_string(record.state)},
-          {"reason", record.reason},
-          {"attempt", record.attempt.value()},
-          {"preemptions", record.preemptions},
-          {"failures", record.failures},
-          {"accepted_at_ms", to_ms(record.accepted_at.time_since_epoch())},
-          {"attained_service_ms", to_ms(record.attained_service)},
-          {"placement", std::move(placement)},
-          {"spec", spec_to_json(record.spec)}};
+  json value{{"id", record.id.value()},
+             {"state", to_string(record.state)},
+             {"reason", record.reason},
+             {"attempt", record.attempt.value()},
+             {"preemptions", record.preemptions},
+             {"failures", record.failures},
+             {"accepted_at_ms", to_ms(record.accepted_at.time_since_epoch())},
+             {"attained_service_ms", to_ms(record.attained_service)},
+             {"placement", std::move(placement)}};
+  if (record.spec != job_spec{}) {
+    value["spec"] = spec_to_json(record.spec);
+  }
+  return value;
 }
 
 absl::StatusOr<job_record> record_from_json(const json& value) {
@@ -177,14 +180,16 @@
   for (const auto& member : fields.array("placement")) {
     record.placement.push_back(read_placement(member, fields));
   }
-  json_fields spec{fields.object("spec"), "job.spec"};
-  record.spec = read_spec(spec);
+  if (fields.ok() && fields.has("spec")) {
+    json_fields spec{fields.object("spec"), "job.spec"};
+    record.spec = read_spec(spec);
+    if (!spec.ok()) {
+      return spec.status();
+    }
+  }
   if (!fields.ok()) {
     return fields.status();
   }
-  if (!spec.ok()) {
-    return spec.status();
-  }
   return record;
 }
 
--- a/tests/integration/rhubarbctl_test.cpp
+++ b/tests/integration/rhubarbctl_test.cpp
@@ -329,6 +329,14 @@
       run("submit --entry-timeout 200ms --key k-1 --entry " + at_port(entry_port) + submission);
   CHECK(silent.code == 6);
   CHECK(silent.object["key"] == "k-1");
+  entry_handler = [&](const http_request&, const http_responder& reply) {
+    const job_answer unsettled{{verdict::may_have_run, "not yet accepted", 1s},
+                               job_record{.id = job_id{"j-1"}}};
+    reply.send({.status = 504, .headers = {}, .body = encode_job_answer(unsettled)});
+  };
+  const auto unsettled = run("submit --wait 1s --entry " + at_port(entry_port) + submission);
+  CHECK(unsettled.code == 6);
+  CHECK(unsettled.object["job"]["id"] == "j-1");
   CHECK(run("submit --entry " + at_port(entry_port) + replaced(submission, "rs 8", "rs 3")).code == 2);
 }
 
--- a/tests/protocol/api_json_test.cpp
+++ b/tests/protocol/api_json_test.cpp
@@ -117,6 +117,8 @@
   const job_answer unknown{{verdict::may_have_run, "not yet accepted", std::nullopt}, std::nullopt};
   CHECK(*decode_job_answer(encode_job_answer(unknown)) == unknown);
   CHECK(*decode_job_record(encode_job_record(sample_record())) == sample_record());
+  const job_answer id_only{{verdict::may_have_run, "not yet accepted", 1s}, job_record{.id = job_id{"j-1"}}};
+  CHECK(*decode_job_answer(encode_job_answer(id_only)) == id_only);
   CHECK(encode_outcome({verdict::ran, "", std::nullopt}) == R"({"verdict":"ran","reason":""})");
   CHECK(*decode_outcome(encode_outcome(answer.result)) == answer.result);
   CHECK_FALSE(decode_outcome(R"({"verdict":"maybe","reason":""})").ok());
