Free connections in rhubarbctl and its test; time the first progress line

Cause: the sanitizer build reported leaks. The HTTP client frees a closed connection from a posted callback, which did not run because the tool stopped its loop first; the test destroyed its server with requests still open. The first progress line depended on two clock readings being equal.

Ruled out: turning the leak check off.

Conclusion: a callback that is posted and never run leaks in event_loop as it is; other programs that stop their loop in a callback have the same risk.

--- a/src/programs/rhubarbctl/http_caller.cpp
+++ b/src/programs/rhubarbctl/http_caller.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <chrono>
 #include <cstdio>
 #include <random>
 #include <utility>
@@ -22,7 +23,7 @@
 
 }  // namespace
 
-http_caller::http_caller() : random_{random_seed()}, started_{loop_.now()}, reported_{loop_.now()} {}
+http_caller::http_caller() : random_{random_seed()}, started_{loop_.now()} {}
 
 http_result http_caller::call(const std::string& address, const http_request& request, duration timeout,
                               const std::string& waiting_for) {
@@ -30,7 +31,8 @@
   const auto progress = loop_.run_every(check_period, [&] { report_progress(waiting_for); });
   client_.call(address, request, timeout, [&](http_result got) {
     result = std::move(got);
-    loop_.stop();
+    // Behind the client's own callbacks, which free a connection that cannot be used again.
+    loop_.post([&] { loop_.stop(); });
   });
   loop_.run();
   return result;
@@ -43,8 +45,8 @@
 
 void http_caller::report_progress(const std::string& waiting_for) {
   const auto now = loop_.now();
-  const bool first = reported_ == started_;
-  if (now - reported_ < (first ? first_report : report_period)) {
+  const auto next = reported_ ? *reported_ + report_period : started_ + first_report;
+  if (now < next) {
     return;
   }
   reported_ = now;
--- a/src/programs/rhubarbctl/http_caller.hpp
+++ b/src/programs/rhubarbctl/http_caller.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <chrono>
+#include <optional>
 #include <string>
 
 #include "rhubarbpath/state/random.hpp"
@@ -29,7 +29,7 @@
   http_client client_{loop_, {}};
   random_source random_;
   instant started_;
-  instant reported_;
+  std::optional<instant> reported_;
 };
 
 }  // namespace rhubarbpath::ctl
--- a/tests/integration/rhubarbctl_test.cpp
+++ b/tests/integration/rhubarbctl_test.cpp
@@ -70,6 +70,18 @@
     REQUIRE(store.listen().ok());
     REQUIRE(entry.listen().ok());
   }
+  ctl_fixture(const ctl_fixture&) = delete;
+  ctl_fixture(ctl_fixture&&) = delete;
+  ctl_fixture& operator=(const ctl_fixture&) = delete;
+  ctl_fixture& operator=(ctl_fixture&&) = delete;
+  /// Lets the server free the connections of programs that have ended, so that leak checks see real leaks.
+  ~ctl_fixture() {
+    for (const auto& reply : unanswered) {
+      reply.send({.status = 503, .headers = {}, .body = {}});
+    }
+    const auto end = loop.run_after(20ms, [this] { loop.stop(); });
+    loop.run();
+  }
 
   void serve(const http_request& request, const http_responder& reply) {
     const auto call = decode_store_request(request.path, request.body);
