Test the document parser on randomly damaged text

Cause: the fuzz targets need clang and do not run with the tests.

Ruled out: a larger corpus in the repository; the property needs none.

Before: only chosen faults were tested.

Conclusion: damage to a file ends in a message with a line.

--- a/tests/protocol/document_yaml_test.cpp
+++ b/tests/protocol/document_yaml_test.cpp
@@ -1,5 +1,8 @@
 #include "rhubarbpath/protocol/document_yaml.hpp"
 
+#include <rapidcheck.h>
+
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
 
@@ -230,6 +233,30 @@
   CHECK(text.size() < 110'000);
 }
 
+// Guards against crashes on damaged files, and against problems without a usable line or sentence.
+TEST_CASE("document_with_random_damage_is_read_or_reported_with_lines") {
+  const auto last_line = static_cast<int>(std::count(valid_document.begin(), valid_document.end(), '\n')) + 2;
+  const bool holds = rc::check("damaged documents", [&] {
+    auto text = valid_document;
+    const auto edits = *rc::gen::inRange(1, 4);
+    for (int i = 0; i < edits; ++i) {
+      const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+      const auto inserted =
+          *rc::gen::container<std::string>(rc::gen::elementOf(std::string{"[]{}:,-#\"'&*!% a0\n"}));
+      text.replace(at, *rc::gen::inRange<std::size_t>(0, 3), inserted.substr(0, 3));
+    }
+    const auto problems = parse_document(text, "trial").problems;
+    int line = 1;
+    for (const auto& problem : problems) {
+      RC_ASSERT(problem.line >= line);
+      RC_ASSERT(problem.line <= last_line + 9);  // Each edit adds at most 3 lines.
+      RC_ASSERT(!problem.message.empty());
+      line = problem.line;
+    }
+  });
+  CHECK(holds);
+}
+
 // Guards against a duration that changes when it is written and read again.
 TEST_CASE("duration_text_round_trips_and_rejects_other_forms") {
   for (const duration value : {duration{0us}, duration{1us}, duration{250ms}, duration{90s}, duration{8h}}) {
