--- a/tests/integration/rhubarbctl_test.cpp
+++ b/tests/integration/rhubarbctl_test.cpp
@@ -70,6 +70,18 @@
     REQUIRE(store.listen().ok());
     REQUIRE(entry.listen().ok());
   }
+  ctl_fixture(const ctl_fixture&) = delete;
+  ctl_fixture(ctl_fixture&&) = delete;
+  ctl_fixture& operator=(const ctl_fixture&) = delete;
+  ctl_fixture& operator=(ctl_fixture&&) = delete;
+  /// Lets the server free the connections of programs that have ended, so that leak checks see real leaks.
+  ~ctl_fixture() {
+    for (const auto& reply : unanswered) {
+      reply.send({.status = 503, .headers = {}, .body = {}});
+    }
+    const auto end = loop.run_after(20ms, [this] { loop.stop(); });
+    loop.run();
+  }
 
   void serve(const http_request& request, const http_responder& reply) {
     const auto call = decode_store_request(request.path, request.body);
@@ -329,6 +341,14 @@
       run("submit --entry-timeout 200ms --key k-1 --entry " + at_port(entry_port) + submission);
   CHECK(silent.code == 6);
   CHECK(silent.object["key"] == "k-1");
+  entry_handler = [&](const http_request&, const http_responder& reply) {
+    const job_answer unsettled{{verdict::may_have_run, "not yet accepted", 1s},
+                               job_record{.id = job_id{"j-1"}}};
+    reply.send({.status = 504, .headers = {}, .body = encode_job_answer(unsettled)});
+  };
+  const auto unsettled = run("submit --wait 1s --entry " + at_port(entry_port) + submission);
+  CHECK(unsettled.code == 6);
+  CHECK(unsettled.object["job"]["id"] == "j-1");
   CHECK(run("submit --entry " + at_port(entry_port) + replaced(submission, "rs 8", "rs 3")).code == 2);
 }
 
