Carry the router's fields in peer messages and use the placement adapter

The peer tests cover the new fields with the same bounds; the key bound is now checked on the intent, which carries the key.

--- a/include/rhubarbpath/protocol/peer_messages.hpp
+++ b/include/rhubarbpath/protocol/peer_messages.hpp
@@ -58,6 +58,7 @@
   service_id service;
   std::uint32_t count{0};
   std::uint32_t max_rank{0};
+  bool short_teams_only{false};
   friend bool operator==(const pull_work&, const pull_work&) = default;
 };
 
--- a/src/programs/rhubarb-entry/service_endpoint.cpp
+++ b/src/programs/rhubarb-entry/service_endpoint.cpp
@@ -26,7 +26,7 @@
   return idempotency_key{document_digest(team.value() + "\n" + service.value() + "\n" + key.value())};
 }
 
-std::uint32_t to_status(int status) {
+std::uint32_t to_unsigned(int status) {
   return static_cast<std::uint32_t>(std::max(status, 0));
 }
 
@@ -208,7 +208,8 @@
                                       .from_incarnation = id.incarnation,
                                       .service = pull->service,
                                       .count = static_cast<int>(pull->count),
-                                      .max_rank = static_cast<int>(pull->max_rank)});
+                                      .max_rank = static_cast<int>(pull->max_rank),
+                                      .short_teams_only = pull->short_teams_only});
     return true;
   }
   return std::visit(
@@ -297,7 +298,7 @@
   feed_intents(dispatch_ended{
       .id = action.intent.request,
       .answer = {
-          .result = action.result, .status = to_status(action.status), .body = body_text(action.body)}});
+          .result = action.result, .status = to_unsigned(action.status), .body = body_text(action.body)}});
 }
 
 void service_endpoint::run(const dispatch_permitted& action) {
@@ -440,7 +441,7 @@
   mesh_.send_open(action.to, peer::forward_answer{.id = action.id,
                                                   .to_incarnation = action.to_incarnation,
                                                   .result = action.result,
-                                                  .status = to_status(action.status),
+                                                  .status = to_unsigned(action.status),
                                                   .body = body_text(action.body),
                                                   .target = action.target,
                                                   .reason = action.reason,
@@ -449,8 +450,9 @@
 
 void service_endpoint::run(const routing::pull_from_peer& action) {
   mesh_.send_open(action.to, peer::pull_work{.service = action.service,
-                                             .count = to_status(action.count),
-                                             .max_rank = to_status(action.max_rank)});
+                                             .count = to_unsigned(action.count),
+                                             .max_rank = to_unsigned(action.max_rank),
+                                             .short_teams_only = action.short_teams_only});
 }
 
 void service_endpoint::run(const routing::advertise_load& action) {
--- a/src/programs/rhubarb-scheduler/scheduler_daemon.cpp
+++ b/src/programs/rhubarb-scheduler/scheduler_daemon.cpp
@@ -34,7 +34,7 @@
 
 scheduler_daemon::domain_slot::domain_slot(scheduler_daemon& daemon, const failure_domain_id& domain)
     : id{domain},
-      placement{domain},
+      placement{{}, domain},
       owner{{.failure_domain = domain,
              .environment = daemon.settings_.environment,
              .self = daemon.options_.self.id.vm,
@@ -112,7 +112,7 @@
       feed(*domains_[domain.id], schedulers());
     }
   }
-  feed_all(document_changed{.version = versioned.version, .document = *document});
+  feed_all(document_changed{.version = versioned.version, .document = document});
 }
 
 void scheduler_daemon::on_vm_list(const std::vector<listed_vm>& /*listed*/) {}
--- a/src/programs/rhubarb-scheduler/scheduler_daemon.hpp
+++ b/src/programs/rhubarb-scheduler/scheduler_daemon.hpp
@@ -5,8 +5,8 @@
 #include <string>
 #include <vector>
 
-#include "rhubarbpath/coordination/cell_placement_policy.hpp"
 #include "rhubarbpath/coordination/domain_owner.hpp"
+#include "rhubarbpath/coordination/placement_adapter.hpp"
 #include "rhubarbpath/protocol/log_codec.hpp"
 #include "shared/daemon_base.hpp"
 
@@ -23,7 +23,7 @@
     domain_slot(scheduler_daemon& daemon, const failure_domain_id& domain);
 
     failure_domain_id id;
-    cell_placement_policy placement;
+    placement_adapter placement;
     domain_owner owner;
     store_port::client store_client;
     deadline_timer timer;
--- a/src/protocol/peer_messages.cpp
+++ b/src/protocol/peer_messages.cpp
@@ -431,6 +431,7 @@
 void fields(Visitor& visit, V& value) {
   visit("rank", value.rank);
   visit("length", value.length);
+  visit("short_teams", value.short_teams);
 }
 
 template <class Visitor, class V>
@@ -487,6 +488,7 @@
   visit("service", value.service);
   visit("count", value.count);
   visit("max_rank", value.max_rank);
+  visit("short_teams_only", value.short_teams_only);
 }
 
 template <class Visitor, class V>
--- a/tests/protocol/peer_messages_test.cpp
+++ b/tests/protocol/peer_messages_test.cpp
@@ -70,8 +70,18 @@
   return request_id{any_number()};
 }
 
+routing::load_report any_load() {
+  return {.sequence = any_number(),
+          .draining = any_flag(),
+          .services = {{.service = service_id{any_text()},
+                        .idle_slots = 3,
+                        .queues = {{.rank = 1, .length = 5, .short_teams = 2}},
+                        .set_aside = 1}},
+          .leaving = {worker_id{any_text()}}};
+}
+
 message any_message() {
-  switch (*rc::gen::inRange(0, 17)) {
+  switch (*rc::gen::inRange(0, 18)) {
     case 0:
       return hello{.sender = any_member(), .protocol_version = any_small()};
     case 1:
@@ -83,21 +93,41 @@
                        .loads = {{service_id{any_text()}, any_small(), any_small()}},
                        .news = {any_news(), any_news()}};
     case 2:
-      return forward_request{.id = any_request(),
+      return forward_request{.id = routing::forward_id{any_number()},
+                             .to_incarnation = incarnation{any_number()},
                              .service = service_id{any_text()},
                              .request_class = class_id{any_text()},
                              .team = team_id{any_text()},
-                             .key = any_key(),
                              .non_idempotent = any_flag(),
-                             .first_attempt = any_flag(),
                              .deadline = any_duration(),
                              .body = any_text(),
-                             .traceparent = any_text()};
+                             .traceparent = any_text(),
+                             .intent = any_flag() ? std::optional{routing::intent_ref{
+                                                        .team = team_id{any_text()},
+                                                        .service = service_id{any_text()},
+                                                        .key = any_key(),
+                                                        .dispatcher = vm_id{any_text()},
+                                                        .dispatcher_incarnation = incarnation{any_number()},
+                                                        .request = any_request()}}
+                                                  : std::nullopt,
+                             .avoid = any_flag() ? std::optional{worker_id{any_text()}} : std::nullopt,
+                             .pulled = any_flag()};
     case 3:
-      return forward_answer{
-          .id = any_request(), .result = any_outcome(), .status = any_small(), .body = any_text()};
+      return forward_answer{.id = routing::forward_id{any_number()},
+                            .to_incarnation = incarnation{any_number()},
+                            .result = static_cast<routing::forward_result>(*rc::gen::inRange(0, 3)),
+                            .status = any_small(),
+                            .body = any_text(),
+                            .target = any_flag() ? std::optional{worker_id{any_text()}} : std::nullopt,
+                            .reason = any_text(),
+                            .load = any_load()};
     case 4:
-      return pull_work{.service = service_id{any_text()}, .slots = any_small()};
+      return pull_work{.service = service_id{any_text()},
+                       .count = any_small(),
+                       .max_rank = any_small(),
+                       .short_teams_only = any_flag()};
+    case 17:
+      return load{.report = any_load()};
     case 5:
       return record_intent{.key = any_key(),
                            .dispatch = any_dispatch(),
@@ -144,9 +174,13 @@
                         .spec = any_spec(),
                         .traceparent = any_text()};
     case 13:
-      return query_job{.id = any_request(), .job = job_id{any_text()}};
+      return query_job{.id = any_request(),
+                       .job = job_id{any_text()},
+                       .failure_domain = failure_domain_id{any_text()},
+                       .wait = any_duration()};
     case 14:
-      return cancel_job{.id = any_request(), .job = job_id{any_text()}};
+      return cancel_job{
+          .id = any_request(), .job = job_id{any_text()}, .failure_domain = failure_domain_id{any_text()}};
     case 15: {
       job_answer answer{
           .id = any_request(), .job = job_id{any_text()}, .result = any_outcome(), .record = {}};
@@ -163,7 +197,9 @@
     default:
       return owner_announcement{.failure_domain = failure_domain_id{any_text()},
                                 .owned = epoch{any_number()},
-                                .address = any_text()};
+                                .address = any_text(),
+                                .free_accelerators = any_small(),
+                                .waiting_jobs = any_small()};
   }
 }
 
@@ -219,10 +255,11 @@
   CHECK_FALSE(decode(std::string(max_message_bytes + 1, '\0')).ok());
   CHECK_FALSE(decode(cbor({{"type", "gossip"}})).ok());
   CHECK_FALSE(decode(cbor(json::array())).ok());
-  auto request = parsed(forward_request{.key = idempotency_key{"k"}, .body = "b"});
-  request["key"] = std::string(max_key_bytes + 1, 'x');
+  auto request =
+      parsed(forward_request{.body = "b", .intent = routing::intent_ref{.key = idempotency_key{"k"}}});
+  request["intent"]["key"] = std::string(max_key_bytes + 1, 'x');
   CHECK_FALSE(decode(cbor(request)).ok());
-  request["key"] = "k";
+  request["intent"]["key"] = "k";
   request["unknown field of a newer peer"] = 1;
   CHECK(decode(cbor(request)).ok());
   request["deadline"] = std::uint64_t{1} << 63U;
