--- a/include/rhubarbpath/coordination/view_keeper.hpp
+++ b/include/rhubarbpath/coordination/view_keeper.hpp
@@ -102,6 +102,7 @@
   std::optional<instant> next_read_;
   std::optional<instant> propose_at_;
   std::vector<member_info> planned_;
+  bool plan_again_{true};  ///< Something that a proposal depends on has changed.
 };
 
 }  // namespace rhubarbpath
--- a/src/coordination/intent_registry.cpp
+++ b/src/coordination/intent_registry.cpp
@@ -18,6 +18,9 @@
 struct overloaded : Handlers... {
   using Handlers::operator()...;
 };
+// clang 14 does not deduce the arguments of an aggregate.
+template <class... Handlers>
+overloaded(Handlers...) -> overloaded<Handlers...>;
 
 }  // namespace
 
--- a/src/coordination/view_keeper.cpp
+++ b/src/coordination/view_keeper.cpp
@@ -41,9 +41,13 @@
   if (pending_ && now >= pending_->expires) {
     // The call's fate is unknown; the row itself tells.
     pending_.reset();
+    plan_again_ = true;
     read_at(now);
   }
-  plan(now);
+  if (plan_again_) {
+    plan_again_ = false;
+    plan(now);
+  }
   if (pending_) {
     return;
   }
@@ -68,6 +72,7 @@
 void view_keeper::on(const live_list_changed& event, instant, actions&) {
   live_ = event.members;
   live_known_ = true;
+  plan_again_ = true;
 }
 
 void view_keeper::on(const staleness_changed& event, instant now, actions&) {
@@ -75,6 +80,7 @@
     // A proposal made before the pause may be out of date.
     propose_at_.reset();
     planned_.clear();
+    plan_again_ = true;
   }
   read_at(now);
 }
@@ -91,6 +97,7 @@
   }
   const auto call = *std::move(pending_);
   pending_.reset();
+  plan_again_ = true;
   if (call.kind == call_kind::write) {
     on_written(call, event.response, now, out);
   } else {
--- a/tests/coordination/simulated_cluster.cpp
+++ b/tests/coordination/simulated_cluster.cpp
@@ -229,6 +229,11 @@
   if (!added && seen->second != adopted.members) {
     faults.push_back("two views have the number " + std::to_string(adopted.number.value()));
   }
+  auto& number = view_numbers_[nodes_[index]->info.id];
+  if (adopted.number <= number) {
+    faults.push_back("the view number decreased");
+  }
+  number = adopted.number;
   feed(index, intent_registry_event{action});
   feed(index, config_distributor_event{action});
   update_status(index);
--- a/tests/coordination/simulated_cluster.hpp
+++ b/tests/coordination/simulated_cluster.hpp
@@ -158,6 +158,7 @@
   std::vector<waiting_watch> watches_;
   std::map<view_number, std::vector<member_info>> views_seen_;
   std::map<member_id, document_version> versions_;
+  std::map<member_id, view_number> view_numbers_;
 };
 
 }  // namespace rhubarbpath::test
