--- a/include/rhubarbpath/coordination/membership.hpp
+++ b/include/rhubarbpath/coordination/membership.hpp
@@ -131,13 +131,14 @@
   void note_pause(instant now, actions& out);
   void note_contact(instant now, actions& out);
   void note_isolation(instant now, actions& out);
-  bool merge(const peer::member_news& news, instant now, actions& out);
+  bool merge(const peer::member_news& news, bool spreads, instant now, actions& out);
   void merge_own(const peer::member_news& news, actions& out);
   void check_predecessors(instant now);
   void confirm_suspects(instant now);
   void forget(instant now);
   void change_state(const vm_id& vm, record& entry, peer::member_state state, instant now);
   void spread(const vm_id& vm, record& entry, instant now);
+  void note_change(const vm_id& vm, record& entry, instant now);
   void probe(instant now, actions& out);
   void compare_digests(const heartbeat_received& event, record& sender, instant now, actions& out);
   void send_round(instant now, bool with_random, actions& out);
--- a/include/rhubarbpath/coordination/view.hpp
+++ b/include/rhubarbpath/coordination/view.hpp
@@ -3,6 +3,7 @@
 #include <absl/status/statusor.h>
 
 #include <array>
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -19,7 +20,10 @@
   vm_id vm;
   rhubarbpath::incarnation incarnation;
   friend bool operator==(const member_id&, const member_id&) = default;
-  friend auto operator<=>(const member_id&, const member_id&) = default;
+  friend std::strong_ordering operator<=>(const member_id& left, const member_id& right) noexcept {
+    const auto by_vm = left.vm <=> right.vm;
+    return by_vm != std::strong_ordering::equal ? by_vm : left.incarnation <=> right.incarnation;
+  }
   template <class H>
   friend H AbslHashValue(H state, const member_id& id) {
     return H::combine(std::move(state), id.vm, id.incarnation);
--- a/src/coordination/intent_dispatcher.cpp
+++ b/src/coordination/intent_dispatcher.cpp
@@ -228,8 +228,8 @@
   }
   const auto key = found->second;
   if (event.answer.result.result == verdict::not_run) {
-    auto ended = take(key, now);
-    restart_followers(key, std::move(ended.followers), now, out);
+    const auto ended = take(key, now);
+    restart_followers(key, ended.followers, now, out);
     return;
   }
   auto& current = attempts_.find(key)->second;
@@ -250,10 +250,10 @@
 
 void intent_dispatcher::refuse(const idempotency_key& key, std::string_view reason, instant now,
                                intent_actions& out) {
-  auto ended = take(key, now);
+  const auto ended = take(key, now);
   const auto result = certainly_not_run(ended) ? verdict::not_run : verdict::may_have_run;
   out.emplace_back(intent_answered{.id = ended.id, .answer = refusal(result, reason, options_.retry_after)});
-  restart_followers(key, std::move(ended.followers), now, out);
+  restart_followers(key, ended.followers, now, out);
 }
 
 void intent_dispatcher::resolve(const idempotency_key& key, const peer::kept_answer& answer, instant now,
@@ -277,7 +277,7 @@
   return ended;
 }
 
-void intent_dispatcher::restart_followers(const idempotency_key& key, std::vector<follower> followers,
+void intent_dispatcher::restart_followers(const idempotency_key& key, const std::vector<follower>& followers,
                                           instant now, intent_actions& out) {
   // The refusal of the first request is no evidence for a repeat that arrived later.
   for (const auto& waiting : followers) {
--- a/src/coordination/intent_dispatcher.hpp
+++ b/src/coordination/intent_dispatcher.hpp
@@ -89,7 +89,7 @@
   void resolve(const idempotency_key& key, const peer::kept_answer& answer, instant now, intent_actions& out);
   /// Takes the attempt out and withdraws its sequence where that may be recorded.
   attempt take(const idempotency_key& key, instant now);
-  void restart_followers(const idempotency_key& key, std::vector<follower> followers, instant now,
+  void restart_followers(const idempotency_key& key, const std::vector<follower>& followers, instant now,
                          intent_actions& out);
   void withdraw(const idempotency_key& key, attempt& current, instant now);
   void deliver(const delivery_key& key, delivery value, instant now);
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -135,9 +135,12 @@
     return;
   }
   note_contact(now, out);
-  merge(sender, now, out);
+  merge(sender, true, now, out);
+  // A whole list comes from a VM that has spread its content already; repeating it would cost every
+  // newcomer the size of the fleet in each of its heartbeats.
+  const bool whole_list = event.content.news.size() >= peer::max_news / 2;
   for (const auto& news : event.content.news) {
-    merge(news, now, out);
+    merge(news, !whole_list, now, out);
   }
   auto& entry = members_[sender.member.id.vm];
   entry.heard_at = now;
@@ -216,7 +219,7 @@
   out.emplace_back(staleness_changed{.stale = true, .gap = silence});
 }
 
-bool membership::merge(const member_news& news, instant now, actions& out) {
+bool membership::merge(const member_news& news, bool spreads, instant now, actions& out) {
   if (news.member.id.vm == self_.member.id.vm) {
     merge_own(news, out);
     return false;
@@ -229,7 +232,11 @@
   auto& entry = members_[news.member.id.vm];
   const bool same_process = entry.news.member.id == news.member.id;
   entry.news = news;
-  spread(news.member.id.vm, entry, now);
+  if (spreads) {
+    spread(news.member.id.vm, entry, now);
+  } else {
+    note_change(news.member.id.vm, entry, now);
+  }
   if (!was_live || !same_process) {
     entry.watched_at = now;
     entry.heard_at = now;
@@ -247,10 +254,7 @@
     return;
   }
   const bool accused = news.state != member_state::alive;
-  if (accused && news.round >= self_.round) {
-    self_.round = news.round + 1;
-    news_pending_ = true;
-  } else if (news.round > self_.round) {
+  if (news.round > self_.round || (accused && news.round == self_.round)) {
     self_.round = news.round + 1;
     news_pending_ = true;
   }
@@ -300,15 +304,19 @@
 }
 
 void membership::spread(const vm_id& vm, record& entry, instant now) {
-  entry.changed_at = now;
+  note_change(vm, entry, now);
   entry.sends_left = news_rounds();
   spreading_.insert(vm);
+  news_pending_ = true;
+}
+
+void membership::note_change(const vm_id& vm, record& entry, instant now) {
+  entry.changed_at = now;
   if (entry.news.state == member_state::suspect) {
     suspects_.insert(vm);
   } else {
     suspects_.erase(vm);
   }
-  news_pending_ = true;
   list_changed_ = true;
 }
 
