--- a/include/rhubarbpath/state/ids.hpp
+++ b/include/rhubarbpath/state/ids.hpp
@@ -44,11 +44,9 @@
   [[nodiscard]] constexpr std::uint64_t value() const noexcept { return value_; }
   [[nodiscard]] constexpr number_id next() const noexcept { return number_id{value_ + 1}; }
 
-  friend constexpr bool operator==(const number_id&, const number_id&) = default;
-  // Not defaulted: clang-tidy 14 reports the zero in the rewritten comparisons of a defaulted one.
-  friend constexpr std::strong_ordering operator<=>(const number_id& left, const number_id& right) noexcept {
-    return left.value_ <=> right.value_;
-  }
+  // clang-tidy 14 takes the zero of a rewritten comparison for a null pointer.
+  friend constexpr auto operator<=>(const number_id&,
+                                    const number_id&) = default;  // NOLINT(modernize-use-nullptr)
 
   template <class H>
   friend H AbslHashValue(H state, const number_id& id) {
