--- a/tests/coordination/gang_controller_test.cpp
+++ b/tests/coordination/gang_controller_test.cpp
@@ -118,6 +118,24 @@
   CHECK(test.ended_at - lost <= 25 * second);
 }
 
+// Guards against an owner that renews one member for long while the others are gone and then crashes itself.
+TEST_CASE("gang_controller_member_lease_ends_15_s_after_the_whole_gang_ran") {
+  gang_under_test test;
+  test.start();
+  test.advance(5 * second);
+  const auto lost = test.now;
+  for (const auto* name : {"w0", "w1"}) {
+    test.workers[worker_id{name}].unreachable = true;
+    test.workers[worker_id{name}].tasks.clear();
+  }
+  for (int i = 0; i < 50; ++i) {
+    test.advance(duration{100'000});
+    for (const auto& [key, task] : test.workers[worker_id{"w2"}].tasks) {
+      CHECK(task.lease_until <= lost + 15 * second);
+    }
+  }
+}
+
 // Guards against a preemption without a checkpoint, and against one that takes longer than 2 s.
 TEST_CASE("gang_controller_preemption_checkpoints_then_stops_within_2_s") {
   gang_under_test test;
