--- a/benchmark/domain_log.cpp
+++ b/benchmark/domain_log.cpp
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "../tests/coordination/simulated_domain.hpp"
 #include "rhubarbpath/protocol/log_codec.hpp"
 
 namespace rhubarbpath {
@@ -32,6 +33,7 @@
   duration round_trip{};
   double events_per_second{0};
   std::uint64_t seed{0};
+  int takeovers{0};
 };
 
 job_spec example_spec() {
@@ -280,6 +282,43 @@
       static_cast<double>(sum.last_commit.count()) / 1000.0);
 }
 
+/// Logical time from the crash of an owner until another of nine schedulers owns its failure domain.
+void measure_takeovers(const settings& given, double answers_lost) {
+  using simulation::second;
+  constexpr duration longest{20'000'000};
+  std::vector<double> seconds;
+  int unfinished = 0;
+  for (int i = 0; i < given.takeovers; ++i) {
+    simulation::domain_world world{given.seed + static_cast<std::uint64_t>(i), 9};
+    world.store.faults.answer_lost = answers_lost;
+    world.store.faults.stale_list = 10 * answers_lost;
+    const bool owned = world.wait_for_owner(epoch{}, longest).has_value();
+    world.run(5 * second + duration{37'000LL * i});
+    auto* owner = owned ? world.owner() : nullptr;
+    if (owner == nullptr) {
+      ++unfinished;
+      continue;
+    }
+    const auto before = owner->part().current_epoch();
+    world.crash(owner->vm().value());
+    if (const auto taken = world.wait_for_owner(before, longest)) {
+      seconds.push_back(static_cast<double>(taken->count()) / 1e6);
+    } else {
+      ++unfinished;
+    }
+  }
+  std::sort(seconds.begin(), seconds.end());
+  const auto at = [&](double share) {
+    return seconds.empty()
+               ? 0.0
+               : seconds[static_cast<std::size_t>(share * static_cast<double>(seconds.size() - 1))];
+  };
+  std::printf(
+      "{\"takeovers\":%d,\"answers_lost\":%.2f,\"unfinished\":%d,\"median_s\":%.2f,\"p99_s\":%.2f,"
+      "\"max_s\":%.2f}\n",
+      given.takeovers, answers_lost, unfinished, at(0.5), at(0.99), at(1.0));
+}
+
 void run(const settings& given) {
   const auto events = make_events(given);
   print("one_row", run_single_row(events, given), events.size());
@@ -287,7 +326,10 @@
   print("log_without_groups", log_run{given}.run(events, false), events.size());
   log_run grouped{given};
   print("log_with_groups", grouped.run(events, true), events.size());
-  std::printf("{\"log_takeover_ms\":%.1f}\n", static_cast<double>(grouped.takeover().count()) / 1000.0);
+  std::printf("{\"log_replay_ms\":%.1f}\n", static_cast<double>(grouped.takeover().count()) / 1000.0);
+  for (const double answers_lost : {0.0, 0.02}) {
+    measure_takeovers(given, answers_lost);
+  }
 }
 
 }  // namespace
@@ -300,11 +342,14 @@
   TCLAP::ValueArg<int> run_time{"t", "run-time", "Mean run time", false, 60, "seconds", line};
   TCLAP::ValueArg<int> round_trip{"d", "round-trip", "Store round trip", false, 3000, "microseconds", line};
   TCLAP::ValueArg<int> seed{"s", "seed", "Seed of the arrivals", false, 1, "number", line};
+  TCLAP::ValueArg<int> takeovers{"k",     "takeovers", "Simulated crashes of an owner", false, 300,
+                                 "count", line};
   line.parse(argc, argv);
   rhubarbpath::run({.jobs = jobs.getValue(),
                     .run_time = rhubarbpath::duration{run_time.getValue() * 1'000'000LL},
                     .round_trip = rhubarbpath::duration{round_trip.getValue()},
                     .events_per_second = rate.getValue(),
-                    .seed = static_cast<std::uint64_t>(seed.getValue())});
+                    .seed = static_cast<std::uint64_t>(seed.getValue()),
+                    .takeovers = takeovers.getValue()});
   return 0;
 }
