Test an owner that alone has lost the store and its peers

Conclusion: workers that refuse the older epoch stop such an owner even when no announcement reaches it.

--- a/tests/coordination/domain_owner_test.cpp
+++ b/tests/coordination/domain_owner_test.cpp
@@ -52,8 +52,10 @@
     } else if (choice < 60) {
       process.frozen() ? process.resume() : process.freeze();
       world.announce_schedulers();
-    } else if (choice < 63) {
+    } else if (choice < 62) {
       world.store.down = !world.store.down;
+    } else if (choice < 64) {
+      process.cut_off = !process.cut_off;
     } else if (choice < 67) {
       auto& worker = world.workers.at(worker_id{"w" + std::to_string(world.random.below(6))});
       worker.unreachable = !worker.unreachable;
@@ -69,6 +71,7 @@
     worker.unreachable = false;
   }
   for (const auto& [name, process] : world.processes) {
+    process->cut_off = false;
     process->resume();
   }
   world.announce_schedulers();
@@ -181,6 +184,22 @@
   CHECK(world.longest_partial <= second);
 }
 
+// Guards against an owner that goes on beside its successor when only this owner has lost the store and its
+// peers.
+TEST_CASE("domain_owner_cut_off_alone_is_replaced_and_stops") {
+  owned_world world{34};
+  world.submit(world.owner_name(), "long", 2, 60 * second);
+  world.run(3 * second);
+  auto& cut = *world.owner();
+  const auto before = cut.part().current_epoch();
+  cut.cut_off = true;
+  REQUIRE(world.wait_for_owner(before, takeover_bound));
+  world.run(5 * second);
+  CHECK_FALSE(cut.part().owns());
+  CHECK(world.state_of("long") == job_state::running);
+  CHECK(world.longest_partial <= second);
+}
+
 // Guards against a repeated message that creates, runs or cancels a job twice.
 TEST_CASE("domain_owner_repeated_messages_are_answered_alike") {
   owned_world world{33};
--- a/tests/coordination/simulated_domain.hpp
+++ b/tests/coordination/simulated_domain.hpp
@@ -322,8 +322,10 @@
     const auto [found, added] = epochs.emplace(announced.current_epoch, owner_name);
     require(added || found->second == owner_name, "two processes act under one epoch");
     for (const auto& [name, process] : processes) {
-      process->post_at(queue.now() + network_delay(),
-                       [target = process, announced] { target->send(announced); });
+      if (!process->cut_off) {
+        process->post_at(queue.now() + network_delay(),
+                         [target = process, announced] { target->send(announced); });
+      }
     }
   }
   void on_worker_send(const std::shared_ptr<owner_process>& from, const worker_send& sent) {
--- a/tests/coordination/simulated_store.hpp
+++ b/tests/coordination/simulated_store.hpp
@@ -329,6 +329,7 @@
     }
   }
   void crash() { crashed_ = true; }
+  bool cut_off{false};  ///< This process alone reaches neither the store nor its peers.
   [[nodiscard]] bool alive() const { return !crashed_; }
   [[nodiscard]] bool frozen() const { return frozen_; }
   [[nodiscard]] Part& part() { return *part_; }
@@ -358,6 +359,13 @@
     session_.handle(event, queue_->now(), actions);
     for (auto& action : actions) {
       if (auto* sent = std::get_if<store_send>(&action)) {
+        if (cut_off) {
+          constexpr duration refused_after{1'000};
+          post_at(queue_->now() + refused_after, [this, id = sent->sent] {
+            feed_session(store_answered{.sent = id, .response = store_failure::unavailable});
+          });
+          continue;
+        }
         store_->call(sent->request,
                      [self = this->shared_from_this(), id = sent->sent](store_response response) {
                        self->post([self, id, response] {
