Bound the time of the brute-force oracle

Cause: fleets without a packing made the oracle try every order, up to minutes for one input, which stalled the fuzz target and the search for a counterexample. States that failed once are now remembered; the answer is the same, because a state holds all that the search depends on.

--- a/tests/coordination/placement_machine.hpp
+++ b/tests/coordination/placement_machine.hpp
@@ -31,7 +31,8 @@
 
   /// Whether all shapes fit at once. Tries every place for every member.
   static bool fits(std::vector<worker> workers, const std::vector<wanted>& shapes) {
-    return fits_from(workers, shapes, 0, {});
+    std::set<std::vector<std::uint32_t>> failed;
+    return fits_from(workers, shapes, 0, {}, failed);
   }
 
  private:
@@ -44,10 +45,35 @@
   };
 
   static bool fits_from(std::vector<worker>& workers, const std::vector<wanted>& shapes, std::size_t index,
-                        cursor at) {
+                        cursor at, std::set<std::vector<std::uint32_t>>& failed) {
     if (index == shapes.size()) {
       return true;
     }
+    // A state that failed once fails again; without this, fleets without a packing take minutes.
+    std::vector<std::uint32_t> state{
+        static_cast<std::uint32_t>(index), static_cast<std::uint32_t>(at.members),
+        static_cast<std::uint32_t>(at.place), static_cast<std::uint32_t>(at.worker),
+        static_cast<std::uint32_t>(at.position)};
+    for (const auto& each : workers) {
+      state.push_back(each.open);
+    }
+    const bool matters = !shapes[index].pinned.empty();
+    for (const auto& [worker, mask] : matters ? at.covered : std::map<int, std::uint32_t>{}) {
+      state.push_back(static_cast<std::uint32_t>(worker));
+      state.push_back(mask);
+    }
+    if (failed.count(state) != 0) {
+      return false;
+    }
+    const bool found = search(workers, shapes, index, at, failed);
+    if (!found) {
+      failed.insert(std::move(state));
+    }
+    return found;
+  }
+
+  static bool search(std::vector<worker>& workers, const std::vector<wanted>& shapes, std::size_t index,
+                     cursor at, std::set<std::vector<std::uint32_t>>& failed) {
     const auto& want = shapes[index];
     if (at.members == want.shape.members) {
       for (const auto& [worker, mask] : want.pinned) {
@@ -55,7 +81,7 @@
           return false;
         }
       }
-      return fits_from(workers, shapes, index + 1, {});
+      return fits_from(workers, shapes, index + 1, {}, failed);
     }
     const int size = want.shape.accelerators_per_member;
     const std::uint32_t group = (std::uint32_t{1} << size) - 1;
@@ -81,7 +107,7 @@
         next.worker = worker;
         next.position = position + size;
         next.covered[worker] |= block;
-        const bool found = fits_from(workers, shapes, index, next);
+        const bool found = fits_from(workers, shapes, index, next, failed);
         workers[worker].open = before;
         if (found) {
           return true;
