--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -51,16 +51,27 @@
   duration wall_at_start{
       std::chrono::duration_cast<duration>(std::chrono::system_clock::now().time_since_epoch())};
   std::vector<std::shared_ptr<timer_state>> signals;
+  std::vector<event_loop::callback> posted;
+  std::shared_ptr<timer_state> wake;
 };
 
 event_loop::event_loop() : implementation_{std::make_unique<implementation>()} {
   if (implementation_->base == nullptr) {
     throw std::runtime_error{"libevent cannot create an event loop"};
   }
+  implementation_->wake = make_event(base(), -1, 0, [this] {
+    // Callbacks that are posted meanwhile run in the next round, after pending input.
+    for (const auto& call : std::exchange(implementation_->posted, {})) {
+      call();
+    }
+  });
 }
 
 event_loop::~event_loop() {
   implementation_->signals.clear();
+  implementation_->wake.reset();
+  // What the callbacks hold, for example connections, must be released before the loop is.
+  implementation_->posted.clear();
   event_base_free(implementation_->base);
 }
 
@@ -92,13 +103,8 @@
 }
 
 void event_loop::post(callback call) {
-  auto* owned = new callback{std::move(call)};
-  const auto run_and_free = [](evutil_socket_t /*socket*/, short /*what*/, void* argument) {
-    const std::unique_ptr<callback> pending{static_cast<callback*>(argument)};
-    (*pending)();
-  };
-  const timeval immediately{};
-  event_base_once(base(), -1, EV_TIMEOUT, run_and_free, owned, &immediately);
+  implementation_->posted.push_back(std::move(call));
+  event_active(implementation_->wake->timer.get(), EV_TIMEOUT, 0);
 }
 
 void event_loop::on_signal(int signal_number, callback call) {
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -205,6 +205,10 @@
 
 http_server::~http_server() {
   stop_listening();
+  // libevhtp does not free connections with its server, and one with a paused request would stay.
+  while (!implementation_->connections.empty()) {
+    evhtp_connection_free(implementation_->connections.begin()->first);
+  }
   evhtp_free(implementation_->server);
 }
 
