--- a/src/programs/rhubarb-scheduler/scheduler_daemon.cpp
+++ b/src/programs/rhubarb-scheduler/scheduler_daemon.cpp
@@ -30,6 +30,28 @@
   return opts;
 }
 
+/// Status of one failure domain: its owner's epoch, workers set aside and guarantees without cover.
+nlohmann::ordered_json domain_status(const domain_owner& owner, const placement_adapter& placement,
+                                     const failure_domain_id& id) {
+  nlohmann::ordered_json status{
+      {"id", id.value()}, {"owned", owner.owns()}, {"epoch", owner.current_epoch().value()}};
+  if (owner.committed() == nullptr) {
+    return status;
+  }
+  status["set_aside"] = nlohmann::json::array();
+  for (const auto& [worker, reason] : owner.committed()->set_aside) {
+    status["set_aside"].push_back({{"worker", worker.value()}, {"reason", reason}});
+  }
+  status["uncovered_guarantees"] = nlohmann::json::array();
+  for (const auto& each : placement.engine().uncovered_guarantees()) {
+    status["uncovered_guarantees"].push_back({{"team", each.guarantee.team.value()},
+                                              {"guarantee", each.guarantee.guarantee + 1},
+                                              {"uncovered", each.uncovered},
+                                              {"count", each.count}});
+  }
+  return status;
+}
+
 }  // namespace
 
 scheduler_daemon::domain_slot::domain_slot(scheduler_daemon& daemon, const failure_domain_id& domain)
@@ -131,8 +153,7 @@
                                 {"draining", draining()},
                                 {"failure_domains", nlohmann::json::array()}};
   for (const auto& [id, slot] : domains_) {
-    status["failure_domains"].push_back(
-        {{"id", id.value()}, {"owned", slot->owner.owns()}, {"epoch", slot->owner.current_epoch().value()}});
+    status["failure_domains"].push_back(domain_status(slot->owner, slot->placement, id));
   }
   reply.send({.status = ok, .headers = {{"Content-Type", "application/json"}}, .body = status.dump()});
 }
@@ -218,7 +239,36 @@
           .id = action.to.request, .job = action.job, .result = action.result, .record = action.record});
 }
 
+void scheduler_daemon::log_changes(domain_slot& slot) {
+  const auto* state = slot.owner.committed();
+  if (state != nullptr && state->set_aside != slot.logged_aside) {
+    for (const auto& [worker, reason] : state->set_aside) {
+      if (!slot.logged_aside.contains(worker)) {
+        log(log_level::warning, "worker set aside", {{"worker", worker.value()}, {"reason", reason}});
+      }
+    }
+    for (const auto& [worker, reason] : slot.logged_aside) {
+      if (!state->set_aside.contains(worker)) {
+        log(log_level::info, "worker in use again", {{"worker", worker.value()}});
+      }
+    }
+    slot.logged_aside = state->set_aside;
+  }
+  const auto uncovered = slot.placement.engine().uncovered_guarantees();
+  if (uncovered.size() != slot.logged_uncovered) {
+    for (const auto& each : uncovered) {
+      log(log_level::error, "a guarantee has no healthy space",
+          {{"failure_domain", slot.id.value()},
+           {"team", each.guarantee.team.value()},
+           {"uncovered", std::int64_t{each.uncovered}},
+           {"count", std::int64_t{each.count}}});
+    }
+    slot.logged_uncovered = uncovered.size();
+  }
+}
+
 void scheduler_daemon::run(domain_slot& slot, const owner_announced& action) {
+  log_changes(slot);
   const auto& engine = slot.placement.engine();
   mesh_.broadcast(
       peer::owner_announcement{.failure_domain = action.failure_domain,
--- a/src/programs/rhubarb-scheduler/scheduler_daemon.hpp
+++ b/src/programs/rhubarb-scheduler/scheduler_daemon.hpp
@@ -28,6 +28,9 @@
     store_port::client store_client;
     deadline_timer timer;
     bool drained{false};
+    /// What was logged last, so that only changes are logged.
+    std::map<worker_id, std::string> logged_aside;
+    std::size_t logged_uncovered{0};
   };
 
   void on_peer_message(const member_info& from, const peer::message& message) override;
@@ -50,6 +53,7 @@
   void run(domain_slot& slot, const job_answered& action);
   void run(domain_slot& slot, const owner_announced& action);
   void run(domain_slot& slot, const owner_drained& action);
+  static void log_changes(domain_slot& slot);
   domain_slot* find(const failure_domain_id& domain);
   void refuse(const vm_id& to, request_id id, const job_id& job, const failure_domain_id& domain);
   [[nodiscard]] schedulers_changed schedulers() const;
