--- a/benchmark/domain_log.cpp
+++ b/benchmark/domain_log.cpp
@@ -54,6 +54,7 @@
     arrival += random.jittered(step);
     const job_id job{"4f1c7a90e2d34b5c8a6f-" + std::to_string(i)};
     std::vector<member_placement> placement;
+    placement.reserve(4);
     for (int member = 0; member < 4; ++member) {
       placement.push_back(
           {.worker = worker_id{"tas-hba-r12-w" + std::to_string(member)}, .accelerators = 255});
