Keep the input that shows what the takeover protection prevents

Placement waits with new placements until all records of a takeover are in. Shown on a scratch copy: with "restoring" fixed to false in placement.cpp, this input ends with "two attempts share an accelerator"; with the protection it passes. A copy without the commit of a claim was tried as well, but did not end within 100 s, so that it shows nothing.

--- a/tests/coordination/placement_property_test.cpp
+++ b/tests/coordination/placement_property_test.cpp
@@ -28,4 +28,13 @@
   CHECK(result.is<rc::detail::SuccessResult>());
 }
 
+// Guards against a takeover that places a waiting job on accelerators of an attempt whose record follows
+// later.
+TEST_CASE("placement_takeover_record_after_record_shares_no_accelerator") {
+  const std::vector<std::uint8_t> bytes{0, 0, 1, 88,  219, 0, 0, 0, 0, 0, 0,  0, 0, 92, 0,
+                                        0, 0, 0, 0,   0,   0, 0, 0, 0, 0, 1,  0, 0, 0,  0,
+                                        0, 0, 0, 253, 78,  0, 0, 0, 0, 0, 12, 0, 0, 0,  15};
+  CHECK_NOTHROW(placement_machine{bytes}.run());
+}
+
 }  // namespace rhubarbpath::testing
