Keep entries and schedulers apart in membership

Heartbeats of the other kind are now ignored and the list's ids are mapped per kind.

The stand-in follows the store's and workers' rules for erase, deleted keys and stops that overtake their starts.

--- a/benchmark/membership.cpp
+++ b/benchmark/membership.cpp
@@ -196,7 +196,7 @@
     std::vector<view_keeper_action> out;
     run(index, vms_[index]->views, event, out);
     for (const auto& action : out) {
-      if (const auto* const call = std::get_if<store_call>(&action)) {
+      if (const auto* const call = std::get_if<row_call>(&action)) {
         call_store(index, true, *call);
       } else if (const auto* const adopted = std::get_if<view_adopted>(&action)) {
         feed(index, intent_registry_event{*adopted});
@@ -209,7 +209,7 @@
     std::vector<config_distributor_action> out;
     run(index, vms_[index]->config, event, out);
     for (const auto& action : out) {
-      if (const auto* const call = std::get_if<store_call>(&action)) {
+      if (const auto* const call = std::get_if<row_call>(&action)) {
         call_store(index, false, *call);
       } else if (const auto* const fetch = std::get_if<send_fetch>(&action)) {
         send(index, fetch->to, fetch->content);
@@ -302,7 +302,7 @@
       queue_.emplace(now_ + store_delay, answer);
     }
   }
-  void call_store(std::size_t index, bool for_view, const store_call& call) {
+  void call_store(std::size_t index, bool for_view, const row_call& call) {
     ++cost_.store_calls;
     queue_.emplace(now_ + store_delay, [this, index, for_view, call] {
       if (const auto* const watch = std::get_if<store_watch>(&call.request)) {
@@ -328,7 +328,7 @@
     }
     answer_store(index, false, {.call = call, .response = response});
   }
-  void answer_store(std::size_t index, bool for_view, const store_answered& answer) {
+  void answer_store(std::size_t index, bool for_view, const row_answered& answer) {
     if (!vms_[index]->up) {
       return;
     }
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -49,6 +49,8 @@
 
 start_vms() {
   local i
+  # shellcheck disable=SC2046
+  set_vm_list $(seq "$vms")
   for ((i = 1; i <= vms; i++)); do
     write_settings "$i"
     start_scheduler "$i"
@@ -56,6 +58,15 @@
   done
 }
 
+# set_vm_list VM...: tells the platform which VMs exist; the others are gone from its list.
+set_vm_list() {
+  local vm list=""
+  for vm in "$@"; do
+    list+="{\"id\":\"vm$vm\",\"state\":\"live\",\"entry\":\"$(entry_peer "$vm")\",\"scheduler\":\"$(scheduler_peer "$vm")\"},"
+  done
+  curl -sf -X POST -d "[${list%,}]" "http://$(platform_address)/vms" >/dev/null
+}
+
 # signal NAME SIGNAL: sends a signal to a process that `start` started.
 signal() { kill "-$2" "${pids[$1]}" 2>/dev/null || true; }
 
--- a/src/programs/rhubarb-entry/entry_daemon.cpp
+++ b/src/programs/rhubarb-entry/entry_daemon.cpp
@@ -24,7 +24,8 @@
                                      .address = settings.self.entry},
                             .http_address = settings.entry_http,
                             .keeps_view = true,
-                            .seeds = {}};
+                            .seeds = {},
+                            .same_kind = [](const vm_id& id) { return !is_scheduler(id); }};
   for (const auto& peer : settings.peers) {
     opts.seeds.push_back({.vm = peer.vm, .address = peer.entry});
   }
@@ -79,6 +80,10 @@
   }
 }
 
+std::optional<vm_hint> entry_daemon::peer_hint(const listed_vm& vm) const {
+  return vm.entry.empty() ? std::nullopt : std::optional{vm_hint{.vm = vm_id{vm.id}, .address = vm.entry}};
+}
+
 void entry_daemon::connect_schedulers() {
   for (const auto& [vm, address] : schedulers_) {
     mesh_.connect(vm, address);
--- a/src/programs/rhubarb-entry/service_endpoint.cpp
+++ b/src/programs/rhubarb-entry/service_endpoint.cpp
@@ -21,6 +21,9 @@
 /// A call may outlast its deadline by this much; the router decides what to do at the deadline.
 constexpr duration call_margin = std::chrono::seconds{3};
 
+/// A permit of the intent registry to send lasts 60 s, so a non-idempotent request must not wait longer.
+constexpr duration longest_non_idempotent_deadline = std::chrono::seconds{50};
+
 /// Keys of different teams and services never meet; the digest has a fixed length.
 idempotency_key registry_key(const team_id& team, const service_id& service, const idempotency_key& key) {
   return idempotency_key{document_digest(team.value() + "\n" + service.value() + "\n" + key.value())};
@@ -110,7 +113,10 @@
   const auto traceparent = to_traceparent(caller.hop);
   callers_.insert_or_assign(last_request_, std::move(caller));
   wanted_intents_[last_request_] = {.key = key, .first_attempt = own_key || headers->first_attempt};
-  const auto deadline = headers->deadline ? loop_.now() + *headers->deadline : instant{};
+  auto deadline = headers->deadline ? loop_.now() + *headers->deadline : instant{};
+  if (non_idempotent && headers->deadline) {
+    deadline = std::min(deadline, loop_.now() + longest_non_idempotent_deadline);
+  }
   feed_router(routing::request_arrived{.id = last_request_,
                                        .content = {.service = service,
                                                    .request_class = request_class,
@@ -150,6 +156,16 @@
 }
 
 void service_endpoint::on_vm_list(const std::vector<listed_vm>& listed) {
+  vm_list_changed entries;
+  for (const auto& vm : listed) {
+    if (!vm.entry.empty()) {
+      entries.vms.push_back({.vm = vm_id{vm.id}, .address = vm.entry});
+    }
+  }
+  // An empty list says that the platform knows nothing yet, not that every VM is gone.
+  if (!entries.vms.empty()) {
+    feed_intents(entries);
+  }
   for (const auto& vm : listed) {
     const worker_id worker{vm.id};
     if (addresses_.contains(worker) && leaving_[worker] != vm.leaving) {
--- a/src/programs/rhubarb-scheduler/scheduler_daemon.cpp
+++ b/src/programs/rhubarb-scheduler/scheduler_daemon.cpp
@@ -23,7 +23,8 @@
                .address = settings.self.scheduler},
       .http_address = settings.scheduler_http,
       .keeps_view = false,
-      .seeds = {}};
+      .seeds = {},
+      .same_kind = &is_scheduler};
   for (const auto& peer : settings.peers) {
     opts.seeds.push_back({.vm = scheduler_id(peer.vm), .address = peer.scheduler});
   }
@@ -137,6 +138,12 @@
   feed_all(document_changed{.version = versioned.version, .document = document});
 }
 
+std::optional<vm_hint> scheduler_daemon::peer_hint(const listed_vm& vm) const {
+  return vm.scheduler.empty()
+             ? std::nullopt
+             : std::optional{vm_hint{.vm = scheduler_id(vm_id{vm.id}), .address = vm.scheduler}};
+}
+
 void scheduler_daemon::on_vm_list(const std::vector<listed_vm>& /*listed*/) {}
 
 void scheduler_daemon::on_http(const http_request& request, const http_responder& reply) {
--- a/src/programs/rhubarb-standin/store_model.cpp
+++ b/src/programs/rhubarb-standin/store_model.cpp
@@ -38,7 +38,7 @@
 
 store_response store_model::on(const store_erase& request, instant /*now*/) {
   const auto current = revision_of(request.key);
-  if (current.value() != 0 && current != request.expected) {
+  if (current.value() != 0 && request.expected.value() != 0 && current != request.expected) {
     return store_failure::conflict;
   }
   rows_.erase(request.key);
@@ -83,7 +83,9 @@
 }
 
 void store_model::watch(const store_watch& request, instant now, watch_answer answer) {
-  if (revision_of(request.key) > request.after) {
+  // A key that was deleted since has no revision; its watcher learns that at once.
+  const bool deleted = revision_of(request.key).value() == 0 && request.after.value() != 0;
+  if (deleted || revision_of(request.key) > request.after) {
     answer(on(store_get{.key = request.key}, now));
     return;
   }
--- a/src/programs/rhubarb-standin/worker_model.cpp
+++ b/src/programs/rhubarb-standin/worker_model.cpp
@@ -62,7 +62,7 @@
 
 void worker_model::on(const start_task& command, instant now) {
   const auto key = key_of(command.task);
-  if (tasks_.contains(key)) {
+  if (tasks_.contains(key) || stopped_.contains(key)) {
     return;  // A repeated start is answered with the report and starts nothing.
   }
   const bool busy = (busy_accelerators() & command.accelerators) != 0;
@@ -90,9 +90,15 @@
 }
 
 void worker_model::on(const stop_task& command, instant now) {
+  stopped_.insert(key_of(command.task));
   const auto found = tasks_.find(key_of(command.task));
-  if (found != tasks_.end() && found->second.report.state == task_state::running) {
+  if (found == tasks_.end()) {
+    return;
+  }
+  if (found->second.report.state == task_state::running) {
     end(found->second, task_state::stopped, now);
+  } else {
+    tasks_.erase(found);  // The owner has seen the end.
   }
 }
 
--- a/src/programs/rhubarb-standin/worker_model.hpp
+++ b/src/programs/rhubarb-standin/worker_model.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -63,6 +64,8 @@
   epoch highest_epoch_;
   bool fail_every_task_{false};
   std::map<task_key, running_task> tasks_;
+  /// Tasks that a stop has reached; a start that the stop overtook must not begin.
+  std::set<task_key> stopped_;
   std::vector<task_record> history_;
 };
 
--- a/src/programs/shared/cluster_node.cpp
+++ b/src/programs/shared/cluster_node.cpp
@@ -59,6 +59,9 @@
 
 bool cluster_node::on_message(const member_info& from, const peer::message& message) {
   const auto& vm = from.id.vm;
+  if (!options_.same_kind(vm)) {
+    return false;
+  }
   if (const auto* beat = std::get_if<peer::heartbeat>(&message)) {
     feed(membership_event{heartbeat_received{.from = vm, .content = *beat}});
     feed(config_distributor_event{document_heard{.from = vm, .stamp = beat->document}});
@@ -78,14 +81,9 @@
   return false;
 }
 
-void cluster_node::on_vm_list(const std::vector<listed_vm>& listed,
-                              const std::function<std::string(const listed_vm&)>& address) {
+void cluster_node::on_vm_list(const std::vector<vm_hint>& found) {
   auto hints = options_.seeds;
-  for (const auto& vm : listed) {
-    if (const auto where = address(vm); !where.empty()) {
-      hints.push_back({.vm = vm_id{vm.id}, .address = where});
-    }
-  }
+  hints.insert(hints.end(), found.begin(), found.end());
   feed(membership_event{vm_list_changed{.vms = std::move(hints)}});
 }
 
--- a/src/programs/shared/cluster_node.hpp
+++ b/src/programs/shared/cluster_node.hpp
@@ -31,6 +31,9 @@
     /// Entry daemons agree on a view in the store; schedulers only need the live list.
     bool keeps_view{false};
     std::vector<vm_hint> seeds;
+    /// Whether a process of this id is of the same kind. Entries and schedulers share links, and their
+    /// member lists must not mix.
+    std::function<bool(const vm_id&)> same_kind;
   };
 
   struct callbacks {
@@ -47,8 +50,8 @@
   void start();
   /// Returns false for a message that is not of membership or configuration.
   bool on_message(const member_info& from, const peer::message& message);
-  void on_vm_list(const std::vector<listed_vm>& listed,
-                  const std::function<std::string(const listed_vm&)>& address);
+  /// `found` are the processes of the same kind that the platform lists.
+  void on_vm_list(const std::vector<vm_hint>& found);
   void set_draining();
   void set_loads(std::vector<peer::service_load> loads);
   /// Tells the peers that this process exits.
--- a/src/programs/shared/daemon_base.cpp
+++ b/src/programs/shared/daemon_base.cpp
@@ -67,7 +67,8 @@
                {.self = options_.self,
                 .environment = settings_.environment,
                 .keeps_view = options_.keeps_view,
-                .seeds = options_.seeds},
+                .seeds = options_.seeds,
+                .same_kind = options_.same_kind},
                {.on_live = [this](const live_list_changed& event) { on_live(event); },
                 .on_view = [this](const view_adopted& event) { on_view(event); },
                 .on_document = [this](const versioned_document& document) { adopt(document); },
@@ -151,7 +152,13 @@
       return;
     }
     const auto listed = parse_vm_list(response->body);
-    cluster_.on_vm_list(listed, [this](const listed_vm& vm) { return peer_address(vm); });
+    std::vector<vm_hint> hints;
+    for (const auto& vm : listed) {
+      if (auto hint = peer_hint(vm)) {
+        hints.push_back(*std::move(hint));
+      }
+    }
+    cluster_.on_vm_list(hints);
     on_vm_list(listed);
   });
 }
--- a/src/programs/shared/daemon_base.hpp
+++ b/src/programs/shared/daemon_base.hpp
@@ -24,6 +24,7 @@
     std::string http_address;
     bool keeps_view{false};
     std::vector<vm_hint> seeds;
+    std::function<bool(const vm_id&)> same_kind;
   };
 
   daemon_base(const daemon_settings& settings, options opts);
@@ -46,8 +47,8 @@
   virtual void on_vm_list(const std::vector<listed_vm>& listed) = 0;
   /// Serves a path that is not `/healthz`, `/readyz` or `/metrics`.
   virtual void on_http(const http_request& request, const http_responder& reply) = 0;
-  /// Peer address of a listed VM for this kind of daemon; empty when it is no peer.
-  [[nodiscard]] virtual std::string peer_address(const listed_vm& vm) const = 0;
+  /// Id and peer address of this kind of daemon on a listed VM; nothing when it has none.
+  [[nodiscard]] virtual std::optional<vm_hint> peer_hint(const listed_vm& vm) const = 0;
   /// SIGTERM arrived: finish what is in progress, then call `exit_now`.
   virtual void on_drain() = 0;
   /// Gauges that are read when `/metrics` is.
