--- a/src/coordination/intent_registrar.cpp
+++ b/src/coordination/intent_registrar.cpp
@@ -463,8 +463,10 @@
 
 void intent_registrar::set_live(const std::vector<live_member>& members, instant now) {
   live_.clear();
+  live_incarnations_.clear();
   for (const auto& member : members) {
     live_.insert(member.info.id);
+    live_incarnations_[member.info.id.vm] = member.info.id.incarnation;
   }
   count_majority();
   for (const auto index : pending_) {
@@ -734,6 +736,13 @@
   });
 }
 
+bool intent_registrar::superseded(const member_id& id) const {
+  // A VM runs one process at a time, so a newer incarnation proves that the older one has ended. Without
+  // this, ranges stay unserved for good when all processes are killed at once.
+  const auto found = live_incarnations_.find(id.vm);
+  return found != live_incarnations_.end() && found->second > id.incarnation;
+}
+
 bool intent_registrar::others_cannot_acknowledge(const range_source& source) {
   // A registrar acknowledges only while it sees a majority of its view. When a majority of the
   // source view is visible here or gone from the platform, no other side has one.
@@ -743,7 +752,8 @@
   }
   const auto& members = table_at(number)->members();
   const auto accounted = std::count_if(members.begin(), members.end(), [&](const auto& member) {
-    return live_.contains(member.id) || (listed_ && !listed_->contains(member.id.vm));
+    return live_.contains(member.id) || superseded(member.id) ||
+           (listed_ && !listed_->contains(member.id.vm));
   });
   return 2 * static_cast<std::size_t>(accounted) > members.size();
 }
--- a/src/coordination/intent_registrar.hpp
+++ b/src/coordination/intent_registrar.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
 #include <cstddef>
@@ -126,6 +127,7 @@
   /// False when the entry does not fit.
   bool merge(std::uint32_t index, const peer::intent_entry& entry, instant now);
   [[nodiscard]] bool sources_gone(const range_source& source) const;
+  [[nodiscard]] bool superseded(const member_id& id) const;
   [[nodiscard]] bool others_cannot_acknowledge(const range_source& source);
   [[nodiscard]] bool serves(const range_state& range, instant now) const;
   void count_majority();
@@ -138,6 +140,7 @@
   std::vector<range_state> ranges_;
   std::vector<std::uint32_t> pending_;
   absl::flat_hash_set<member_id> live_;
+  absl::flat_hash_map<vm_id, incarnation> live_incarnations_;
   std::optional<absl::flat_hash_set<vm_id>> listed_;
   instant fenced_until_{};
   std::size_t intents_{0};
--- a/tests/coordination/intent_registry_test.cpp
+++ b/tests/coordination/intent_registry_test.cpp
@@ -212,6 +212,34 @@
   CHECK(cluster.faults.empty());
 }
 
+// Guards against key ranges that stay unserved for good after all processes were killed at once: the new
+// processes have the old VM ids, so the platform's list never says that a VM is gone.
+TEST_CASE("intent_registry_all_processes_restarted_at_once_serve_first_attempts_again") {
+  simulated_cluster cluster{4, 11};
+  start_all(cluster);
+  const auto key = key_held_by(cluster, 0, 1, 0);
+  const auto unused = key_held_by(cluster, 0, 1, 1);
+  cluster.request(2, key, false, seconds(2));
+  cluster.run_for(seconds(1));
+  const auto before = cluster.left[key];
+  for (std::size_t index = 0; index < 4; ++index) {
+    cluster.crash(index);
+  }
+  for (std::size_t index = 0; index < 4; ++index) {
+    cluster.start(index);
+  }
+  cluster.run_for(seconds(20));
+  REQUIRE(cluster.ranges_are_ready());
+  cluster.request(3, key, false, seconds(3));
+  cluster.run_for(seconds(4));
+  CHECK(last_verdict(cluster) == verdict::may_have_run);
+  CHECK(cluster.left[key] == before);
+  cluster.request(3, unused, true, seconds(3));
+  cluster.run_for(seconds(4));
+  CHECK(cluster.left[unused] == 1);
+  CHECK(cluster.faults.empty());
+}
+
 // Guards against two sides of a partition that both serve a range: one by its old registrars, the
 // other by a taint that a first attempt passes.
 TEST_CASE("intent_registry_registrars_cut_off_together_do_not_serve_beside_a_tainted_range") {
