--- a/src/programs/rhubarb-standin/worker_service.cpp
+++ b/src/programs/rhubarb-standin/worker_service.cpp
@@ -70,7 +70,7 @@
 
 void worker_service::serve(const http_request& request, const http_responder& reply) {
   if (faults().down) {
-    send(reply, 503, "{\"reason\":\"the worker is down\"}");
+    refuse(reply, "the worker is down");
   } else if (request.path == "/ping") {
     send(reply, 200, "{}");
   } else if (request.path == "/request" && request.method == "POST") {
@@ -100,9 +100,7 @@
 
 void worker_service::on_service_request(const http_request& request, const http_responder& reply) {
   if (busy_slots_ >= options_.slots) {
-    reply.send({.status = 503,
-                .headers = {{"Rhubarb-Refused", "true"}},
-                .body = "{\"reason\":\"all slots are busy\"}"});
+    refuse(reply, "all slots are busy");
     return;
   }
   ++busy_slots_;
@@ -140,6 +138,12 @@
   send(reply, 200, std::move(body));
 }
 
+void worker_service::refuse(const http_responder& reply, std::string_view reason) {
+  reply.send({.status = 503,
+              .headers = {{"Rhubarb-Refused", "true"}},
+              .body = fmt::format("{{\"reason\":\"{}\"}}", reason)});
+}
+
 void worker_service::send(const http_responder& reply, int status, std::string body) {
   http_headers headers{{"Content-Type", "application/json"}};
   if (faults().leaving) {
--- a/src/programs/rhubarb-standin/worker_service.hpp
+++ b/src/programs/rhubarb-standin/worker_service.hpp
@@ -5,6 +5,8 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "absl/status/status.h"
@@ -49,6 +51,8 @@
   void on_task_call(const http_request& request, const http_responder& reply);
   void on_service_request(const http_request& request, const http_responder& reply);
   void finish_service_request(std::size_t index, const http_responder& reply);
+  /// Refuses before any work, which the header says.
+  static void refuse(const http_responder& reply, std::string_view reason);
   void send(const http_responder& reply, int status, std::string body);
   [[nodiscard]] const worker_faults& faults() const;
 
--- /dev/null
+++ b/tests/coordination/job_gateway_test.cpp
@@ -0,0 +1,190 @@
+#include "rhubarbpath/coordination/job_gateway.hpp"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <optional>
+
+#include "rhubarbpath/coordination/failure_domain_choice.hpp"
+
+namespace rhubarbpath {
+
+namespace {
+
+constexpr duration second{1'000'000};
+const instant start{second};
+
+/// Rows that are created only if absent, shared by several gateways.
+struct claim_rows {
+  std::map<std::string, std::string> rows;
+
+  store_response answer(const store_request& request) {
+    if (const auto* put = std::get_if<store_put>(&request)) {
+      return rows.try_emplace(put->key, put->value).second ? store_response{store_written{.at = revision{1}}}
+                                                           : store_response{store_failure::conflict};
+    }
+    const auto found = rows.find(std::get<store_get>(request).key);
+    store_rows result;
+    if (found != rows.end()) {
+      result.rows.push_back(
+          {.key = found->first, .value = found->second, .at = revision{1}, .written_by = {}});
+    }
+    return result;
+  }
+};
+
+struct gateway_fixture {
+  claim_rows& store;
+  job_gateway part{{.environment = "production"}};
+  std::vector<gateway::send_to_owner> sent;
+  std::vector<gateway::answer> answers;
+  /// Given instead of the store's answer when set.
+  std::optional<store_failure> failure;
+  bool store_silent{false};
+
+  void feed(const job_gateway_event& event, instant now = start) {
+    std::vector<job_gateway_action> actions;
+    part.handle(event, now, actions);
+    for (const auto& action : actions) {
+      if (const auto* call = std::get_if<store_call>(&action); call != nullptr && !store_silent) {
+        feed(store_call_result{.id = call->id,
+                               .response = failure ? store_response{*failure} : store.answer(call->request),
+                               .wait = {}},
+             now);
+      } else if (const auto* message = std::get_if<gateway::send_to_owner>(&action)) {
+        sent.push_back(*message);
+      } else if (const auto* answer = std::get_if<gateway::answer>(&action)) {
+        answers.push_back(*answer);
+      }
+    }
+  }
+
+  void submit(std::uint64_t id, const char* domain, const char* fingerprint = "f") {
+    feed(gateway::submission{.id = request_id{id},
+                             .job = job_id{"j"},
+                             .spec = {},
+                             .fingerprint = fingerprint,
+                             .failure_domain = failure_domain_id{domain},
+                             .refusal = {},
+                             .deadline = start + 10 * second});
+  }
+
+  void know_owner(const char* domain, std::uint64_t owned, const char* vm) {
+    feed(gateway::owner_known{
+        .failure_domain = failure_domain_id{domain}, .owned = epoch{owned}, .owner = vm_id{vm}});
+  }
+};
+
+}  // namespace
+
+// Guards against one job that two failure domains accept, because each VM chose its own.
+TEST_CASE("job_gateway_key_repeated_at_another_vm_reaches_the_first_domain") {
+  claim_rows store;
+  gateway_fixture first{store};
+  gateway_fixture second_vm{store};
+  for (auto* vm : {&first, &second_vm}) {
+    vm->know_owner("north", 1, "vm1");
+    vm->know_owner("south", 1, "vm2");
+  }
+  first.submit(1, "north");
+  second_vm.submit(1, "south");
+  REQUIRE(first.sent.size() == 1);
+  REQUIRE(second_vm.sent.size() == 1);
+  CHECK(second_vm.sent[0].failure_domain == failure_domain_id{"north"});
+  CHECK(second_vm.sent[0].owner == vm_id{"vm1"});
+}
+
+// Guards against a caller that is told of another caller's job under the same key.
+TEST_CASE("job_gateway_key_used_for_another_job_is_refused") {
+  claim_rows store;
+  gateway_fixture vm{store};
+  vm.know_owner("north", 1, "vm1");
+  vm.submit(1, "north", "f");
+  vm.submit(2, "north", "g");
+  REQUIRE(vm.answers.size() == 1);
+  CHECK(vm.answers[0].key_conflict);
+  CHECK(vm.answers[0].result.result == verdict::not_run);
+  CHECK(vm.sent.size() == 1);
+}
+
+// Guards against "not run" for a claim whose answer was lost, and against doubt where there is none.
+TEST_CASE("job_gateway_store_failure_decides_the_verdict") {
+  claim_rows store;
+  gateway_fixture vm{store};
+  vm.failure = store_failure::unknown;
+  vm.submit(1, "north");
+  vm.failure = store_failure::unavailable;
+  vm.submit(2, "north");
+  REQUIRE(vm.answers.size() == 2);
+  CHECK(vm.answers[0].result.result == verdict::may_have_run);
+  CHECK(vm.answers[1].result.result == verdict::not_run);
+  CHECK(vm.answers[1].result.retry_after.has_value());
+}
+
+// Guards against a submission that stays with a dead owner, and against an announcement that comes late.
+TEST_CASE("job_gateway_new_owner_receives_the_submission_again") {
+  claim_rows store;
+  gateway_fixture vm{store};
+  vm.know_owner("north", 1, "vm1");
+  vm.submit(1, "north");
+  vm.know_owner("north", 2, "vm2");
+  vm.know_owner("north", 1, "vm1");
+  REQUIRE(vm.sent.size() == 2);
+  CHECK(vm.sent[1].owner == vm_id{"vm2"});
+  CHECK(vm.part.owner_of(failure_domain_id{"north"}) == vm_id{"vm2"});
+}
+
+// Guards against "not run" at the deadline for a job that its owner may have logged.
+TEST_CASE("job_gateway_deadline_after_a_message_left_answers_may_have_run") {
+  claim_rows store;
+  gateway_fixture vm{store};
+  vm.submit(1, "north");
+  vm.feed(tick{}, start + 11 * second);
+  vm.know_owner("north", 1, "vm1");
+  vm.submit(2, "north");
+  vm.feed(gateway::owner_lost{.owner = vm_id{"vm1"}});
+  vm.feed(tick{}, start + 11 * second);
+  REQUIRE(vm.answers.size() == 2);
+  CHECK(vm.answers[0].result.result == verdict::not_run);
+  CHECK(vm.answers[1].result.result == verdict::may_have_run);
+  CHECK(vm.part.requests_in_progress() == 0);
+}
+
+// Guards against a long poll that keeps a draining VM alive.
+TEST_CASE("job_gateway_draining_asks_for_the_present_state") {
+  claim_rows store;
+  gateway_fixture vm{store};
+  vm.know_owner("north", 1, "vm1");
+  vm.submit(1, "north");
+  vm.feed(gateway::query{
+      .id = request_id{2}, .job = job_id{"j"}, .wait = 5 * second, .deadline = start + 8 * second});
+  vm.feed(gateway::drain{});
+  REQUIRE(vm.sent.size() == 3);
+  CHECK(vm.sent[1].wait == 5 * second);
+  CHECK(vm.sent[2].wait == duration::zero());
+}
+
+// Guards against jobs that wait in a failure domain that can never run them, or in a full one beside an idle
+// one.
+TEST_CASE("failure_domain_choice_prefers_a_domain_that_can_start_the_job") {
+  environment_document document;
+  document.failure_domains = {{failure_domain_id{"a"}, {}}, {failure_domain_id{"b"}, {}}};
+  document.racks = {{rack_id{"ra"}, failure_domain_id{"a"}}, {rack_id{"rb"}, failure_domain_id{"b"}}};
+  document.workers = {{.id = worker_id{"wa"}, .rack = rack_id{"ra"}, .service = {}, .address = {}},
+                      {.id = worker_id{"wb"}, .rack = rack_id{"rb"}, .service = {}, .address = {}}};
+  document.teams = {{.id = team_id{"t"}, .guarantees = {}}};
+  document.job_classes = {{.id = class_id{"c"}, .finish_by = {}}};
+  job_spec spec{.team = team_id{"t"}, .job_class = class_id{"c"}, .shape = {.accelerators_per_member = 8}};
+  const std::map<failure_domain_id, failure_domain_load> loads{
+      {failure_domain_id{"a"}, {.free_accelerators = 4, .waiting_jobs = 0}},
+      {failure_domain_id{"b"}, {.free_accelerators = 8, .waiting_jobs = 0}}};
+  const auto choice = choose_failure_domains(document, {}, spec, loads);
+  REQUIRE(choice.candidates.size() == 2);
+  CHECK(choice.candidates.front() == failure_domain_id{"b"});
+  spec.shape.members = 2;
+  CHECK_FALSE(choose_failure_domains(document, {}, spec, loads).refusal.empty());
+  spec.shape.members = 1;
+  spec.guaranteed = true;
+  CHECK_FALSE(choose_failure_domains(document, {}, spec, loads).refusal.empty());
+}
+
+}  // namespace rhubarbpath
