Spread bursts of jobs, fill the entry's status, free closed websocket connections

A burst of jobs went to the failure domain that was idle at the last announcement, up to 2 s ago.

The leak check of the sanitized build found that each closed peer link left its websocket connection behind, because the library's connection keeps itself while it waits for input; the codec now ends its input. It also found a cycle in the simulated process.

--- a/include/rhubarbpath/coordination/failure_domain_choice.hpp
+++ b/include/rhubarbpath/coordination/failure_domain_choice.hpp
@@ -30,4 +30,9 @@
     const environment_document& document, const guarantee_check& guarantees, const job_spec& spec,
     const std::map<failure_domain_id, failure_domain_load>& loads);
 
+/// Counts a new job against the announced load of its domain until the next announcement replaces it.
+/// Without this, a whole burst of jobs goes to the domain that was idle when it began.
+void count_submission(const failure_domain_id& domain, const job_spec& spec,
+                      std::map<failure_domain_id, failure_domain_load>& loads);
+
 }  // namespace rhubarbpath
--- a/include/rhubarbpath/protocol/peer_messages.hpp
+++ b/include/rhubarbpath/protocol/peer_messages.hpp
@@ -109,6 +109,9 @@
   std::string address;
   std::uint32_t free_accelerators{0};
   std::uint32_t waiting_jobs{0};
+  std::uint32_t running_jobs{0};
+  std::uint32_t workers_set_aside{0};
+  std::uint32_t uncovered_guarantees{0};  ///< Guarantee instances without healthy cells.
   friend bool operator==(const owner_announcement&, const owner_announcement&) = default;
 };
 
--- a/src/coordination/failure_domain_choice.cpp
+++ b/src/coordination/failure_domain_choice.cpp
@@ -117,4 +117,19 @@
   return choice;
 }
 
+void count_submission(const failure_domain_id& domain, const job_spec& spec,
+                      std::map<failure_domain_id, failure_domain_load>& loads) {
+  const auto found = loads.find(domain);
+  if (found == loads.end()) {
+    return;
+  }
+  auto& load = found->second;
+  const int wanted = spec.shape.accelerators();
+  if (load.waiting_jobs == 0 && load.free_accelerators >= wanted) {
+    load.free_accelerators -= wanted;
+  } else {
+    ++load.waiting_jobs;
+  }
+}
+
 }  // namespace rhubarbpath
--- a/src/programs/rhubarb-entry/job_endpoint.cpp
+++ b/src/programs/rhubarb-entry/job_endpoint.cpp
@@ -115,6 +115,9 @@
     return;
   }
   const auto choice = choose_failure_domains(*document_, guarantees_, *spec, loads_);
+  if (!choice.candidates.empty()) {
+    count_submission(choice.candidates.front(), *spec, loads_);
+  }
   const auto id = admit(request, gateway::owner_message::submit, reply);
   feed(gateway::submission{
       .id = id,
@@ -157,6 +160,14 @@
 void job_endpoint::on_document(std::shared_ptr<const environment_document> document) {
   document_ = std::move(document);
   guarantees_ = check_guarantees(*document_);
+  std::map<rack_id, failure_domain_id> domain_of;
+  for (const auto& rack : document_->racks) {
+    domain_of[rack.id] = rack.failure_domain;
+  }
+  accelerators_.clear();
+  for (const auto& worker : document_->workers) {
+    accelerators_[domain_of[worker.rack]] += worker.accelerators;
+  }
   for (const auto& problem : guarantees_.problems) {
     log(log_level::error, "a guarantee of the document in force cannot be met", {{"reason", problem.reason}});
   }
@@ -166,6 +177,7 @@
   if (const auto* owner = std::get_if<peer::owner_announcement>(&message)) {
     loads_[owner->failure_domain] = {.free_accelerators = static_cast<int>(owner->free_accelerators),
                                      .waiting_jobs = static_cast<int>(owner->waiting_jobs)};
+    announced_[owner->failure_domain] = *owner;
     feed(gateway::owner_known{
         .failure_domain = owner->failure_domain, .owned = owner->owned, .owner = from.id.vm});
     return true;
@@ -190,9 +202,15 @@
   for (const auto& domain : document_->failure_domains) {
     failure_domain_status status{
         .id = domain.id, .owner = gateway_.owner_of(domain.id), .owner_epoch = gateway_.epoch_of(domain.id)};
-    if (const auto load = loads_.find(domain.id); load != loads_.end()) {
-      status.free_accelerators = load->second.free_accelerators;
-      status.waiting_jobs = load->second.waiting_jobs;
+    if (const auto total = accelerators_.find(domain.id); total != accelerators_.end()) {
+      status.accelerators = total->second;
+    }
+    if (const auto known = announced_.find(domain.id); known != announced_.end()) {
+      status.free_accelerators = static_cast<int>(known->second.free_accelerators);
+      status.waiting_jobs = static_cast<int>(known->second.waiting_jobs);
+      status.running_jobs = static_cast<int>(known->second.running_jobs);
+      status.workers_set_aside = static_cast<int>(known->second.workers_set_aside);
+      status.uncovered_guarantees = static_cast<int>(known->second.uncovered_guarantees);
     }
     all.push_back(std::move(status));
   }
--- a/src/programs/rhubarb-entry/job_endpoint.hpp
+++ b/src/programs/rhubarb-entry/job_endpoint.hpp
@@ -70,6 +70,8 @@
   std::shared_ptr<const environment_document> document_;
   guarantee_check guarantees_;
   std::map<failure_domain_id, failure_domain_load> loads_;
+  std::map<failure_domain_id, peer::owner_announcement> announced_;
+  std::map<failure_domain_id, int> accelerators_;  ///< Of all workers that the document lists.
   std::map<request_id, waiting_caller> callers_;
   request_id last_request_;
   std::optional<instant> refuse_from_;
--- a/src/programs/rhubarb-scheduler/scheduler_daemon.cpp
+++ b/src/programs/rhubarb-scheduler/scheduler_daemon.cpp
@@ -277,12 +277,21 @@
 void scheduler_daemon::run(domain_slot& slot, const owner_announced& action) {
   log_changes(slot);
   const auto& engine = slot.placement.engine();
+  std::uint32_t uncovered = 0;
+  for (const auto& each : engine.uncovered_guarantees()) {
+    uncovered += static_cast<std::uint32_t>(each.uncovered);
+  }
+  const auto* state = slot.owner.committed();
+  const auto set_aside = state == nullptr ? std::size_t{0} : state->set_aside.size();
   mesh_.broadcast(
       peer::owner_announcement{.failure_domain = action.failure_domain,
                                .owned = action.current_epoch,
                                .address = options_.self.address,
                                .free_accelerators = static_cast<std::uint32_t>(engine.free_accelerators()),
-                               .waiting_jobs = static_cast<std::uint32_t>(engine.waiting_jobs())});
+                               .waiting_jobs = static_cast<std::uint32_t>(engine.waiting_jobs()),
+                               .running_jobs = static_cast<std::uint32_t>(engine.running_jobs()),
+                               .workers_set_aside = static_cast<std::uint32_t>(set_aside),
+                               .uncovered_guarantees = uncovered});
 }
 
 void scheduler_daemon::run(domain_slot& slot, const owner_drained& /*action*/) {
--- a/src/protocol/peer_messages.cpp
+++ b/src/protocol/peer_messages.cpp
@@ -603,6 +603,9 @@
   visit("address", value.address);
   visit("free_accelerators", value.free_accelerators);
   visit("waiting_jobs", value.waiting_jobs);
+  visit("running_jobs", value.running_jobs);
+  visit("workers_set_aside", value.workers_set_aside);
+  visit("uncovered_guarantees", value.uncovered_guarantees);
 }
 
 template <class T>
--- a/src/transport/websocket_codec.cpp
+++ b/src/transport/websocket_codec.cpp
@@ -63,7 +63,18 @@
 websocket_codec::websocket_codec(role which, callbacks calls, std::size_t max_message_bytes)
     : implementation_{std::make_unique<implementation>(which, std::move(calls), max_message_bytes)} {}
 
-websocket_codec::~websocket_codec() = default;
+websocket_codec::~websocket_codec() {
+  // The library's connection keeps itself alive while it waits for input; the end of input releases it.
+  // Nothing may be called back any more by then.
+  implementation_->calls = {[] {}, [](const std::string&) {}, [] {}, [] {}, [](const char*, std::size_t) {}};
+  std::visit(
+      [](auto& chosen) {
+        if (const auto connection = std::exchange(chosen.connection, nullptr)) {
+          connection->eof();
+        }
+      },
+      implementation_->sides);
+}
 
 void websocket_codec::start(const std::string& host_and_port) {
   auto& self = *implementation_;
--- a/tests/coordination/job_gateway_test.cpp
+++ b/tests/coordination/job_gateway_test.cpp
@@ -163,28 +163,58 @@
   CHECK(vm.sent[2].wait == duration::zero());
 }
 
+namespace {
+
+/// Two failure domains of one worker each, and a job that needs a whole worker.
+struct two_domains {
+  environment_document document;
+  job_spec spec{.team = team_id{"t"}, .job_class = class_id{"c"}, .shape = {.accelerators_per_member = 8}};
+  std::map<failure_domain_id, failure_domain_load> loads;
+
+  two_domains() {
+    document.teams = {{.id = team_id{"t"}, .guarantees = {}}};
+    document.job_classes = {{.id = class_id{"c"}, .finish_by = {}}};
+    for (const std::string name : {"a", "b"}) {
+      document.failure_domains.push_back({failure_domain_id{name}, {}});
+      document.racks.push_back({rack_id{"r" + name}, failure_domain_id{name}});
+      document.workers.push_back(
+          {.id = worker_id{"w" + name}, .rack = rack_id{"r" + name}, .service = {}, .address = {}});
+      loads[failure_domain_id{name}] = {.free_accelerators = 8, .waiting_jobs = 0};
+    }
+  }
+
+  [[nodiscard]] failure_domain_choice choose() const {
+    return choose_failure_domains(document, {}, spec, loads);
+  }
+};
+
+}  // namespace
+
 // Guards against jobs that wait in a failure domain that can never run them, or in a full one beside an idle
 // one.
 TEST_CASE("failure_domain_choice_prefers_a_domain_that_can_start_the_job") {
-  environment_document document;
-  document.failure_domains = {{failure_domain_id{"a"}, {}}, {failure_domain_id{"b"}, {}}};
-  document.racks = {{rack_id{"ra"}, failure_domain_id{"a"}}, {rack_id{"rb"}, failure_domain_id{"b"}}};
-  document.workers = {{.id = worker_id{"wa"}, .rack = rack_id{"ra"}, .service = {}, .address = {}},
-                      {.id = worker_id{"wb"}, .rack = rack_id{"rb"}, .service = {}, .address = {}}};
-  document.teams = {{.id = team_id{"t"}, .guarantees = {}}};
-  document.job_classes = {{.id = class_id{"c"}, .finish_by = {}}};
-  job_spec spec{.team = team_id{"t"}, .job_class = class_id{"c"}, .shape = {.accelerators_per_member = 8}};
-  const std::map<failure_domain_id, failure_domain_load> loads{
-      {failure_domain_id{"a"}, {.free_accelerators = 4, .waiting_jobs = 0}},
-      {failure_domain_id{"b"}, {.free_accelerators = 8, .waiting_jobs = 0}}};
-  const auto choice = choose_failure_domains(document, {}, spec, loads);
-  REQUIRE(choice.candidates.size() == 2);
-  CHECK(choice.candidates.front() == failure_domain_id{"b"});
-  spec.shape.members = 2;
-  CHECK_FALSE(choose_failure_domains(document, {}, spec, loads).refusal.empty());
-  spec.shape.members = 1;
-  spec.guaranteed = true;
-  CHECK_FALSE(choose_failure_domains(document, {}, spec, loads).refusal.empty());
+  two_domains fleet;
+  fleet.loads[failure_domain_id{"a"}].free_accelerators = 4;
+  REQUIRE(fleet.choose().candidates.size() == 2);
+  CHECK(fleet.choose().candidates.front() == failure_domain_id{"b"});
+  fleet.spec.shape.members = 2;
+  CHECK_FALSE(fleet.choose().refusal.empty());
+  fleet.spec.shape.members = 1;
+  fleet.spec.guaranteed = true;
+  CHECK_FALSE(fleet.choose().refusal.empty());
+}
+
+// Guards against a burst of jobs that all go to one failure domain between two announcements.
+TEST_CASE("failure_domain_choice_burst_of_jobs_is_spread") {
+  two_domains fleet;
+  std::map<failure_domain_id, int> chosen;
+  for (int job = 0; job < 8; ++job) {
+    const auto domain = fleet.choose().candidates.front();
+    ++chosen[domain];
+    count_submission(domain, fleet.spec, fleet.loads);
+  }
+  CHECK(chosen[failure_domain_id{"a"}] == 4);
+  CHECK(chosen[failure_domain_id{"b"}] == 4);
 }
 
 }  // namespace rhubarbpath
--- a/tests/coordination/simulated_store.hpp
+++ b/tests/coordination/simulated_store.hpp
@@ -368,8 +368,9 @@
         }
         store_->call(sent->request,
                      [self = this->shared_from_this(), id = sent->sent](store_response response) {
-                       self->post([self, id, response] {
-                         self->feed_session(store_answered{.sent = id, .response = response});
+                       // A frozen process keeps its work itself, so the work must not keep the process.
+                       self->post([process = self.get(), id, response] {
+                         process->feed_session(store_answered{.sent = id, .response = response});
                        });
                      });
       } else {
--- a/tests/protocol/peer_messages_test.cpp
+++ b/tests/protocol/peer_messages_test.cpp
@@ -199,7 +199,10 @@
                                 .owned = epoch{any_number()},
                                 .address = any_text(),
                                 .free_accelerators = any_small(),
-                                .waiting_jobs = any_small()};
+                                .waiting_jobs = any_small(),
+                                .running_jobs = any_small(),
+                                .workers_set_aside = any_small(),
+                                .uncovered_guarantees = any_small()};
   }
 }
 
