Remove the last cycle in the simulated domain

A frozen process kept an announcement that kept the process; the leak check of the sanitized build reported it. Checked: the 29 cases of domain, lease, gang and store parts pass sanitized without a leak.

--- a/tests/coordination/simulated_domain.hpp
+++ b/tests/coordination/simulated_domain.hpp
@@ -324,7 +324,7 @@
     for (const auto& [name, process] : processes) {
       if (!process->cut_off) {
         process->post_at(queue.now() + network_delay(),
-                         [target = process, announced] { target->send(announced); });
+                         [target = process.get(), announced] { target->send(announced); });
       }
     }
   }
