--- a/src/programs/rhubarb-entry/service_endpoint.cpp
+++ b/src/programs/rhubarb-entry/service_endpoint.cpp
@@ -114,10 +114,12 @@
   const auto traceparent = to_traceparent(caller.hop);
   callers_.insert_or_assign(last_request_, std::move(caller));
   wanted_intents_[last_request_] = {.key = key, .first_attempt = own_key || headers->first_attempt};
-  auto deadline = headers->deadline ? loop_.now() + *headers->deadline : instant{};
-  if (non_idempotent && headers->deadline) {
-    deadline = std::min(deadline, loop_.now() + longest_non_idempotent_deadline);
+  auto time_left = headers->deadline;
+  if (non_idempotent) {
+    const auto wanted = time_left ? time_left : spec->deadline;
+    time_left = std::min(wanted.value_or(longest_non_idempotent_deadline), longest_non_idempotent_deadline);
   }
+  const auto deadline = time_left ? loop_.now() + *time_left : instant{};
   feed_router(routing::request_arrived{.id = last_request_,
                                        .content = {.service = service,
                                                    .request_class = request_class,
--- a/src/programs/rhubarb-standin/main.cpp
+++ b/src/programs/rhubarb-standin/main.cpp
@@ -6,9 +6,9 @@
 #include <iterator>
 #include <nlohmann/json.hpp>
 
+#include "platform_service.hpp"
 #include "rhubarbpath/protocol/document_yaml.hpp"
 #include "rhubarbpath/transport/log.hpp"
-#include "store_service.hpp"
 #include "worker_service.hpp"
 
 namespace rhubarbpath::standin {
--- a/src/programs/rhubarb-standin/store_service.cpp
+++ b/src/programs/rhubarb-standin/platform_service.cpp
@@ -1,4 +1,4 @@
-#include "store_service.hpp"
+#include "platform_service.hpp"
 
 #include <fmt/format.h>
 
--- a/src/programs/rhubarb-standin/worker_service.cpp
+++ b/src/programs/rhubarb-standin/worker_service.cpp
@@ -60,9 +60,7 @@
   if (faults().paused) {
     paused_.emplace_back(request, reply);
   } else if (request.connection <= silent_until_) {
-    // The request is lost on a connection that the network forgot; keeping the responder keeps it open.
-    paused_.reserve(paused_.size() + 1);
-    running_[SIZE_MAX - request.connection] = loop_.run_after(std::chrono::hours{1}, [reply] {});
+    silenced_.push_back(reply);
   } else {
     serve(request, reply);
   }
--- a/src/programs/rhubarb-standin/worker_service.hpp
+++ b/src/programs/rhubarb-standin/worker_service.hpp
@@ -66,6 +66,8 @@
   std::uint64_t silent_until_{0};
   std::map<std::size_t, timer_handle> running_;
   std::vector<std::pair<http_request, http_responder>> paused_;
+  /// Requests that the network lost. Keeping the responder keeps the connection open.
+  std::vector<http_responder> silenced_;
   std::unique_ptr<http_server> server_;
   timer_handle clock_;
 };
