--- a/src/programs/shared/daemon_base.cpp
+++ b/src/programs/shared/daemon_base.cpp
@@ -104,9 +104,7 @@
 void daemon_base::exit_now(int status) {
   exit_status_ = status;
   cluster_.leave();
-  // The handle is kept by the loop's callback, so that the timer outlives this function.
-  auto timer = std::make_shared<timer_handle>();
-  *timer = loop_.run_after(linger, [this, timer] { loop_.stop(); });
+  exit_timer_ = loop_.run_after(linger, [this] { loop_.stop(); });
 }
 
 void daemon_base::handle_http(const http_request& request, const http_responder& reply) {
--- a/src/programs/shared/daemon_base.hpp
+++ b/src/programs/shared/daemon_base.hpp
@@ -76,6 +76,7 @@
 
   http_server http_;
   timer_handle vm_list_timer_;
+  timer_handle exit_timer_;
   bool draining_{false};
   bool document_known_{false};
   int exit_status_{0};
