Use one address parser and remove code that nothing calls

The HTTP client, the settings and the stand-in each split an address; they now call transport's parse_address. Removed: the mesh's on_ready callback and set_loads, which nothing used, and the entry's second table of requests, which only repeated a flag of the waiting caller.

--- a/src/programs/rhubarb-entry/service_endpoint.cpp
+++ b/src/programs/rhubarb-entry/service_endpoint.cpp
@@ -110,10 +110,10 @@
                         .arrived = loop_.now(),
                         .hop = continue_trace(headers->traceparent, random_),
                         .parent = parent.value_or(trace_context{}),
-                        .service = service.value()};
+                        .service = service.value(),
+                        .first_attempt = own_key || headers->first_attempt};
   const auto traceparent = to_traceparent(caller.hop);
   callers_.insert_or_assign(last_request_, std::move(caller));
-  wanted_intents_[last_request_] = {.key = key, .first_attempt = own_key || headers->first_attempt};
   auto time_left = headers->deadline;
   if (non_idempotent) {
     const auto wanted = time_left ? time_left : spec->deadline;
@@ -299,8 +299,8 @@
 
 void service_endpoint::run(const routing::record_intent& action) {
   const auto& intent = action.intent;
-  const auto wanted = wanted_intents_.find(intent.request);
-  const bool first = wanted != wanted_intents_.end() && wanted->second.first_attempt;
+  const auto caller = callers_.find(intent.request);
+  const bool first = caller != callers_.end() && caller->second.first_attempt;
   feed_intents(intent_requested{.id = intent.request,
                                 .key = registry_key(intent.team, intent.service, intent.key),
                                 .first_attempt = first,
@@ -488,7 +488,6 @@
 }
 
 void service_endpoint::run(const routing::answer_caller& action) {
-  wanted_intents_.erase(action.id);
   const auto found = callers_.find(action.id);
   if (found == callers_.end()) {
     return;
--- a/src/programs/rhubarb-entry/service_endpoint.hpp
+++ b/src/programs/rhubarb-entry/service_endpoint.hpp
@@ -51,6 +51,7 @@
     trace_context hop;
     trace_context parent;
     std::string service;
+    bool first_attempt{false};  ///< The key was never sent before, by the caller's word or made here.
   };
   struct target_call {
     http_client::handle handle{0};
@@ -59,10 +60,6 @@
     trace_context parent;
     worker_id target;
   };
-  struct requested_intent {
-    idempotency_key key;
-    bool first_attempt{false};
-  };
 
   void feed_router(const request_router_event& event);
   void feed_intents(const intent_registry_event& event);
@@ -103,7 +100,6 @@
   std::map<worker_id, std::string> addresses_;
   std::map<worker_id, bool> leaving_;
   std::map<request_id, waiting_caller> callers_;
-  std::map<request_id, requested_intent> wanted_intents_;
   std::map<routing::target_call_id, target_call> calls_;
   request_id last_request_;
 };
--- a/src/programs/rhubarb-standin/worker_service.cpp
+++ b/src/programs/rhubarb-standin/worker_service.cpp
@@ -4,8 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
-#include "absl/strings/numbers.h"
 #include "rhubarbpath/protocol/worker_codec.hpp"
+#include "rhubarbpath/transport/address.hpp"
 
 namespace rhubarbpath::standin {
 
@@ -16,15 +16,9 @@
 
 std::unique_ptr<http_server> make_server(event_loop& loop, const worker_spec& spec,
                                          http_server::handler handle) {
-  const auto colon = spec.address.rfind(':');
-  std::uint32_t port = 0;
-  if (colon == std::string::npos || !absl::SimpleAtoi(spec.address.substr(colon + 1), &port)) {
-    port = 0;
-  }
-  return std::make_unique<http_server>(loop,
-                                       http_server::options{.address = spec.address.substr(0, colon),
-                                                            .port = static_cast<std::uint16_t>(port)},
-                                       std::move(handle));
+  const auto address = parse_address(spec.address).value_or(host_port{});
+  return std::make_unique<http_server>(
+      loop, http_server::options{.address = address.host, .port = address.port}, std::move(handle));
 }
 
 }  // namespace
--- a/src/programs/shared/cluster_node.cpp
+++ b/src/programs/shared/cluster_node.cpp
@@ -92,11 +92,6 @@
   publish_status();
 }
 
-void cluster_node::set_loads(std::vector<peer::service_load> loads) {
-  status_.loads = std::move(loads);
-  publish_status();
-}
-
 void cluster_node::leave() {
   feed(membership_event{leave_requested{}});
 }
--- a/src/programs/shared/cluster_node.hpp
+++ b/src/programs/shared/cluster_node.hpp
@@ -53,7 +53,6 @@
   /// `found` are the processes of the same kind that the platform lists.
   void on_vm_list(const std::vector<vm_hint>& found);
   void set_draining();
-  void set_loads(std::vector<peer::service_load> loads);
   /// Tells the peers that this process exits.
   void leave();
 
--- a/src/programs/shared/daemon_base.cpp
+++ b/src/programs/shared/daemon_base.cpp
@@ -58,8 +58,7 @@
                      on_peer_message(from, message);
                    }
                  },
-             .on_lost = [this](const vm_id& vm) { on_peer_lost(vm); },
-             .on_ready = [](const member_info& /*peer*/) {}}},
+             .on_lost = [this](const vm_id& vm) { on_peer_lost(vm); }}},
       cluster_{loop_,
                mesh_,
                store_,
--- a/src/programs/shared/daemon_settings.cpp
+++ b/src/programs/shared/daemon_settings.cpp
@@ -9,8 +9,6 @@
 #include <iterator>
 #include <map>
 
-#include "absl/strings/numbers.h"
-
 namespace rhubarbpath {
 
 namespace {
@@ -118,18 +116,6 @@
 
 }  // namespace
 
-absl::StatusOr<host_port> parse_address(const std::string& text) {
-  const auto colon = text.rfind(':');
-  std::uint32_t port = 0;
-  constexpr std::uint32_t max_port = 65535;
-  if (colon == std::string::npos || colon == 0 || !absl::SimpleAtoi(text.substr(colon + 1), &port) ||
-      port == 0 || port > max_port) {
-    return absl::InvalidArgumentError(
-        fmt::format("\"{}\" is not an IP number and port, for example 127.0.0.1:8000", text));
-  }
-  return host_port{.host = text.substr(0, colon), .port = static_cast<std::uint16_t>(port)};
-}
-
 absl::StatusOr<daemon_settings> read_settings(const std::string& path) {
   std::ifstream file{path};
   if (!file) {
--- a/src/programs/shared/daemon_settings.hpp
+++ b/src/programs/shared/daemon_settings.hpp
@@ -6,6 +6,7 @@
 
 #include "absl/status/statusor.h"
 #include "rhubarbpath/state/ids.hpp"
+#include "rhubarbpath/transport/address.hpp"
 #include "rhubarbpath/transport/log.hpp"
 
 namespace rhubarbpath {
@@ -33,13 +34,6 @@
 /// Fails with `kNotFound` or `kInvalidArgument`; the message names the file, the line and what is accepted.
 [[nodiscard]] absl::StatusOr<daemon_settings> read_settings(const std::string& path);
 
-struct host_port {
-  std::string host;
-  std::uint16_t port{0};
-};
-/// Fails with `kInvalidArgument` unless the text is an IP number and a port.
-[[nodiscard]] absl::StatusOr<host_port> parse_address(const std::string& text);
-
 /// Settings path from the command line; prints help and exits as TCLAP does.
 [[nodiscard]] std::string settings_argument(int argc, char** argv, const std::string& description);
 
--- a/src/programs/shared/peer_mesh.cpp
+++ b/src/programs/shared/peer_mesh.cpp
@@ -118,7 +118,6 @@
   auto& state = links_.at(number);
   state.peer = hello.sender;
   not_before_.erase(hello.sender.id.vm);
-  calls_.on_ready(hello.sender);
 }
 
 void peer_mesh::on_closed(link_number number, const std::string& reason) {
--- a/src/programs/shared/peer_mesh.hpp
+++ b/src/programs/shared/peer_mesh.hpp
@@ -22,8 +22,6 @@
     std::function<void(const member_info& from, const peer::message& message)> on_message;
     /// The last link to the VM closed.
     std::function<void(const vm_id& vm)> on_lost;
-    /// A link was opened by either side and the other side has said who it is.
-    std::function<void(const member_info& peer)> on_ready;
   };
 
   peer_mesh(event_loop& loop, member_info self, metrics& counters, callbacks calls);
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -11,9 +11,8 @@
 #include <utility>
 
 #include "absl/container/flat_hash_map.h"
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_split.h"
+#include "rhubarbpath/transport/address.hpp"
 
 namespace rhubarbpath {
 
@@ -40,22 +39,6 @@
   std::optional<evhttp_request_error> error;
 };
 
-struct host_and_port {
-  std::string host;
-  std::uint16_t port{0};
-};
-
-std::optional<host_and_port> split_address(const std::string& address) {
-  const auto colon = address.rfind(':');
-  std::uint32_t port = 0;
-  constexpr std::uint32_t max_port = 65535;
-  if (colon == std::string::npos || !absl::SimpleAtoi(address.substr(colon + 1), &port) || port == 0 ||
-      port > max_port) {
-    return std::nullopt;
-  }
-  return host_and_port{.host = address.substr(0, colon), .port = static_cast<std::uint16_t>(port)};
-}
-
 std::optional<evhttp_cmd_type> method_from_text(const std::string& method) {
   if (method == "GET") {
     return EVHTTP_REQ_GET;
@@ -130,8 +113,8 @@
   };
 
   connection_pointer connect(const std::string& address) {
-    const auto target = split_address(address);
-    if (!target) {
+    const auto target = parse_address(address);
+    if (!target.ok()) {
       return nullptr;
     }
     auto connection = std::make_unique<pooled_connection>();
