--- /dev/null
+++ b/include/rhubarbpath/state/fleet.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "rhubarbpath/state/ids.hpp"
+#include "rhubarbpath/state/job_graph.hpp"
+#include "rhubarbpath/state/units.hpp"
+
+namespace rhubarbpath {
+
+/// A queue of jobs: where callers submit, who runs the tasks, and how they are ordered.
+struct queue_config {
+  queue_id id;
+  std::string host;
+  std::string path_prefix;
+  service_id service;
+  bool open_to_all{false};  ///< No key of a team is asked for.
+  std::int64_t priority{0};  ///< 0 comes first and may preempt others.
+  std::uint32_t max_attempts{1};
+  double stretch{1.0};  ///< Objective as a multiple of the longest chain of work.
+  duration target{};    ///< Added to the objective.
+};
+
+struct service_config {
+  service_id id;
+  bool workers_check_room{true};  ///< Workers refuse what does not fit.
+};
+
+struct team_config {
+  team_id id;
+  std::vector<std::string> keys;
+  std::int64_t guaranteed_accelerators{0};
+};
+
+/// The operator's configuration of queues, services and teams.
+struct fleet_config {
+  document_version version;
+  std::vector<queue_config> queues;
+  std::vector<service_config> services;
+  std::vector<team_config> teams;
+  std::uint64_t max_body_bytes{1U << 20U};
+};
+
+/// A worker as it describes itself in the registry.
+struct worker_entry {
+  worker_id id;
+  service_id service;
+  std::string address;
+  failure_domain_id domain;
+  rack_id rack;
+  std::vector<std::string> labels;
+  resource_amounts capacity;
+  bool draining{false};
+  incarnation born;  ///< Start time of this life, Unix milliseconds; 0 when unknown.
+};
+
+enum class run_outcome { done, failed, stopped, lease_expired, gang_broken, gang_incomplete };
+
+struct active_run {
+  task_ref task;
+  run_number run;
+  std::string checkpoint;
+  int percent{0};
+};
+
+/// A run that has ended on a worker. Numbers rise by one within a worker's incarnation.
+struct ended_run {
+  std::uint64_t number{0};
+  task_ref task;
+  run_number run;
+  run_outcome outcome{run_outcome::failed};
+  std::string checkpoint;
+};
+
+/// A worker's answer to a lease renewal.
+struct lease_report {
+  incarnation born;
+  std::chrono::milliseconds clock{0};  ///< The worker's steady clock; may run 2% slow.
+  std::vector<active_run> running;
+  std::vector<ended_run> ended;
+};
+
+enum class start_refusal { fenced, superseded, too_late, no_room, no_ticket, unhealthy, invalid };
+
+struct start_accepted {};
+struct start_refused {
+  start_refusal why{start_refusal::invalid};
+};
+/// The order may have been carried out, or may be later.
+struct order_unanswered {};
+/// Another incarnation or worker answers at the address.
+struct wrong_instance {};
+
+}  // namespace rhubarbpath
--- /dev/null
+++ b/include/rhubarbpath/state/job_graph.hpp
@@ -0,0 +1,134 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "rhubarbpath/state/ids.hpp"
+#include "rhubarbpath/state/units.hpp"
+
+namespace rhubarbpath {
+
+/// What a task occupies on a worker, or what a worker offers.
+struct resource_amounts {
+  std::int64_t cpu_millicores{0};
+  std::int64_t memory_mb{0};
+  std::int64_t accelerators{0};
+
+  friend bool operator==(const resource_amounts&, const resource_amounts&) = default;
+
+  resource_amounts& operator+=(const resource_amounts& other) noexcept {
+    cpu_millicores += other.cpu_millicores;
+    memory_mb += other.memory_mb;
+    accelerators += other.accelerators;
+    return *this;
+  }
+  resource_amounts& operator-=(const resource_amounts& other) noexcept {
+    cpu_millicores -= other.cpu_millicores;
+    memory_mb -= other.memory_mb;
+    accelerators -= other.accelerators;
+    return *this;
+  }
+  [[nodiscard]] friend resource_amounts operator-(resource_amounts left, const resource_amounts& right) {
+    return left -= right;
+  }
+  /// True when `wanted` fits into this amount in every dimension.
+  [[nodiscard]] bool covers(const resource_amounts& wanted) const noexcept {
+    return cpu_millicores >= wanted.cpu_millicores && memory_mb >= wanted.memory_mb &&
+           accelerators >= wanted.accelerators;
+  }
+};
+
+/// One step of a job: `count` alike tasks that may start once the steps in `after` are done.
+struct step_spec {
+  std::uint32_t count{1};
+  resource_amounts each;
+  duration estimate{};  ///< The caller's guess of a task's duration; often far off.
+  std::vector<std::uint32_t> after;
+  bool checkpointing{false};
+  bool gang{false};         ///< All tasks run together and end together.
+  bool same_rack{false};    ///< Tasks run slower by the site's remote factor when spread over racks.
+  bool speculative{false};  ///< Copies may run in parallel.
+  bool long_running{false};
+  bool fills{false};               ///< Uses only the processor time that other tasks leave.
+  std::string required_label;      ///< Empty: any worker.
+  std::string data_rack;           ///< Rack where the input is; elsewhere the task is slower.
+  std::uint32_t max_per_worker{};  ///< 0: no limit.
+  std::uint32_t allowed_absent{};  ///< Tasks that this system may keep away from work at a time.
+  std::string image;
+  duration target_latency{};
+};
+
+/// A submitted job. `occurrences` above 0 repeats the steps at fixed times.
+struct job_graph {
+  std::string payload;  ///< Passed to the workers unread.
+  std::vector<step_spec> steps;
+  std::uint32_t occurrences{0};
+  std::chrono::milliseconds first_due{0};  ///< Since the Unix epoch.
+  std::chrono::milliseconds interval{0};
+};
+
+using queue_id = string_id<struct queue_id_tag>;
+/// Strictly rising number of an owner of the scheduling duty; workers refuse lower ones.
+using owner_term = number_id<struct owner_term_tag>;
+/// Start count of a task or gang; a higher one supersedes a lower one.
+using run_number = number_id<struct run_number_tag>;
+
+/// A job as it is stored when it is accepted.
+struct accepted_job {
+  job_id id;
+  queue_id queue;
+  team_id team;
+  std::chrono::milliseconds accepted_at{0};  ///< Wall clock of the accepting VM.
+  job_graph graph;
+};
+
+/// One task of one occurrence of a step.
+struct task_ref {
+  job_id job;
+  std::uint32_t occurrence{0};
+  std::uint32_t step{0};
+  std::uint32_t index{0};
+
+  friend bool operator==(const task_ref&, const task_ref&) = default;
+  friend auto operator<=>(const task_ref&, const task_ref&) = default;
+  template <class H>
+  friend H AbslHashValue(H state, const task_ref& ref) {
+    return H::combine(std::move(state), ref.job, ref.occurrence, ref.step, ref.index);
+  }
+};
+
+enum class job_phase { queued, running, complete, failed, cancelled };
+
+[[nodiscard]] constexpr bool is_terminal(job_phase phase) noexcept {
+  return phase == job_phase::complete || phase == job_phase::failed || phase == job_phase::cancelled;
+}
+
+[[nodiscard]] constexpr std::string_view phase_name(job_phase phase) noexcept {
+  switch (phase) {
+    case job_phase::queued:
+      return "queued";
+    case job_phase::running:
+      return "running";
+    case job_phase::complete:
+      return "complete";
+    case job_phase::failed:
+      return "failed";
+    case job_phase::cancelled:
+      return "cancelled";
+  }
+  return "queued";
+}
+
+/// What one task of a step takes from its worker's capacity.
+[[nodiscard]] inline resource_amounts occupied(const step_spec& step) noexcept {
+  auto amounts = step.each;
+  if (step.fills) {
+    amounts.cpu_millicores = 0;
+  }
+  return amounts;
+}
+
+}  // namespace rhubarbpath
--- /dev/null
+++ b/include/rhubarbpath/state/kv.hpp
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "rhubarbpath/state/ids.hpp"
+
+namespace rhubarbpath {
+
+/// A lease of the key-value store; keys written under it go when it ends. 0: none.
+using store_lease = number_id<struct store_lease_tag>;
+
+struct kv_item {
+  std::string key;
+  std::string value;
+  revision changed;
+  revision created;
+  store_lease lease;
+};
+
+struct kv_get {
+  std::string key;
+};
+/// One page of the keys that begin with `prefix`, after the key `after`.
+struct kv_list {
+  std::string prefix;
+  std::string after;
+};
+/// Waits for changes under `prefix` that are newer than `after`.
+struct kv_watch {
+  std::string prefix;
+  revision after;
+  std::chrono::milliseconds wait{0};
+};
+struct kv_expect {
+  std::string key;
+  revision changed;  ///< 0: the key must not exist.
+};
+struct kv_put {
+  std::string key;
+  std::string value;
+  store_lease lease;
+};
+/// All or nothing, under the condition that every key in `expected` has the given revision.
+struct kv_commit {
+  std::vector<kv_expect> expected;
+  std::vector<kv_put> puts;
+  std::vector<std::string> erases;
+};
+struct kv_grant {
+  std::chrono::milliseconds ttl{0};
+};
+struct kv_renew {
+  store_lease lease;
+};
+struct kv_release {
+  store_lease lease;
+};
+using kv_request =
+    std::variant<kv_get, kv_list, kv_watch, kv_commit, kv_grant, kv_renew, kv_release>;
+
+/// Answer to a get or list; an absent key gives no item.
+struct kv_items {
+  std::vector<kv_item> items;
+  bool has_more{false};
+  revision as_of;
+};
+struct kv_event {
+  kv_item item;  ///< Only the key and the revision when `deleted`.
+  bool deleted{false};
+};
+struct kv_events {
+  std::vector<kv_event> events;
+  revision as_of;
+};
+struct kv_committed {
+  revision at;
+};
+/// A condition did not hold; nothing was done. `items` are the keys of the conditions that exist.
+struct kv_conflict {
+  std::vector<kv_item> items;
+};
+struct kv_granted {
+  store_lease lease;
+  std::chrono::milliseconds ttl{0};
+};
+/// The lease has ended.
+struct kv_no_lease {};
+/// The history that a watch asked for is gone; read the keys again.
+struct kv_compacted {};
+/// The store refused the call and did nothing.
+struct kv_refused {
+  std::string reason;
+};
+/// No answer; a write may have been done or may be done later while its condition holds.
+struct kv_unknown {
+  std::string reason;
+  bool timed_out{false};
+};
+using kv_result = std::variant<kv_items, kv_events, kv_committed, kv_conflict, kv_granted, kv_no_lease,
+                               kv_compacted, kv_refused, kv_unknown>;
+
+/// Largest number of conditions, puts and erases of one commit together.
+constexpr std::size_t max_commit_entries = 32;
+
+}  // namespace rhubarbpath
--- a/include/rhubarbpath/transport/http_client.hpp
+++ b/include/rhubarbpath/transport/http_client.hpp
@@ -54,6 +54,9 @@
   /// Drops a pending call and closes its connection; its callback does not run.
   void cancel(handle pending);
 
+  /// Closes the idle connections to an address, for example after one of them went silent.
+  void drop_idle(const std::string& address);
+
  private:
   struct implementation;
   std::shared_ptr<implementation> implementation_;
--- a/include/rhubarbpath/transport/log.hpp
+++ b/include/rhubarbpath/transport/log.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -21,7 +22,14 @@
 /// Sets what every line of this process carries, and the lowest level that is written.
 void configure_log(std::string program, std::string vm, log_level lowest);
 
-/// Writes one JSON line to standard error: time, level, program, vm, message and the fields.
-void log(log_level level, std::string_view message, std::initializer_list<log_field> fields = {});
+/// Sends the lines to standard output through a bounded buffer instead of to standard error. A reader
+/// that does not keep up never blocks the process: lines are dropped, and a line says how many.
+void log_to_standard_output();
+
+/// Writes one JSON line: time, level, program, vm, message and the fields.
+void log(log_level level, std::string_view message, std::span<const log_field> fields);
+inline void log(log_level level, std::string_view message, std::initializer_list<log_field> fields = {}) {
+  log(level, message, std::span<const log_field>{fields.begin(), fields.size()});
+}
 
 }  // namespace rhubarbpath
--- /dev/null
+++ b/src/coordination/job_scheduler.cpp
@@ -0,0 +1,466 @@
+#include "rhubarbpath/coordination/job_scheduler.hpp"
+
+#include "absl/strings/str_cat.h"
+#include "job_scheduler_impl.hpp"
+
+namespace rhubarbpath {
+
+using detail::job_state;
+using detail::member;
+using detail::member_phase;
+using detail::unit;
+using detail::unit_phase;
+using detail::worker_state;
+
+// ---- jobs ----
+
+void job_scheduler::implementation::record(std::string_view event, const job_id& job, std::string reason,
+                                           std::vector<std::pair<std::string_view, std::string>> inputs) {
+  actions.emplace_back(
+      decision_record{.event = event, .job = job, .reason = std::move(reason), .inputs = std::move(inputs)});
+}
+
+const queue_config* job_scheduler::implementation::find_queue(const queue_id& id) const {
+  if (config == nullptr) {
+    return nullptr;
+  }
+  const auto found = std::find_if(config->queues.begin(), config->queues.end(),
+                                  [&](const queue_config& queue) { return queue.id == id; });
+  return found == config->queues.end() ? nullptr : &*found;
+}
+
+job_state* job_scheduler::implementation::find_job(const job_id& id) {
+  const auto found = jobs.find(id);
+  return found == jobs.end() ? nullptr : &found->second;
+}
+
+unit* job_scheduler::implementation::find_unit(const task_ref& task, std::uint32_t* member_index) {
+  auto* job = find_job(task.job);
+  if (job == nullptr) {
+    return nullptr;
+  }
+  const auto range = job->step_units.find({task.occurrence, task.step});
+  if (range == job->step_units.end() || task.index >= job->job.graph.steps[task.step].count) {
+    return nullptr;
+  }
+  const bool gang = job->job.graph.steps[task.step].gang;
+  *member_index = gang ? task.index : 0;
+  return &job->units[range->second.first + (gang ? 0 : task.index)];
+}
+
+void job_scheduler::implementation::build_units(job_state& job, bool inherited, instant now) const {
+  const auto& graph = job.job.graph;
+  const auto occurrences = std::max<std::uint32_t>(1, graph.occurrences);
+  for (std::uint32_t occurrence = 0; occurrence < occurrences; ++occurrence) {
+    for (std::uint32_t step = 0; step < graph.steps.size(); ++step) {
+      const auto& spec = graph.steps[step];
+      const auto unit_count = spec.gang ? 1U : spec.count;
+      const auto begin = job.units.size();
+      for (std::uint32_t number = 0; number < unit_count; ++number) {
+        unit made;
+        made.occurrence = occurrence;
+        made.step = step;
+        made.number = number;
+        made.first_index = spec.gang ? 0 : number;
+        made.members.resize(spec.gang ? spec.count : 1);
+        made.inherited = inherited;
+        made.waiting_since = now;
+        job.units.push_back(std::move(made));
+      }
+      job.step_units[{occurrence, step}] = {begin, job.units.size()};
+    }
+  }
+  job.units_left = job.units.size();
+}
+
+void job_scheduler::implementation::apply_progress(job_state& job, const job_progress& progress) {
+  job.phase = progress.phase;
+  job.stored_phase = progress.phase;
+  job.begun = progress.phase != job_phase::queued;
+  for (const auto& row : progress.units) {
+    const auto range = job.step_units.find({row.occurrence, row.step});
+    if (range == job.step_units.end() || range->second.first + row.unit >= range->second.second) {
+      continue;
+    }
+    auto& target = job.units[range->second.first + row.unit];
+    target.failures = row.failures;
+    target.last_failed = row.last_failed;
+    target.run = row.last_run;
+    target.checkpoint = row.checkpoint;
+    if (row.done && target.phase != unit_phase::done) {
+      target.phase = unit_phase::done;
+      --job.units_left;
+    }
+  }
+}
+
+duration job_scheduler::implementation::longest_chain(const job_graph& graph) const {
+  std::vector<duration> ends(graph.steps.size(), duration::zero());
+  duration longest{};
+  for (std::size_t step = 0; step < graph.steps.size(); ++step) {
+    duration begins{};
+    for (const auto before : graph.steps[step].after) {
+      if (before < step) {
+        begins = std::max(begins, ends[before]);
+      }
+    }
+    ends[step] = begins + graph.steps[step].estimate;
+    longest = std::max(longest, ends[step]);
+  }
+  return longest;
+}
+
+job_progress job_scheduler::implementation::progress_of(const job_state& job) const {
+  job_progress progress{.job = job.job.id, .phase = job.phase, .units = {}};
+  if (is_terminal(job.phase)) {
+    return progress;
+  }
+  for (const auto& each : job.units) {
+    const bool done = each.phase == unit_phase::done;
+    if (done || each.failures > 0 || !each.checkpoint.empty()) {
+      progress.units.push_back({.occurrence = each.occurrence,
+                                .step = each.step,
+                                .unit = each.number,
+                                .done = done,
+                                .failures = each.failures,
+                                .last_failed = each.last_failed,
+                                .last_run = each.run,
+                                .checkpoint = done ? std::string{} : each.checkpoint});
+    }
+  }
+  return progress;
+}
+
+void job_scheduler::implementation::mark_dirty(job_state& job) {
+  job.dirty = true;
+  dirty.insert(job.job.id);
+}
+
+void job_scheduler::implementation::end_job(job_state& job, job_phase phase, instant now) {
+  if (is_terminal(job.phase)) {
+    return;
+  }
+  job.phase = phase;
+  job.ended_at = now;
+  mark_dirty(job);
+  record("job_ended", job.job.id, std::string{phase_name(phase)},
+         {{"waited_ms", absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(now - job.added_at)
+                                         .count())}});
+  for (auto& each : job.units) {
+    end_unit(job, each, now);
+  }
+}
+
+void job_scheduler::implementation::unit_done(job_state& job, unit& done, instant now) {
+  if (done.phase == unit_phase::done) {
+    return;
+  }
+  if (done.phase == unit_phase::reserved) {
+    release_reservation(done, occupied(step_of(job, done)), now);
+  }
+  done.phase = unit_phase::done;
+  done.checkpoint.clear();
+  --job.units_left;
+  mark_dirty(job);
+  placement_due = true;
+  for (std::size_t index = 0; index < done.members.size(); ++index) {
+    if (!step_of(job, done).gang && done.members[index].phase != member_phase::none) {
+      order_stop(job, done, index, now);
+    }
+  }
+  if (job.units_left == 0) {
+    end_job(job, job_phase::complete, now);
+  }
+}
+
+void job_scheduler::implementation::unit_failed(job_state& job, unit& failed, run_number run, instant now) {
+  if (failed.phase == unit_phase::done || run <= failed.last_failed) {
+    return;
+  }
+  failed.last_failed = run;
+  ++failed.failures;
+  mark_dirty(job);
+  const auto limit = job.queue == nullptr ? 0 : job.queue->max_attempts;
+  if (limit > 0 && failed.failures >= limit && !step_of(job, failed).long_running) {
+    end_job(job, job_phase::failed, now);
+  } else if (failed.phase == unit_phase::active && run == failed.run) {
+    end_unit(job, failed, now);
+  }
+}
+
+void job_scheduler::implementation::end_unit(job_state& job, unit& ending, instant now) {
+  if (ending.phase == unit_phase::reserved) {
+    release_reservation(ending, occupied(step_of(job, ending)), now);
+    ending.phase = unit_phase::waiting;
+    return;
+  }
+  if (ending.phase != unit_phase::active && ending.phase != unit_phase::ending) {
+    return;
+  }
+  ending.phase = unit_phase::ending;
+  for (std::size_t index = 0; index < ending.members.size(); ++index) {
+    if (ending.members[index].phase == member_phase::starting ||
+        ending.members[index].phase == member_phase::running) {
+      order_stop(job, ending, index, now);
+    }
+  }
+  settle_unit(job, ending, now);
+}
+
+void job_scheduler::implementation::settle_unit(job_state& job, unit& ending, instant now) {
+  const bool clear = std::all_of(ending.members.begin(), ending.members.end(),
+                                 [](const member& each) { return each.phase == member_phase::none; });
+  if (!clear || (ending.phase != unit_phase::ending && ending.phase != unit_phase::active)) {
+    return;
+  }
+  ending.phase = unit_phase::waiting;
+  ending.waiting_since = now;
+  ending.not_before = now + detail::placement_pause;
+  placement_due = true;
+  if (!is_terminal(job.phase) && !ending.checkpoint.empty()) {
+    mark_dirty(job);
+  }
+}
+
+void job_scheduler::implementation::clear_member(job_state& job, unit& owner, std::size_t index) {
+  auto& cleared = owner.members[index];
+  const auto found = workers.find(cleared.worker);
+  if (found != workers.end() && cleared.phase != member_phase::none) {
+    found->second.used -= occupied(step_of(job, owner));
+    found->second.tasks.erase(task_of(job, owner, index));
+    placement_due = true;
+  }
+  cleared = member{};
+}
+
+void job_scheduler::implementation::flush(instant /*now*/) {
+  if (storing || dirty.empty()) {
+    return;
+  }
+  store_progress write;
+  storing_phases.clear();
+  for (const auto& id : dirty) {
+    auto* job = find_job(id);
+    if (job == nullptr) {
+      continue;
+    }
+    job->dirty = false;
+    write.jobs.push_back(progress_of(*job));
+    storing_phases.emplace_back(id, job->phase);
+  }
+  dirty.clear();
+  for (auto& [id, worker] : workers) {
+    worker.flushing_through = worker.seen_through;
+  }
+  storing = true;
+  actions.emplace_back(std::move(write));
+}
+
+void job_scheduler::implementation::finish_recovery(instant now) {
+  if (!recovery || (!awaited.empty() && now < recovery_ends)) {
+    return;
+  }
+  recovery = false;
+  placement_due = true;
+  record("recovery_finished", {}, awaited.empty() ? "all workers reported" : "longest lease passed",
+         {{"silent_workers", absl::StrCat(awaited.size())},
+          {"term", absl::StrCat(term.value())},
+          {"jobs", absl::StrCat(jobs.size())}});
+  awaited.clear();
+  for (auto& [id, job] : jobs) {
+    for (auto& each : job.units) {
+      if (each.phase != unit_phase::active) {
+        continue;
+      }
+      const bool whole = std::all_of(each.members.begin(), each.members.end(), [&](const member& one) {
+        return one.phase == member_phase::running && one.run == each.run;
+      });
+      if (!whole || is_terminal(job.phase)) {
+        end_unit(job, each, now);
+      }
+    }
+  }
+}
+
+// ---- public ----
+
+job_scheduler::job_scheduler(options opts, owner_term term, instant now)
+    : implementation_{std::make_unique<implementation>(opts, term, now)} {}
+
+job_scheduler::~job_scheduler() = default;
+
+void job_scheduler::set_config(std::shared_ptr<const fleet_config> config, instant /*now*/) {
+  auto& self = *implementation_;
+  // Queue pointers of jobs refer into the configuration, which is therefore replaced last.
+  const auto previous = std::exchange(self.config, std::move(config));
+  for (auto& [id, job] : self.jobs) {
+    job.queue = self.find_queue(job.job.queue);
+  }
+  self.placement_due = true;
+}
+
+void job_scheduler::set_wall_clock(std::chrono::milliseconds wall, instant now) {
+  implementation_->wall = wall;
+  implementation_->wall_at = now;
+}
+
+void job_scheduler::expect_workers(const std::vector<worker_id>& workers, instant now) {
+  auto& self = *implementation_;
+  for (const auto& id : workers) {
+    const auto found = self.workers.find(id);
+    if (found == self.workers.end() || !found->second.reported) {
+      self.awaited.insert(id);
+    }
+    self.stored_workers.insert(id);
+  }
+  self.recovery = true;
+  // The lease is measured on the worker's clock; a stop may add its own time.
+  const auto stretched =
+      duration{static_cast<std::int64_t>(static_cast<double>(self.opts.longest_lease.count()) *
+                                         (1.0 + 2.0 * self.opts.clock_drift))};
+  self.recovery_ends = now + stretched + self.opts.stop_timeout;
+  self.finish_recovery(now);
+}
+
+void job_scheduler::add_job(const accepted_job& job, const std::optional<job_progress>& progress,
+                            bool inherited, instant now) {
+  auto& self = *implementation_;
+  if (self.jobs.contains(job.id)) {
+    return;
+  }
+  auto& state = self.jobs[job.id];
+  state.job = job;
+  state.queue = self.find_queue(job.queue);
+  state.added_at = now;
+  self.build_units(state, inherited && self.recovery, now);
+  if (progress) {
+    implementation::apply_progress(state, *progress);
+  }
+  const auto waited = self.wall - job.accepted_at + (now - self.wall_at);
+  const auto handed_in = now - std::clamp(std::chrono::duration_cast<duration>(waited), duration::zero(),
+                                          duration{std::chrono::minutes{10}});
+  const double stretch = state.queue == nullptr ? 1.0 : state.queue->stretch;
+  const auto chain = static_cast<double>(self.longest_chain(job.graph).count());
+  state.objective = handed_in + duration{static_cast<std::int64_t>(chain * stretch)} +
+                    (state.queue == nullptr ? duration::zero() : state.queue->target);
+  if (is_terminal(state.phase)) {
+    state.ended_at = now;
+    state.units_left = 0;
+  } else if (state.units_left == 0) {
+    self.end_job(state, job_phase::complete, now);
+  }
+  self.placement_due = true;
+  self.record("job_added", job.id, inherited ? "inherited" : "new",
+              {{"queue", job.queue.value()},
+               {"team", job.team.value()},
+               {"units", absl::StrCat(state.units.size())},
+               {"phase", std::string{phase_name(state.phase)}}});
+}
+
+void job_scheduler::cancel_job(const job_id& id, instant now) {
+  if (auto* job = implementation_->find_job(id); job != nullptr) {
+    implementation_->end_job(*job, job_phase::cancelled, now);
+  }
+}
+
+void job_scheduler::stored(instant now) {
+  auto& self = *implementation_;
+  self.storing = false;
+  for (const auto& [id, phase] : self.storing_phases) {
+    if (auto* job = self.find_job(id); job != nullptr) {
+      job->stored_phase = phase;
+    }
+  }
+  for (auto& [id, worker] : self.workers) {
+    if (worker.flushing_through > worker.acknowledged_through) {
+      worker.acknowledged_through = worker.flushing_through;
+      worker.renew_at = now;
+    }
+  }
+  self.flush(now);
+  self.renew_workers(now);
+}
+
+void job_scheduler::workers_stored(instant now) {
+  auto& self = *implementation_;
+  self.storing_workers = false;
+  self.stored_workers.insert(self.storing_worker_set.begin(), self.storing_worker_set.end());
+  self.placement_due = true;
+  self.renew_workers(now);
+  self.store_worker_set();
+}
+
+void job_scheduler::tick(instant now) {
+  auto& self = *implementation_;
+  self.finish_recovery(now);
+  self.expire_silent_workers(now);
+  self.detect_stalls(now);
+  self.repeat_orders(now);
+  self.start_reserved(now);
+  if (self.placement_due && now >= self.next_placement) {
+    self.place_all(now);
+  }
+  self.flush(now);
+  self.renew_workers(now);
+}
+
+std::vector<scheduler_action> job_scheduler::take_actions() {
+  return std::exchange(implementation_->actions, {});
+}
+
+instant job_scheduler::next_deadline(instant now) const {
+  // Leases, repeats and stalls are checked on a fixed beat, which bounds their delay.
+  constexpr duration beat{std::chrono::milliseconds{50}};
+  const auto& self = *implementation_;
+  return self.placement_due ? std::max(now, std::min(self.next_placement, now + beat)) : now + beat;
+}
+
+std::optional<job_phase> job_scheduler::phase(const job_id& id) const {
+  const auto found = implementation_->jobs.find(id);
+  if (found == implementation_->jobs.end()) {
+    return std::nullopt;
+  }
+  const auto& job = found->second;
+  if (is_terminal(job.stored_phase)) {
+    return job.stored_phase;
+  }
+  return job.begun ? job_phase::running : job_phase::queued;
+}
+
+std::map<queue_id, std::uint64_t> job_scheduler::waiting_jobs() const {
+  std::map<queue_id, std::uint64_t> counts;
+  for (const auto& [id, job] : implementation_->jobs) {
+    if (!is_terminal(job.phase) && !job.begun) {
+      ++counts[job.job.queue];
+    }
+  }
+  return counts;
+}
+
+std::vector<job_id> job_scheduler::take_expired(instant now) {
+  auto& self = *implementation_;
+  std::vector<job_id> expired;
+  for (auto found = self.jobs.begin(); found != self.jobs.end();) {
+    auto& job = found->second;
+    const bool idle = std::all_of(job.units.begin(), job.units.end(), [](const unit& each) {
+      return each.phase == unit_phase::waiting || each.phase == unit_phase::done;
+    });
+    if (is_terminal(job.stored_phase) && idle && !job.dirty && now - job.ended_at > self.opts.keep_ended) {
+      expired.push_back(found->first);
+      found = self.jobs.erase(found);
+    } else {
+      ++found;
+    }
+  }
+  return expired;
+}
+
+std::size_t job_scheduler::job_count() const {
+  return implementation_->jobs.size();
+}
+
+bool job_scheduler::recovering() const {
+  return implementation_->recovery;
+}
+
+}  // namespace rhubarbpath
--- /dev/null
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -0,0 +1,222 @@
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "rhubarbpath/coordination/job_scheduler.hpp"
+
+namespace rhubarbpath {
+
+namespace detail {
+
+/// Pause before an unanswered order is repeated.
+constexpr duration order_repeat_pause{std::chrono::milliseconds{30}};
+/// A start that stayed unanswered this often is given up; with the transport's 400 ms a try this ends
+/// well before the other members of a gang time out.
+constexpr int max_start_tries = 4;
+/// Pause between renewals while ends wait to be stored, or after a failed renewal.
+constexpr duration renew_pause{std::chrono::milliseconds{150}};
+/// A gang or task that could not be started waits this long before it is placed again.
+constexpr duration placement_pause{std::chrono::milliseconds{60}};
+/// A reservation whose space has not become free by then is given up.
+constexpr duration reservation_timeout{std::chrono::milliseconds{1200}};
+/// Failed renewals after which a worker gets no new work.
+constexpr int failed_renewals_unsafe = 1;
+
+enum class member_phase { none, reserved, starting, running, stopping };
+
+/// One task of a unit and where it is.
+struct member {
+  member_phase phase{member_phase::none};
+  worker_id worker;
+  run_number run;
+  /// When the last order about this run was answered; a report sent later shows the run, if it exists.
+  instant known_at{};
+  instant ordered_at{};
+  int tries{0};
+  bool answer_pending{false};
+  instant repeat_at{};
+  int percent{0};
+  instant percent_changed{};
+  std::string checkpoint;
+};
+
+enum class unit_phase { waiting, reserved, active, ending, done };
+
+/// What is started as a whole: a gang, or a single task of another step.
+struct unit {
+  std::uint32_t occurrence{0};
+  std::uint32_t step{0};
+  std::uint32_t number{0};
+  std::uint32_t first_index{0};
+  std::vector<member> members;
+  unit_phase phase{unit_phase::waiting};
+  bool inherited{false};
+  run_number run;
+  std::uint32_t failures{0};
+  run_number last_failed;
+  std::string checkpoint;
+  instant not_before{};
+  instant waiting_since{};
+  instant all_running_since{};
+  instant reserved_until{};
+};
+
+struct job_state {
+  accepted_job job;
+  const queue_config* queue{nullptr};
+  std::vector<unit> units;
+  /// Units of (occurrence, step), as a range of indexes into `units`.
+  std::map<std::pair<std::uint32_t, std::uint32_t>, std::pair<std::size_t, std::size_t>> step_units;
+  job_phase phase{job_phase::queued};
+  job_phase stored_phase{job_phase::queued};
+  bool begun{false};
+  bool dirty{false};
+  instant added_at{};
+  instant objective{};
+  instant ended_at{};
+  std::size_t units_left{0};
+};
+
+struct worker_state {
+  worker_entry entry;
+  bool listed{false};
+  /// The first report of this term has arrived, so older owners can no longer give orders here.
+  bool reported{false};
+  incarnation born;
+  std::chrono::milliseconds clock{0};
+  instant clock_at{};
+  std::chrono::milliseconds lease_until{0};
+  resource_amounts used;
+  resource_amounts reserved;
+  /// Tasks of this system that are on the worker, by the unit's job.
+  std::map<task_ref, run_number> tasks;
+  std::uint64_t seen_through{0};
+  std::uint64_t flushing_through{0};
+  std::uint64_t acknowledged_through{0};
+  std::uint64_t acknowledged_sent{0};
+  bool renewing{false};
+  instant renew_at{};
+  int failed_renewals{0};
+  bool replaced{false};
+  int failures_in_row{0};
+  instant suspect_until{};
+  instant full_until{};
+};
+
+struct unit_ref {
+  job_id job;
+  std::size_t unit{0};
+  friend auto operator<=>(const unit_ref&, const unit_ref&) = default;
+};
+
+}  // namespace detail
+
+struct job_scheduler::implementation {
+  implementation(options chosen, owner_term own_term, instant now)
+      : opts{chosen}, term{own_term}, started_at{now}, recovery_ends{now} {}
+
+  options opts;
+  owner_term term;
+  instant started_at;
+  std::shared_ptr<const fleet_config> config;
+  std::chrono::milliseconds wall{0};
+  instant wall_at{};
+  std::map<job_id, detail::job_state> jobs;
+  std::map<worker_id, detail::worker_state> workers;
+  std::set<worker_id> awaited;  ///< Workers whose first report recovery waits for.
+  bool recovery{false};
+  instant recovery_ends;
+  std::set<job_id> dirty;
+  bool storing{false};
+  std::vector<std::pair<job_id, job_phase>> storing_phases;
+  std::set<worker_id> stored_workers;
+  std::set<worker_id> storing_worker_set;
+  bool storing_workers{false};
+  bool placement_due{true};
+  instant next_placement{};
+  std::vector<scheduler_action> actions;
+
+  // job_scheduler.cpp
+  [[nodiscard]] const queue_config* find_queue(const queue_id& id) const;
+  [[nodiscard]] detail::job_state* find_job(const job_id& id);
+  [[nodiscard]] detail::unit* find_unit(const task_ref& task, std::uint32_t* member_index);
+  [[nodiscard]] static const step_spec& step_of(const detail::job_state& job, const detail::unit& unit) {
+    return job.job.graph.steps[unit.step];
+  }
+  [[nodiscard]] static task_ref task_of(const detail::job_state& job, const detail::unit& unit,
+                                        std::size_t index) {
+    return {.job = job.job.id,
+            .occurrence = unit.occurrence,
+            .step = unit.step,
+            .index = unit.first_index + static_cast<std::uint32_t>(index)};
+  }
+  void build_units(detail::job_state& job, bool inherited, instant now) const;
+  static void apply_progress(detail::job_state& job, const job_progress& progress);
+  [[nodiscard]] duration longest_chain(const job_graph& graph) const;
+  void mark_dirty(detail::job_state& job);
+  void end_job(detail::job_state& job, job_phase phase, instant now);
+  void unit_done(detail::job_state& job, detail::unit& unit, instant now);
+  void unit_failed(detail::job_state& job, detail::unit& unit, run_number run, instant now);
+  /// Stops all members of a unit; the unit waits again once all of them have ended.
+  void end_unit(detail::job_state& job, detail::unit& unit, instant now);
+  /// Called whenever a member of an ending unit was cleared.
+  void settle_unit(detail::job_state& job, detail::unit& unit, instant now);
+  void clear_member(detail::job_state& job, detail::unit& unit, std::size_t index);
+  void finish_recovery(instant now);
+  void flush(instant now);
+  [[nodiscard]] job_progress progress_of(const detail::job_state& job) const;
+  void record(std::string_view event, const job_id& job, std::string reason,
+              std::vector<std::pair<std::string_view, std::string>> inputs = {});
+
+  // job_scheduler_workers.cpp
+  [[nodiscard]] std::chrono::milliseconds worker_clock(const detail::worker_state& worker, instant now) const;
+  [[nodiscard]] std::chrono::milliseconds lease_end(const detail::worker_state& worker, instant now) const;
+  void order_start(detail::job_state& job, detail::unit& unit, std::size_t index, instant now);
+  void order_stop(detail::job_state& job, detail::unit& unit, std::size_t index, instant now);
+  void adopt(detail::worker_state& worker, const active_run& run, instant now);
+  void take_end(detail::worker_state& worker, const ended_run& end, instant now);
+  void drop_absent(detail::worker_state& worker, const lease_report& report, instant sent, instant now);
+  void drop_all(detail::worker_state& worker, std::string_view reason, instant now);
+  void renew_workers(instant now);
+  void expire_silent_workers(instant now);
+  void repeat_orders(instant now);
+  void detect_stalls(instant now);
+  void store_worker_set();
+
+  // job_scheduler_placement.cpp
+  struct waiting_unit {
+    detail::job_state* job;
+    detail::unit* unit;
+    int rank;
+    instant objective;
+  };
+  using placement = std::vector<detail::worker_state*>;
+  [[nodiscard]] bool ready(const detail::job_state& job, const detail::unit& unit, instant now) const;
+  [[nodiscard]] std::vector<waiting_unit> waiting_units(instant now);
+  [[nodiscard]] int rank_of(const detail::job_state& job, const detail::unit& unit, instant now) const;
+  void place_all(instant now);
+  [[nodiscard]] bool place(const waiting_unit& waiting, instant now);
+  [[nodiscard]] bool usable(const detail::worker_state& worker, const detail::job_state& job,
+                            const step_spec& step, instant now, bool allow_suspects) const;
+  [[nodiscard]] std::vector<detail::worker_state*> candidates(const detail::job_state& job,
+                                                              const step_spec& step, instant now,
+                                                              bool allow_suspects);
+  [[nodiscard]] std::uint32_t tasks_of_step(const detail::worker_state& worker, const detail::job_state& job,
+                                            const detail::unit& unit) const;
+  [[nodiscard]] placement fit(const std::vector<detail::worker_state*>& pool, const detail::job_state& job,
+                              const detail::unit& unit) const;
+  [[nodiscard]] placement choose(const detail::job_state& job, const detail::unit& unit, instant now);
+  void start_unit(detail::job_state& job, detail::unit& unit, const placement& where, instant now);
+  void start_reserved(instant now);
+  void release_reservation(detail::unit& unit, const resource_amounts& each, instant now);
+  [[nodiscard]] bool preempt(const waiting_unit& waiting, instant now);
+  [[nodiscard]] bool within_guarantee(const detail::job_state& job) const;
+};
+
+}  // namespace rhubarbpath
--- /dev/null
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -0,0 +1,556 @@
+#include "absl/strings/str_cat.h"
+#include "job_scheduler_impl.hpp"
+
+namespace rhubarbpath {
+
+using detail::job_state;
+using detail::member;
+using detail::member_phase;
+using detail::unit;
+using detail::unit_phase;
+using detail::worker_state;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+namespace {
+
+std::string_view outcome_name(run_outcome outcome) {
+  switch (outcome) {
+    case run_outcome::done:
+      return "done";
+    case run_outcome::failed:
+      return "failed";
+    case run_outcome::stopped:
+      return "stopped";
+    case run_outcome::lease_expired:
+      return "lease_expired";
+    case run_outcome::gang_broken:
+      return "gang_broken";
+    case run_outcome::gang_incomplete:
+      return "gang_incomplete";
+  }
+  return "failed";
+}
+
+}  // namespace
+
+// ---- clocks and leases ----
+
+/// A lower bound of the worker's clock, so that no lease is granted beyond its limit and none is taken
+/// for expired too early.
+milliseconds job_scheduler::implementation::worker_clock(const worker_state& worker, instant now) const {
+  const auto passed = static_cast<double>(duration_cast<milliseconds>(now - worker.clock_at).count());
+  return worker.clock + milliseconds{static_cast<std::int64_t>(passed * (1.0 - opts.clock_drift))};
+}
+
+milliseconds job_scheduler::implementation::lease_end(const worker_state& worker, instant now) const {
+  return worker_clock(worker, now) + duration_cast<milliseconds>(opts.worker_lease);
+}
+
+void job_scheduler::implementation::expire_silent_workers(instant now) {
+  for (auto found = workers.begin(); found != workers.end();) {
+    auto& worker = found->second;
+    const bool expired = worker.reported && !worker.tasks.empty() && worker.failed_renewals > 0 &&
+                         worker_clock(worker, now) >
+                             worker.lease_until + duration_cast<milliseconds>(opts.stop_timeout);
+    if (expired) {
+      drop_all(worker, "lease expired on a silent worker", now);
+    }
+    const bool forgotten = !worker.listed && worker.tasks.empty() && !worker.renewing &&
+                           (worker.failed_renewals > 0 || worker.seen_through == worker.acknowledged_sent);
+    found = forgotten ? workers.erase(found) : std::next(found);
+  }
+}
+
+void job_scheduler::implementation::renew_workers(instant now) {
+  for (auto& [id, worker] : workers) {
+    if (worker.renewing || worker.replaced || now < worker.renew_at || !stored_workers.contains(id)) {
+      continue;
+    }
+    const bool ends_unstored = worker.seen_through > worker.acknowledged_through;
+    const bool acknowledge = worker.acknowledged_through > worker.acknowledged_sent;
+    const bool silent = worker.failed_renewals > 0 && worker.listed;
+    if (worker.reported && worker.tasks.empty() && !ends_unstored && !acknowledge && !silent) {
+      continue;
+    }
+    renew_order order{.worker = id,
+                      .address = worker.entry.address,
+                      .acknowledged_through = worker.acknowledged_through,
+                      .lease_until = std::nullopt,
+                      .wait = milliseconds{0}};
+    if (worker.reported) {
+      order.lease_until = lease_end(worker, now);
+      worker.lease_until = std::max(worker.lease_until, *order.lease_until);
+    }
+    if (worker.reported && !ends_unstored && !worker.tasks.empty() && worker.failed_renewals == 0) {
+      order.wait = duration_cast<milliseconds>(opts.renew_wait);
+    }
+    worker.acknowledged_sent = worker.acknowledged_through;
+    worker.renewing = true;
+    actions.emplace_back(std::move(order));
+  }
+}
+
+void job_scheduler::implementation::store_worker_set() {
+  if (storing_workers) {
+    return;
+  }
+  std::set<worker_id> wanted;
+  bool missing = false;
+  for (const auto& [id, worker] : workers) {
+    if (worker.listed || !worker.tasks.empty()) {
+      wanted.insert(id);
+      missing = missing || !stored_workers.contains(id);
+    }
+  }
+  const bool surplus = !recovery && std::any_of(stored_workers.begin(), stored_workers.end(),
+                                                [&](const worker_id& id) { return !wanted.contains(id); });
+  if (!missing && !surplus) {
+    return;
+  }
+  if (recovery) {
+    wanted.insert(awaited.begin(), awaited.end());
+  }
+  // Ids that leave the set lose their permission first, so that none gets work while the write is open.
+  std::erase_if(stored_workers, [&](const worker_id& id) { return !wanted.contains(id); });
+  storing_worker_set = wanted;
+  storing_workers = true;
+  actions.emplace_back(store_workers{.workers = {wanted.begin(), wanted.end()}});
+}
+
+// ---- orders ----
+
+void job_scheduler::implementation::order_start(job_state& job, unit& owner, std::size_t index, instant now) {
+  auto& starting = owner.members[index];
+  auto& worker = workers.at(starting.worker);
+  // A start that is never answered blocks its unit until its lease has passed, so the first lease is
+  // shorter than that of a renewal; it still outlasts a change of owner.
+  constexpr milliseconds first_lease{4500};
+  const auto lease = worker_clock(worker, now) + first_lease;
+  worker.lease_until = std::max(worker.lease_until, lease);
+  starting.answer_pending = true;
+  ++starting.tries;
+  actions.emplace_back(start_order{.worker = starting.worker,
+                                   .address = worker.entry.address,
+                                   .task = task_of(job, owner, index),
+                                   .run = starting.run,
+                                   .payload = job.job.graph.payload,
+                                   .checkpoint = owner.checkpoint,
+                                   .lease_until = lease});
+}
+
+void job_scheduler::implementation::order_stop(job_state& job, unit& owner, std::size_t index, instant now) {
+  auto& stopping = owner.members[index];
+  const auto found = workers.find(stopping.worker);
+  if (found == workers.end()) {
+    clear_member(job, owner, index);
+    return;
+  }
+  if (stopping.phase != member_phase::stopping) {
+    stopping.phase = member_phase::stopping;
+    stopping.tries = 0;
+  }
+  stopping.known_at = instant{};
+  stopping.ordered_at = now;
+  stopping.answer_pending = true;
+  ++stopping.tries;
+  actions.emplace_back(stop_order{.worker = stopping.worker,
+                                  .address = found->second.entry.address,
+                                  .task = task_of(job, owner, index),
+                                  .run = stopping.run});
+}
+
+void job_scheduler::implementation::repeat_orders(instant now) {
+  constexpr duration stop_overdue{std::chrono::seconds{1}};
+  for (auto& [id, job] : jobs) {
+    for (auto& each : job.units) {
+      if (each.phase == unit_phase::waiting || each.phase == unit_phase::reserved) {
+        continue;
+      }
+      for (std::size_t index = 0; index < each.members.size(); ++index) {
+        auto& one = each.members[index];
+        if (one.answer_pending || now < one.repeat_at) {
+          continue;
+        }
+        if (one.phase == member_phase::starting && one.tries > 0) {
+          order_start(job, each, index, now);
+        } else if (one.phase == member_phase::stopping &&
+                   (one.known_at == instant{} || now - one.ordered_at > stop_overdue)) {
+          order_stop(job, each, index, now);
+        }
+      }
+    }
+  }
+}
+
+void job_scheduler::start_answered(const worker_id& id, const task_ref& task, run_number run,
+                                   const start_result& result, instant now) {
+  auto& self = *implementation_;
+  std::uint32_t index = 0;
+  auto* owner = self.find_unit(task, &index);
+  if (owner == nullptr || owner->members[index].worker != id || owner->members[index].run != run) {
+    return;
+  }
+  auto& job = self.jobs.at(task.job);
+  auto& started = owner->members[index];
+  const auto found = self.workers.find(id);
+  const bool stopping = started.phase == member_phase::stopping;
+  if (!stopping) {
+    started.answer_pending = false;
+  }
+  if (std::holds_alternative<start_accepted>(result)) {
+    if (!stopping) {
+      started.phase = member_phase::running;
+      started.known_at = now;
+      started.percent_changed = now;
+      job.begun = true;
+      job.phase = job.phase == job_phase::queued ? job_phase::running : job.phase;
+      if (found != self.workers.end() && !found->second.renewing) {
+        found->second.renew_at = now;
+      }
+    }
+    return;
+  }
+  if (std::holds_alternative<order_unanswered>(result)) {
+    if (stopping) {
+      return;
+    }
+    started.repeat_at = now + detail::order_repeat_pause;
+    if (started.tries >= detail::max_start_tries) {
+      if (found != self.workers.end()) {
+        ++found->second.failed_renewals;
+      }
+      self.record("start_unanswered", task.job, "worker does not answer", {{"worker", id.value()}});
+      self.end_unit(job, *owner, now);
+    }
+    return;
+  }
+  // The worker did not take the run, now or later: a refusal or another instance is definite.
+  if (const auto* refused = std::get_if<start_refused>(&result)) {
+    self.record("start_refused", task.job, absl::StrCat("refusal ", static_cast<int>(refused->why)),
+                {{"worker", id.value()}, {"run", absl::StrCat(run.value())}});
+    if (refused->why == start_refusal::fenced) {
+      self.actions.emplace_back(owner_superseded{.worker = id});
+    }
+    if (found != self.workers.end()) {
+      constexpr duration full_pause{std::chrono::milliseconds{400}};
+      constexpr duration unhealthy_pause{std::chrono::milliseconds{2000}};
+      found->second.full_until =
+          now + (refused->why == start_refusal::unhealthy ? unhealthy_pause : full_pause);
+    }
+  } else if (found != self.workers.end()) {
+    found->second.replaced = true;
+  }
+  const bool late_repeat = started.tries > 1 && std::holds_alternative<start_refused>(result) &&
+                           std::get<start_refused>(result).why == start_refusal::superseded;
+  if (late_repeat) {
+    // An earlier try of this start was carried out and has ended already; its end will be listed.
+    started.phase = member_phase::running;
+    started.known_at = now;
+    return;
+  }
+  self.clear_member(job, *owner, index);
+  self.end_unit(job, *owner, now);
+  self.settle_unit(job, *owner, now);
+}
+
+void job_scheduler::stop_answered(const worker_id& id, const task_ref& task, run_number run, bool answered,
+                                  instant now) {
+  auto& self = *implementation_;
+  std::uint32_t index = 0;
+  auto* owner = self.find_unit(task, &index);
+  if (owner == nullptr || owner->members[index].worker != id || owner->members[index].run != run ||
+      owner->members[index].phase != member_phase::stopping) {
+    return;
+  }
+  auto& stopped = owner->members[index];
+  stopped.answer_pending = false;
+  if (answered) {
+    stopped.known_at = now;
+    const auto found = self.workers.find(id);
+    if (found != self.workers.end() && !found->second.renewing) {
+      found->second.renew_at = now;
+    }
+    return;
+  }
+  constexpr duration stop_pause{std::chrono::milliseconds{100}};
+  stopped.repeat_at = now + stop_pause * std::min(stopped.tries, 5);
+}
+
+// ---- reports ----
+
+void job_scheduler::set_workers(const std::vector<worker_entry>& entries, instant now) {
+  auto& self = *implementation_;
+  for (auto& [id, worker] : self.workers) {
+    worker.listed = false;
+  }
+  for (const auto& entry : entries) {
+    auto& worker = self.workers[entry.id];
+    const bool moved = worker.entry.address != entry.address || worker.entry.born != entry.born;
+    if (moved) {
+      worker.replaced = false;
+      worker.renew_at = now;
+    }
+    if (worker.entry.draining != entry.draining || worker.entry.id.empty()) {
+      self.record(entry.draining ? "worker_draining" : "worker_listed", {}, entry.id.value(),
+                  {{"address", entry.address}, {"born", absl::StrCat(entry.born.value())}});
+      self.placement_due = true;
+    }
+    worker.entry = entry;
+    worker.listed = true;
+  }
+  self.store_worker_set();
+  self.renew_workers(now);
+}
+
+void job_scheduler::worker_unreachable(const worker_id& id, bool replaced, instant now) {
+  auto& self = *implementation_;
+  const auto found = self.workers.find(id);
+  if (found == self.workers.end()) {
+    return;
+  }
+  auto& worker = found->second;
+  worker.renewing = false;
+  ++worker.failed_renewals;
+  constexpr duration longest_pause{std::chrono::milliseconds{600}};
+  worker.renew_at = now + std::min(longest_pause, detail::renew_pause * worker.failed_renewals);
+  if (worker.failed_renewals == 1) {
+    self.record("worker_silent", {}, id.value(), {{"tasks", absl::StrCat(worker.tasks.size())}});
+  }
+  if (replaced) {
+    worker.replaced = true;
+    self.awaited.erase(id);
+    self.drop_all(worker, "another instance answers", now);
+  }
+}
+
+void job_scheduler::worker_reported(const worker_id& id, const lease_report& report, instant sent,
+                                    instant now) {
+  auto& self = *implementation_;
+  const auto found = self.workers.find(id);
+  if (found == self.workers.end()) {
+    return;
+  }
+  auto& worker = found->second;
+  worker.renewing = false;
+  worker.replaced = false;
+  if (std::exchange(worker.failed_renewals, 0) > 0) {
+    self.record("worker_answers", {}, id.value(), {});
+    self.placement_due = true;
+  }
+  if (worker.born != report.born) {
+    if (worker.reported) {
+      self.record("worker_restarted", {}, id.value(), {{"born", absl::StrCat(report.born.value())}});
+    }
+    worker.born = report.born;
+    worker.lease_until = milliseconds{0};
+    worker.seen_through = worker.flushing_through = 0;
+    worker.acknowledged_through = worker.acknowledged_sent = 0;
+  }
+  worker.clock = report.clock;
+  worker.clock_at = now;
+  if (!std::exchange(worker.reported, true)) {
+    // What an earlier owner granted is unknown; it is at most the longest lease.
+    worker.lease_until = report.clock + duration_cast<milliseconds>(self.opts.longest_lease);
+    self.placement_due = true;
+  }
+  for (const auto& end : report.ended) {
+    if (end.number > worker.seen_through) {
+      self.take_end(worker, end, now);
+      worker.seen_through = end.number;
+    }
+  }
+  for (const auto& run : report.running) {
+    self.adopt(worker, run, now);
+    std::uint32_t index = 0;
+    if (auto* owner = self.find_unit(run.task, &index);
+        owner != nullptr && owner->members[index].worker == id && owner->members[index].run == run.run) {
+      owner->members[index].known_at = std::max(owner->members[index].known_at, sent);
+    }
+  }
+  self.drop_absent(worker, report, sent, now);
+  self.awaited.erase(id);
+  self.finish_recovery(now);
+  self.flush(now);
+  const bool ends_unstored = worker.seen_through > worker.acknowledged_through;
+  // Storing the ends moves this forward; without it the lease is renewed at a slower pace.
+  worker.renew_at = ends_unstored ? now + detail::renew_pause * 3 : now;
+  self.renew_workers(now);
+}
+
+void job_scheduler::implementation::adopt(worker_state& worker, const active_run& run, instant now) {
+  std::uint32_t index = 0;
+  auto* owner = find_unit(run.task, &index);
+  const auto& id = worker.entry.id;
+  const auto stop_stray = [&] {
+    record("stray_run_stopped", run.task.job, id.value(), {{"run", absl::StrCat(run.run.value())}});
+    actions.emplace_back(
+        stop_order{.worker = id, .address = worker.entry.address, .task = run.task, .run = run.run});
+  };
+  if (owner == nullptr) {
+    stop_stray();
+    return;
+  }
+  auto& job = jobs.at(run.task.job);
+  auto& known = owner->members[index];
+  if (known.phase != member_phase::none && known.phase != member_phase::reserved && known.worker == id &&
+      known.run == run.run) {
+    if (known.phase == member_phase::starting) {
+      known.phase = member_phase::running;
+      known.answer_pending = false;
+      known.percent_changed = now;
+      job.begun = true;
+    }
+    if (known.percent != run.percent) {
+      known.percent = run.percent;
+      known.percent_changed = now;
+    }
+    known.checkpoint = run.checkpoint;
+    return;
+  }
+  const bool gang = step_of(job, *owner).gang;
+  const bool unit_open = owner->phase == unit_phase::waiting ||
+                         (recovery && owner->phase == unit_phase::active && owner->run == run.run);
+  const bool adoptable = !is_terminal(job.phase) && unit_open && known.phase == member_phase::none &&
+                         run.run >= owner->run && run.run > owner->last_failed && (!gang || recovery);
+  if (!adoptable) {
+    stop_stray();
+    return;
+  }
+  owner->phase = unit_phase::active;
+  owner->run = run.run;
+  known = member{.phase = member_phase::running,
+                 .worker = id,
+                 .run = run.run,
+                 .known_at = now,
+                 .percent = run.percent,
+                 .percent_changed = now,
+                 .checkpoint = run.checkpoint};
+  worker.used += occupied(step_of(job, *owner));
+  worker.tasks[run.task] = run.run;
+  job.begun = true;
+  job.phase = job.phase == job_phase::queued ? job_phase::running : job.phase;
+  record("run_adopted", run.task.job, id.value(), {{"run", absl::StrCat(run.run.value())}});
+}
+
+void job_scheduler::implementation::take_end(worker_state& worker, const ended_run& end, instant now) {
+  std::uint32_t index = 0;
+  auto* owner = find_unit(end.task, &index);
+  if (owner == nullptr) {
+    return;
+  }
+  auto& job = jobs.at(end.task.job);
+  auto& known = owner->members[index];
+  record("run_ended", end.task.job, std::string{outcome_name(end.outcome)},
+         {{"worker", worker.entry.id.value()},
+          {"task", absl::StrCat(end.task.occurrence, ".", end.task.step, ".", end.task.index)},
+          {"run", absl::StrCat(end.run.value())}});
+  const bool current =
+      known.worker == worker.entry.id && known.run == end.run && known.phase != member_phase::none;
+  if (current) {
+    clear_member(job, *owner, index);
+  }
+  if (end.outcome == run_outcome::done) {
+    worker.failures_in_row = 0;
+    worker.suspect_until = instant{};
+    unit_done(job, *owner, now);
+    return;
+  }
+  if (!end.checkpoint.empty() && end.run >= owner->run && owner->phase != unit_phase::done) {
+    owner->checkpoint = end.checkpoint;
+  }
+  owner->run = std::max(owner->run, end.run);
+  if (end.outcome == run_outcome::failed) {
+    ++worker.failures_in_row;
+    worker.suspect_until = now + opts.suspicion * std::min(worker.failures_in_row, 3);
+    unit_failed(job, *owner, end.run, now);
+  }
+  if (owner->phase == unit_phase::active && end.run == owner->run) {
+    end_unit(job, *owner, now);
+  }
+  settle_unit(job, *owner, now);
+}
+
+void job_scheduler::implementation::drop_absent(worker_state& worker, const lease_report& report,
+                                                instant sent, instant now) {
+  std::set<std::pair<task_ref, run_number>> listed;
+  for (const auto& run : report.running) {
+    listed.emplace(run.task, run.run);
+  }
+  // The map changes while members are cleared.
+  const auto tasks = worker.tasks;
+  for (const auto& [task, run] : tasks) {
+    std::uint32_t index = 0;
+    auto* owner = find_unit(task, &index);
+    if (owner == nullptr || listed.contains({task, run})) {
+      continue;
+    }
+    const auto& one = owner->members[index];
+    const bool settled = one.phase == member_phase::running || one.phase == member_phase::stopping;
+    if (one.worker != worker.entry.id || one.run != run || !settled || one.answer_pending ||
+        one.known_at == instant{} || one.known_at >= sent) {
+      continue;
+    }
+    auto& job = jobs.at(task.job);
+    const bool was_running = one.phase == member_phase::running;
+    clear_member(job, *owner, index);
+    if (was_running && owner->phase == unit_phase::active) {
+      record("run_lost", task.job, worker.entry.id.value(), {{"run", absl::StrCat(run.value())}});
+      end_unit(job, *owner, now);
+    }
+    settle_unit(job, *owner, now);
+  }
+}
+
+void job_scheduler::implementation::drop_all(worker_state& worker, std::string_view reason, instant now) {
+  const auto tasks = worker.tasks;
+  for (const auto& [task, run] : tasks) {
+    std::uint32_t index = 0;
+    auto* owner = find_unit(task, &index);
+    if (owner == nullptr || owner->members[index].worker != worker.entry.id) {
+      continue;
+    }
+    auto& job = jobs.at(task.job);
+    record("run_lost", task.job, std::string{reason}, {{"worker", worker.entry.id.value()}});
+    clear_member(job, *owner, index);
+    end_unit(job, *owner, now);
+    settle_unit(job, *owner, now);
+  }
+  worker.tasks.clear();
+}
+
+void job_scheduler::implementation::detect_stalls(instant now) {
+  for (auto& [id, job] : jobs) {
+    if (is_terminal(job.phase)) {
+      continue;
+    }
+    for (auto& each : job.units) {
+      if (each.phase != unit_phase::active || step_of(job, each).long_running) {
+        continue;
+      }
+      const bool all_run = std::all_of(each.members.begin(), each.members.end(), [](const member& one) {
+        return one.phase == member_phase::running;
+      });
+      if (!all_run) {
+        each.all_running_since = instant{};
+        continue;
+      }
+      if (each.all_running_since == instant{}) {
+        each.all_running_since = now;
+      }
+      for (const auto& one : each.members) {
+        const auto found = workers.find(one.worker);
+        const bool heard = found != workers.end() && found->second.failed_renewals == 0;
+        const auto since = std::max(one.percent_changed, each.all_running_since);
+        if (heard && one.percent < 100 && now - since > opts.stall_timeout) {
+          found->second.suspect_until = now + opts.suspicion;
+          record("run_stalled", id, one.worker.value(), {{"percent", absl::StrCat(one.percent)}});
+          end_unit(job, each, now);
+          break;
+        }
+      }
+    }
+  }
+}
+
+}  // namespace rhubarbpath
--- /dev/null
+++ b/src/coordination/peer_directory.cpp
@@ -0,0 +1,63 @@
+#include "rhubarbpath/coordination/peer_directory.hpp"
+
+#include <algorithm>
+
+namespace rhubarbpath {
+
+void peer_directory::set_seeds(const std::vector<std::string>& seeds, instant /*now*/) {
+  for (const auto& address : seeds) {
+    if (address != opts_.self) {
+      entries_[address].seed = true;
+    }
+  }
+}
+
+void peer_directory::heard_from(const std::string& address, instant now) {
+  if (address.empty() || address == opts_.self) {
+    return;
+  }
+  auto& known = entries_[address];
+  known.heard = now;
+  known.failing = false;
+}
+
+void peer_directory::merge(const std::vector<sighting>& sightings, instant now) {
+  for (const auto& [address, age] : sightings) {
+    if (address != opts_.self && age >= duration::zero() && age <= opts_.forget_after) {
+      auto& known = entries_[address];
+      known.heard = std::max(known.heard, now - age);
+    }
+  }
+}
+
+void peer_directory::failed(const std::string& address, instant /*now*/) {
+  if (const auto found = entries_.find(address); found != entries_.end()) {
+    found->second.failing = true;
+  }
+}
+
+std::vector<peer_directory::sighting> peer_directory::sightings(instant now) const {
+  std::vector<sighting> result{{opts_.self, duration::zero()}};
+  for (const auto& [address, known] : entries_) {
+    if (now - known.heard <= opts_.forget_after) {
+      result.emplace_back(address, now - known.heard);
+    }
+  }
+  return result;
+}
+
+std::vector<std::string> peer_directory::choices(random_source& random, instant now) const {
+  std::vector<std::string> good;
+  std::vector<std::string> failing;
+  for (const auto& [address, known] : entries_) {
+    if (known.seed || now - known.heard <= opts_.forget_after) {
+      (known.failing ? failing : good).push_back(address);
+    }
+  }
+  std::shuffle(good.begin(), good.end(), random.engine());
+  std::shuffle(failing.begin(), failing.end(), random.engine());
+  good.insert(good.end(), failing.begin(), failing.end());
+  return good;
+}
+
+}  // namespace rhubarbpath
--- /dev/null
+++ b/src/programs/rhubarb-edge/edge_daemon.cpp
@@ -0,0 +1,457 @@
+#include "edge_daemon.hpp"
+
+#include <algorithm>
+#include <csignal>
+#include <ctime>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "platform/settings.hpp"
+#include "rhubarbpath/transport/address.hpp"
+#include "rhubarbpath/transport/log.hpp"
+
+namespace rhubarbpath::edge {
+
+namespace {
+
+constexpr int ok_status = 200;
+constexpr int not_found_status = 404;
+constexpr int unavailable_status = 503;
+
+constexpr duration election_period{std::chrono::milliseconds{50}};
+/// A silent watch of the owner row is noticed after this; other VMs notice a lost owner as well.
+constexpr std::chrono::milliseconds ownership_wait{3000};
+constexpr duration retry_pause{std::chrono::milliseconds{200}};
+constexpr duration greet_period{std::chrono::seconds{2}};
+constexpr duration greet_timeout{std::chrono::milliseconds{500}};
+/// The settings file may change without a signal.
+constexpr duration settings_period{std::chrono::seconds{1}};
+/// The load balancer notices after two probes, a second apart, that this VM is not ready; new
+/// connections come until then.
+constexpr duration stop_serving_for{std::chrono::milliseconds{2600}};
+/// Kept from the stop grace for closing down.
+constexpr duration stop_margin{std::chrono::milliseconds{700}};
+/// Without an answer of the store for this long, another VM serves callers better.
+constexpr duration store_silence{std::chrono::milliseconds{2500}};
+constexpr std::size_t max_body_bytes = 4U << 20U;
+
+/// Time since boot, which goes on while the VM is suspended.
+instant boot_now() {
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return instant{std::chrono::duration_cast<duration>(std::chrono::seconds{time.tv_sec} +
+                                                      std::chrono::nanoseconds{time.tv_nsec})};
+}
+
+std::uint64_t wall_ms() {
+  return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                        std::chrono::system_clock::now().time_since_epoch())
+                                        .count());
+}
+
+http_client::options client_options(int connections) {
+  return {.max_connections_per_address = connections,
+          .max_idle_connections_per_address = connections,
+          // New connections are priced; one that went silent is found by its first time-out.
+          .max_idle_age = std::chrono::seconds{30},
+          .max_body_bytes = max_body_bytes};
+}
+
+}  // namespace
+
+edge_daemon::edge_daemon(event_loop& loop, vm_settings settings, std::string settings_file)
+    : loop_{loop},
+      settings_{std::move(settings)},
+      settings_file_{std::move(settings_file)},
+      random_{wall_ms() ^ std::hash<std::string>{}(settings_.vm.value())},
+      platform_client_{loop, client_options(48)},
+      worker_client_{loop, client_options(8)},
+      peers_{{.self = settings_.peer_address}},
+      store_{loop,      platform_client_, peers_, random_, counters_,
+             {.store_address = settings_.store_address, .self = settings_.peer_address}},
+      config_{loop, store_,
+              [this](const config_feed::pointer& config) {
+                if (session_ != nullptr) {
+                  session_->set_config(config);
+                }
+              }},
+      election_{{.self = settings_.vm, .processor_cores = settings_.processor_cores}, random_},
+      callers_{{.loop = loop,
+                .store = store_,
+                .peers = platform_client_,
+                .counters = counters_,
+                .config = config_,
+                .own_session = [this] { return session_.get(); },
+                .owner_address = [this] { return owner_address_; },
+                .stopping = [this] { return stopping_; }}},
+      process_{wall_ms()} {}
+
+absl::Status edge_daemon::start() {
+  const auto serve = [this](std::unique_ptr<http_server>& server, const std::string& address,
+                            http_server::handler handler) -> absl::Status {
+    const auto target = parse_address(address);
+    if (!target.ok()) {
+      return target.status();
+    }
+    server = std::make_unique<http_server>(
+        loop_,
+        http_server::options{.address = target->host, .port = target->port, .max_body_bytes = max_body_bytes},
+        std::move(handler));
+    return server->listen();
+  };
+  for (const auto& status :
+       {serve(caller_server_, settings_.caller_address,
+              [this](const http_request& request, const http_responder& responder) {
+                callers_.handle(request, responder);
+              }),
+        serve(ready_server_, settings_.ready_address,
+              [this](const http_request&, const http_responder& responder) { serve_ready(responder); }),
+        serve(peer_server_, settings_.peer_address,
+              [this](const http_request& request, const http_responder& responder) {
+                serve_peer(request, responder);
+              }),
+        serve(metrics_server_, settings_.metrics_address,
+              [this](const http_request&, const http_responder& responder) {
+                responder.send({.status = ok_status, .headers = {}, .body = counters_.prometheus_text()});
+              })}) {
+    if (!status.ok()) {
+      return status;
+    }
+  }
+  peers_.set_seeds(settings_.seeds, loop_.now());
+  config_.start();
+  loop_.on_signal(SIGTERM, [this] { begin_stop(); });
+  loop_.on_signal(SIGINT, [this] { begin_stop(); });
+  loop_.on_signal(SIGHUP, [this] { check_settings(); });
+  settings_timer_ = loop_.run_every(settings_period, [this] { check_settings(); });
+  greet_timer_ = loop_.run_every(greet_period, [this] { greet_peers(); });
+  greet_peers();
+  read_ownership();
+  election_timer_ = loop_.run_every(election_period, [this] { election_tick(); });
+  return absl::OkStatus();
+}
+
+// ---- peers ----
+
+void edge_daemon::greet_peers() {
+  if (stopping_) {
+    return;
+  }
+  auto choices = peers_.choices(random_, loop_.now());
+  // A constant number of greetings a period keeps the cost independent of the fleet's size.
+  constexpr std::size_t greetings = 2;
+  choices.resize(std::min(choices.size(), greetings));
+  for (const auto& address : choices) {
+    greet(address);
+  }
+}
+
+void edge_daemon::greet(const std::string& address) {
+  nlohmann::json known = nlohmann::json::array();
+  for (const auto& [each, age] : peers_.sightings(loop_.now())) {
+    known.push_back({each, age.count()});
+  }
+  const auto bytes = nlohmann::json::to_cbor(known);
+  const http_request greeting{.method = "POST",
+                              .path = "/greet",
+                              .query = {},
+                              .headers = {{std::string{peer_header}, settings_.peer_address}},
+                              .body = std::string{bytes.begin(), bytes.end()}};
+  platform_client_.call(address, greeting, greet_timeout, [this, address](const http_result& result) {
+    const auto* response = std::get_if<http_response>(&result);
+    if (response == nullptr) {
+      peers_.failed(address, loop_.now());
+      platform_client_.drop_idle(address);
+      return;
+    }
+    peers_.heard_from(address, loop_.now());
+    take_sightings(response->body);
+  });
+}
+
+void edge_daemon::take_sightings(const std::string& body) {
+  const auto rows = nlohmann::json::from_cbor(body.begin(), body.end(), true, false);
+  std::vector<peer_directory::sighting> sightings;
+  if (rows.is_array()) {
+    for (const auto& row : rows) {
+      if (row.is_array() && row.size() == 2 && row[0].is_string() && row[1].is_number_integer()) {
+        sightings.emplace_back(row[0].get<std::string>(), duration{row[1].get<std::int64_t>()});
+      }
+    }
+  }
+  peers_.merge(sightings, loop_.now());
+}
+
+void edge_daemon::serve_peer(const http_request& request, const http_responder& responder) {
+  if (request.path.starts_with(relay_path)) {
+    counters_.add("rhubarb_relayed_calls_total");
+    store_.relay(request, responder);
+    return;
+  }
+  if (request.path.starts_with(owner_path)) {
+    callers_.handle_peer(request, responder);
+    return;
+  }
+  if (request.path == "/greet") {
+    take_sightings(request.body);
+    peers_.heard_from(std::string{header_value(request.headers, peer_header)}, loop_.now());
+    nlohmann::json known = nlohmann::json::array();
+    for (const auto& [each, age] : peers_.sightings(loop_.now())) {
+      known.push_back({each, age.count()});
+    }
+    const auto bytes = nlohmann::json::to_cbor(known);
+    responder.send(
+        {.status = ok_status, .headers = {}, .body = std::string{bytes.begin(), bytes.end()}});
+    return;
+  }
+  responder.send({.status = not_found_status, .headers = {}, .body = {}});
+}
+
+bool edge_daemon::ready() const {
+  return !stopping_ && config_.current() != nullptr && loop_.now() - store_.last_answer() < store_silence;
+}
+
+void edge_daemon::serve_ready(const http_responder& responder) const {
+  responder.send({.status = ready() ? ok_status : unavailable_status, .headers = {}, .body = {}});
+}
+
+// ---- ownership ----
+
+void edge_daemon::read_ownership() {
+  store_.call(kv_list{.prefix = keys::ownership_prefix}, [this](const kv_result& result) {
+    if (const auto* items = std::get_if<kv_items>(&result)) {
+      ownership_seen_ = items->as_of;
+      ownership_ = {};
+      owner_address_.clear();
+      take_ownership(items->items);
+      watch_ownership();
+      return;
+    }
+    ownership_timer_ = loop_.run_after(retry_pause, [this] { read_ownership(); });
+  });
+}
+
+void edge_daemon::watch_ownership() {
+  kv_watch request{.prefix = keys::ownership_prefix, .after = ownership_seen_, .wait = ownership_wait};
+  store_.call(std::move(request), [this](const kv_result& result) {
+    const auto* events = std::get_if<kv_events>(&result);
+    if (events == nullptr) {
+      ownership_timer_ = loop_.run_after(retry_pause, [this] { read_ownership(); });
+      return;
+    }
+    ownership_seen_ = std::max(ownership_seen_, events->as_of);
+    std::vector<kv_item> items;
+    for (const auto& event : events->events) {
+      if (event.deleted && event.item.key == keys::owner) {
+        ownership_.owner.reset();
+        ownership_.owner_changed = revision{};
+        owner_address_.clear();
+      } else if (!event.deleted) {
+        items.push_back(event.item);
+      }
+    }
+    take_ownership(items);
+    watch_ownership();
+  });
+}
+
+void edge_daemon::take_ownership(const std::vector<kv_item>& items) {
+  for (const auto& item : items) {
+    if (item.key == keys::term) {
+      std::uint64_t term = 0;
+      if (!absl::SimpleAtoi(item.value, &term)) {
+        log(log_level::error, "term_row_unreadable", {{"value", item.value}});
+      }
+      ownership_.term = owner_term{term};
+      ownership_.term_changed = item.changed;
+    } else if (item.key == keys::owner) {
+      const auto owner = decode_owner(item.value);
+      if (!owner.ok()) {
+        log(log_level::error, "owner_row_unreadable", {{"reason", std::string{owner.status().message()}}});
+        continue;
+      }
+      ownership_.owner = owner->vm;
+      ownership_.owner_changed = item.changed;
+      if (std::exchange(owner_address_, owner->peer_address) != owner->peer_address) {
+        log(log_level::info, "owner_seen",
+            {{"owner", owner->vm.value()}, {"term", static_cast<std::int64_t>(owner->term.value())}});
+      }
+    }
+  }
+  election_.observed(ownership_, boot_now());
+  run_election();
+}
+
+void edge_daemon::election_tick() {
+  election_.tick(boot_now());
+  run_election();
+}
+
+void edge_daemon::run_election() {
+  if (std::exchange(electing_, true)) {
+    return;
+  }
+  for (auto actions = election_.take_actions(); !actions.empty(); actions = election_.take_actions()) {
+    for (const auto& action : actions) {
+      std::visit([this](const auto& each) { perform(each); }, action);
+    }
+  }
+  electing_ = false;
+}
+
+void edge_daemon::perform(const request_lease& action) {
+  const auto asked = boot_now();
+  store_.call(kv_grant{.ttl = action.ttl}, [this, asked](const kv_result& result) {
+    if (const auto* granted = std::get_if<kv_granted>(&result)) {
+      election_.lease_granted(granted->lease, asked, boot_now());
+    } else {
+      election_.lease_failed(boot_now());
+    }
+    run_election();
+  });
+}
+
+void edge_daemon::perform(const rhubarbpath::read_ownership& /*action*/) {
+  store_.call(kv_list{.prefix = keys::ownership_prefix}, [this](const kv_result& result) {
+    const auto* items = std::get_if<kv_items>(&result);
+    if (items == nullptr || config_.current() == nullptr) {
+      election_.read_failed(boot_now());
+      run_election();
+      return;
+    }
+    ownership_ = {};
+    take_ownership(items->items);
+  });
+}
+
+void edge_daemon::perform(const claim_ownership& action) {
+  const owner_row row{.vm = settings_.vm,
+                      .process = process_,
+                      .term = action.term,
+                      .peer_address = settings_.peer_address};
+  kv_commit commit{
+      .expected = {{.key = keys::owner, .changed = action.owner_read},
+                   {.key = keys::term, .changed = action.term_read}},
+      .puts = {{.key = keys::owner, .value = encode_owner(row), .lease = action.lease},
+               {.key = keys::term, .value = absl::StrCat(action.term.value())}},
+      .erases = {}};
+  store_.call(std::move(commit), [this](const kv_result& result) {
+    if (const auto* committed = std::get_if<kv_committed>(&result)) {
+      election_.claimed(committed->at, boot_now());
+    } else {
+      election_.claim_failed(boot_now());
+    }
+    run_election();
+  });
+}
+
+void edge_daemon::perform(const renew_ownership& action) {
+  const auto asked = boot_now();
+  store_.call(kv_renew{.lease = action.lease}, [this, asked](const kv_result& result) {
+    if (std::holds_alternative<kv_granted>(result)) {
+      election_.renewed(asked, boot_now());
+    } else {
+      election_.renew_failed(std::holds_alternative<kv_no_lease>(result), boot_now());
+    }
+    run_election();
+  });
+}
+
+void edge_daemon::perform(const release_ownership& action) {
+  store_.call(kv_release{.lease = action.lease}, [](const kv_result& result) {
+    if (std::holds_alternative<kv_unknown>(result)) {
+      // The lease ends by itself.
+      log(log_level::info, "lease_release_unconfirmed", {});
+    }
+  });
+}
+
+void edge_daemon::perform(const term_began& action) {
+  log(log_level::info, "term_began",
+      {{"term", static_cast<std::int64_t>(action.term.value())},
+       {"revision", static_cast<std::int64_t>(action.owner_row.value())}});
+  counters_.add("rhubarb_terms_total");
+  job_scheduler::options scheduler;
+  scheduler.longest_lease = settings_.longest_worker_lease;
+  scheduler.worker_lease = std::min(scheduler.worker_lease, settings_.longest_worker_lease);
+  scheduler.stop_timeout = settings_.task_stop_timeout;
+  scheduler.gang_timeout = settings_.gang_timeout;
+  scheduler.remote_factor = settings_.remote_factor;
+  const auto term = action.term;
+  session_ = std::make_shared<owner_session>(
+      owner_session::options{.term = term, .owner_row = action.owner_row, .scheduler = scheduler},
+      owner_session::dependencies{.loop = loop_,
+                                  .store = store_,
+                                  .workers = worker_client_,
+                                  .counters = counters_,
+                                  .config = config_.current(),
+                                  .may_order = [this] { return election_.owns(boot_now()); },
+                                  .superseded =
+                                      [this, term] {
+                                        if (session_ != nullptr && session_->term() == term) {
+                                          election_.superseded(boot_now());
+                                          run_election();
+                                        }
+                                      }});
+  session_->start();
+}
+
+void edge_daemon::perform(const term_ended& action) {
+  log(log_level::warning, "term_ended",
+      {{"term", static_cast<std::int64_t>(action.term.value())}, {"reason", action.reason}});
+  if (session_ != nullptr) {
+    session_->stop();
+    // The session may be running the callback that led here.
+    loop_.post([ended = std::move(session_)] {});
+    session_.reset();
+  }
+}
+
+// ---- settings and stop ----
+
+void edge_daemon::check_settings() {
+  std::ifstream file{settings_file_};
+  std::stringstream text;
+  text << file.rdbuf();
+  auto settings = platform::decode_settings(text.str());
+  if (!settings.ok()) {
+    log(log_level::error, "settings_rejected", {{"reason", std::string{settings.status().message()}}});
+    return;
+  }
+  if (*settings == settings_) {
+    return;
+  }
+  // Addresses of this VM hold for the life of the process; the rest takes effect at once.
+  log(log_level::info, "settings_reloaded", {{"store", settings->store_address}});
+  store_.set_store_address(settings->store_address);
+  peers_.set_seeds(settings->seeds, loop_.now());
+  settings_ = *std::move(settings);
+}
+
+void edge_daemon::begin_stop() {
+  if (std::exchange(stopping_, true)) {
+    return;
+  }
+  log(log_level::info, "stopping", {{"open_calls", static_cast<std::int64_t>(caller_server_->in_progress())}});
+  stop_by_ = loop_.now() + settings_.stop_grace - stop_margin;
+  election_.resign(boot_now());
+  run_election();
+  stop_timer_ = loop_.run_after(stop_serving_for, [this] { finish_stop(); });
+}
+
+void edge_daemon::finish_stop() {
+  const auto open = caller_server_->in_progress() + peer_server_->in_progress();
+  if (open > 0 && loop_.now() < stop_by_) {
+    constexpr duration check_again{std::chrono::milliseconds{50}};
+    stop_timer_ = loop_.run_after(check_again, [this] { finish_stop(); });
+    return;
+  }
+  log(log_level::info, "stopped", {{"open_calls", static_cast<std::int64_t>(open)}});
+  loop_.stop();
+}
+
+}  // namespace rhubarbpath::edge
--- /dev/null
+++ b/src/programs/rhubarb-edge/store_access.cpp
@@ -0,0 +1,191 @@
+#include "store_access.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "platform/store_wire.hpp"
+#include "rhubarbpath/transport/log.hpp"
+
+namespace rhubarbpath::edge {
+
+namespace {
+
+constexpr int relay_failed_status = 599;
+/// The longest wait of a watch is 30 s; no caller here asks for more than this.
+constexpr duration longest_relay{std::chrono::seconds{10}};
+
+std::string_view request_name(const kv_request& request) {
+  constexpr std::array<std::string_view, std::variant_size_v<kv_request>> names{
+      "get", "list", "watch", "commit", "grant", "renew", "release"};
+  return names.at(request.index());
+}
+
+std::string_view result_name(const kv_result& result) {
+  if (std::holds_alternative<kv_unknown>(result)) {
+    return "unknown";
+  }
+  return std::holds_alternative<kv_refused>(result) ? "refused" : "answered";
+}
+
+/// Reading, renewing and releasing twice has the effect of doing it once.
+bool repeatable(const kv_request& request) {
+  return !std::holds_alternative<kv_commit>(request) && !std::holds_alternative<kv_grant>(request);
+}
+
+}  // namespace
+
+struct store_access::pending {
+  kv_request request;
+  callback done;
+  bool direct_tried{false};
+  bool peer_tried{false};
+  kv_result last{kv_refused{.reason = "no path to the store"}};
+
+  [[nodiscard]] duration timeout(const options& opts) const {
+    const auto* watch = std::get_if<kv_watch>(&request);
+    return watch == nullptr ? opts.call_timeout : duration{watch->wait} + opts.watch_slack;
+  }
+};
+
+store_access::store_access(event_loop& loop, http_client& client, peer_directory& peers,
+                           random_source& random, metrics& counters, options opts)
+    : loop_{loop}, client_{client}, peers_{peers}, random_{random}, counters_{counters}, opts_{std::move(opts)} {}
+
+void store_access::call(kv_request request, callback done) {
+  auto call = std::make_shared<pending>();
+  call->request = std::move(request);
+  call->done = std::move(done);
+  if (direct_healthy_ || loop_.now() >= direct_retry_at_) {
+    // While the direct path is unhealthy, one call at a time tries it again.
+    direct_retry_at_ = loop_.now() + opts_.direct_pause;
+    attempt_direct(call);
+  } else {
+    attempt_peer(call);
+  }
+}
+
+void store_access::note_direct(bool healthy, const std::string& reason) {
+  if (std::exchange(direct_healthy_, healthy) == healthy) {
+    return;
+  }
+  log(healthy ? log_level::info : log_level::warning, healthy ? "store_direct_regained" : "store_direct_lost",
+      {{"reason", reason}});
+}
+
+void store_access::attempt_direct(const std::shared_ptr<pending>& call) {
+  call->direct_tried = true;
+  const auto address = opts_.store_address;
+  client_.call(address, platform::encode_store_request(call->request), call->timeout(opts_),
+               [this, call, address](const http_result& raw) {
+                 auto result = platform::decode_store_response(call->request, raw);
+                 count(call->request, "direct", result);
+                 const auto* unknown = std::get_if<kv_unknown>(&result);
+                 const auto* refused = std::get_if<kv_refused>(&result);
+                 if (unknown == nullptr && refused == nullptr) {
+                   note_direct(true, {});
+                   finish(call, std::move(result));
+                   return;
+                 }
+                 if (unknown != nullptr && unknown->timed_out) {
+                   client_.drop_idle(address);
+                 }
+                 note_direct(false, unknown != nullptr ? unknown->reason : refused->reason);
+                 direct_retry_at_ = loop_.now() + opts_.direct_pause;
+                 const bool again = refused != nullptr || repeatable(call->request);
+                 call->last = std::move(result);
+                 if (again && !call->peer_tried) {
+                   attempt_peer(call);
+                 } else {
+                   finish(call, std::move(call->last));
+                 }
+               });
+}
+
+void store_access::attempt_peer(const std::shared_ptr<pending>& call) {
+  call->peer_tried = true;
+  const auto choices = peers_.choices(random_, loop_.now());
+  if (choices.empty()) {
+    if (call->direct_tried) {
+      finish(call, std::move(call->last));
+    } else {
+      attempt_direct(call);
+    }
+    return;
+  }
+  const auto& address = choices.front();
+  auto request = platform::encode_store_request(call->request);
+  request.path = std::string{relay_path} + request.path;
+  request.headers.emplace_back(peer_header, opts_.self);
+  request.headers.emplace_back(relay_timeout_header,
+                               fmt::format("{}", call->timeout(opts_).count()));
+  client_.call(address, request, call->timeout(opts_) + opts_.watch_slack,
+               [this, call, address](const http_result& raw) {
+                 const auto* response = std::get_if<http_response>(&raw);
+                 const bool relayed = response != nullptr && response->status != relay_failed_status;
+                 kv_result result;
+                 if (response != nullptr && !relayed) {
+                   const auto reason = std::string{header_value(response->headers, relay_failure_header)};
+                   result = reason == "not_sent" ? kv_result{kv_refused{.reason = "relay cannot reach the store"}}
+                                                 : kv_result{kv_unknown{.reason = "relay got no answer"}};
+                 } else {
+                   result = platform::decode_store_response(call->request, raw);
+                 }
+                 count(call->request, "relay", result);
+                 const bool usable = !std::holds_alternative<kv_unknown>(result) &&
+                                     !std::holds_alternative<kv_refused>(result);
+                 if (usable) {
+                   peers_.heard_from(address, loop_.now());
+                 } else {
+                   peers_.failed(address, loop_.now());
+                   if (response == nullptr) {
+                     client_.drop_idle(address);
+                   }
+                 }
+                 finish(call, std::move(result));
+               });
+}
+
+void store_access::finish(const std::shared_ptr<pending>& call, kv_result result) {
+  if (!std::holds_alternative<kv_unknown>(result) && !std::holds_alternative<kv_refused>(result)) {
+    last_answer_ = loop_.now();
+  }
+  call->done(std::move(result));
+}
+
+void store_access::count(const kv_request& request, std::string_view path, const kv_result& result) {
+  counters_.add("rhubarb_store_calls_total", fmt::format("call=\"{}\",path=\"{}\",result=\"{}\"",
+                                                         request_name(request), path, result_name(result)));
+}
+
+void store_access::relay(const http_request& request, const http_responder& responder) {
+  peers_.heard_from(std::string{header_value(request.headers, peer_header)}, loop_.now());
+  http_request forwarded{.method = request.method,
+                         .path = request.path.substr(relay_path.size()),
+                         .query = request.query,
+                         .headers = {},
+                         .body = request.body};
+  if (!request.body.empty()) {
+    forwarded.headers.emplace_back("Content-Type", "application/json");
+  }
+  std::int64_t limit = opts_.call_timeout.count();
+  if (!absl::SimpleAtoi(std::string{header_value(request.headers, relay_timeout_header)}, &limit)) {
+    log(log_level::debug, "relay_without_time_limit", {});
+  }
+  client_.call(opts_.store_address, forwarded, std::clamp(duration{limit}, duration::zero(), longest_relay),
+               [responder](const http_result& raw) {
+                 if (const auto* response = std::get_if<http_response>(&raw)) {
+                   responder.send({.status = response->status, .headers = {}, .body = response->body});
+                   return;
+                 }
+                 const bool sent = std::get<http_call_failed>(raw).bytes_sent;
+                 responder.send({.status = relay_failed_status,
+                                 .headers = {{std::string{relay_failure_header}, sent ? "unknown" : "not_sent"}},
+                                 .body = {}});
+               });
+}
+
+}  // namespace rhubarbpath::edge
--- /dev/null
+++ b/src/protocol/job_rows.cpp
@@ -0,0 +1,167 @@
+#include "rhubarbpath/protocol/job_rows.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace rhubarbpath {
+
+namespace {
+
+using json = nlohmann::json;
+
+/// Positions in the row of a step. New fields go to the end.
+constexpr std::size_t step_fields = 18;
+
+std::string to_bytes(const json& value) {
+  const auto bytes = json::to_cbor(value);
+  return {bytes.begin(), bytes.end()};
+}
+
+json from_bytes(std::string_view bytes) {
+  return json::from_cbor(bytes.begin(), bytes.end(), true, false);
+}
+
+json encode_step(const step_spec& step) {
+  return json::array({step.count, step.each.cpu_millicores, step.each.memory_mb, step.each.accelerators,
+                      step.estimate.count(), step.after, step.checkpointing, step.gang, step.same_rack,
+                      step.speculative, step.long_running, step.fills, step.required_label, step.data_rack,
+                      step.max_per_worker, step.allowed_absent, step.image, step.target_latency.count()});
+}
+
+/// Throws `json::exception` for a field of another type; callers translate it.
+step_spec decode_step(const json& row) {
+  step_spec step;
+  std::size_t at = 0;
+  const auto next = [&](auto& target) { row.at(at++).get_to(target); };
+  std::int64_t estimate = 0;
+  std::int64_t target = 0;
+  next(step.count);
+  next(step.each.cpu_millicores);
+  next(step.each.memory_mb);
+  next(step.each.accelerators);
+  next(estimate);
+  next(step.after);
+  next(step.checkpointing);
+  next(step.gang);
+  next(step.same_rack);
+  next(step.speculative);
+  next(step.long_running);
+  next(step.fills);
+  next(step.required_label);
+  next(step.data_rack);
+  next(step.max_per_worker);
+  next(step.allowed_absent);
+  next(step.image);
+  next(target);
+  step.estimate = duration{estimate};
+  step.target_latency = duration{target};
+  return step;
+}
+
+/// Runs `decode` on the row and turns every type error of the library into a status.
+template <class Value, class Decode>
+absl::StatusOr<Value> decode_row(std::string_view bytes, std::string_view what, Decode decode) {
+  const auto row = from_bytes(bytes);
+  if (row.is_discarded()) {
+    return absl::DataLossError(std::string{what} + " is not CBOR");
+  }
+  try {
+    return decode(row);
+  } catch (const json::exception& error) {
+    return absl::DataLossError(std::string{what} + ": " + error.what());
+  }
+}
+
+}  // namespace
+
+std::string encode_accepted_job(const accepted_job& job) {
+  json steps = json::array();
+  for (const auto& step : job.graph.steps) {
+    steps.push_back(encode_step(step));
+  }
+  return to_bytes(json::array({job.id.value(), job.queue.value(), job.team.value(), job.accepted_at.count(),
+                               job.graph.payload, std::move(steps), job.graph.occurrences,
+                               job.graph.first_due.count(), job.graph.interval.count()}));
+}
+
+absl::StatusOr<accepted_job> decode_accepted_job(std::string_view bytes) {
+  return decode_row<accepted_job>(bytes, "job row", [](const json& row) {
+    accepted_job job;
+    job.id = job_id{row.at(0).get<std::string>()};
+    job.queue = queue_id{row.at(1).get<std::string>()};
+    job.team = team_id{row.at(2).get<std::string>()};
+    job.accepted_at = std::chrono::milliseconds{row.at(3).get<std::int64_t>()};
+    job.graph.payload = row.at(4).get<std::string>();
+    for (const auto& step : row.at(5)) {
+      if (step.size() >= step_fields) {
+        job.graph.steps.push_back(decode_step(step));
+      }
+    }
+    job.graph.occurrences = row.at(6).get<std::uint32_t>();
+    job.graph.first_due = std::chrono::milliseconds{row.at(7).get<std::int64_t>()};
+    job.graph.interval = std::chrono::milliseconds{row.at(8).get<std::int64_t>()};
+    return job;
+  });
+}
+
+std::string encode_job_progress(const job_progress& progress) {
+  json units = json::array();
+  for (const auto& unit : progress.units) {
+    units.push_back(json::array({unit.occurrence, unit.step, unit.unit, unit.done, unit.failures,
+                                 unit.last_failed.value(), unit.last_run.value(), unit.checkpoint}));
+  }
+  return to_bytes(
+      json::array({progress.job.value(), static_cast<int>(progress.phase), std::move(units)}));
+}
+
+absl::StatusOr<job_progress> decode_job_progress(std::string_view bytes) {
+  return decode_row<job_progress>(bytes, "progress row", [](const json& row) {
+    job_progress progress;
+    progress.job = job_id{row.at(0).get<std::string>()};
+    progress.phase = static_cast<job_phase>(row.at(1).get<int>());
+    for (const auto& each : row.at(2)) {
+      progress.units.push_back({.occurrence = each.at(0).get<std::uint32_t>(),
+                                .step = each.at(1).get<std::uint32_t>(),
+                                .unit = each.at(2).get<std::uint32_t>(),
+                                .done = each.at(3).get<bool>(),
+                                .failures = each.at(4).get<std::uint32_t>(),
+                                .last_failed = run_number{each.at(5).get<std::uint64_t>()},
+                                .last_run = run_number{each.at(6).get<std::uint64_t>()},
+                                .checkpoint = each.at(7).get<std::string>()});
+    }
+    return progress;
+  });
+}
+
+std::string encode_worker_ids(const std::vector<worker_id>& workers) {
+  json ids = json::array();
+  for (const auto& id : workers) {
+    ids.push_back(id.value());
+  }
+  return to_bytes(ids);
+}
+
+absl::StatusOr<std::vector<worker_id>> decode_worker_ids(std::string_view bytes) {
+  return decode_row<std::vector<worker_id>>(bytes, "worker row", [](const json& row) {
+    std::vector<worker_id> ids;
+    for (const auto& id : row) {
+      ids.emplace_back(id.get<std::string>());
+    }
+    return ids;
+  });
+}
+
+std::string encode_owner(const owner_row& owner) {
+  return to_bytes(json::array(
+      {owner.vm.value(), owner.process.value(), owner.term.value(), owner.peer_address}));
+}
+
+absl::StatusOr<owner_row> decode_owner(std::string_view bytes) {
+  return decode_row<owner_row>(bytes, "owner row", [](const json& row) {
+    return owner_row{.vm = vm_id{row.at(0).get<std::string>()},
+                     .process = incarnation{row.at(1).get<std::uint64_t>()},
+                     .term = owner_term{row.at(2).get<std::uint64_t>()},
+                     .peer_address = row.at(3).get<std::string>()};
+  });
+}
+
+}  // namespace rhubarbpath
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -333,6 +333,13 @@
   return id;
 }
 
+void http_client::drop_idle(const std::string& address) {
+  auto& self = *implementation_;
+  for (auto& connection : std::exchange(self.idle[address], {})) {
+    self.close(std::move(connection));
+  }
+}
+
 void http_client::cancel(handle pending) {
   auto& self = *implementation_;
   const auto found = self.calls.find(pending);
