Count each failed run once, free tasks of workers that left, recheck work that becomes ready by time

BUDGET: the failure of an older run that was listed after a newer one was not counted. LOST: each failed renewal moved the lease of a departed worker forward, so its tasks never became free. The simulated fleet found a third: a unit that became ready by time alone was placed only when another event came, and an unanswered start could be carried out by a worker's next life. Ruled out: lost progress rows; the rows of these jobs were complete. Change: failed runs are kept as a list; silent workers are probed without a lease; a recheck every 50 ms; a stop before a run is given up on a restarted worker whose start had been repeated.

--- a/include/rhubarbpath/coordination/job_scheduler.hpp
+++ b/include/rhubarbpath/coordination/job_scheduler.hpp
@@ -20,8 +20,9 @@
   std::uint32_t step{0};
   std::uint32_t unit{0};
   bool done{false};
-  std::uint32_t failures{0};
-  run_number last_failed;  ///< Newest run that is counted in `failures`.
+  /// Runs that ended as failed. Each counts once, however often and in which order the workers' lists
+  /// tell of it.
+  std::vector<run_number> failed_runs;
   run_number last_run;
   std::string checkpoint;
 
@@ -83,6 +84,12 @@
 using scheduler_action = std::variant<start_order, stop_order, renew_order, store_progress, store_workers,
                                       owner_superseded, decision_record>;
 
+enum class renewal_failure {
+  unanswered,        ///< It may be carried out later.
+  refused,           ///< Nothing listens at the address.
+  other_instance,    ///< Another instance answers at the address.
+};
+
 using start_result = std::variant<start_accepted, start_refused, order_unanswered, wrong_instance>;
 
 /// Schedules the jobs of all queues onto all workers during one ownership term. It is the only giver of
@@ -139,8 +146,8 @@
 
   /// The answer to a renewal that was sent at `sent`.
   void worker_reported(const worker_id& id, const lease_report& report, instant sent, instant now);
-  /// A renewal that brought no report. `replaced` means that another instance answered.
-  void worker_unreachable(const worker_id& id, bool replaced, instant now);
+  /// A renewal that brought no report.
+  void worker_unreachable(const worker_id& id, renewal_failure failure, instant now);
   void start_answered(const worker_id& id, const task_ref& task, run_number run, const start_result& result,
                       instant now);
   void stop_answered(const worker_id& id, const task_ref& task, run_number run, bool answered, instant now);
--- a/src/coordination/job_scheduler.cpp
+++ b/src/coordination/job_scheduler.cpp
@@ -83,8 +83,7 @@
       continue;
     }
     auto& target = job.units[range->second.first + row.unit];
-    target.failures = row.failures;
-    target.last_failed = row.last_failed;
+    target.failed_runs = row.failed_runs;
     target.run = row.last_run;
     target.checkpoint = row.checkpoint;
     if (row.done && target.phase != unit_phase::done) {
@@ -117,13 +116,12 @@
   }
   for (const auto& each : job.units) {
     const bool done = each.phase == unit_phase::done;
-    if (done || each.failures > 0 || !each.checkpoint.empty()) {
+    if (done || !each.failed_runs.empty() || !each.checkpoint.empty()) {
       progress.units.push_back({.occurrence = each.occurrence,
                                 .step = each.step,
                                 .unit = each.number,
                                 .done = done,
-                                .failures = each.failures,
-                                .last_failed = each.last_failed,
+                                .failed_runs = each.failed_runs,
                                 .last_run = each.run,
                                 .checkpoint = done ? std::string{} : each.checkpoint});
     }
@@ -174,14 +172,14 @@
 }
 
 void job_scheduler::implementation::unit_failed(job_state& job, unit& failed, run_number run, instant now) {
-  if (failed.phase == unit_phase::done || run <= failed.last_failed) {
+  auto& counted = failed.failed_runs;
+  if (failed.phase == unit_phase::done || std::find(counted.begin(), counted.end(), run) != counted.end()) {
     return;
   }
-  failed.last_failed = run;
-  ++failed.failures;
+  counted.push_back(run);
   mark_dirty(job);
   const auto limit = job.queue == nullptr ? 0 : job.queue->max_attempts;
-  if (limit > 0 && failed.failures >= limit && !step_of(job, failed).long_running) {
+  if (limit > 0 && counted.size() >= limit && !step_of(job, failed).long_running) {
     end_job(job, job_phase::failed, now);
   } else if (failed.phase == unit_phase::active && run == failed.run) {
     end_unit(job, failed, now);
@@ -397,7 +395,8 @@
   self.detect_stalls(now);
   self.repeat_orders(now);
   self.start_reserved(now);
-  if (self.placement_due && now >= self.next_placement) {
+  // Units also become ready by time alone: after a pause, at a due time, or when a preference lapses.
+  if ((self.placement_due || now >= self.next_recheck) && now >= self.next_placement) {
     self.place_all(now);
   }
   self.flush(now);
--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -58,8 +58,7 @@
   unit_phase phase{unit_phase::waiting};
   bool inherited{false};
   run_number run;
-  std::uint32_t failures{0};
-  run_number last_failed;
+  std::vector<run_number> failed_runs;
   std::string checkpoint;
   instant not_before{};
   instant waiting_since{};
@@ -96,6 +95,8 @@
   resource_amounts reserved;
   /// Tasks of this system that are on the worker, by the unit's job.
   std::map<task_ref, run_number> tasks;
+  /// It said that it is draining, so it is expected to leave.
+  bool was_draining{false};
   std::uint64_t seen_through{0};
   std::uint64_t flushing_through{0};
   std::uint64_t acknowledged_through{0};
@@ -140,6 +141,7 @@
   bool storing_workers{false};
   bool placement_due{true};
   instant next_placement{};
+  instant next_recheck{};
   std::vector<scheduler_action> actions;
 
   // job_scheduler.cpp
@@ -181,7 +183,8 @@
   void order_stop(detail::job_state& job, detail::unit& unit, std::size_t index, instant now);
   void adopt(detail::worker_state& worker, const active_run& run, instant now);
   void take_end(detail::worker_state& worker, const ended_run& end, instant now);
-  void drop_absent(detail::worker_state& worker, const lease_report& report, instant sent, instant now);
+  void drop_absent(detail::worker_state& worker, const lease_report& report, bool restarted, instant sent,
+                   instant now);
   void drop_all(detail::worker_state& worker, std::string_view reason, instant now);
   void renew_workers(instant now);
   void expire_silent_workers(instant now);
--- a/src/coordination/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler_placement.cpp
@@ -14,6 +14,8 @@
 
 /// Placement passes are at least this far apart, so that a burst of events costs one pass.
 constexpr duration placement_interval{std::chrono::milliseconds{5}};
+/// Bounds how late a unit is placed that became ready by time alone.
+constexpr duration recheck_interval{std::chrono::milliseconds{50}};
 
 }  // namespace
 
@@ -108,6 +110,7 @@
 
 void job_scheduler::implementation::place_all(instant now) {
   next_placement = now + placement_interval;
+  next_recheck = now + recheck_interval;
   placement_due = false;
   // Alike units fail alike, so one failure of a step skips its other units in this pass.
   std::set<std::pair<const job_state*, std::pair<std::uint32_t, std::uint32_t>>> full;
--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -32,6 +32,18 @@
   return "failed";
 }
 
+std::string_view failure_name(renewal_failure failure) {
+  switch (failure) {
+    case renewal_failure::unanswered:
+      return "unanswered";
+    case renewal_failure::refused:
+      return "refused";
+    case renewal_failure::other_instance:
+      return "other_instance";
+  }
+  return "unanswered";
+}
+
 }  // namespace
 
 // ---- clocks and leases ----
@@ -78,7 +90,9 @@
                       .acknowledged_through = worker.acknowledged_through,
                       .lease_until = std::nullopt,
                       .wait = milliseconds{0}};
-    if (worker.reported) {
+    // A renewal of a silent worker may be carried out late; it must not put off the time at which the
+    // worker is known to be empty.
+    if (worker.reported && worker.failed_renewals == 0) {
       order.lease_until = lease_end(worker, now);
       worker.lease_until = std::max(worker.lease_until, *order.lease_until);
     }
@@ -298,12 +312,13 @@
     }
     worker.entry = entry;
     worker.listed = true;
+    worker.was_draining = entry.draining;
   }
   self.store_worker_set();
   self.renew_workers(now);
 }
 
-void job_scheduler::worker_unreachable(const worker_id& id, bool replaced, instant now) {
+void job_scheduler::worker_unreachable(const worker_id& id, renewal_failure failure, instant now) {
   auto& self = *implementation_;
   const auto found = self.workers.find(id);
   if (found == self.workers.end()) {
@@ -315,12 +330,16 @@
   constexpr duration longest_pause{std::chrono::milliseconds{600}};
   worker.renew_at = now + std::min(longest_pause, detail::renew_pause * worker.failed_renewals);
   if (worker.failed_renewals == 1) {
-    self.record("worker_silent", {}, id.value(), {{"tasks", absl::StrCat(worker.tasks.size())}});
+    self.record("worker_silent", {}, id.value(),
+                {{"tasks", absl::StrCat(worker.tasks.size())},
+                 {"failure", std::string{failure_name(failure)}}});
   }
-  if (replaced) {
+  if (failure == renewal_failure::other_instance) {
     worker.replaced = true;
     self.awaited.erase(id);
     self.drop_all(worker, "another instance answers", now);
+  } else if (failure == renewal_failure::refused && worker.was_draining && !worker.listed) {
+    self.drop_all(worker, "the worker has left", now);
   }
 }
 
@@ -338,8 +357,9 @@
     self.record("worker_answers", {}, id.value(), {});
     self.placement_due = true;
   }
+  const bool restarted = worker.reported && worker.born != report.born;
   if (worker.born != report.born) {
-    if (worker.reported) {
+    if (restarted) {
       self.record("worker_restarted", {}, id.value(), {{"born", absl::StrCat(report.born.value())}});
     }
     worker.born = report.born;
@@ -368,7 +388,7 @@
       owner->members[index].known_at = std::max(owner->members[index].known_at, sent);
     }
   }
-  self.drop_absent(worker, report, sent, now);
+  self.drop_absent(worker, report, restarted, sent, now);
   self.awaited.erase(id);
   self.finish_recovery(now);
   self.flush(now);
@@ -412,7 +432,7 @@
   const bool unit_open = owner->phase == unit_phase::waiting ||
                          (recovery && owner->phase == unit_phase::active && owner->run == run.run);
   const bool adoptable = !is_terminal(job.phase) && unit_open && known.phase == member_phase::none &&
-                         run.run >= owner->run && run.run > owner->last_failed && (!gang || recovery);
+                         run.run >= owner->run && (!gang || recovery);
   if (!adoptable) {
     stop_stray();
     return;
@@ -472,7 +492,7 @@
 }
 
 void job_scheduler::implementation::drop_absent(worker_state& worker, const lease_report& report,
-                                                instant sent, instant now) {
+                                                bool restarted, instant sent, instant now) {
   std::set<std::pair<task_ref, run_number>> listed;
   for (const auto& run : report.running) {
     listed.emplace(run.task, run.run);
@@ -493,6 +513,13 @@
     }
     auto& job = jobs.at(task.job);
     const bool was_running = one.phase == member_phase::running;
+    if (restarted && was_running && one.tries > 1) {
+      // An earlier try of the start was never answered, and the new life does not know that the run has
+      // ended; a stop keeps that try from being carried out now.
+      order_stop(job, *owner, index, now);
+      end_unit(job, *owner, now);
+      continue;
+    }
     clear_member(job, *owner, index);
     if (was_running && owner->phase == unit_phase::active) {
       record("run_lost", task.job, worker.entry.id.value(), {{"run", absl::StrCat(run.value())}});
--- a/src/programs/rhubarb-edge/owner_session.cpp
+++ b/src/programs/rhubarb-edge/owner_session.cpp
@@ -364,7 +364,7 @@
             self->perform(owner_superseded{.worker = worker});
             return;
           }
-          self->scheduler_->worker_unreachable(worker, failed.replaced, now);
+          self->scheduler_->worker_unreachable(worker, failed.failure, now);
         }
         self->run_tick();
       });
--- a/src/protocol/job_rows.cpp
+++ b/src/protocol/job_rows.cpp
@@ -106,8 +106,12 @@
 std::string encode_job_progress(const job_progress& progress) {
   json units = json::array();
   for (const auto& unit : progress.units) {
-    units.push_back(json::array({unit.occurrence, unit.step, unit.unit, unit.done, unit.failures,
-                                 unit.last_failed.value(), unit.last_run.value(), unit.checkpoint}));
+    json failed = json::array();
+    for (const auto& run : unit.failed_runs) {
+      failed.push_back(run.value());
+    }
+    units.push_back(json::array({unit.occurrence, unit.step, unit.unit, unit.done, std::move(failed),
+                                 unit.last_run.value(), unit.checkpoint}));
   }
   return to_bytes(
       json::array({progress.job.value(), static_cast<int>(progress.phase), std::move(units)}));
@@ -119,14 +123,17 @@
     progress.job = job_id{row.at(0).get<std::string>()};
     progress.phase = static_cast<job_phase>(row.at(1).get<int>());
     for (const auto& each : row.at(2)) {
-      progress.units.push_back({.occurrence = each.at(0).get<std::uint32_t>(),
-                                .step = each.at(1).get<std::uint32_t>(),
-                                .unit = each.at(2).get<std::uint32_t>(),
-                                .done = each.at(3).get<bool>(),
-                                .failures = each.at(4).get<std::uint32_t>(),
-                                .last_failed = run_number{each.at(5).get<std::uint64_t>()},
-                                .last_run = run_number{each.at(6).get<std::uint64_t>()},
-                                .checkpoint = each.at(7).get<std::string>()});
+      unit_progress unit{.occurrence = each.at(0).get<std::uint32_t>(),
+                         .step = each.at(1).get<std::uint32_t>(),
+                         .unit = each.at(2).get<std::uint32_t>(),
+                         .done = each.at(3).get<bool>(),
+                         .failed_runs = {},
+                         .last_run = run_number{each.at(5).get<std::uint64_t>()},
+                         .checkpoint = each.at(6).get<std::string>()};
+      for (const auto& run : each.at(4)) {
+        unit.failed_runs.emplace_back(run.get<std::uint64_t>());
+      }
+      progress.units.push_back(std::move(unit));
     }
     return progress;
   });
--- /dev/null
+++ b/tests/coordination/job_scheduler_test.cpp
@@ -0,0 +1,226 @@
+#include <catch2/catch.hpp>
+
+#include "simulated_workers.hpp"
+
+namespace rhubarbpath {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::simulated_workers;
+
+step_spec alike_tasks(std::uint32_t count, std::int64_t accelerators, duration estimate, bool gang = false) {
+  return {.count = count,
+          .each = {1000, 1000, accelerators},
+          .estimate = estimate,
+          .gang = gang};
+}
+
+class scheduler_fixture {
+ protected:
+  explicit scheduler_fixture(std::size_t worker_count = 6) {
+    fleet.add_workers(worker_count);
+    fleet.begin_term();
+    fleet.play(milliseconds{200});
+  }
+  simulated_workers fleet{20261204};
+};
+
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_job_of_single_tasks_completes") {
+  // Guards against work that is accepted and never started or never shown as complete.
+  fleet.submit(simulated_workers::job("a", 1, alike_tasks(10, 2, seconds{1})));
+  fleet.play(seconds{2});
+  CHECK(fleet.phase("a") == job_phase::complete);
+  CHECK(fleet.violations.empty());
+}
+
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_gang_larger_than_free_space_waits_whole") {
+  // Guards against gangs that start in part and time out waiting for the rest.
+  fleet.submit(simulated_workers::job("a", 1, alike_tasks(4, 8, seconds{2}, true)));
+  fleet.submit(simulated_workers::job("b", 1, alike_tasks(4, 8, seconds{2}, true)));
+  fleet.play(seconds{1});
+  CHECK(fleet.running_tasks() == 4);
+  fleet.play(seconds{4});
+  CHECK(fleet.phase("a") == job_phase::complete);
+  CHECK(fleet.phase("b") == job_phase::complete);
+  CHECK(fleet.alone == 0);
+}
+
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_failures_listed_out_of_order_count_once_each") {
+  // A store outage kept a failed run unstored, and the next owner read the ends of two runs from two
+  // workers, the newer run first. The older one was not counted, and the job got a run too many.
+  fleet.configuration = simulated_workers::config(2);
+  fleet.begin_term();
+  auto job = simulated_workers::job("a", 1, alike_tasks(1, 1, seconds{5}));
+  fleet.submit(job);
+  fleet.play(milliseconds{100});
+  auto& scheduler = *fleet.scheduler;
+  const task_ref task{.job = job_id{"a"}};
+  const auto report = [&](const char* worker, std::uint64_t run) {
+    lease_report listed{.born = incarnation{1}, .clock = milliseconds{1000}};
+    listed.ended.push_back({.number = 1000, .task = task, .run = run_number{run}, .outcome = run_outcome::failed});
+    scheduler.worker_reported(worker_id{worker}, listed, fleet.now, fleet.now);
+  };
+  report("w5", 900);
+  report("w6", 800);
+  fleet.play(milliseconds{100});
+  CHECK(fleet.phase("a") == job_phase::failed);
+}
+
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_worker_that_left_frees_its_tasks_after_its_lease") {
+  // Failed renewals used to extend the lease that they asked for, so the tasks of a worker that had left
+  // were never started again.
+  fleet.submit(simulated_workers::job("a", 1, alike_tasks(1, 1, seconds{3})));
+  fleet.play(milliseconds{1500});
+  REQUIRE(fleet.running_tasks() == 1);
+  for (auto& [id, worker] : fleet.workers) {
+    if (!worker.tasks.empty()) {
+      fleet.remove(id);
+    }
+  }
+  fleet.play(seconds{15});
+  CHECK(fleet.phase("a") == job_phase::complete);
+  CHECK(fleet.violations.empty());
+}
+
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_cut_worker_keeps_its_task_until_its_lease_has_passed") {
+  // Guards against a second run of a task on a worker that is out of reach but still works.
+  fleet.submit(simulated_workers::job("a", 1, alike_tasks(1, 1, seconds{30})));
+  fleet.play(milliseconds{1500});
+  for (auto& [id, worker] : fleet.workers) {
+    if (!worker.tasks.empty()) {
+      worker.cut = true;
+      fleet.hidden.insert(id);
+    }
+  }
+  fleet.play(seconds{14});
+  CHECK(fleet.starts[{.job = job_id{"a"}}] == 2);
+  CHECK(fleet.violations.empty());
+}
+
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_restarted_worker_loses_its_tasks_at_once") {
+  // A worker that comes back under its id knows nothing of before, so its tasks must not be waited for.
+  fleet.submit(simulated_workers::job("a", 1, alike_tasks(1, 1, seconds{2})));
+  fleet.play(milliseconds{1500});
+  for (auto& [id, worker] : fleet.workers) {
+    if (!worker.tasks.empty()) {
+      fleet.restart(id);
+    }
+  }
+  fleet.play(seconds{4});
+  CHECK(fleet.phase("a") == job_phase::complete);
+}
+
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_cancelled_job_stops_and_stays_stopped") {
+  fleet.submit(simulated_workers::job("a", 1, alike_tasks(6, 2, seconds{20})));
+  fleet.play(seconds{1});
+  fleet.cancel(job_id{"a"});
+  fleet.play(milliseconds{500});
+  CHECK(fleet.running_tasks() == 0);
+  CHECK(fleet.phase("a") == job_phase::cancelled);
+}
+
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_urgent_job_within_guarantee_preempts_lent_accelerators") {
+  // Guards the promise that a team's guaranteed accelerators can be reclaimed within 2.7 s.
+  fleet.submit(simulated_workers::job("lent", 2, alike_tasks(48, 1, seconds{30})));
+  fleet.play(seconds{1});
+  REQUIRE(fleet.running_tasks() == 48);
+  fleet.submit(simulated_workers::job("urgent", 0, alike_tasks(2, 8, seconds{1}, true)));
+  fleet.play(milliseconds{2700});
+  CHECK(fleet.phase("urgent") == job_phase::complete);
+}
+
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_new_owner_adopts_running_work") {
+  // Guards against work that is lost or doubled when the duty passes to another VM.
+  fleet.submit(simulated_workers::job("gang", 1, alike_tasks(3, 8, seconds{4}, true)));
+  fleet.submit(simulated_workers::job("tasks", 1, alike_tasks(8, 2, seconds{4})));
+  fleet.play(seconds{2});
+  fleet.begin_term();
+  fleet.play(seconds{4});
+  CHECK(fleet.phase("gang") == job_phase::complete);
+  CHECK(fleet.phase("tasks") == job_phase::complete);
+  for (const auto& [task, count] : fleet.starts) {
+    CHECK(count == 1);
+  }
+}
+
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_unanswered_start_is_repeated_not_doubled") {
+  fleet.injected.late_order = 0.3;
+  fleet.injected.lost_answer = 0.2;
+  for (int index = 0; index < 12; ++index) {
+    fleet.submit(simulated_workers::job("j" + std::to_string(index), 1 + index % 2,
+                                        alike_tasks(3, 2, seconds{1}, index % 3 == 0)));
+  }
+  fleet.play(seconds{60});
+  CHECK(fleet.violations.empty());
+  for (int index = 0; index < 12; ++index) {
+    CHECK(fleet.phase("j" + std::to_string(index)) == job_phase::complete);
+  }
+}
+
+TEST_CASE("scheduler_random_faults_keep_every_promise") {
+  // Plays cut, restarted, leaving and failing workers, late orders, lost answers, store outages and
+  // changes of the owner, all drawn from the seed.
+  const auto seed = std::getenv("RHUBARBPATH_SEED") ? std::atoi(std::getenv("RHUBARBPATH_SEED")) : GENERATE(range(1, 25));
+  simulated_workers fleet{static_cast<std::uint64_t>(seed)};
+  fleet.add_workers(10);
+  fleet.configuration = simulated_workers::config(50);
+  fleet.begin_term();
+  fleet.injected = {.lost_answer = 0.03, .late_order = 0.04, .failing_task = 0.03};
+  auto& random = fleet.random;
+  int jobs = 0;
+  for (int round = 0; round < 40; ++round) {
+    const auto name = "j" + std::to_string(jobs++);
+    const auto count = 1 + static_cast<std::uint32_t>(random.below(6));
+    fleet.submit(simulated_workers::job(name, static_cast<int>(random.below(3)),
+                                        alike_tasks(count, 1 + static_cast<std::int64_t>(random.below(4)),
+                                                    milliseconds{500 + random.below(4000)},
+                                                    random.below(2) == 0)));
+    const auto pick = [&] { return worker_id{"w" + std::to_string(1 + random.below(10))}; };
+    switch (random.below(10)) {
+      case 0:
+        fleet.workers.at(pick()).cut = true;
+        break;
+      case 1:
+        fleet.restart(pick());
+        break;
+      case 2:
+        fleet.begin_term();
+        break;
+      case 3:
+        fleet.store_up = !fleet.store_up;
+        break;
+      case 4:
+        fleet.workers.at(pick()).stands_still = true;
+        break;
+      case 5:
+        fleet.hidden.insert(pick());
+        break;
+      default:
+        for (auto& [id, worker] : fleet.workers) {
+          worker.cut = false;
+          worker.stands_still = false;
+        }
+        fleet.hidden.clear();
+        break;
+    }
+    fleet.play(milliseconds{300 + random.below(1200)});
+  }
+  for (auto& [id, worker] : fleet.workers) {
+    worker.cut = false;
+    worker.stands_still = false;
+  }
+  fleet.hidden.clear();
+  fleet.store_up = true;
+  fleet.injected = {};
+  fleet.play(seconds{60});
+  INFO("seed " << seed);
+  CHECK(fleet.violations.empty());
+  for (int job = 0; job < jobs; ++job) {
+    INFO("job " << job);
+    CHECK(fleet.phase("j" + std::to_string(job)) == job_phase::complete);
+  }
+}
+
+}  // namespace
+}  // namespace rhubarbpath
--- /dev/null
+++ b/tests/coordination/simulated_workers.hpp
@@ -0,0 +1,570 @@
+#pragma once
+
+#include <cstdio>
+#include <cstdlib>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "rhubarbpath/coordination/job_scheduler.hpp"
+#include "rhubarbpath/state/random.hpp"
+
+namespace rhubarbpath::testing {
+
+using std::chrono::milliseconds;
+
+/// Workers, a store and time for a `job_scheduler`. Checks what must hold as the workers see it: no
+/// task runs twice at a time or after its end was stored, no gang runs in part, and no run follows
+/// the last allowed failure.
+class simulated_workers {
+ public:
+  struct run_state {
+    run_number run;
+    duration work_left{};
+    milliseconds lease_until{0};
+    bool gang{false};
+    instant started{};
+  };
+  struct worker {
+    worker_entry entry;
+    double clock_rate{1.0};
+    bool running{true};
+    bool cut{false};
+    bool fails_all{false};
+    bool stands_still{false};
+    std::uint64_t highest_term{0};
+    std::map<task_ref, run_state> tasks;
+    std::map<task_ref, run_number> ended_runs;
+    std::vector<ended_run> ended;
+    std::uint64_t last_number{0};
+  };
+  struct faults {
+    double lost_answer{0.0};   ///< The order is carried out and its answer is lost.
+    double late_order{0.0};    ///< No answer; the order is carried out 2 to 12 s later.
+    double failing_task{0.0};  ///< A run ends as failed.
+  };
+
+  explicit simulated_workers(std::uint64_t seed) : random{seed} {}
+
+  void add_workers(std::size_t count, resource_amounts capacity = {32000, 131072, 8}) {
+    for (std::size_t index = 0; index < count; ++index) {
+      worker made;
+      const auto number = std::to_string(workers.size() + 1);
+      made.entry = {.id = worker_id{"w" + number},
+                    .service = service_id{"service"},
+                    .address = "10.0.0." + number + ":1",
+                    .domain = failure_domain_id{"a"},
+                    .rack = rack_id{"r" + std::to_string(workers.size() / 6)},
+                    .labels = {"a", "r" + std::to_string(workers.size() / 6)},
+                    .capacity = capacity,
+                    .draining = false,
+                    .born = incarnation{1}};
+      made.clock_rate = 1.0 - 0.02 * random.fraction();
+      workers[made.entry.id] = made;
+    }
+  }
+
+  static std::shared_ptr<fleet_config> config(std::uint32_t max_attempts = 3) {
+    auto made = std::make_shared<fleet_config>();
+    made->version = document_version{1};
+    for (const int priority : {0, 1, 2}) {
+      made->queues.push_back({.id = queue_id{"q" + std::to_string(priority)},
+                              .service = service_id{"service"},
+                              .priority = priority,
+                              .max_attempts = max_attempts,
+                              .stretch = 3.0,
+                              .target = milliseconds{1000}});
+    }
+    made->teams.push_back({.id = team_id{"team"}, .keys = {"key"}, .guaranteed_accelerators = 16});
+    return made;
+  }
+
+  static accepted_job job(const std::string& id, int priority, step_spec step) {
+    return {.id = job_id{id},
+            .queue = queue_id{"q" + std::to_string(priority)},
+            .team = team_id{"team"},
+            .graph = {.payload = "payload", .steps = {std::move(step)}}};
+  }
+
+  /// Begins a term; the previous owner, if any, is forgotten at once but its orders may still arrive.
+  void begin_term(job_scheduler::options options = {}) {
+    ++term;
+    scheduler = std::make_unique<job_scheduler>(options, owner_term{term}, now);
+    scheduler->set_wall_clock(wall(), now);
+    scheduler->set_config(configuration, now);
+    if (!stored_workers.empty()) {
+      scheduler->expect_workers(stored_workers, now);
+    }
+    for (const auto& [id, stored] : stored_jobs) {
+      const auto found = stored_progress.find(id);
+      scheduler->add_job(stored, found == stored_progress.end() ? std::nullopt : std::optional{found->second},
+                         true, now);
+    }
+    for (const auto& id : cancelled) {
+      scheduler->cancel_job(id, now);
+    }
+    list_workers();
+  }
+
+  void submit(const accepted_job& submitted) {
+    stored_jobs[submitted.id] = submitted;
+    if (scheduler != nullptr) {
+      scheduler->add_job(submitted, std::nullopt, false, now);
+    }
+  }
+  void cancel(const job_id& id) {
+    cancelled.insert(id);
+    if (scheduler != nullptr) {
+      scheduler->cancel_job(id, now);
+    }
+  }
+
+  /// Plays `span` in steps of a few milliseconds.
+  void play(duration span) {
+    const auto until = now + span;
+    constexpr duration step{milliseconds{4}};
+    while (now < until) {
+      now += step;
+      advance_workers(step);
+      deliver();
+      if (scheduler != nullptr) {
+        if (now >= next_listing) {
+          list_workers();
+        }
+        scheduler->tick(now);
+        take_actions();
+      }
+    }
+  }
+
+  void list_workers() {
+    next_listing = now + milliseconds{700};
+    std::vector<worker_entry> entries;
+    for (auto& [id, each] : workers) {
+      if (each.running && !hidden.contains(id)) {
+        entries.push_back(each.entry);
+      }
+    }
+    scheduler->set_workers(entries, now);
+    take_actions();
+  }
+
+  /// The worker crashes and starts again at once, knowing nothing.
+  void restart(const worker_id& id) {
+    auto& each = workers.at(id);
+    each.tasks.clear();
+    each.ended.clear();
+    each.ended_runs.clear();
+    each.last_number = 0;
+    each.highest_term = 0;
+    each.entry.born = each.entry.born.next();
+  }
+  /// The worker leaves; everything on it ends.
+  void remove(const worker_id& id) {
+    restart(id);
+    workers.at(id).running = false;
+  }
+
+  [[nodiscard]] std::optional<job_phase> phase(const std::string& id) const {
+    return scheduler->phase(job_id{id});
+  }
+  [[nodiscard]] std::size_t running_tasks() const {
+    std::size_t count = 0;
+    for (const auto& [id, each] : workers) {
+      count += each.tasks.size();
+    }
+    return count;
+  }
+
+  std::map<worker_id, worker> workers;
+  std::set<worker_id> hidden;  ///< Not in the registry although they run.
+  faults injected;
+  bool store_up{true};
+  instant now{std::chrono::seconds{1000}};
+  std::uint64_t term{0};
+  std::unique_ptr<job_scheduler> scheduler;
+  std::shared_ptr<fleet_config> configuration{config()};
+  std::map<job_id, accepted_job> stored_jobs;
+  std::map<job_id, job_progress> stored_progress;
+  std::vector<worker_id> stored_workers;
+  std::set<job_id> cancelled;
+  std::vector<std::string> violations;
+  std::map<task_ref, int> starts;
+  /// Prints the scheduler's decisions, to find the cause of a failure; set by RHUBARBPATH_TRACE.
+  bool trace{std::getenv("RHUBARBPATH_TRACE") != nullptr};
+  random_source random;
+  /// How long a task of this job really takes; the estimate of its step otherwise.
+  std::map<job_id, duration> real_duration;
+
+ private:
+  struct message {
+    instant at;
+    std::uint64_t order;
+    std::function<void()> deliver;
+    friend bool operator<(const message& left, const message& right) {
+      return std::pair{left.at, left.order} < std::pair{right.at, right.order};
+    }
+  };
+
+  [[nodiscard]] milliseconds wall() const {
+    return std::chrono::duration_cast<milliseconds>(now.time_since_epoch());
+  }
+  [[nodiscard]] milliseconds clock_of(const worker& each) const {
+    return milliseconds{static_cast<std::int64_t>(static_cast<double>(wall().count()) * each.clock_rate)};
+  }
+  void after(duration delay, std::function<void()> call) {
+    messages.insert({now + delay, ++message_count, std::move(call)});
+  }
+  void deliver() {
+    while (!messages.empty() && messages.begin()->at <= now) {
+      const auto call = messages.begin()->deliver;
+      messages.erase(messages.begin());
+      call();
+    }
+  }
+
+  void violation(const std::string& text) {
+    violations.push_back(text);
+    if (trace) {
+      std::printf("%lld VIOLATION %s\n", static_cast<long long>(now.time_since_epoch().count() / 1000),
+                  text.c_str());
+    }
+  }
+
+  void note_start(const task_ref& task, const worker_id& at) {
+    ++starts[task];
+    if (trace) {
+      std::printf("%lld starts %s.%u on %s\n", static_cast<long long>(now.time_since_epoch().count() / 1000),
+                  task.job.value().c_str(), task.index, at.value().c_str());
+    }
+    for (const auto& [id, each] : workers) {
+      if (id != at && each.running && each.tasks.contains(task)) {
+        violation("task runs twice: " + task.job.value() + "." + std::to_string(task.index));
+      }
+    }
+    if (const auto found = done_stored.find(task); found != done_stored.end()) {
+      violation("task runs after its end was stored: " + task.job.value());
+    }
+  }
+
+  void end_run(worker& each, const task_ref& task, run_outcome outcome) {
+    const auto found = each.tasks.find(task);
+    const auto run = found->second.run;
+    each.tasks.erase(found);
+    each.ended_runs[task] = std::max(each.ended_runs[task], run);
+    each.ended.push_back(
+        {.number = ++each.last_number, .task = task, .run = run, .outcome = outcome, .checkpoint = {}});
+    ends_at[{task, run}] = outcome;
+  }
+
+  [[nodiscard]] const step_spec* step_of(const task_ref& task) const {
+    const auto found = stored_jobs.find(task.job);
+    return found == stored_jobs.end() ? nullptr : &found->second.graph.steps[task.step];
+  }
+
+  /// All members of a run are present.
+  [[nodiscard]] bool gang_whole(const task_ref& task, run_number run, std::uint32_t count) const {
+    std::uint32_t present = 0;
+    for (const auto& [id, each] : workers) {
+      for (const auto& [other, state] : each.tasks) {
+        if (other.job == task.job && other.step == task.step && other.occurrence == task.occurrence &&
+            state.run == run) {
+          ++present;
+        }
+      }
+    }
+    return present == count;
+  }
+
+  void end_gang(const task_ref& task, run_number run, run_outcome own, run_outcome others) {
+    for (auto& [id, each] : workers) {
+      const auto tasks = each.tasks;
+      for (const auto& [other, state] : tasks) {
+        if (other.job == task.job && other.step == task.step && other.occurrence == task.occurrence &&
+            state.run == run) {
+          end_run(each, other, other == task ? own : others);
+        }
+      }
+    }
+  }
+
+  void advance_workers(duration step) {
+    for (auto& [id, each] : workers) {
+      const auto tasks = each.tasks;
+      for (const auto& [task, unused] : tasks) {
+        const auto found = each.tasks.find(task);
+        if (found == each.tasks.end()) {
+          continue;
+        }
+        auto& state = found->second;
+        if (clock_of(each) > state.lease_until) {
+          end_run(each, task, run_outcome::lease_expired);
+          continue;
+        }
+        const auto* spec = step_of(task);
+        const bool together = spec == nullptr || !spec->gang || gang_whole(task, state.run, spec->count);
+        if (!together && now - state.started > std::chrono::seconds{3}) {
+          alone += 1;
+          end_run(each, task, run_outcome::gang_incomplete);
+          continue;
+        }
+        if (!together || each.stands_still) {
+          continue;
+        }
+        state.work_left -= step;
+        if (state.work_left > duration::zero()) {
+          continue;
+        }
+        const auto outcome = each.fails_all || random.fraction() < injected.failing_task ? run_outcome::failed
+                                                                                         : run_outcome::done;
+        if (spec != nullptr && spec->gang) {
+          end_gang(task, state.run, outcome,
+                   outcome == run_outcome::done ? run_outcome::done : run_outcome::gang_broken);
+        } else {
+          end_run(each, task, outcome);
+        }
+      }
+    }
+  }
+
+  start_result start(worker& each, const start_order& order, std::uint64_t from_term) {
+    if (from_term < each.highest_term) {
+      return start_refused{start_refusal::fenced};
+    }
+    each.highest_term = from_term;
+    const auto found = each.tasks.find(order.task);
+    if (found != each.tasks.end() && found->second.run == order.run) {
+      return start_accepted{};
+    }
+    if (found != each.tasks.end() || order.run <= each.ended_runs[order.task]) {
+      return start_refused{start_refusal::superseded};
+    }
+    if (order.lease_until <= clock_of(each)) {
+      return start_refused{start_refusal::too_late};
+    }
+    resource_amounts used;
+    for (const auto& [task, state] : each.tasks) {
+      if (const auto* spec = step_of(task)) {
+        used += occupied(*spec);
+      }
+    }
+    const auto* spec = step_of(order.task);
+    if (spec != nullptr && !(each.entry.capacity - used).covers(occupied(*spec))) {
+      return start_refused{start_refusal::no_room};
+    }
+    note_start(order.task, order.worker);
+    const auto real = real_duration.find(order.task.job);
+    const auto work = real != real_duration.end() ? real->second
+                      : spec == nullptr           ? duration{std::chrono::seconds{1}}
+                                                  : spec->estimate;
+    each.tasks[order.task] = {.run = order.run, .work_left = work, .lease_until = order.lease_until,
+                              .gang = spec != nullptr && spec->gang, .started = now};
+    for (auto& [task, state] : each.tasks) {
+      state.lease_until = std::max(state.lease_until, order.lease_until);
+    }
+    return start_accepted{};
+  }
+
+  void stop(worker& each, const stop_order& order, std::uint64_t from_term) {
+    if (from_term < each.highest_term) {
+      return;
+    }
+    each.highest_term = from_term;
+    const auto found = each.tasks.find(order.task);
+    if (found != each.tasks.end() && found->second.run == order.run) {
+      end_run(each, order.task, run_outcome::stopped);
+    }
+    each.ended_runs[order.task] = std::max(each.ended_runs[order.task], order.run);
+  }
+
+  lease_report renew(worker& each, const renew_order& order, std::uint64_t from_term) {
+    each.highest_term = std::max(each.highest_term, from_term);
+    if (order.lease_until) {
+      for (auto& [task, state] : each.tasks) {
+        state.lease_until = std::max(state.lease_until, *order.lease_until);
+      }
+    }
+    std::erase_if(each.ended, [&](const ended_run& end) { return end.number <= order.acknowledged_through; });
+    lease_report report{.born = each.entry.born, .clock = clock_of(each)};
+    for (const auto& [task, state] : each.tasks) {
+      report.running.push_back({.task = task, .run = state.run, .percent = percent_of(task, state)});
+    }
+    report.ended = each.ended;
+    return report;
+  }
+
+  [[nodiscard]] int percent_of(const task_ref& task, const run_state& state) const {
+    const auto* spec = step_of(task);
+    const auto real = real_duration.find(task.job);
+    const auto whole = real != real_duration.end() ? real->second : spec == nullptr ? duration{1} : spec->estimate;
+    const auto share = 1.0 - static_cast<double>(state.work_left.count()) / static_cast<double>(whole.count());
+    return static_cast<int>(99.0 * share);
+  }
+
+  /// How an order and its answer travel.
+  enum class fate { answered, answer_lost, late, never_arrives };
+  fate draw(const worker& each) {
+    if (!each.running || each.cut) {
+      return fate::never_arrives;
+    }
+    if (random.fraction() < injected.late_order) {
+      return fate::late;
+    }
+    return random.fraction() < injected.lost_answer ? fate::answer_lost : fate::answered;
+  }
+
+  template <class Carry, class Answer>
+  void transmit(const worker_id& id, Carry carry, Answer answer, std::function<void()> unanswered) {
+    constexpr duration order_timeout{milliseconds{400}};
+    auto& each = workers.at(id);
+    const auto drawn = draw(each);
+    const auto of_term = term;
+    if (drawn == fate::answered) {
+      after(milliseconds{1}, [this, id, carry, answer, of_term, unanswered] {
+        auto& at = workers.at(id);
+        if (!at.running || at.cut) {
+          unanswered_later(of_term, unanswered, milliseconds{400});
+          return;
+        }
+        auto result = carry(at);
+        after(milliseconds{1}, [this, answer, result, of_term] {
+          if (of_term == term) {
+            answer(result);
+            take_actions();
+          }
+        });
+      });
+      return;
+    }
+    if (drawn == fate::answer_lost) {
+      after(milliseconds{1}, [this, id, carry] { carry(workers.at(id)); });
+    }
+    if (drawn == fate::late) {
+      const auto delay = milliseconds{2000 + static_cast<std::int64_t>(random.below(10000))};
+      after(delay, [this, id, carry] {
+        if (workers.at(id).running) {
+          carry(workers.at(id));
+        }
+      });
+    }
+    unanswered_later(of_term, std::move(unanswered), order_timeout);
+  }
+  void unanswered_later(std::uint64_t of_term, std::function<void()> unanswered, duration delay) {
+    after(delay, [this, of_term, unanswered = std::move(unanswered)] {
+      if (of_term == term && scheduler != nullptr) {
+        unanswered();
+        take_actions();
+      }
+    });
+  }
+
+  void take_actions() {
+    if (scheduler == nullptr || taking) {
+      return;
+    }
+    taking = true;
+    for (auto actions = scheduler->take_actions(); !actions.empty(); actions = scheduler->take_actions()) {
+      for (const auto& action : actions) {
+        std::visit([this](const auto& each) { perform(each); }, action);
+      }
+    }
+    taking = false;
+  }
+
+  void perform(const start_order& order) {
+    transmit(
+        order.worker, [this, order, from = term](worker& at) { return start(at, order, from); },
+        [this, order](const start_result& result) {
+          scheduler->start_answered(order.worker, order.task, order.run, result, now);
+        },
+        [this, order] {
+          scheduler->start_answered(order.worker, order.task, order.run, order_unanswered{}, now);
+        });
+  }
+  void perform(const stop_order& order) {
+    transmit(
+        order.worker,
+        [this, order, from = term](worker& at) {
+          stop(at, order, from);
+          return true;
+        },
+        [this, order](bool) { scheduler->stop_answered(order.worker, order.task, order.run, true, now); },
+        [this, order] { scheduler->stop_answered(order.worker, order.task, order.run, false, now); });
+  }
+  void perform(const renew_order& order) {
+    const auto sent = now;
+    // A waiting renewal is answered after a short while here; ends are seen by the next one.
+    transmit(
+        order.worker, [this, order, from = term](worker& at) { return renew(at, order, from); },
+        [this, order, sent](const lease_report& report) {
+          after(std::min<duration>(order.wait, milliseconds{40}), [this, order, report, sent, of_term = term] {
+            if (of_term == term) {
+              scheduler->worker_reported(order.worker, report, sent, now);
+              take_actions();
+            }
+          });
+        },
+        [this, order] {
+          scheduler->worker_unreachable(order.worker, renewal_failure::unanswered, now);
+        });
+  }
+  void perform(const store_progress& write) {
+    const auto of_term = term;
+    after(milliseconds{4}, [this, write, of_term] { store(write, of_term); });
+  }
+  void store(const store_progress& write, std::uint64_t of_term) {
+    if (of_term != term) {
+      return;
+    }
+    if (!store_up) {
+      after(milliseconds{100}, [this, write, of_term] { store(write, of_term); });
+      return;
+    }
+    for (const auto& row : write.jobs) {
+      stored_progress[row.job] = row;
+      for (const auto& unit : row.units) {
+        const auto& spec = stored_jobs.at(row.job).graph.steps[unit.step];
+        if (unit.done && !spec.gang) {
+          done_stored[{row.job, unit.occurrence, unit.step, unit.unit}] = true;
+        }
+      }
+    }
+    scheduler->stored(now);
+    take_actions();
+  }
+  void perform(const store_workers& write) {
+    after(milliseconds{4}, [this, write, of_term = term] {
+      if (of_term == term) {
+        stored_workers = write.workers;
+        scheduler->workers_stored(now);
+        take_actions();
+      }
+    });
+  }
+  void perform(const owner_superseded& /*news*/) { violations.emplace_back("own term is fenced"); }
+  void perform(const decision_record& decision) {
+    if (trace) {
+      std::string line = std::to_string(now.time_since_epoch().count() / 1000) + " " +
+                         std::string{decision.event} + " " + decision.job.value() + " " + decision.reason;
+      for (const auto& [name, value] : decision.inputs) {
+        line += " " + std::string{name} + "=" + value;
+      }
+      std::puts(line.c_str());
+    }
+  }
+
+  std::multiset<message> messages;
+  std::uint64_t message_count{0};
+  instant next_listing{};
+  bool taking{false};
+
+ public:
+  std::map<task_ref, bool> done_stored;
+  std::map<std::pair<task_ref, run_number>, run_outcome> ends_at;
+  int alone{0};
+};
+
+}  // namespace rhubarbpath::testing
