Wait for a stop to take effect before its run is taken for absent

A worker that is stopping a run for up to 200 ms lists it neither as running nor as ended; a report sent after the stop's answer made the run look gone, and its unit was started elsewhere. Ruled out: a worker missing from the stored set; both owners were the same VM and had stored it. Change: absence counts only from a report sent after the stop can have taken effect; recovery waits as long after the last first report, for stops of the previous owner.

--- a/src/coordination/job_scheduler.cpp
+++ b/src/coordination/job_scheduler.cpp
@@ -255,7 +255,7 @@
 }
 
 void job_scheduler::implementation::finish_recovery(instant now) {
-  if (!recovery || (!awaited.empty() && now < recovery_ends)) {
+  if (!recovery || now < recovery_not_before || (!awaited.empty() && now < recovery_ends)) {
     return;
   }
   recovery = false;
--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -133,6 +133,7 @@
   std::set<worker_id> awaited;  ///< Workers whose first report recovery waits for.
   bool recovery{false};
   instant recovery_ends;
+  instant recovery_not_before{};
   std::set<job_id> dirty;
   bool storing{false};
   std::vector<std::pair<job_id, job_phase>> storing_phases;
--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -280,11 +280,8 @@
   auto& stopped = owner->members[index];
   stopped.answer_pending = false;
   if (answered) {
-    stopped.known_at = now;
-    const auto found = self.workers.find(id);
-    if (found != self.workers.end() && !found->second.renewing) {
-      found->second.renew_at = now;
-    }
+    // While the stop takes effect the run works on, although the worker may list it nowhere.
+    stopped.known_at = now + self.opts.stop_timeout;
     return;
   }
   constexpr duration stop_pause{std::chrono::milliseconds{100}};
@@ -372,6 +369,8 @@
   if (!std::exchange(worker.reported, true)) {
     // What an earlier owner granted is unknown; it is at most the longest lease.
     worker.lease_until = report.clock + duration_cast<milliseconds>(self.opts.longest_lease);
+    // A stop of the previous owner may still be taking effect, on a run that is in neither list.
+    self.recovery_not_before = now + self.opts.stop_timeout;
     self.placement_due = true;
   }
   for (const auto& end : report.ended) {
--- a/tests/coordination/simulated_workers.hpp
+++ b/tests/coordination/simulated_workers.hpp
@@ -27,6 +27,8 @@
     milliseconds lease_until{0};
     bool gang{false};
     instant started{};
+    /// A stop takes effect then; until then the run works on but is in neither list.
+    std::optional<instant> stops_at;
   };
   struct worker {
     worker_entry entry;
@@ -300,6 +302,12 @@
           continue;
         }
         auto& state = found->second;
+        if (state.stops_at) {
+          if (now >= *state.stops_at) {
+            end_run(each, task, run_outcome::stopped);
+          }
+          continue;
+        }
         if (clock_of(each) > state.lease_until) {
           end_run(each, task, run_outcome::lease_expired);
           continue;
@@ -374,8 +382,8 @@
     }
     each.highest_term = from_term;
     const auto found = each.tasks.find(order.task);
-    if (found != each.tasks.end() && found->second.run == order.run) {
-      end_run(each, order.task, run_outcome::stopped);
+    if (found != each.tasks.end() && found->second.run == order.run && !found->second.stops_at) {
+      found->second.stops_at = now + milliseconds{random.below(200)};
     }
     each.ended_runs[order.task] = std::max(each.ended_runs[order.task], order.run);
   }
@@ -390,6 +398,9 @@
     std::erase_if(each.ended, [&](const ended_run& end) { return end.number <= order.acknowledged_through; });
     lease_report report{.born = each.entry.born, .clock = clock_of(each)};
     for (const auto& [task, state] : each.tasks) {
+      if (state.stops_at) {
+        continue;
+      }
       report.running.push_back({.task = task, .run = state.run, .percent = percent_of(task, state)});
     }
     report.ended = each.ended;
