Give each retry of the owner its own timer

Listing the registry and reloading the jobs shared one retry timer; a second retry cancelled the first, and the owner stopped for good after the store's history was dropped. Change: event_loop runs detached timers; the owner's retries use them.

--- a/include/rhubarbpath/transport/event_loop.hpp
+++ b/include/rhubarbpath/transport/event_loop.hpp
@@ -43,6 +43,8 @@
 
   /// Calls back once after `delay` unless the handle is destroyed before.
   [[nodiscard]] timer_handle run_after(duration delay, callback call);
+  /// Calls back once after `delay`; nothing cancels it but the end of the loop.
+  void run_detached(duration delay, callback call);
   /// Calls back every `period` until the handle is destroyed.
   [[nodiscard]] timer_handle run_every(duration period, callback call);
   /// Calls back on the loop after the current callback returned.
--- a/src/programs/rhubarb-edge/caller_api.cpp
+++ b/src/programs/rhubarb-edge/caller_api.cpp
@@ -153,11 +153,7 @@
     answer(call, gateway_timeout_status, {}, "the store has not confirmed the write");
     return;
   }
-  auto timer = std::make_shared<timer_handle>();
-  *timer = uses_.loop.run_after(retry_pause, [timer, again = std::move(again)] {
-    timer->cancel();
-    again();
-  });
+  uses_.loop.run_detached(retry_pause, std::move(again));
 }
 
 // ---- submit ----
--- a/src/programs/rhubarb-edge/owner_session.cpp
+++ b/src/programs/rhubarb-edge/owner_session.cpp
@@ -40,8 +40,8 @@
   };
 }
 
-void owner_session::later(timer_handle& timer, duration delay, std::function<void()> call) {
-  timer = uses_.loop.run_after(delay, guarded(std::move(call)));
+void owner_session::later(duration delay, std::function<void()> call) {
+  uses_.loop.run_detached(delay, guarded(std::move(call)));
 }
 
 void owner_session::start() { load(); }
@@ -49,11 +49,6 @@
 void owner_session::stop() {
   stopped_ = true;
   tick_timer_.cancel();
-  registry_timer_.cancel();
-  watch_timer_.cancel();
-  load_timer_.cancel();
-  save_timer_.cancel();
-  worker_set_timer_.cancel();
   for (auto& [id, link] : links_) {
     link.waiting.clear();
   }
@@ -84,7 +79,7 @@
     }
     const auto* items = std::get_if<kv_items>(&result);
     if (items == nullptr) {
-      self->later(self->load_timer_, retry_pause, [self, prefix, after, found, first_as_of, done] {
+      self->later(retry_pause, [self, prefix, after, found, first_as_of, done] {
         self->list_page(prefix, after, found, first_as_of, done);
       });
       return;
@@ -109,7 +104,7 @@
     }
     const auto* items = std::get_if<kv_items>(&result);
     if (items == nullptr) {
-      self->later(self->load_timer_, retry_pause, [self] { self->load(); });
+      self->later(retry_pause, [self] { self->load(); });
       return;
     }
     if (!items->items.empty()) {
@@ -211,7 +206,7 @@
       self->reload_jobs();
       return;
     }
-    self->later(self->watch_timer_, retry_pause, [self] { self->watch_jobs(); });
+    self->later(retry_pause, [self] { self->watch_jobs(); });
   });
 }
 
@@ -236,7 +231,7 @@
     }
     self->scheduler_->set_workers(entries, self->uses_.loop.now());
     self->run_tick();
-    self->later(self->registry_timer_, self->opts_.registry_period, [self] { self->poll_registry(); });
+    self->later(self->opts_.registry_period, [self] { self->poll_registry(); });
   });
 }
 
@@ -261,10 +256,10 @@
     return;
   }
   tick_at_ = at;
-  later(tick_timer_, std::max(duration::zero(), at - now), [this] {
+  tick_timer_ = uses_.loop.run_after(std::max(duration::zero(), at - now), guarded([this] {
     tick_timer_.cancel();
     run_tick();
-  });
+  }));
 }
 
 void owner_session::run_actions() {
@@ -446,7 +441,7 @@
       self->write_progress();
       return;
     }
-    self->later(self->save_timer_, retry_pause, [self] { self->write_progress(); });
+    self->later(retry_pause, [self] { self->write_progress(); });
   });
 }
 
@@ -487,7 +482,7 @@
       self->write_workers();
       return;
     }
-    self->later(self->worker_set_timer_, retry_pause, [self] { self->write_workers(); });
+    self->later(retry_pause, [self] { self->write_workers(); });
   });
 }
 
--- a/src/programs/rhubarb-edge/owner_session.hpp
+++ b/src/programs/rhubarb-edge/owner_session.hpp
@@ -88,7 +88,7 @@
   void write_workers();
   void erase_expired();
   [[nodiscard]] std::function<void()> guarded(std::function<void()> call);
-  void later(timer_handle& timer, duration delay, std::function<void()> call);
+  void later(duration delay, std::function<void()> call);
 
   options opts_;
   dependencies uses_;
@@ -105,11 +105,6 @@
   std::map<worker_id, worker_link> links_;
   timer_handle tick_timer_;
   instant tick_at_{};
-  timer_handle registry_timer_;
-  timer_handle watch_timer_;
-  timer_handle load_timer_;
-  timer_handle save_timer_;
-  timer_handle worker_set_timer_;
 };
 
 }  // namespace rhubarbpath::edge
--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -3,6 +3,7 @@
 #include <event2/event.h>
 
 #include <chrono>
+#include <list>
 #include <stdexcept>
 #include <utility>
 #include <vector>
@@ -51,6 +52,7 @@
   duration wall_at_start{
       std::chrono::duration_cast<duration>(std::chrono::system_clock::now().time_since_epoch())};
   std::vector<std::shared_ptr<timer_state>> signals;
+  std::list<timer_handle> detached;
   std::vector<event_loop::callback> posted;
   std::shared_ptr<timer_state> wake;
 };
@@ -69,6 +71,7 @@
 
 event_loop::~event_loop() {
   implementation_->signals.clear();
+  implementation_->detached.clear();
   implementation_->wake.reset();
   // What the callbacks hold, for example connections, must be released before the loop is.
   implementation_->posted.clear();
@@ -95,6 +98,16 @@
   return timer_handle{std::move(state)};
 }
 
+void event_loop::run_detached(duration delay, callback call) {
+  auto& timers = implementation_->detached;
+  const auto place = timers.emplace(timers.end());
+  *place = run_after(delay, [&timers, place, call = std::move(call)] {
+    const auto own = call;
+    timers.erase(place);
+    own();
+  });
+}
+
 timer_handle event_loop::run_every(duration period, callback call) {
   auto state = make_event(base(), -1, EV_PERSIST, std::move(call));
   const auto interval = to_timeval(period);
