--- a/include/rhubarbpath/coordination/owner_election.hpp
+++ b/include/rhubarbpath/coordination/owner_election.hpp
@@ -65,8 +65,11 @@
     duration renew_every{std::chrono::milliseconds{600}};
     /// The owner stops this long before its lease can have ended in the store.
     duration safety_margin{std::chrono::milliseconds{200}};
-    /// Upper limit of the random delay before a claim. VMs with more processor claim sooner.
-    duration claim_spread{std::chrono::milliseconds{120}};
+    /// Delay before a claim of a VM without processor; a VM with a full core claims at once, so the
+    /// largest VM that reaches the store becomes the owner.
+    duration claim_handicap{std::chrono::milliseconds{400}};
+    /// Upper limit of the random delay that is added, which separates VMs of one size.
+    duration claim_spread{std::chrono::milliseconds{80}};
     /// Pause after a failed claim.
     duration retry_pause{std::chrono::milliseconds{250}};
     double processor_cores{1.0};
--- a/src/coordination/job_scheduler.cpp
+++ b/src/coordination/job_scheduler.cpp
@@ -8,6 +8,7 @@
 using detail::job_state;
 using detail::member;
 using detail::member_phase;
+using detail::step_state;
 using detail::unit;
 using detail::unit_phase;
 using detail::worker_state;
@@ -39,13 +40,26 @@
   if (job == nullptr) {
     return nullptr;
   }
-  const auto range = job->step_units.find({task.occurrence, task.step});
-  if (range == job->step_units.end() || task.index >= job->job.graph.steps[task.step].count) {
+  const auto* step = find_step(*job, task.occurrence, task.step);
+  if (step == nullptr || task.index >= job->job.graph.steps[task.step].count) {
     return nullptr;
   }
   const bool gang = job->job.graph.steps[task.step].gang;
   *member_index = gang ? task.index : 0;
-  return &job->units[range->second.first + (gang ? 0 : task.index)];
+  return &job->units[step->begin + (gang ? 0 : task.index)];
+}
+
+step_state* job_scheduler::implementation::find_step(job_state& job, std::uint32_t occurrence,
+                                                     std::uint32_t step) {
+  const auto step_count = job.job.graph.steps.size();
+  const auto index = occurrence * step_count + step;
+  return step < step_count && index < job.steps.size() ? &job.steps[index] : nullptr;
+}
+
+void job_scheduler::implementation::note_waiting(job_state& job, const unit& waiting) {
+  if (auto* step = find_step(job, waiting.occurrence, waiting.step); step != nullptr) {
+    step->first_waiting = std::min(step->first_waiting, step->begin + waiting.number);
+  }
 }
 
 void job_scheduler::implementation::build_units(job_state& job, bool inherited, instant now) const {
@@ -67,7 +81,8 @@
         made.waiting_since = now;
         job.units.push_back(std::move(made));
       }
-      job.step_units[{occurrence, step}] = {begin, job.units.size()};
+      job.steps.push_back(
+          {.begin = begin, .end = job.units.size(), .units_left = unit_count, .first_waiting = begin});
     }
   }
   job.units_left = job.units.size();
@@ -78,16 +93,17 @@
   job.stored_phase = progress.phase;
   job.begun = progress.phase != job_phase::queued;
   for (const auto& row : progress.units) {
-    const auto range = job.step_units.find({row.occurrence, row.step});
-    if (range == job.step_units.end() || range->second.first + row.unit >= range->second.second) {
+    auto* step = find_step(job, row.occurrence, row.step);
+    if (step == nullptr || step->begin + row.unit >= step->end) {
       continue;
     }
-    auto& target = job.units[range->second.first + row.unit];
+    auto& target = job.units[step->begin + row.unit];
     target.failed_runs = row.failed_runs;
     target.run = row.last_run;
     target.checkpoint = row.checkpoint;
     if (row.done && target.phase != unit_phase::done) {
       target.phase = unit_phase::done;
+      --step->units_left;
       --job.units_left;
     }
   }
@@ -142,8 +158,8 @@
   job.ended_at = now;
   mark_dirty(job);
   record("job_ended", job.job.id, std::string{phase_name(phase)},
-         {{"waited_ms", absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(now - job.added_at)
-                                         .count())}});
+         {{"waited_ms",
+           absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(now - job.added_at).count())}});
   for (auto& each : job.units) {
     end_unit(job, each, now);
   }
@@ -159,6 +175,9 @@
   done.phase = unit_phase::done;
   done.checkpoint.clear();
   --job.units_left;
+  if (auto* step = find_step(job, done.occurrence, done.step); step != nullptr) {
+    --step->units_left;
+  }
   mark_dirty(job);
   placement_due = true;
   for (std::size_t index = 0; index < done.members.size(); ++index) {
@@ -190,6 +209,7 @@
   if (ending.phase == unit_phase::reserved) {
     release_reservation(ending, occupied(step_of(job, ending)), now);
     ending.phase = unit_phase::waiting;
+    note_waiting(job, ending);
     return;
   }
   if (ending.phase != unit_phase::active && ending.phase != unit_phase::ending) {
@@ -212,6 +232,7 @@
     return;
   }
   ending.phase = unit_phase::waiting;
+  note_waiting(job, ending);
   ending.waiting_since = now;
   ending.not_before = now + detail::placement_pause;
   placement_due = true;
@@ -265,7 +286,8 @@
           {"term", absl::StrCat(term.value())},
           {"jobs", absl::StrCat(jobs.size())}});
   awaited.clear();
-  for (auto& [id, job] : jobs) {
+  for (auto& [id, open] : open_jobs) {
+    auto& job = *open;
     for (auto& each : job.units) {
       if (each.phase != unit_phase::active) {
         continue;
@@ -313,9 +335,8 @@
   }
   self.recovery = true;
   // The lease is measured on the worker's clock; a stop may add its own time.
-  const auto stretched =
-      duration{static_cast<std::int64_t>(static_cast<double>(self.opts.longest_lease.count()) *
-                                         (1.0 + 2.0 * self.opts.clock_drift))};
+  const auto stretched = duration{static_cast<std::int64_t>(
+      static_cast<double>(self.opts.longest_lease.count()) * (1.0 + 2.0 * self.opts.clock_drift))};
   self.recovery_ends = now + stretched + self.opts.stop_timeout;
   self.finish_recovery(now);
 }
@@ -344,6 +365,11 @@
   if (is_terminal(state.phase)) {
     state.ended_at = now;
     state.units_left = 0;
+  } else {
+    self.open_jobs[job.id] = &state;
+  }
+  if (is_terminal(state.phase)) {
+    // Nothing is left to do but to show it.
   } else if (state.units_left == 0) {
     self.end_job(state, job_phase::complete, now);
   }
@@ -391,16 +417,21 @@
 void job_scheduler::tick(instant now) {
   auto& self = *implementation_;
   self.finish_recovery(now);
-  self.expire_silent_workers(now);
-  self.detect_stalls(now);
-  self.repeat_orders(now);
-  self.start_reserved(now);
+  if (now >= self.next_scan) {
+    self.next_scan = now + detail::scan_interval;
+    self.expire_silent_workers(now);
+    self.detect_stalls(now);
+    self.repeat_orders(now);
+    self.renew_workers(now);
+  }
+  if (self.reserved_units > 0) {
+    self.start_reserved(now);
+  }
   // Units also become ready by time alone: after a pause, at a due time, or when a preference lapses.
   if ((self.placement_due || now >= self.next_recheck) && now >= self.next_placement) {
     self.place_all(now);
   }
   self.flush(now);
-  self.renew_workers(now);
 }
 
 std::vector<scheduler_action> job_scheduler::take_actions() {
@@ -408,10 +439,9 @@
 }
 
 instant job_scheduler::next_deadline(instant now) const {
-  // Leases, repeats and stalls are checked on a fixed beat, which bounds their delay.
-  constexpr duration beat{std::chrono::milliseconds{50}};
   const auto& self = *implementation_;
-  return self.placement_due ? std::max(now, std::min(self.next_placement, now + beat)) : now + beat;
+  const auto scan = std::max(now, self.next_scan);
+  return self.placement_due ? std::min(scan, std::max(now, self.next_placement)) : scan;
 }
 
 std::optional<job_phase> job_scheduler::phase(const job_id& id) const {
@@ -428,9 +458,9 @@
 
 std::map<queue_id, std::uint64_t> job_scheduler::waiting_jobs() const {
   std::map<queue_id, std::uint64_t> counts;
-  for (const auto& [id, job] : implementation_->jobs) {
-    if (!is_terminal(job.phase) && !job.begun) {
-      ++counts[job.job.queue];
+  for (const auto& [id, job] : implementation_->open_jobs) {
+    if (!is_terminal(job->phase) && !job->begun) {
+      ++counts[job->job.queue];
     }
   }
   return counts;
@@ -439,6 +469,11 @@
 std::vector<job_id> job_scheduler::take_expired(instant now) {
   auto& self = *implementation_;
   std::vector<job_id> expired;
+  constexpr duration expiry_interval{std::chrono::seconds{5}};
+  if (now < self.next_expiry) {
+    return expired;
+  }
+  self.next_expiry = now + expiry_interval;
   for (auto found = self.jobs.begin(); found != self.jobs.end();) {
     auto& job = found->second;
     const bool idle = std::all_of(job.units.begin(), job.units.end(), [](const unit& each) {
@@ -446,6 +481,7 @@
     });
     if (is_terminal(job.stored_phase) && idle && !job.dirty && now - job.ended_at > self.opts.keep_ended) {
       expired.push_back(found->first);
+      self.open_jobs.erase(found->first);
       found = self.jobs.erase(found);
     } else {
       ++found;
--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -25,6 +25,8 @@
 constexpr duration placement_pause{std::chrono::milliseconds{60}};
 /// A reservation whose space has not become free by then is given up.
 constexpr duration reservation_timeout{std::chrono::milliseconds{1200}};
+/// Leases, repeats, stalls and renewals are checked this often, which bounds their delay.
+constexpr duration scan_interval{std::chrono::milliseconds{25}};
 /// Failed renewals after which a worker gets no new work.
 constexpr int failed_renewals_unsafe = 1;
 
@@ -66,12 +68,21 @@
   instant reserved_until{};
 };
 
+/// The units of one step in one occurrence, as a range of indexes into the job's units.
+struct step_state {
+  std::size_t begin{0};
+  std::size_t end{0};
+  std::size_t units_left{0};
+  /// No unit before this one waits; moves back when a unit is placed again.
+  std::size_t first_waiting{0};
+};
+
 struct job_state {
   accepted_job job;
   const queue_config* queue{nullptr};
   std::vector<unit> units;
-  /// Units of (occurrence, step), as a range of indexes into `units`.
-  std::map<std::pair<std::uint32_t, std::uint32_t>, std::pair<std::size_t, std::size_t>> step_units;
+  /// Ordered by occurrence, then by step.
+  std::vector<step_state> steps;
   job_phase phase{job_phase::queued};
   job_phase stored_phase{job_phase::queued};
   bool begun{false};
@@ -110,12 +121,6 @@
   instant full_until{};
 };
 
-struct unit_ref {
-  job_id job;
-  std::size_t unit{0};
-  friend auto operator<=>(const unit_ref&, const unit_ref&) = default;
-};
-
 }  // namespace detail
 
 struct job_scheduler::implementation {
@@ -129,6 +134,8 @@
   std::chrono::milliseconds wall{0};
   instant wall_at{};
   std::map<job_id, detail::job_state> jobs;
+  /// Jobs that have not ended, or of which runs may still be stopping. Only these are scanned.
+  std::map<job_id, detail::job_state*> open_jobs;
   std::map<worker_id, detail::worker_state> workers;
   std::set<worker_id> awaited;  ///< Workers whose first report recovery waits for.
   bool recovery{false};
@@ -143,12 +150,18 @@
   bool placement_due{true};
   instant next_placement{};
   instant next_recheck{};
+  instant next_scan{};
+  instant next_expiry{};
+  std::size_t reserved_units{0};
   std::vector<scheduler_action> actions;
 
   // job_scheduler.cpp
   [[nodiscard]] const queue_config* find_queue(const queue_id& id) const;
   [[nodiscard]] detail::job_state* find_job(const job_id& id);
   [[nodiscard]] detail::unit* find_unit(const task_ref& task, std::uint32_t* member_index);
+  [[nodiscard]] static detail::step_state* find_step(detail::job_state& job, std::uint32_t occurrence,
+                                                     std::uint32_t step);
+  static void note_waiting(detail::job_state& job, const detail::unit& unit);
   [[nodiscard]] static const step_spec& step_of(const detail::job_state& job, const detail::unit& unit) {
     return job.job.graph.steps[unit.step];
   }
@@ -188,29 +201,35 @@
                    instant now);
   void drop_all(detail::worker_state& worker, std::string_view reason, instant now);
   void renew_workers(instant now);
+  void renew_worker(detail::worker_state& worker, instant now);
   void expire_silent_workers(instant now);
   void repeat_orders(instant now);
   void detect_stalls(instant now);
   void store_worker_set();
 
   // job_scheduler_placement.cpp
-  struct waiting_unit {
+  /// A step of which units wait, and its place in the order.
+  struct waiting_step {
     detail::job_state* job;
-    detail::unit* unit;
+    detail::step_state* step;
     int rank;
     instant objective;
   };
+  /// The workers that may get work in one pass; built once a pass, because most steps ask for all.
+  struct worker_pool {
+    std::vector<detail::worker_state*> all;
+    std::map<rack_id, std::vector<detail::worker_state*>> racks;
+  };
   using placement = std::vector<detail::worker_state*>;
-  [[nodiscard]] bool ready(const detail::job_state& job, const detail::unit& unit, instant now) const;
-  [[nodiscard]] std::vector<waiting_unit> waiting_units(instant now);
-  [[nodiscard]] int rank_of(const detail::job_state& job, const detail::unit& unit, instant now) const;
+  [[nodiscard]] bool step_ready(const detail::job_state& job, std::uint32_t occurrence, std::uint32_t step,
+                                instant now) const;
+  [[nodiscard]] std::vector<waiting_step> waiting_steps(instant now);
+  [[nodiscard]] int rank_of(const detail::job_state& job, const step_spec& step, instant now) const;
   void place_all(instant now);
-  [[nodiscard]] bool place(const waiting_unit& waiting, instant now);
-  [[nodiscard]] bool usable(const detail::worker_state& worker, const detail::job_state& job,
-                            const step_spec& step, instant now, bool allow_suspects) const;
-  [[nodiscard]] std::vector<detail::worker_state*> candidates(const detail::job_state& job,
-                                                              const step_spec& step, instant now,
-                                                              bool allow_suspects);
+  void place_step(const waiting_step& waiting, instant now);
+  [[nodiscard]] bool place(detail::job_state& job, detail::unit& unit, instant now);
+  [[nodiscard]] bool usable(const detail::worker_state& worker, instant now) const;
+  void build_pools(instant now);
   [[nodiscard]] std::uint32_t tasks_of_step(const detail::worker_state& worker, const detail::job_state& job,
                                             const detail::unit& unit) const;
   [[nodiscard]] placement fit(const std::vector<detail::worker_state*>& pool, const detail::job_state& job,
@@ -219,8 +238,11 @@
   void start_unit(detail::job_state& job, detail::unit& unit, const placement& where, instant now);
   void start_reserved(instant now);
   void release_reservation(detail::unit& unit, const resource_amounts& each, instant now);
-  [[nodiscard]] bool preempt(const waiting_unit& waiting, instant now);
-  [[nodiscard]] bool within_guarantee(const detail::job_state& job) const;
+  [[nodiscard]] bool preempt(detail::job_state& job, detail::unit& unit, instant now);
+  [[nodiscard]] std::int64_t guaranteed_left(const detail::job_state& job);
+
+  worker_pool trusted;  ///< Workers without a recent failure.
+  worker_pool usable_workers;
 };
 
 }  // namespace rhubarbpath
--- a/src/coordination/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler_placement.cpp
@@ -13,71 +13,71 @@
 namespace {
 
 /// Placement passes are at least this far apart, so that a burst of events costs one pass.
-constexpr duration placement_interval{std::chrono::milliseconds{5}};
+constexpr duration placement_interval{std::chrono::milliseconds{8}};
 /// Bounds how late a unit is placed that became ready by time alone.
 constexpr duration recheck_interval{std::chrono::milliseconds{50}};
 
+/// The worker belongs to the queue's service and has the label that the step asks for.
+bool serves(const worker_state& worker, const job_state& job, const step_spec& step) {
+  const auto& labels = worker.entry.labels;
+  return worker.entry.service == job.queue->service &&
+         (step.required_label.empty() ||
+          std::find(labels.begin(), labels.end(), step.required_label) != labels.end());
+}
+
 }  // namespace
 
 // ---- order ----
 
-bool job_scheduler::implementation::ready(const job_state& job, const unit& waiting, instant now) const {
-  if (waiting.phase != unit_phase::waiting || now < waiting.not_before ||
-      (waiting.inherited && recovery)) {
-    return false;
-  }
+bool job_scheduler::implementation::step_ready(const job_state& job, std::uint32_t occurrence,
+                                               std::uint32_t step, instant now) const {
   const auto& graph = job.job.graph;
   if (graph.occurrences > 0) {
-    const auto due = graph.first_due + graph.interval * waiting.occurrence;
+    const auto due = graph.first_due + graph.interval * occurrence;
     const auto time_of_day = wall + std::chrono::duration_cast<std::chrono::milliseconds>(now - wall_at);
     if (time_of_day < due) {
       return false;
     }
   }
-  const auto& after = graph.steps[waiting.step].after;
+  const auto& after = graph.steps[step].after;
   return std::all_of(after.begin(), after.end(), [&](std::uint32_t before) {
-    const auto range = job.step_units.find({waiting.occurrence, before});
-    if (range == job.step_units.end()) {
-      return true;
-    }
-    return std::all_of(job.units.begin() + static_cast<std::ptrdiff_t>(range->second.first),
-                       job.units.begin() + static_cast<std::ptrdiff_t>(range->second.second),
-                       [](const unit& each) { return each.phase == unit_phase::done; });
+    return job.steps[occurrence * graph.steps.size() + before].units_left == 0;
   });
 }
 
-bool job_scheduler::implementation::within_guarantee(const job_state& job) const {
+/// Accelerators of the team's guarantee that its urgent work does not use yet.
+std::int64_t job_scheduler::implementation::guaranteed_left(const job_state& job) {
   if (job.queue == nullptr || job.queue->priority != 0 || config == nullptr) {
-    return false;
+    return 0;
   }
   const auto team = std::find_if(config->teams.begin(), config->teams.end(),
                                  [&](const team_config& each) { return each.id == job.job.team; });
   if (team == config->teams.end() || team->guaranteed_accelerators == 0) {
-    return false;
+    return 0;
   }
   std::int64_t used = 0;
-  for (const auto& [id, other] : jobs) {
-    if (other.job.team != job.job.team || other.queue == nullptr || other.queue->priority != 0 ||
-        is_terminal(other.phase)) {
+  for (const auto& [id, other] : open_jobs) {
+    if (other->job.team != job.job.team || other->queue == nullptr || other->queue->priority != 0 ||
+        is_terminal(other->phase)) {
       continue;
     }
-    for (const auto& each : other.units) {
+    for (const auto& each : other->units) {
       if (each.phase == unit_phase::active || each.phase == unit_phase::reserved) {
-        used += step_of(other, each).each.accelerators * static_cast<std::int64_t>(each.members.size());
+        used += step_of(*other, each).each.accelerators * static_cast<std::int64_t>(each.members.size());
       }
     }
   }
-  return used < team->guaranteed_accelerators;
+  return team->guaranteed_accelerators - used;
 }
 
 /// Orders waiting work for a load above capacity: urgent work first, then what can still meet its
 /// objective, then what is late but still of use, and last what can no longer be of use to its caller.
-int job_scheduler::implementation::rank_of(const job_state& job, const unit& waiting, instant now) const {
-  const auto priority = job.queue == nullptr ? 9 : static_cast<int>(std::min<std::int64_t>(job.queue->priority, 9));
+int job_scheduler::implementation::rank_of(const job_state& job, const step_spec& step, instant now) const {
+  const auto priority =
+      job.queue == nullptr ? 9 : static_cast<int>(std::min<std::int64_t>(job.queue->priority, 9));
   if (priority == 0) {
     return 0;
   }
-  const auto& step = step_of(job, waiting);
   const auto ends = now + step.estimate;
   const auto allowed = job.objective - job.added_at;
   constexpr int on_time = 10;
@@ -89,20 +89,27 @@
   return (ends <= job.objective + allowed * 2 ? late : hopeless) + priority;
 }
 
-std::vector<job_scheduler::implementation::waiting_unit> job_scheduler::implementation::waiting_units(
+std::vector<job_scheduler::implementation::waiting_step> job_scheduler::implementation::waiting_steps(
     instant now) {
-  std::vector<waiting_unit> waiting;
-  for (auto& [id, job] : jobs) {
+  std::vector<waiting_step> waiting;
+  for (auto& [id, open] : open_jobs) {
+    auto& job = *open;
     if (is_terminal(job.phase) || job.queue == nullptr) {
       continue;
     }
-    for (auto& each : job.units) {
-      if (ready(job, each, now)) {
-        waiting.push_back({.job = &job, .unit = &each, .rank = rank_of(job, each, now), .objective = job.objective});
+    const auto step_count = job.job.graph.steps.size();
+    for (std::size_t index = 0; index < job.steps.size(); ++index) {
+      auto& step = job.steps[index];
+      const auto occurrence = static_cast<std::uint32_t>(index / step_count);
+      const auto number = static_cast<std::uint32_t>(index % step_count);
+      if (step.first_waiting < step.end && step_ready(job, occurrence, number, now)) {
+        const auto& spec = job.job.graph.steps[number];
+        waiting.push_back(
+            {.job = &job, .step = &step, .rank = rank_of(job, spec, now), .objective = job.objective});
       }
     }
   }
-  std::stable_sort(waiting.begin(), waiting.end(), [](const waiting_unit& left, const waiting_unit& right) {
+  std::stable_sort(waiting.begin(), waiting.end(), [](const waiting_step& left, const waiting_step& right) {
     return std::tie(left.rank, left.objective) < std::tie(right.rank, right.objective);
   });
   return waiting;
@@ -112,47 +119,60 @@
   next_placement = now + placement_interval;
   next_recheck = now + recheck_interval;
   placement_due = false;
-  // Alike units fail alike, so one failure of a step skips its other units in this pass.
-  std::set<std::pair<const job_state*, std::pair<std::uint32_t, std::uint32_t>>> full;
-  for (const auto& waiting : waiting_units(now)) {
-    const auto key = std::pair{static_cast<const job_state*>(waiting.job),
-                               std::pair{waiting.unit->occurrence, waiting.unit->step}};
-    if (full.contains(key)) {
+  const auto waiting = waiting_steps(now);
+  if (waiting.empty()) {
+    return;
+  }
+  build_pools(now);
+  for (const auto& each : waiting) {
+    place_step(each, now);
+  }
+}
+
+/// The units of a step are alike, so the first that finds no place ends the step's turn.
+void job_scheduler::implementation::place_step(const waiting_step& waiting, instant now) {
+  auto& job = *waiting.job;
+  auto& step = *waiting.step;
+  bool all_placed = true;
+  for (auto index = step.first_waiting; index < step.end; ++index) {
+    auto& each = job.units[index];
+    if (each.phase != unit_phase::waiting) {
+      step.first_waiting += index == step.first_waiting && all_placed ? 1 : 0;
+      continue;
+    }
+    if (now < each.not_before || (each.inherited && recovery)) {
+      all_placed = false;
       continue;
     }
-    if (!place(waiting, now)) {
-      full.insert(key);
+    if (!place(job, each, now)) {
+      return;
     }
+    step.first_waiting += index == step.first_waiting && all_placed ? 1 : 0;
   }
 }
 
 // ---- choice of workers ----
 
-bool job_scheduler::implementation::usable(const worker_state& worker, const job_state& job,
-                                           const step_spec& step, instant now, bool allow_suspects) const {
-  if (!worker.listed || !worker.reported || worker.replaced || worker.entry.draining ||
-      worker.failed_renewals >= detail::failed_renewals_unsafe || now < worker.full_until ||
-      worker.entry.service != job.queue->service || !stored_workers.contains(worker.entry.id)) {
-    return false;
-  }
-  if (!allow_suspects && now < worker.suspect_until) {
-    return false;
-  }
-  const auto& labels = worker.entry.labels;
-  return step.required_label.empty() ||
-         std::find(labels.begin(), labels.end(), step.required_label) != labels.end();
+bool job_scheduler::implementation::usable(const worker_state& worker, instant now) const {
+  return worker.listed && worker.reported && !worker.replaced && !worker.entry.draining &&
+         worker.failed_renewals < detail::failed_renewals_unsafe && now >= worker.full_until &&
+         stored_workers.contains(worker.entry.id);
 }
 
-std::vector<worker_state*> job_scheduler::implementation::candidates(const job_state& job,
-                                                                     const step_spec& step, instant now,
-                                                                     bool allow_suspects) {
-  std::vector<worker_state*> pool;
+void job_scheduler::implementation::build_pools(instant now) {
+  trusted = {};
+  usable_workers = {};
   for (auto& [id, worker] : workers) {
-    if (usable(worker, job, step, now, allow_suspects)) {
-      pool.push_back(&worker);
+    if (!usable(worker, now)) {
+      continue;
+    }
+    usable_workers.all.push_back(&worker);
+    usable_workers.racks[worker.entry.rack].push_back(&worker);
+    if (now >= worker.suspect_until) {
+      trusted.all.push_back(&worker);
+      trusted.racks[worker.entry.rack].push_back(&worker);
     }
   }
-  return pool;
 }
 
 std::uint32_t job_scheduler::implementation::tasks_of_step(const worker_state& worker, const job_state& job,
@@ -177,10 +197,9 @@
     std::uint32_t of_step;
   };
   std::vector<room> rooms;
-  rooms.reserve(pool.size());
   for (auto* worker : pool) {
     const auto free = worker->entry.capacity - worker->used - worker->reserved;
-    if (free.covers(need)) {
+    if (free.covers(need) && serves(*worker, job, step)) {
       rooms.push_back({.worker = worker,
                        .free = free,
                        .of_step = step.max_per_worker == 0 ? 0 : tasks_of_step(*worker, job, placed)});
@@ -214,16 +233,11 @@
                                                                                instant now) {
   const auto& step = step_of(job, placed);
   const bool urgent = job.queue->priority == 0;
-  for (const bool allow_suspects : {false, true}) {
-    const auto pool = candidates(job, step, now, allow_suspects);
+  for (const auto* pool : {&trusted, &usable_workers}) {
     if (!step.data_rack.empty() || (step.gang && step.same_rack)) {
-      std::map<rack_id, std::vector<worker_state*>> racks;
-      for (auto* worker : pool) {
-        racks[worker->entry.rack].push_back(worker);
-      }
       placement best;
       std::int64_t best_free = 0;
-      for (const auto& [rack, members] : racks) {
+      for (const auto& [rack, members] : pool->racks) {
         if (!step.data_rack.empty() && rack.value() != step.data_rack) {
           continue;
         }
@@ -250,7 +264,7 @@
     if (prefers_rack && !urgent && now - placed.waiting_since < patience) {
       continue;
     }
-    if (auto where = fit(pool, job, placed); !where.empty()) {
+    if (auto where = fit(pool->all, job, placed); !where.empty()) {
       return where;
     }
   }
@@ -290,12 +304,19 @@
           {"waited_ms", absl::StrCat(waited)}});
 }
 
-bool job_scheduler::implementation::place(const waiting_unit& waiting, instant now) {
-  if (const auto where = choose(*waiting.job, *waiting.unit, now); !where.empty()) {
-    start_unit(*waiting.job, *waiting.unit, where, now);
+bool job_scheduler::implementation::place(job_state& job, unit& placed, instant now) {
+  if (const auto where = choose(job, placed, now); !where.empty()) {
+    start_unit(job, placed, where, now);
     return true;
   }
-  return waiting.job->queue->priority == 0 && preempt(waiting, now);
+  if (job.queue->priority != 0) {
+    return false;
+  }
+  if (preempt(job, placed, now)) {
+    return true;
+  }
+  placed.not_before = now + detail::placement_pause;
+  return false;
 }
 
 void job_scheduler::implementation::release_reservation(unit& held, const resource_amounts& each,
@@ -309,11 +330,13 @@
     }
     one = member{};
   }
+  --reserved_units;
   placement_due = true;
 }
 
 void job_scheduler::implementation::start_reserved(instant now) {
-  for (auto& [id, job] : jobs) {
+  for (auto& [id, open] : open_jobs) {
+    auto& job = *open;
     for (auto& each : job.units) {
       if (each.phase != unit_phase::reserved) {
         continue;
@@ -325,7 +348,7 @@
       std::map<worker_state*, resource_amounts> needed;
       for (const auto& one : each.members) {
         const auto found = workers.find(one.worker);
-        if (found == workers.end() || !usable(found->second, job, step, now, true)) {
+        if (found == workers.end() || !usable(found->second, now)) {
           lost = true;
           break;
         }
@@ -336,6 +359,7 @@
       if (lost || free) {
         release_reservation(each, occupied(step), now);
         each.phase = unit_phase::waiting;
+        note_waiting(job, each);
       }
       if (!lost && free) {
         start_unit(job, each, where, now);
@@ -346,13 +370,11 @@
 
 /// Frees space for urgent work within its team's guarantee by stopping less urgent units, the ones that
 /// lose least work first. The space is reserved until the ends of the stopped runs are listed.
-bool job_scheduler::implementation::preempt(const waiting_unit& waiting, instant now) {
-  auto& job = *waiting.job;
-  auto& placed = *waiting.unit;
-  if (!within_guarantee(job)) {
+bool job_scheduler::implementation::preempt(job_state& job, unit& placed, instant now) {
+  const auto& step = step_of(job, placed);
+  if (guaranteed_left(job) <= 0) {
     return false;
   }
-  const auto& step = step_of(job, placed);
   const auto need = occupied(step);
   struct victim {
     job_state* job;
@@ -365,10 +387,12 @@
     std::vector<victim> victims;
   };
   std::vector<space> spaces;
-  for (auto* worker : candidates(job, step, now, true)) {
-    space each{.worker = worker,
-               .free = worker->entry.capacity - worker->used - worker->reserved,
-               .victims = {}};
+  for (auto* worker : usable_workers.all) {
+    if (!serves(*worker, job, step)) {
+      continue;
+    }
+    space each{
+        .worker = worker, .free = worker->entry.capacity - worker->used - worker->reserved, .victims = {}};
     for (const auto& [task, run] : worker->tasks) {
       std::uint32_t index = 0;
       auto* target = find_unit(task, &index);
@@ -381,8 +405,7 @@
         each.free += occupied(victim_step);
         continue;
       }
-      if (owner->queue->priority <= 0 || target->phase != unit_phase::active ||
-          victim_step.long_running) {
+      if (owner->queue->priority <= 0 || target->phase != unit_phase::active || victim_step.long_running) {
         continue;
       }
       const auto& one = target->members[index];
@@ -456,10 +479,12 @@
     end_unit(*owner, *target, now);
   }
   placed.phase = unit_phase::reserved;
+  ++reserved_units;
   placed.reserved_until = now + detail::reservation_timeout;
   for (std::size_t index = 0; index < placed.members.size(); ++index) {
     auto& worker = *where[index]->worker;
-    placed.members[index] = member{.phase = member_phase::reserved, .worker = worker.entry.id, .run = {}, .checkpoint = {}};
+    placed.members[index] =
+        member{.phase = member_phase::reserved, .worker = worker.entry.id, .run = {}, .checkpoint = {}};
     worker.reserved += need;
   }
   return true;
--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -62,9 +62,9 @@
 void job_scheduler::implementation::expire_silent_workers(instant now) {
   for (auto found = workers.begin(); found != workers.end();) {
     auto& worker = found->second;
-    const bool expired = worker.reported && !worker.tasks.empty() && worker.failed_renewals > 0 &&
-                         worker_clock(worker, now) >
-                             worker.lease_until + duration_cast<milliseconds>(opts.stop_timeout);
+    const bool expired =
+        worker.reported && !worker.tasks.empty() && worker.failed_renewals > 0 &&
+        worker_clock(worker, now) > worker.lease_until + duration_cast<milliseconds>(opts.stop_timeout);
     if (expired) {
       drop_all(worker, "lease expired on a silent worker", now);
     }
@@ -76,35 +76,43 @@
 
 void job_scheduler::implementation::renew_workers(instant now) {
   for (auto& [id, worker] : workers) {
-    if (worker.renewing || worker.replaced || now < worker.renew_at || !stored_workers.contains(id)) {
-      continue;
-    }
-    const bool ends_unstored = worker.seen_through > worker.acknowledged_through;
-    const bool acknowledge = worker.acknowledged_through > worker.acknowledged_sent;
-    const bool silent = worker.failed_renewals > 0 && worker.listed;
-    if (worker.reported && worker.tasks.empty() && !ends_unstored && !acknowledge && !silent) {
-      continue;
-    }
-    renew_order order{.worker = id,
-                      .address = worker.entry.address,
-                      .acknowledged_through = worker.acknowledged_through,
-                      .lease_until = std::nullopt,
-                      .wait = milliseconds{0}};
-    // A renewal of a silent worker may be carried out late; it must not put off the time at which the
-    // worker is known to be empty.
-    if (worker.reported && worker.failed_renewals == 0) {
-      order.lease_until = lease_end(worker, now);
-      worker.lease_until = std::max(worker.lease_until, *order.lease_until);
-    }
-    if (worker.reported && !ends_unstored && !worker.tasks.empty() && worker.failed_renewals == 0) {
-      order.wait = duration_cast<milliseconds>(opts.renew_wait);
-    }
-    worker.acknowledged_sent = worker.acknowledged_through;
-    worker.renewing = true;
-    actions.emplace_back(std::move(order));
+    renew_worker(worker, now);
   }
 }
 
+void job_scheduler::implementation::renew_worker(worker_state& worker, instant now) {
+  const auto& id = worker.entry.id;
+  if (worker.renewing || worker.replaced || now < worker.renew_at) {
+    return;
+  }
+  const bool ends_unstored = worker.seen_through > worker.acknowledged_through;
+  const bool acknowledge = worker.acknowledged_through > worker.acknowledged_sent;
+  const bool silent = worker.failed_renewals > 0 && worker.listed;
+  if (worker.reported && worker.tasks.empty() && !ends_unstored && !acknowledge && !silent) {
+    return;
+  }
+  if (!stored_workers.contains(id)) {
+    return;
+  }
+  renew_order order{.worker = id,
+                    .address = worker.entry.address,
+                    .acknowledged_through = worker.acknowledged_through,
+                    .lease_until = std::nullopt,
+                    .wait = milliseconds{0}};
+  // A renewal of a silent worker may be carried out late; it must not put off the time at which the
+  // worker is known to be empty.
+  if (worker.reported && worker.failed_renewals == 0) {
+    order.lease_until = lease_end(worker, now);
+    worker.lease_until = std::max(worker.lease_until, *order.lease_until);
+  }
+  if (worker.reported && !ends_unstored && !worker.tasks.empty() && worker.failed_renewals == 0) {
+    order.wait = duration_cast<milliseconds>(opts.renew_wait);
+  }
+  worker.acknowledged_sent = worker.acknowledged_through;
+  worker.renewing = true;
+  actions.emplace_back(std::move(order));
+}
+
 void job_scheduler::implementation::store_worker_set() {
   if (storing_workers) {
     return;
@@ -176,13 +184,16 @@
 
 void job_scheduler::implementation::repeat_orders(instant now) {
   constexpr duration stop_overdue{std::chrono::seconds{1}};
-  for (auto& [id, job] : jobs) {
+  for (auto found = open_jobs.begin(); found != open_jobs.end();) {
+    auto& job = *found->second;
+    bool settled = is_terminal(job.phase);
     for (auto& each : job.units) {
       if (each.phase == unit_phase::waiting || each.phase == unit_phase::reserved) {
         continue;
       }
       for (std::size_t index = 0; index < each.members.size(); ++index) {
         auto& one = each.members[index];
+        settled = settled && one.phase == member_phase::none;
         if (one.answer_pending || now < one.repeat_at) {
           continue;
         }
@@ -194,6 +205,7 @@
         }
       }
     }
+    found = settled ? open_jobs.erase(found) : std::next(found);
   }
 }
 
@@ -327,9 +339,9 @@
   constexpr duration longest_pause{std::chrono::milliseconds{600}};
   worker.renew_at = now + std::min(longest_pause, detail::renew_pause * worker.failed_renewals);
   if (worker.failed_renewals == 1) {
-    self.record("worker_silent", {}, id.value(),
-                {{"tasks", absl::StrCat(worker.tasks.size())},
-                 {"failure", std::string{failure_name(failure)}}});
+    self.record(
+        "worker_silent", {}, id.value(),
+        {{"tasks", absl::StrCat(worker.tasks.size())}, {"failure", std::string{failure_name(failure)}}});
   }
   if (failure == renewal_failure::other_instance) {
     worker.replaced = true;
@@ -394,7 +406,7 @@
   const bool ends_unstored = worker.seen_through > worker.acknowledged_through;
   // Storing the ends moves this forward; without it the lease is renewed at a slower pace.
   worker.renew_at = ends_unstored ? now + detail::renew_pause * 3 : now;
-  self.renew_workers(now);
+  self.renew_worker(worker, now);
 }
 
 void job_scheduler::implementation::adopt(worker_state& worker, const active_run& run, instant now) {
@@ -546,7 +558,8 @@
 }
 
 void job_scheduler::implementation::detect_stalls(instant now) {
-  for (auto& [id, job] : jobs) {
+  for (auto& [id, open] : open_jobs) {
+    auto& job = *open;
     if (is_terminal(job.phase)) {
       continue;
     }
@@ -554,9 +567,8 @@
       if (each.phase != unit_phase::active || step_of(job, each).long_running) {
         continue;
       }
-      const bool all_run = std::all_of(each.members.begin(), each.members.end(), [](const member& one) {
-        return one.phase == member_phase::running;
-      });
+      const bool all_run = std::all_of(each.members.begin(), each.members.end(),
+                                       [](const member& one) { return one.phase == member_phase::running; });
       if (!all_run) {
         each.all_running_since = instant{};
         continue;
--- a/src/coordination/owner_election.cpp
+++ b/src/coordination/owner_election.cpp
@@ -6,7 +6,7 @@
 namespace rhubarbpath {
 
 owner_election::owner_election(options opts, random_source& random)
-    : opts_{std::move(opts)}, random_{random}, claim_at_{instant{}} {}
+    : opts_{std::move(opts)}, random_{random} {}
 
 void owner_election::become_watching(instant retry_at) {
   phase_ = phase::watching;
@@ -44,11 +44,10 @@
     return;
   }
   if (!claim_at_) {
-    // A small VM waits longer, so that a larger one usually owns the duty.
-    constexpr double full_core = 1.0;
-    const auto spread = static_cast<double>(opts_.claim_spread.count());
-    const double handicap = spread * (full_core - std::min(full_core, opts_.processor_cores));
-    claim_at_ = now + duration{static_cast<std::int64_t>(handicap + spread * random_.fraction())};
+    const double missing = 1.0 - std::clamp(opts_.processor_cores, 0.0, 1.0);
+    const auto handicap = static_cast<double>(opts_.claim_handicap.count()) * missing;
+    const auto spread = static_cast<double>(opts_.claim_spread.count()) * random_.fraction();
+    claim_at_ = now + duration{static_cast<std::int64_t>(handicap + spread)};
   }
 }
 
--- a/src/programs/rhubarb-edge/caller_api.cpp
+++ b/src/programs/rhubarb-edge/caller_api.cpp
@@ -129,7 +129,8 @@
   call->team = team == nullptr ? team_id{} : team->id;
   call->job = job_id{request.path.substr(queue->path_prefix.size())};
   if (call->job.empty()) {
-    request.method == "GET" ? tell_waiting(call) : answer(call, bad_method_status, {}, "a queue is only read");
+    request.method == "GET" ? tell_waiting(call)
+                            : answer(call, bad_method_status, {}, "a queue is only read");
   } else if (!is_job_id(call->job)) {
     answer(call, request.method == "POST" ? bad_request_status : gone_status, {}, "not a job id");
   } else if (request.method == "POST") {
--- a/src/programs/rhubarb-edge/config_feed.cpp
+++ b/src/programs/rhubarb-edge/config_feed.cpp
@@ -19,7 +19,9 @@
 config_feed::config_feed(event_loop& loop, store_access& store, on_change changed)
     : loop_{loop}, store_{store}, changed_{std::move(changed)} {}
 
-void config_feed::start() { read(); }
+void config_feed::start() {
+  read();
+}
 
 void config_feed::read() {
   store_.call(kv_get{.key = platform::config_key()}, [this](const kv_result& result) {
--- a/src/programs/rhubarb-edge/edge_daemon.cpp
+++ b/src/programs/rhubarb-edge/edge_daemon.cpp
@@ -71,8 +71,9 @@
       platform_client_{loop, client_options(48)},
       worker_client_{loop, client_options(8)},
       peers_{{.self = settings_.peer_address}},
-      store_{loop,      platform_client_, peers_, random_, counters_,
-             {.store_address = settings_.store_address, .self = settings_.peer_address}},
+      store_{loop,      platform_client_,
+             peers_,    random_,
+             counters_, {.store_address = settings_.store_address, .self = settings_.peer_address}},
       config_{loop, store_,
               [this](const config_feed::pointer& config) {
                 if (session_ != nullptr) {
@@ -105,17 +106,17 @@
   };
   for (const auto& status :
        {serve(caller_server_, settings_.caller_address,
-              [this](const http_request& request, const http_responder& responder) {
+              [this](const http_request&request, const http_responder&responder) {
                 callers_.handle(request, responder);
               }),
         serve(ready_server_, settings_.ready_address,
-              [this](const http_request&, const http_responder& responder) { serve_ready(responder); }),
+              [this](const http_request&, const http_responder&responder) { serve_ready(responder); }),
         serve(peer_server_, settings_.peer_address,
-              [this](const http_request& request, const http_responder& responder) {
+              [this](const http_request&request, const http_responder&responder) {
                 serve_peer(request, responder);
               }),
         serve(metrics_server_, settings_.metrics_address,
-              [this](const http_request&, const http_responder& responder) {
+              [this](const http_request&, const http_responder&responder) {
                 responder.send({.status = ok_status, .headers = {}, .body = counters_.prometheus_text()});
               })}) {
     if (!status.ok()) {
@@ -204,8 +205,7 @@
       known.push_back({each, age.count()});
     }
     const auto bytes = nlohmann::json::to_cbor(known);
-    responder.send(
-        {.status = ok_status, .headers = {}, .body = std::string{bytes.begin(), bytes.end()}});
+    responder.send({.status = ok_status, .headers = {}, .body = std::string{bytes.begin(), bytes.end()}});
     return;
   }
   responder.send({.status = not_found_status, .headers = {}, .body = {}});
@@ -329,16 +329,13 @@
 }
 
 void edge_daemon::perform(const claim_ownership& action) {
-  const owner_row row{.vm = settings_.vm,
-                      .process = process_,
-                      .term = action.term,
-                      .peer_address = settings_.peer_address};
-  kv_commit commit{
-      .expected = {{.key = keys::owner, .changed = action.owner_read},
-                   {.key = keys::term, .changed = action.term_read}},
-      .puts = {{.key = keys::owner, .value = encode_owner(row), .lease = action.lease},
-               {.key = keys::term, .value = absl::StrCat(action.term.value())}},
-      .erases = {}};
+  const owner_row row{
+      .vm = settings_.vm, .process = process_, .term = action.term, .peer_address = settings_.peer_address};
+  kv_commit commit{.expected = {{.key = keys::owner, .changed = action.owner_read},
+                                {.key = keys::term, .changed = action.term_read}},
+                   .puts = {{.key = keys::owner, .value = encode_owner(row), .lease = action.lease},
+                            {.key = keys::term, .value = absl::StrCat(action.term.value())}},
+                   .erases = {}};
   store_.call(std::move(commit), [this](const kv_result& result) {
     if (const auto* committed = std::get_if<kv_committed>(&result)) {
       election_.claimed(committed->at, boot_now());
@@ -436,7 +433,8 @@
   if (std::exchange(stopping_, true)) {
     return;
   }
-  log(log_level::info, "stopping", {{"open_calls", static_cast<std::int64_t>(caller_server_->in_progress())}});
+  log(log_level::info, "stopping",
+      {{"open_calls", static_cast<std::int64_t>(caller_server_->in_progress())}});
   stop_by_ = loop_.now() + settings_.stop_grace - stop_margin;
   election_.resign(boot_now());
   run_election();
--- a/src/programs/rhubarb-edge/owner_session.cpp
+++ b/src/programs/rhubarb-edge/owner_session.cpp
@@ -44,7 +44,9 @@
   uses_.loop.run_detached(delay, guarded(std::move(call)));
 }
 
-void owner_session::start() { load(); }
+void owner_session::start() {
+  load();
+}
 
 void owner_session::stop() {
   stopped_ = true;
@@ -70,30 +72,31 @@
                               std::shared_ptr<std::vector<kv_item>> found, revision first_as_of,
                               list_handler done) {
   kv_list request{.prefix = prefix, .after = after};
-  uses_.store.call(std::move(request), [weak = weak_from_this(), prefix = std::move(prefix),
-                                        after = std::move(after), found, first_as_of,
-                                        done = std::move(done)](const kv_result& result) mutable {
-    const auto self = weak.lock();
-    if (self == nullptr || self->stopped_) {
-      return;
-    }
-    const auto* items = std::get_if<kv_items>(&result);
-    if (items == nullptr) {
-      self->later(retry_pause, [self, prefix, after, found, first_as_of, done] {
-        self->list_page(prefix, after, found, first_as_of, done);
-      });
-      return;
-    }
-    found->insert(found->end(), items->items.begin(), items->items.end());
-    // Pages are no snapshot; a watch from the first page's revision brings what changed meanwhile.
-    const auto as_of = first_as_of == revision{} ? items->as_of : first_as_of;
-    if (items->has_more && !items->items.empty()) {
-      auto next = items->items.back().key;
-      self->list_page(std::move(prefix), std::move(next), found, as_of, std::move(done));
-      return;
-    }
-    done(std::move(*found), as_of);
-  });
+  uses_.store.call(std::move(request),
+                   [weak = weak_from_this(), prefix = std::move(prefix), after = std::move(after), found,
+                    first_as_of, done = std::move(done)](const kv_result& result) mutable {
+                     const auto self = weak.lock();
+                     if (self == nullptr || self->stopped_) {
+                       return;
+                     }
+                     const auto* items = std::get_if<kv_items>(&result);
+                     if (items == nullptr) {
+                       self->later(retry_pause, [self, prefix, after, found, first_as_of, done] {
+                         self->list_page(prefix, after, found, first_as_of, done);
+                       });
+                       return;
+                     }
+                     found->insert(found->end(), items->items.begin(), items->items.end());
+                     // Pages are no snapshot; a watch from the first page's revision brings what changed
+                     // meanwhile.
+                     const auto as_of = first_as_of == revision{} ? items->as_of : first_as_of;
+                     if (items->has_more && !items->items.empty()) {
+                       auto next = items->items.back().key;
+                       self->list_page(std::move(prefix), std::move(next), found, as_of, std::move(done));
+                       return;
+                     }
+                     done(std::move(*found), as_of);
+                   });
 }
 
 void owner_session::load() {
@@ -117,14 +120,14 @@
     }
     self->list_all(keys::job_prefix, [self](std::vector<kv_item> jobs, revision as_of) {
       self->jobs_seen_ = as_of;
-      self->list_all(keys::progress_prefix, [self, jobs = std::move(jobs)](std::vector<kv_item> progress,
-                                                                           revision /*as_of*/) {
-        self->take_rows(jobs, progress, true);
-        self->loaded_ = true;
-        self->watch_jobs();
-        self->poll_registry();
-        self->run_tick();
-      });
+      self->list_all(keys::progress_prefix,
+                     [self, jobs = std::move(jobs)](std::vector<kv_item> progress, revision /*as_of*/) {
+                       self->take_rows(jobs, progress, true);
+                       self->loaded_ = true;
+                       self->watch_jobs();
+                       self->poll_registry();
+                       self->run_tick();
+                     });
     });
   });
 }
@@ -220,19 +223,19 @@
 }
 
 void owner_session::poll_registry() {
-  list_all(platform::worker_prefix(), [self = shared_from_this()](const std::vector<kv_item>& items,
-                                                                  revision /*as_of*/) {
-    std::vector<worker_entry> entries;
-    entries.reserve(items.size());
-    for (const auto& item : items) {
-      if (auto entry = platform::decode_worker_entry(item.key, item.value)) {
-        entries.push_back(std::move(*entry));
-      }
-    }
-    self->scheduler_->set_workers(entries, self->uses_.loop.now());
-    self->run_tick();
-    self->later(self->opts_.registry_period, [self] { self->poll_registry(); });
-  });
+  list_all(platform::worker_prefix(),
+           [self = shared_from_this()](const std::vector<kv_item>& items, revision /*as_of*/) {
+             std::vector<worker_entry> entries;
+             entries.reserve(items.size());
+             for (const auto& item : items) {
+               if (auto entry = platform::decode_worker_entry(item.key, item.value)) {
+                 entries.push_back(std::move(*entry));
+               }
+             }
+             self->scheduler_->set_workers(entries, self->uses_.loop.now());
+             self->run_tick();
+             self->later(self->opts_.registry_period, [self] { self->poll_registry(); });
+           });
 }
 
 // ---- the scheduler's actions ----
@@ -257,9 +260,9 @@
   }
   tick_at_ = at;
   tick_timer_ = uses_.loop.run_after(std::max(duration::zero(), at - now), guarded([this] {
-    tick_timer_.cancel();
-    run_tick();
-  }));
+                                       tick_timer_.cancel();
+                                       run_tick();
+                                     }));
 }
 
 void owner_session::run_actions() {
@@ -295,24 +298,24 @@
     }
     ++link.open;
     const auto address = link.address;
-    uses_.workers.call(address, request, opts_.order_timeout,
-                       [weak = weak_from_this(), worker, address,
-                        done = std::move(done)](const http_result& result) {
-                         const auto self = weak.lock();
-                         if (self == nullptr) {
-                           return;
-                         }
-                         --self->links_[worker].open;
-                         if (std::holds_alternative<http_call_failed>(result)) {
-                           self->uses_.workers.drop_idle(address);
-                         }
-                         if (!self->stopped_) {
-                           done(result);
-                           self->pump(worker);
-                           self->run_actions();
-                           self->schedule_tick();
-                         }
-                       });
+    uses_.workers.call(
+        address, request, opts_.order_timeout,
+        [weak = weak_from_this(), worker, address, done = std::move(done)](const http_result& result) {
+          const auto self = weak.lock();
+          if (self == nullptr) {
+            return;
+          }
+          --self->links_[worker].open;
+          if (std::holds_alternative<http_call_failed>(result)) {
+            self->uses_.workers.drop_idle(address);
+          }
+          if (!self->stopped_) {
+            done(result);
+            self->pump(worker);
+            self->run_actions();
+            self->schedule_tick();
+          }
+        });
   }
 }
 
@@ -329,8 +332,7 @@
   uses_.counters.add("rhubarb_orders_total", "order=\"stop\"");
   send(order.worker, order.address, platform::encode_order(order, opts_.term),
        [this, worker = order.worker, task = order.task, run = order.run](const http_result& result) {
-         scheduler_->stop_answered(worker, task, run, platform::decode_stop_answer(result),
-                                   uses_.loop.now());
+         scheduler_->stop_answered(worker, task, run, platform::decode_stop_answer(result), uses_.loop.now());
        });
 }
 
@@ -340,34 +342,34 @@
   }
   uses_.counters.add("rhubarb_orders_total", "order=\"renew\"");
   const auto sent = uses_.loop.now();
-  uses_.workers.call(
-      order.address, platform::encode_order(order, opts_.term), duration{order.wait} + opts_.order_timeout,
-      [weak = weak_from_this(), worker = order.worker, address = order.address,
-       sent](const http_result& result) {
-        const auto self = weak.lock();
-        if (self == nullptr || self->stopped_) {
-          return;
-        }
-        const auto now = self->uses_.loop.now();
-        const auto answer = platform::decode_renew_answer(result);
-        if (const auto* report = std::get_if<lease_report>(&answer)) {
-          self->scheduler_->worker_reported(worker, *report, sent, now);
-        } else {
-          const auto& failed = std::get<platform::renew_failed>(answer);
-          self->uses_.workers.drop_idle(address);
-          if (failed.fenced) {
-            self->perform(owner_superseded{.worker = worker});
-            return;
-          }
-          self->scheduler_->worker_unreachable(worker, failed.failure, now);
-        }
-        self->run_tick();
-      });
+  uses_.workers.call(order.address, platform::encode_order(order, opts_.term),
+                     duration{order.wait} + opts_.order_timeout,
+                     [weak = weak_from_this(), worker = order.worker, address = order.address,
+                      sent](const http_result& result) {
+                       const auto self = weak.lock();
+                       if (self == nullptr || self->stopped_) {
+                         return;
+                       }
+                       const auto now = self->uses_.loop.now();
+                       const auto answer = platform::decode_renew_answer(result);
+                       if (const auto* report = std::get_if<lease_report>(&answer)) {
+                         self->scheduler_->worker_reported(worker, *report, sent, now);
+                       } else {
+                         const auto& failed = std::get<platform::renew_failed>(answer);
+                         self->uses_.workers.drop_idle(address);
+                         if (failed.fenced) {
+                           self->perform(owner_superseded{.worker = worker});
+                           return;
+                         }
+                         self->scheduler_->worker_unreachable(worker, failed.failure, now);
+                       }
+                       self->run_tick();
+                     });
 }
 
 void owner_session::perform(const owner_superseded& news) {
-  log(log_level::warning, "order_fenced", {{"worker", news.worker.value()},
-                                           {"term", static_cast<std::int64_t>(opts_.term.value())}});
+  log(log_level::warning, "order_fenced",
+      {{"worker", news.worker.value()}, {"term", static_cast<std::int64_t>(opts_.term.value())}});
   uses_.loop.post(guarded(uses_.superseded));
 }
 
@@ -425,7 +427,8 @@
       const auto owner = std::find_if(conflict->items.begin(), conflict->items.end(),
                                       [](const kv_item& item) { return item.key == keys::owner; });
       if (owner == conflict->items.end() || owner->changed != self->opts_.owner_row) {
-        log(log_level::warning, "write_fenced", {{"term", static_cast<std::int64_t>(self->opts_.term.value())}});
+        log(log_level::warning, "write_fenced",
+            {{"term", static_cast<std::int64_t>(self->opts_.term.value())}});
         self->uses_.superseded();
         return;
       }
@@ -491,7 +494,8 @@
   constexpr std::size_t rows_per_job = 3;
   constexpr std::size_t jobs_per_commit = (max_commit_entries - 1) / rows_per_job;
   for (std::size_t begin = 0; begin < expired.size(); begin += jobs_per_commit) {
-    kv_commit commit{.expected = {{.key = keys::owner, .changed = opts_.owner_row}}, .puts = {}, .erases = {}};
+    kv_commit commit{
+        .expected = {{.key = keys::owner, .changed = opts_.owner_row}}, .puts = {}, .erases = {}};
     for (std::size_t index = begin; index < std::min(begin + jobs_per_commit, expired.size()); ++index) {
       commit.erases.push_back(keys::job(expired[index]));
       commit.erases.push_back(keys::cancel(expired[index]));
--- a/src/programs/rhubarb-edge/store_access.cpp
+++ b/src/programs/rhubarb-edge/store_access.cpp
@@ -53,7 +53,12 @@
 
 store_access::store_access(event_loop& loop, http_client& client, peer_directory& peers,
                            random_source& random, metrics& counters, options opts)
-    : loop_{loop}, client_{client}, peers_{peers}, random_{random}, counters_{counters}, opts_{std::move(opts)} {}
+    : loop_{loop},
+      client_{client},
+      peers_{peers},
+      random_{random},
+      counters_{counters},
+      opts_{std::move(opts)} {}
 
 void store_access::call(kv_request request, callback done) {
   auto call = std::make_shared<pending>();
@@ -93,6 +98,12 @@
                  if (unknown != nullptr && unknown->timed_out) {
                    client_.drop_idle(address);
                  }
+                 if (unknown != nullptr && std::holds_alternative<kv_watch>(call->request)) {
+                   // A watch also stays unanswered while the store drops its history; its caller reads
+                   // again, and that read shows whether the path is lost.
+                   finish(call, std::move(result));
+                   return;
+                 }
                  note_direct(false, unknown != nullptr ? unknown->reason : refused->reason);
                  direct_retry_at_ = loop_.now() + opts_.direct_pause;
                  const bool again = refused != nullptr || repeatable(call->request);
@@ -116,12 +127,12 @@
     }
     return;
   }
-  const auto& address = choices.front();
+  const bool keep = std::find(choices.begin(), choices.end(), working_relay_) != choices.end();
+  const auto address = keep ? working_relay_ : choices.front();
   auto request = platform::encode_store_request(call->request);
   request.path = std::string{relay_path} + request.path;
   request.headers.emplace_back(peer_header, opts_.self);
-  request.headers.emplace_back(relay_timeout_header,
-                               fmt::format("{}", call->timeout(opts_).count()));
+  request.headers.emplace_back(relay_timeout_header, fmt::format("{}", call->timeout(opts_).count()));
   client_.call(address, request, call->timeout(opts_) + opts_.watch_slack,
                [this, call, address](const http_result& raw) {
                  const auto* response = std::get_if<http_response>(&raw);
@@ -129,8 +140,9 @@
                  kv_result result;
                  if (response != nullptr && !relayed) {
                    const auto reason = std::string{header_value(response->headers, relay_failure_header)};
-                   result = reason == "not_sent" ? kv_result{kv_refused{.reason = "relay cannot reach the store"}}
-                                                 : kv_result{kv_unknown{.reason = "relay got no answer"}};
+                   result = reason == "not_sent"
+                                ? kv_result{kv_refused{.reason = "relay cannot reach the store"}}
+                                : kv_result{kv_unknown{.reason = "relay got no answer"}};
                  } else {
                    result = platform::decode_store_response(call->request, raw);
                  }
@@ -139,7 +151,9 @@
                                      !std::holds_alternative<kv_refused>(result);
                  if (usable) {
                    peers_.heard_from(address, loop_.now());
+                   working_relay_ = address;
                  } else {
+                   working_relay_.clear();
                    peers_.failed(address, loop_.now());
                    if (response == nullptr) {
                      client_.drop_idle(address);
@@ -175,17 +189,18 @@
   if (!absl::SimpleAtoi(std::string{header_value(request.headers, relay_timeout_header)}, &limit)) {
     log(log_level::debug, "relay_without_time_limit", {});
   }
-  client_.call(opts_.store_address, forwarded, std::clamp(duration{limit}, duration::zero(), longest_relay),
-               [responder](const http_result& raw) {
-                 if (const auto* response = std::get_if<http_response>(&raw)) {
-                   responder.send({.status = response->status, .headers = {}, .body = response->body});
-                   return;
-                 }
-                 const bool sent = std::get<http_call_failed>(raw).bytes_sent;
-                 responder.send({.status = relay_failed_status,
-                                 .headers = {{std::string{relay_failure_header}, sent ? "unknown" : "not_sent"}},
-                                 .body = {}});
-               });
+  client_.call(
+      opts_.store_address, forwarded, std::clamp(duration{limit}, duration::zero(), longest_relay),
+      [responder](const http_result& raw) {
+        if (const auto* response = std::get_if<http_response>(&raw)) {
+          responder.send({.status = response->status, .headers = {}, .body = response->body});
+          return;
+        }
+        const bool sent = std::get<http_call_failed>(raw).bytes_sent;
+        responder.send({.status = relay_failed_status,
+                        .headers = {{std::string{relay_failure_header}, sent ? "unknown" : "not_sent"}},
+                        .body = {}});
+      });
 }
 
 }  // namespace rhubarbpath::edge
--- a/src/programs/rhubarb-edge/store_access.hpp
+++ b/src/programs/rhubarb-edge/store_access.hpp
@@ -59,6 +59,7 @@
   bool direct_healthy_{true};
   instant direct_retry_at_{};
   instant last_answer_{};
+  std::string working_relay_;  ///< The VM through which the last relayed call was answered.
 };
 
 /// Path under which a VM relays calls to the store, and the header that reports a relay's own failure.
--- a/src/programs/rhubarb-edge/store_keys.hpp
+++ b/src/programs/rhubarb-edge/store_keys.hpp
@@ -18,7 +18,9 @@
 inline const std::string cancel_suffix = "/cancel";
 
 /// Written once by the VM that accepts the job.
-[[nodiscard]] inline std::string job(const job_id& id) { return job_prefix + id.value(); }
+[[nodiscard]] inline std::string job(const job_id& id) {
+  return job_prefix + id.value();
+}
 /// Written once by the VM that takes the cancellation.
 [[nodiscard]] inline std::string cancel(const job_id& id) {
   return job(id) + cancel_suffix;
--- a/src/transport/log.cpp
+++ b/src/transport/log.cpp
@@ -2,15 +2,16 @@
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
-
 #include <poll.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <chrono>
 #include <climits>
-#include <algorithm>
 #include <cstdio>
+#include <ctime>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -46,10 +47,42 @@
 std::string timestamp() {
   const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
   const auto millis = now.time_since_epoch().count() % 1000;
-  return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z", fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
-                     millis);
+  // Formatting the calendar costs more than the rest of a line, so it is done once a second.
+  static std::time_t formatted_second{-1};
+  static std::string formatted;
+  if (const auto second = std::chrono::system_clock::to_time_t(now); second != formatted_second) {
+    formatted_second = second;
+    formatted = fmt::format("{:%Y-%m-%dT%H:%M:%S}", fmt::gmtime(second));
+  }
+  return fmt::format("{}.{:03}Z", formatted, millis);
+}
+
+bool needs_escape(char each) {
+  return each == '"' || each == '\\' || static_cast<unsigned char>(each) < 0x20 ||
+         static_cast<unsigned char>(each) >= 0x7F;
+}
+
+void append_text(fmt::memory_buffer& out, std::string_view text) {
+  if (std::none_of(text.begin(), text.end(), needs_escape)) {
+    fmt::format_to(std::back_inserter(out), "\"{}\"", text);
+    return;
+  }
+  constexpr auto replace = nlohmann::json::error_handler_t::replace;
+  const auto escaped = nlohmann::json(text).dump(-1, ' ', false, replace);
+  out.append(escaped.data(), escaped.data() + escaped.size());
 }
 
+struct value_writer {
+  fmt::memory_buffer& out;
+  void operator()(const std::string& value) const { append_text(out, value); }
+  void operator()(std::int64_t value) const { fmt::format_to(std::back_inserter(out), "{}", value); }
+  void operator()(double value) const {
+    const auto text = nlohmann::json(value).dump();
+    out.append(text.data(), text.data() + text.size());
+  }
+  void operator()(bool value) const { fmt::format_to(std::back_inserter(out), "{}", value); }
+};
+
 /// Lines for standard output that could not be written yet.
 struct output_buffer {
   bool enabled{false};
@@ -75,9 +108,8 @@
     if (poll(&writable, 1, 0) <= 0 || (writable.revents & POLLOUT) == 0) {
       break;
     }
-    const auto count =
-        write(STDOUT_FILENO, buffer.bytes.data() + written,
-              std::min(unblocked_write_bytes, buffer.bytes.size() - written));
+    const auto count = write(STDOUT_FILENO, buffer.bytes.data() + written,
+                             std::min(unblocked_write_bytes, buffer.bytes.size() - written));
     if (count < 0 && errno == EINTR) {
       continue;
     }
@@ -104,7 +136,9 @@
 
 }  // namespace
 
-void log_to_standard_output() { output().enabled = true; }
+void log_to_standard_output() {
+  output().enabled = true;
+}
 
 void configure_log(std::string program, std::string vm, log_level lowest) {
   settings() = {.program = std::move(program), .vm = std::move(vm), .lowest = lowest};
@@ -114,16 +148,23 @@
   if (level < settings().lowest) {
     return;
   }
-  nlohmann::ordered_json line{{"time", timestamp()},
-                              {"level", level_name(level)},
-                              {"program", settings().program},
-                              {"vm", settings().vm},
-                              {"message", message}};
+  fmt::memory_buffer line;
+  fmt::format_to(std::back_inserter(line), "{{\"time\":\"{}\",\"level\":\"{}\",\"program\":", timestamp(),
+                 level_name(level));
+  append_text(line, settings().program);
+  fmt::format_to(std::back_inserter(line), ",\"vm\":");
+  append_text(line, settings().vm);
+  fmt::format_to(std::back_inserter(line), ",\"message\":");
+  append_text(line, message);
   for (const auto& field : fields) {
-    std::visit([&](const auto& value) { line[std::string{field.name}] = value; }, field.value);
+    line.push_back(',');
+    append_text(line, field.name);
+    line.push_back(':');
+    std::visit(value_writer{line}, field.value);
   }
-  constexpr auto replace = nlohmann::ordered_json::error_handler_t::replace;
-  auto text = line.dump(-1, ' ', false, replace) + "\n";
+  line.push_back('}');
+  line.push_back('\n');
+  auto text = fmt::to_string(line);
   if (output().enabled) {
     append_line(output(), std::move(text));
   } else {
