Reclaim guaranteed accelerators also from urgent work above its guarantee

In a burst of urgent jobs a team within its guarantee waited for over 2.7 s, because only less urgent work was ever stopped, and the space was held by urgent work of teams above their guarantee. Change: such work is stopped as a last choice, for work that fits wholly into its own team's guarantee.

--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -239,7 +239,14 @@
   void start_reserved(instant now);
   void release_reservation(detail::unit& unit, const resource_amounts& each, instant now);
   [[nodiscard]] bool preempt(detail::job_state& job, detail::unit& unit, instant now);
-  [[nodiscard]] std::int64_t guaranteed_left(const detail::job_state& job);
+  struct team_share {
+    std::int64_t used{0};
+    std::int64_t guaranteed{0};
+  };
+  [[nodiscard]] std::map<team_id, team_share> urgent_shares() const;
+  [[nodiscard]] static std::int64_t accelerators_of(const detail::job_state& job, const detail::unit& unit) {
+    return step_of(job, unit).each.accelerators * static_cast<std::int64_t>(unit.members.size());
+  }
 
   worker_pool trusted;  ///< Workers without a recent failure.
   worker_pool usable_workers;
--- a/src/coordination/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler_placement.cpp
@@ -45,29 +45,27 @@
   });
 }
 
-/// Accelerators of the team's guarantee that its urgent work does not use yet.
-std::int64_t job_scheduler::implementation::guaranteed_left(const job_state& job) {
-  if (job.queue == nullptr || job.queue->priority != 0 || config == nullptr) {
-    return 0;
+/// Accelerators that each team's urgent work uses, and what the team is guaranteed.
+std::map<team_id, job_scheduler::implementation::team_share>
+job_scheduler::implementation::urgent_shares() const {
+  std::map<team_id, team_share> shares;
+  if (config == nullptr) {
+    return shares;
   }
-  const auto team = std::find_if(config->teams.begin(), config->teams.end(),
-                                 [&](const team_config& each) { return each.id == job.job.team; });
-  if (team == config->teams.end() || team->guaranteed_accelerators == 0) {
-    return 0;
+  for (const auto& team : config->teams) {
+    shares[team.id].guaranteed = team.guaranteed_accelerators;
   }
-  std::int64_t used = 0;
-  for (const auto& [id, other] : open_jobs) {
-    if (other->job.team != job.job.team || other->queue == nullptr || other->queue->priority != 0 ||
-        is_terminal(other->phase)) {
+  for (const auto& [id, job] : open_jobs) {
+    if (job->queue == nullptr || job->queue->priority != 0 || is_terminal(job->phase)) {
       continue;
     }
-    for (const auto& each : other->units) {
+    for (const auto& each : job->units) {
       if (each.phase == unit_phase::active || each.phase == unit_phase::reserved) {
-        used += step_of(*other, each).each.accelerators * static_cast<std::int64_t>(each.members.size());
+        shares[job->job.team].used += accelerators_of(*job, each);
       }
     }
   }
-  return team->guaranteed_accelerators - used;
+  return shares;
 }
 
 /// Orders waiting work for a load above capacity: urgent work first, then what can still meet its
@@ -372,9 +370,22 @@
 /// lose least work first. The space is reserved until the ends of the stopped runs are listed.
 bool job_scheduler::implementation::preempt(job_state& job, unit& placed, instant now) {
   const auto& step = step_of(job, placed);
-  if (guaranteed_left(job) <= 0) {
+  auto shares = urgent_shares();
+  const auto& own = shares[job.job.team];
+  if (own.used >= own.guaranteed) {
     return false;
   }
+  // Urgent work of a team above its guarantee runs on what others are guaranteed; it goes only for work
+  // that fits wholly into its own team's guarantee.
+  const bool whole_claim = own.used + accelerators_of(job, placed) <= own.guaranteed;
+  const auto lent = [&](const job_state& owner, const unit& target) {
+    if (owner.queue->priority > 0) {
+      return true;
+    }
+    const auto& share = shares[owner.job.team];
+    return whole_claim && owner.job.team != job.job.team &&
+           share.used - accelerators_of(owner, target) >= share.guaranteed;
+  };
   const auto need = occupied(step);
   struct victim {
     job_state* job;
@@ -405,7 +416,7 @@
         each.free += occupied(victim_step);
         continue;
       }
-      if (owner->queue->priority <= 0 || target->phase != unit_phase::active || victim_step.long_running) {
+      if (!lent(*owner, *target) || target->phase != unit_phase::active || victim_step.long_running) {
         continue;
       }
       const auto& one = target->members[index];
@@ -413,9 +424,13 @@
       const double per_member = static_cast<double>(victim_step.estimate.count()) * done_share *
                                 (victim_step.checkpointing ? 0.3 : 1.0) *
                                 static_cast<double>(8 * victim_step.each.accelerators + 1);
-      each.victims.push_back({.job = owner,
-                              .target = target,
-                              .loss = (per_member + 1.0) * static_cast<double>(target->members.size())});
+      // Urgent work of another team is taken only where nothing else frees the space.
+      constexpr double urgent_weight = 100.0;
+      const double weight = owner->queue->priority > 0 ? 1.0 : urgent_weight;
+      each.victims.push_back(
+          {.job = owner,
+           .target = target,
+           .loss = weight * (per_member + 1.0) * static_cast<double>(target->members.size())});
     }
     std::sort(each.victims.begin(), each.victims.end(),
               [](const victim& left, const victim& right) { return left.loss < right.loss; });
@@ -440,7 +455,7 @@
         if (free.covers(need)) {
           break;
         }
-        if (chosen.contains(one.target)) {
+        if (chosen.contains(one.target) || !lent(*one.job, *one.target)) {
           continue;
         }
         free += occupied(step_of(*one.job, *one.target));
@@ -460,6 +475,9 @@
       if (!chosen.emplace(one.target, one.job).second) {
         continue;
       }
+      if (one.job->queue->priority == 0) {
+        shares[one.job->job.team].used -= accelerators_of(*one.job, *one.target);
+      }
       // All members of the victim leave, on this worker and on others.
       for (const auto& left : one.target->members) {
         for (auto& each : spaces) {
--- a/tests/coordination/job_scheduler_test.cpp
+++ b/tests/coordination/job_scheduler_test.cpp
@@ -130,6 +130,25 @@
   CHECK(fleet.phase("urgent") == job_phase::complete);
 }
 
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_urgent_job_reclaims_from_urgent_work_above_its_guarantee") {
+  // Urgent work of a team above its guarantee used to keep another team's guaranteed accelerators.
+  auto config = simulated_workers::config();
+  config->teams.push_back({.id = team_id{"other"}, .keys = {}, .guaranteed_accelerators = 24});
+  fleet.configuration = config;
+  fleet.begin_term();
+  fleet.play(milliseconds{300});
+  for (int index = 0; index < 6; ++index) {
+    fleet.submit(simulated_workers::job("wide" + std::to_string(index), 0, alike_tasks(1, 8, seconds{30}, true)));
+  }
+  fleet.play(seconds{1});
+  REQUIRE(fleet.running_tasks() == 6);
+  auto claim = simulated_workers::job("claim", 0, alike_tasks(3, 8, seconds{1}, true));
+  claim.team = team_id{"other"};
+  fleet.submit(claim);
+  fleet.play(milliseconds{2700});
+  CHECK(fleet.phase("claim") == job_phase::complete);
+}
+
 TEST_CASE_METHOD(scheduler_fixture, "scheduler_new_owner_adopts_running_work") {
   // Guards against work that is lost or doubled when the duty passes to another VM.
   fleet.submit(simulated_workers::job("gang", 1, alike_tasks(3, 8, seconds{4}, true)));
