--- a/src/coordination/job_scheduler.cpp
+++ b/src/coordination/job_scheduler.cpp
@@ -482,7 +482,7 @@
     if (is_terminal(job.stored_phase) && idle && !job.dirty && now - job.ended_at > self.opts.keep_ended) {
       expired.push_back(found->first);
       self.open_jobs.erase(found->first);
-      found = self.jobs.erase(found);
+      self.jobs.erase(found++);
     } else {
       ++found;
     }
--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/node_hash_map.h"
 #include "rhubarbpath/coordination/job_scheduler.hpp"
 
 namespace rhubarbpath {
@@ -146,7 +147,7 @@
   std::shared_ptr<const fleet_config> config;
   std::chrono::milliseconds wall{0};
   instant wall_at{};
-  std::map<job_id, detail::job_state> jobs;
+  absl::node_hash_map<job_id, detail::job_state> jobs;
   /// Jobs that have not ended, or of which runs may still be stopping. Only these are scanned.
   std::map<job_id, detail::job_state*> open_jobs;
   std::map<worker_id, detail::worker_state> workers;
@@ -274,16 +275,18 @@
     std::map<detail::unit*, detail::job_state*> victims;
     double loss{0};
   };
-  [[nodiscard]] space space_on(detail::worker_state& worker, const detail::job_state& job);
-  [[nodiscard]] std::optional<preemption> plan_preemption(std::vector<space> spaces,
+  [[nodiscard]] const space& space_on(detail::worker_state& worker);
+  [[nodiscard]] std::optional<preemption> plan_preemption(const std::vector<const space*>& spaces,
                                                           const detail::job_state& job,
-                                                          const detail::unit& unit) const;
+                                                          const detail::unit& unit);
+  /// What the passes derived from the state of these workers and of urgent work is out of date.
+  void forget_derived(const std::vector<detail::worker_state*>& changed);
   [[nodiscard]] bool preempt(detail::job_state& job, detail::unit& unit, bool spread, instant now);
   struct team_share {
     std::int64_t used{0};
     std::int64_t guaranteed{0};
   };
-  [[nodiscard]] std::map<team_id, team_share> urgent_shares() const;
+  [[nodiscard]] const std::map<team_id, team_share>& urgent_shares();
   [[nodiscard]] static std::int64_t accelerators_of(const detail::job_state& job, const detail::unit& unit) {
     return step_of(job, unit).each.accelerators * static_cast<std::int64_t>(unit.members.size());
   }
@@ -293,6 +296,9 @@
   /// Space that waiting gangs keep from later work; holds for one pass.
   std::map<detail::worker_state*, resource_amounts> held;
   std::int64_t held_accelerators{0};
+  /// Derived once a pass, because each waiting urgent unit asks for all of them.
+  absl::node_hash_map<const detail::worker_state*, space> spaces_of_pass;
+  std::optional<std::map<team_id, team_share>> shares_of_pass;
 };
 
 }  // namespace rhubarbpath
--- a/src/coordination/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler_placement.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 /// Placement passes are at least this far apart, so that a burst of events costs one pass.
-constexpr duration placement_interval{std::chrono::milliseconds{8}};
+constexpr duration placement_interval{std::chrono::milliseconds{12}};
 /// Bounds how late a unit is placed that became ready by time alone.
 constexpr duration recheck_interval{std::chrono::milliseconds{50}};
 
@@ -43,9 +43,12 @@
 }
 
 /// Accelerators that each team's urgent work uses, and what the team is guaranteed.
-std::map<team_id, job_scheduler::implementation::team_share> job_scheduler::implementation::urgent_shares()
-    const {
-  std::map<team_id, team_share> shares;
+const std::map<team_id, job_scheduler::implementation::team_share>&
+job_scheduler::implementation::urgent_shares() {
+  if (shares_of_pass) {
+    return *shares_of_pass;
+  }
+  auto& shares = shares_of_pass.emplace();
   if (config == nullptr) {
     return shares;
   }
@@ -121,6 +124,8 @@
   build_pools(now);
   held.clear();
   held_accelerators = 0;
+  spaces_of_pass.clear();
+  shares_of_pass.reset();
   for (const auto& each : waiting) {
     place_step(each, now);
   }
@@ -285,6 +290,7 @@
   struct candidate {
     worker_state* worker;
     resource_amounts free;
+    resource_amounts capacity;
   };
   std::vector<worker_state*> best;
   std::int64_t best_missing = 0;
@@ -296,17 +302,16 @@
         if (const auto kept = held.find(worker); kept != held.end()) {
           free -= kept->second;
         }
-        rooms.push_back({.worker = worker, .free = free});
+        rooms.push_back({.worker = worker, .free = free, .capacity = worker->entry.capacity});
       }
     }
     std::vector<worker_state*> chosen;
-    std::map<worker_state*, resource_amounts> taken;
     std::int64_t missing = 0;
     for (std::size_t index = 0; index < waiting.members.size(); ++index) {
       candidate* pick = nullptr;
       std::int64_t pick_missing = 0;
       for (auto& room : rooms) {
-        if (!(room.worker->entry.capacity - taken[room.worker]).covers(need)) {
+        if (!room.capacity.covers(need)) {
           continue;
         }
         const auto lacks = std::max<std::int64_t>(0, need.accelerators - room.free.accelerators) +
@@ -321,7 +326,7 @@
       }
       missing += pick_missing;
       pick->free -= need;
-      taken[pick->worker] += need;
+      pick->capacity -= need;
       chosen.push_back(pick->worker);
     }
     if (best.empty() || missing < best_missing) {
@@ -368,6 +373,7 @@
     order_start(job, starting, index, now);
     absl::StrAppend(&names, index == 0 ? "" : ",", worker.entry.id.value());
   }
+  forget_derived(where);
   const auto waited =
       std::chrono::duration_cast<std::chrono::milliseconds>(now - starting.waiting_since).count();
   record("unit_started", job.job.id, "placed",
--- a/src/coordination/job_scheduler_preemption.cpp
+++ b/src/coordination/job_scheduler_preemption.cpp
@@ -33,10 +33,14 @@
 
 }  // namespace
 
-job_scheduler::implementation::space job_scheduler::implementation::space_on(worker_state& worker,
-                                                                             const job_state& job) {
-  space result{
-      .worker = &worker, .free = worker.entry.capacity - worker.used - worker.reserved, .victims = {}};
+const job_scheduler::implementation::space& job_scheduler::implementation::space_on(worker_state& worker) {
+  const auto [place, made] = spaces_of_pass.try_emplace(&worker);
+  auto& result = place->second;
+  if (!made) {
+    return result;
+  }
+  result.worker = &worker;
+  result.free = worker.entry.capacity - worker.used - worker.reserved;
   for (const auto& [task, run] : worker.tasks) {
     std::uint32_t index = 0;
     auto* target = find_unit(task, &index);
@@ -50,8 +54,7 @@
       continue;
     }
     const bool urgent = owner->queue->priority == 0;
-    if (target->phase != unit_phase::active || step.long_running ||
-        owner->queue->priority < job.queue->priority || (urgent && owner->job.team == job.job.team)) {
+    if (target->phase != unit_phase::active || step.long_running) {
       continue;
     }
     const double weight = urgent ? urgent_weight : 1.0;
@@ -65,11 +68,15 @@
 
 /// Finds a place for every member among `spaces` with little lost work, or nothing.
 std::optional<job_scheduler::implementation::preemption> job_scheduler::implementation::plan_preemption(
-    std::vector<space> spaces, const job_state& job, const unit& placed) const {
+    const std::vector<const space*>& spaces, const job_state& job, const unit& placed) {
   const auto& step = step_of(job, placed);
   const auto need = occupied(step);
   auto shares = urgent_shares();
   const auto own = shares[job.job.team];
+  absl::flat_hash_map<worker_id, resource_amounts> free_on;
+  for (const auto* each : spaces) {
+    free_on[each->worker->entry.id] = each->free;
+  }
   // Urgent work of a team above its guarantee runs on what others are guaranteed; it goes only for work
   // that fits wholly into its own team's guarantee.
   const bool whole_claim = own.used + accelerators_of(job, placed) <= own.guaranteed;
@@ -78,23 +85,24 @@
       return true;
     }
     const auto& share = shares[one.job->job.team];
-    return whole_claim && share.used - accelerators_of(*one.job, *one.target) >= share.guaranteed;
+    return whole_claim && one.job->job.team != job.job.team &&
+           share.used - accelerators_of(*one.job, *one.target) >= share.guaranteed;
   };
   preemption plan;
   std::map<const worker_state*, std::uint32_t> of_step;
   for (std::size_t index = 0; index < placed.members.size(); ++index) {
-    space* best = nullptr;
+    const space* best = nullptr;
     std::pair<double, std::int64_t> best_cost;
     std::vector<victim> best_victims;
-    for (auto& each : spaces) {
+    for (const auto* each : spaces) {
       if (step.max_per_worker > 0 &&
-          tasks_of_step(*each.worker, job, placed) + of_step[each.worker] >= step.max_per_worker) {
+          tasks_of_step(*each->worker, job, placed) + of_step[each->worker] >= step.max_per_worker) {
         continue;
       }
-      auto free = each.free;
+      auto free = free_on[each->worker->entry.id];
       double loss = 0;
       std::vector<victim> victims;
-      for (const auto& one : each.victims) {
+      for (const auto& one : each->victims) {
         if (free.covers(need)) {
           break;
         }
@@ -106,7 +114,7 @@
       }
       const std::pair cost{loss, free.accelerators};
       if (free.covers(need) && (best == nullptr || cost < best_cost)) {
-        best = &each;
+        best = each;
         best_cost = cost;
         best_victims = std::move(victims);
       }
@@ -124,33 +132,38 @@
       }
       // All members of the victim leave, on this worker and on others.
       for (const auto& left : one.target->members) {
-        for (auto& each : spaces) {
-          if (each.worker->entry.id == left.worker) {
-            each.free += occupied(step_of(*one.job, *one.target));
-          }
+        if (const auto found = free_on.find(left.worker); found != free_on.end()) {
+          found->second += occupied(step_of(*one.job, *one.target));
         }
       }
     }
-    best->free -= need;
+    free_on[best->worker->entry.id] -= need;
     ++of_step[best->worker];
     plan.where.push_back(best->worker);
   }
   return plan;
 }
 
+void job_scheduler::implementation::forget_derived(const std::vector<worker_state*>& changed) {
+  for (const auto* worker : changed) {
+    spaces_of_pass.erase(worker);
+  }
+  shares_of_pass.reset();
+}
+
 /// Frees space for urgent work by stopping other units, the ones that lose least work first. The space is
 /// reserved until the ends of the stopped runs are listed.
 bool job_scheduler::implementation::preempt(job_state& job, unit& placed, bool spread, instant now) {
   const auto& step = step_of(job, placed);
   std::optional<preemption> best;
   const auto consider = [&](const std::vector<worker_state*>& pool) {
-    std::vector<space> spaces;
+    std::vector<const space*> spaces;
     for (auto* worker : pool) {
       if (detail::serves(*worker, job, step)) {
-        spaces.push_back(space_on(*worker, job));
+        spaces.push_back(&space_on(*worker));
       }
     }
-    auto plan = plan_preemption(std::move(spaces), job, placed);
+    auto plan = plan_preemption(spaces, job, placed);
     if (plan && (!best || plan->loss < best->loss)) {
       best = std::move(plan);
     }
@@ -167,6 +180,9 @@
   if (!best) {
     return false;
   }
+  // A victim leaves all its workers, which are not known here one by one.
+  spaces_of_pass.clear();
+  shares_of_pass.reset();
   for (const auto& [target, owner] : best->victims) {
     record("unit_preempted", owner->job.id, absl::StrCat("for ", job.job.id.value()),
            {{"step", absl::StrCat(target->occurrence, ".", target->step, ".", target->number)}});
--- a/tests/coordination/job_scheduler_test.cpp
+++ b/tests/coordination/job_scheduler_test.cpp
@@ -10,10 +10,7 @@
 using testing::simulated_workers;
 
 step_spec alike_tasks(std::uint32_t count, std::int64_t accelerators, duration estimate, bool gang = false) {
-  return {.count = count,
-          .each = {1000, 1000, accelerators},
-          .estimate = estimate,
-          .gang = gang};
+  return {.count = count, .each = {1000, 1000, accelerators}, .estimate = estimate, .gang = gang};
 }
 
 class scheduler_fixture {
@@ -58,7 +55,8 @@
   const task_ref task{.job = job_id{"a"}};
   const auto report = [&](const char* worker, std::uint64_t run) {
     lease_report listed{.born = incarnation{1}, .clock = milliseconds{1000}};
-    listed.ended.push_back({.number = 1000, .task = task, .run = run_number{run}, .outcome = run_outcome::failed});
+    listed.ended.push_back(
+        {.number = 1000, .task = task, .run = run_number{run}, .outcome = run_outcome::failed});
     scheduler.worker_reported(worker_id{worker}, listed, fleet.now, fleet.now);
   };
   report("w5", 900);
@@ -138,7 +136,8 @@
   fleet.begin_term();
   fleet.play(milliseconds{300});
   for (int index = 0; index < 6; ++index) {
-    fleet.submit(simulated_workers::job("wide" + std::to_string(index), 0, alike_tasks(1, 8, seconds{30}, true)));
+    fleet.submit(
+        simulated_workers::job("wide" + std::to_string(index), 0, alike_tasks(1, 8, seconds{30}, true)));
   }
   fleet.play(seconds{1});
   REQUIRE(fleet.running_tasks() == 6);
@@ -180,7 +179,8 @@
 TEST_CASE("scheduler_random_faults_keep_every_promise") {
   // Plays cut, restarted, leaving and failing workers, late orders, lost answers, store outages and
   // changes of the owner, all drawn from the seed.
-  const auto seed = std::getenv("RHUBARBPATH_SEED") ? std::atoi(std::getenv("RHUBARBPATH_SEED")) : GENERATE(range(1, 25));
+  const auto seed =
+      std::getenv("RHUBARBPATH_SEED") ? std::atoi(std::getenv("RHUBARBPATH_SEED")) : GENERATE(range(1, 25));
   simulated_workers fleet{static_cast<std::uint64_t>(seed)};
   fleet.add_workers(10);
   fleet.configuration = simulated_workers::config(50);
@@ -191,10 +191,10 @@
   for (int round = 0; round < 40; ++round) {
     const auto name = "j" + std::to_string(jobs++);
     const auto count = 1 + static_cast<std::uint32_t>(random.below(6));
-    fleet.submit(simulated_workers::job(name, static_cast<int>(random.below(3)),
-                                        alike_tasks(count, 1 + static_cast<std::int64_t>(random.below(4)),
-                                                    milliseconds{500 + random.below(4000)},
-                                                    random.below(2) == 0)));
+    fleet.submit(
+        simulated_workers::job(name, static_cast<int>(random.below(3)),
+                               alike_tasks(count, 1 + static_cast<std::int64_t>(random.below(4)),
+                                           milliseconds{500 + random.below(4000)}, random.below(2) == 0)));
     const auto pick = [&] { return worker_id{"w" + std::to_string(1 + random.below(10))}; };
     switch (random.below(10)) {
       case 0:
--- a/tests/coordination/simulated_workers.hpp
+++ b/tests/coordination/simulated_workers.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdio>
 #include <cstdlib>
 #include <functional>
@@ -136,7 +137,9 @@
         if (now >= next_listing) {
           list_workers();
         }
+        const auto begin = std::chrono::steady_clock::now();
         scheduler->tick(now);
+        scheduler_time += std::chrono::steady_clock::now() - begin;
         take_actions();
       }
     }
@@ -198,6 +201,7 @@
   /// Prints the scheduler's decisions, to find the cause of a failure; set by RHUBARBPATH_TRACE.
   bool trace{std::getenv("RHUBARBPATH_TRACE") != nullptr};
   random_source random;
+  std::chrono::nanoseconds scheduler_time{0};  ///< Real time spent in `tick`.
   /// How long a task of this job really takes; the estimate of its step otherwise.
   std::map<job_id, duration> real_duration;
 
@@ -267,18 +271,19 @@
     return found == stored_jobs.end() ? nullptr : &found->second.graph.steps[task.step];
   }
 
-  /// All members of a run are present.
-  [[nodiscard]] bool gang_whole(const task_ref& task, run_number run, std::uint32_t count) const {
-    std::uint32_t present = 0;
+  using gang_run = std::tuple<job_id, std::uint32_t, std::uint32_t, run_number>;
+
+  /// Members that are present, by gang run.
+  [[nodiscard]] std::map<gang_run, std::uint32_t> gang_members() const {
+    std::map<gang_run, std::uint32_t> present;
     for (const auto& [id, each] : workers) {
-      for (const auto& [other, state] : each.tasks) {
-        if (other.job == task.job && other.step == task.step && other.occurrence == task.occurrence &&
-            state.run == run) {
-          ++present;
+      for (const auto& [task, state] : each.tasks) {
+        if (state.gang) {
+          ++present[{task.job, task.occurrence, task.step, state.run}];
         }
       }
     }
-    return present == count;
+    return present;
   }
 
   void end_gang(const task_ref& task, run_number run, run_outcome own, run_outcome others) {
@@ -294,6 +299,7 @@
   }
 
   void advance_workers(duration step) {
+    const auto present = gang_members();
     for (auto& [id, each] : workers) {
       const auto tasks = each.tasks;
       for (const auto& [task, unused] : tasks) {
@@ -313,7 +319,8 @@
           continue;
         }
         const auto* spec = step_of(task);
-        const bool together = spec == nullptr || !spec->gang || gang_whole(task, state.run, spec->count);
+        const auto members = present.find({task.job, task.occurrence, task.step, state.run});
+        const bool together = !state.gang || (members != present.end() && members->second == spec->count);
         if (!together && now - state.started > std::chrono::seconds{3}) {
           alone += 1;
           end_run(each, task, run_outcome::gang_incomplete);
@@ -368,8 +375,11 @@
     const auto work = real != real_duration.end() ? real->second
                       : spec == nullptr           ? duration{std::chrono::seconds{1}}
                                                   : spec->estimate;
-    each.tasks[order.task] = {.run = order.run, .work_left = work, .lease_until = order.lease_until,
-                              .gang = spec != nullptr && spec->gang, .started = now};
+    each.tasks[order.task] = {.run = order.run,
+                              .work_left = work,
+                              .lease_until = order.lease_until,
+                              .gang = spec != nullptr && spec->gang,
+                              .started = now};
     for (auto& [task, state] : each.tasks) {
       state.lease_until = std::max(state.lease_until, order.lease_until);
     }
@@ -410,8 +420,11 @@
   [[nodiscard]] int percent_of(const task_ref& task, const run_state& state) const {
     const auto* spec = step_of(task);
     const auto real = real_duration.find(task.job);
-    const auto whole = real != real_duration.end() ? real->second : spec == nullptr ? duration{1} : spec->estimate;
-    const auto share = 1.0 - static_cast<double>(state.work_left.count()) / static_cast<double>(whole.count());
+    const auto whole = real != real_duration.end() ? real->second
+                       : spec == nullptr           ? duration{1}
+                                                   : spec->estimate;
+    const auto share =
+        1.0 - static_cast<double>(state.work_left.count()) / static_cast<double>(whole.count());
     return static_cast<int>(99.0 * share);
   }
 
@@ -511,16 +524,15 @@
     transmit(
         order.worker, [this, order, from = term](worker& at) { return renew(at, order, from); },
         [this, order, sent](const lease_report& report) {
-          after(std::min<duration>(order.wait, milliseconds{40}), [this, order, report, sent, of_term = term] {
-            if (of_term == term) {
-              scheduler->worker_reported(order.worker, report, sent, now);
-              take_actions();
-            }
-          });
+          after(std::min<duration>(order.wait, milliseconds{40}),
+                [this, order, report, sent, of_term = term] {
+                  if (of_term == term) {
+                    scheduler->worker_reported(order.worker, report, sent, now);
+                    take_actions();
+                  }
+                });
         },
-        [this, order] {
-          scheduler->worker_unreachable(order.worker, renewal_failure::unanswered, now);
-        });
+        [this, order] { scheduler->worker_unreachable(order.worker, renewal_failure::unanswered, now); });
   }
   void perform(const store_progress& write) {
     const auto of_term = term;
