Stop a start whose first try is unanswered, and repeat a stop only for a run that outlives it

Ruled out: a lost callback of the HTTP client; the trace showed 50 answered stops. Change: a refusal after an unanswered try leads to a stop; an answered stop is repeated only when a later report still lists the run.

--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -183,7 +183,6 @@
 }
 
 void job_scheduler::implementation::repeat_orders(instant now) {
-  constexpr duration stop_overdue{std::chrono::seconds{1}};
   for (auto found = open_jobs.begin(); found != open_jobs.end();) {
     auto& job = *found->second;
     bool settled = is_terminal(job.phase);
@@ -199,8 +198,7 @@
         }
         if (one.phase == member_phase::starting && one.tries > 0) {
           order_start(job, each, index, now);
-        } else if (one.phase == member_phase::stopping &&
-                   (one.known_at == instant{} || now - one.ordered_at > stop_overdue)) {
+        } else if (one.phase == member_phase::stopping && one.known_at == instant{}) {
           order_stop(job, each, index, now);
         }
       }
@@ -267,12 +265,12 @@
   } else if (found != self.workers.end()) {
     found->second.replaced = true;
   }
-  const bool late_repeat = started.tries > 1 && std::holds_alternative<start_refused>(result) &&
-                           std::get<start_refused>(result).why == start_refusal::superseded;
-  if (late_repeat) {
-    // An earlier try of this start was carried out and has ended already; its end will be listed.
-    started.phase = member_phase::running;
-    started.known_at = now;
+  if (started.tries > 1 && !std::holds_alternative<wrong_instance>(result)) {
+    // This refusal tells nothing of an earlier try, which may still be carried out; a stop prevents that.
+    if (!stopping) {
+      self.order_stop(job, *owner, index, now);
+      self.end_unit(job, *owner, now);
+    }
     return;
   }
   self.clear_member(job, *owner, index);
@@ -396,7 +394,14 @@
     std::uint32_t index = 0;
     if (auto* owner = self.find_unit(run.task, &index);
         owner != nullptr && owner->members[index].worker == id && owner->members[index].run == run.run) {
-      owner->members[index].known_at = std::max(owner->members[index].known_at, sent);
+      auto& seen = owner->members[index];
+      const bool outlived_stop =
+          seen.phase == member_phase::stopping && seen.known_at != instant{} && sent > seen.known_at;
+      if (outlived_stop) {
+        self.order_stop(self.jobs.at(run.task.job), *owner, index, now);
+      } else if (seen.phase != member_phase::stopping) {
+        seen.known_at = std::max(seen.known_at, sent);
+      }
     }
   }
   self.drop_absent(worker, report, restarted, sent, now);
--- a/tests/coordination/job_scheduler_test.cpp
+++ b/tests/coordination/job_scheduler_test.cpp
@@ -162,6 +162,54 @@
   }
 }
 
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_start_that_never_arrived_frees_its_gang") {
+  // A stop of a run that had never started was repeated every second, and each answer put off the moment
+  // from which a report counted, so the gang waited for ever.
+  fleet.submit(simulated_workers::job("busy", 1, alike_tasks(6, 5, seconds{40})));
+  fleet.play(milliseconds{1300});
+  REQUIRE(fleet.running_tasks() == 6);
+  fleet.submit(simulated_workers::job("gang", 1, alike_tasks(6, 3, seconds{1}, true)));
+  fleet.workers.at(worker_id{"w1"}).cut = true;
+  const auto cut_for = GENERATE(range(1700, 2700, 100));
+  fleet.play(milliseconds{cut_for});
+  fleet.workers.at(worker_id{"w1"}).cut = false;
+  fleet.play(seconds{6});
+  INFO("cut for " << cut_for << " ms");
+  CHECK(fleet.phase("gang") == job_phase::complete);
+  CHECK(fleet.violations.empty());
+}
+
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_refused_repeat_of_a_start_is_stopped_before_another_run") {
+  // The first try of a start was delayed on its way, the second could not be sent. The refusal of the
+  // second was taken for both, and the task ran twice.
+  fleet.submit(simulated_workers::job("a", 1, alike_tasks(1, 1, seconds{5})));
+  auto& scheduler = *fleet.scheduler;
+  const auto orders = [&] {
+    fleet.now += milliseconds{100};
+    scheduler.tick(fleet.now);
+    return scheduler.take_actions();
+  };
+  std::vector<start_order> starts;
+  for (const auto& action : orders()) {
+    if (const auto* start = std::get_if<start_order>(&action)) {
+      starts.push_back(*start);
+    }
+  }
+  REQUIRE(starts.size() == 1);
+  const auto& first = starts.front();
+  scheduler.start_answered(first.worker, first.task, first.run, order_unanswered{}, fleet.now);
+  CHECK_FALSE(orders().empty());
+  const start_result refused = start_refused{start_refusal::unhealthy};
+  scheduler.start_answered(first.worker, first.task, first.run, refused, fleet.now);
+  bool stopped = false;
+  for (const auto& action : orders()) {
+    const auto* start = std::get_if<start_order>(&action);
+    stopped = stopped || std::holds_alternative<stop_order>(action);
+    CHECK((start == nullptr || start->run == first.run));
+  }
+  CHECK(stopped);
+}
+
 TEST_CASE_METHOD(scheduler_fixture, "scheduler_unanswered_start_is_repeated_not_doubled") {
   fleet.injected.late_order = 0.3;
   fleet.injected.lost_answer = 0.2;
--- a/tests/coordination/simulated_workers.hpp
+++ b/tests/coordination/simulated_workers.hpp
@@ -520,20 +520,31 @@
   }
   void perform(const renew_order& order) {
     const auto sent = now;
-    // A waiting renewal is answered after a short while here; ends are seen by the next one.
     transmit(
         order.worker, [this, order, from = term](worker& at) { return renew(at, order, from); },
-        [this, order, sent](const lease_report& report) {
-          after(std::min<duration>(order.wait, milliseconds{40}),
-                [this, order, report, sent, of_term = term] {
-                  if (of_term == term) {
-                    scheduler->worker_reported(order.worker, report, sent, now);
-                    take_actions();
-                  }
-                });
-        },
+        [this, order, sent](const lease_report&) { answer_renewal(order, sent, now + order.wait, term); },
         [this, order] { scheduler->worker_unreachable(order.worker, renewal_failure::unanswered, now); });
   }
+  /// A waiting renewal is answered when a run ends, or when its wait is over.
+  void answer_renewal(const renew_order& order, instant sent, instant until, std::uint64_t of_term) {
+    auto& at = workers.at(order.worker);
+    if (of_term != term) {
+      return;
+    }
+    const bool ended = !at.ended.empty();
+    if (!at.running || at.cut) {
+      const auto unanswered = [this, order] {
+        scheduler->worker_unreachable(order.worker, renewal_failure::unanswered, now);
+      };
+      unanswered_later(of_term, unanswered, milliseconds{400});
+    } else if (ended || now >= until) {
+      scheduler->worker_reported(order.worker, renew(at, order, of_term), sent, now);
+      take_actions();
+    } else {
+      after(milliseconds{12},
+            [this, order, sent, until, of_term] { answer_renewal(order, sent, until, of_term); });
+    }
+  }
   void perform(const store_progress& write) {
     const auto of_term = term;
     after(milliseconds{4}, [this, write, of_term] { store(write, of_term); });
