--- a/include/rhubarbpath/coordination/job_scheduler.hpp
+++ b/include/rhubarbpath/coordination/job_scheduler.hpp
@@ -85,9 +85,9 @@
                                       owner_superseded, decision_record>;
 
 enum class renewal_failure {
-  unanswered,        ///< It may be carried out later.
-  refused,           ///< Nothing listens at the address.
-  other_instance,    ///< Another instance answers at the address.
+  unanswered,      ///< It may be carried out later.
+  refused,         ///< Nothing listens at the address.
+  other_instance,  ///< Another instance answers at the address.
 };
 
 using start_result = std::variant<start_accepted, start_refused, order_unanswered, wrong_instance>;
--- a/include/rhubarbpath/state/fleet.hpp
+++ b/include/rhubarbpath/state/fleet.hpp
@@ -18,7 +18,7 @@
   std::string host;
   std::string path_prefix;
   service_id service;
-  bool open_to_all{false};  ///< No key of a team is asked for.
+  bool open_to_all{false};   ///< No key of a team is asked for.
   std::int64_t priority{0};  ///< 0 comes first and may preempt others.
   std::uint32_t max_attempts{1};
   double stretch{1.0};  ///< Objective as a multiple of the longest chain of work.
--- a/include/rhubarbpath/state/kv.hpp
+++ b/include/rhubarbpath/state/kv.hpp
@@ -59,8 +59,7 @@
 struct kv_release {
   store_lease lease;
 };
-using kv_request =
-    std::variant<kv_get, kv_list, kv_watch, kv_commit, kv_grant, kv_renew, kv_release>;
+using kv_request = std::variant<kv_get, kv_list, kv_watch, kv_commit, kv_grant, kv_renew, kv_release>;
 
 /// Answer to a get or list; an absent key gives no item.
 struct kv_items {
--- a/include/rhubarbpath/state/vm_settings.hpp
+++ b/include/rhubarbpath/state/vm_settings.hpp
@@ -13,10 +13,10 @@
 struct vm_settings {
   vm_id vm;
   failure_domain_id domain;
-  std::string caller_address;   ///< Callers' requests.
-  std::string ready_address;    ///< The load balancer's readiness probe.
-  std::string peer_address;     ///< Requests of other VMs.
-  std::string metrics_address;  ///< Counters and histograms as text.
+  std::string caller_address;      ///< Callers' requests.
+  std::string ready_address;       ///< The load balancer's readiness probe.
+  std::string peer_address;        ///< Requests of other VMs.
+  std::string metrics_address;     ///< Counters and histograms as text.
   std::vector<std::string> seeds;  ///< Peer addresses of some VMs; may be stale.
   std::string store_address;
   double processor_cores{1.0};  ///< Share of a core times its relative speed.
--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -208,6 +209,9 @@
   [[nodiscard]] std::chrono::milliseconds worker_clock(const detail::worker_state& worker, instant now) const;
   [[nodiscard]] std::chrono::milliseconds lease_end(const detail::worker_state& worker, instant now) const;
   void order_start(detail::job_state& job, detail::unit& unit, std::size_t index, instant now);
+  void start_unanswered(detail::job_state& job, detail::unit& unit, std::size_t index, instant now);
+  void start_rejected(detail::job_state& job, detail::unit& unit, std::size_t index,
+                      const start_result& result, instant now);
   void order_stop(detail::job_state& job, detail::unit& unit, std::size_t index, instant now);
   void adopt(detail::worker_state& worker, const active_run& run, instant now);
   void take_end(detail::worker_state& worker, const ended_run& end, instant now);
@@ -224,10 +228,10 @@
   // job_scheduler_placement.cpp
   /// A step of which units wait, and its place in the order.
   struct waiting_step {
-    detail::job_state* job;
-    detail::step_state* step;
-    int rank;
-    instant objective;
+    detail::job_state* job{nullptr};
+    detail::step_state* step{nullptr};
+    int rank{0};
+    instant objective{};
   };
   /// The workers that may get work in one pass; built once a pass, because most steps ask for all.
   struct worker_pool {
@@ -253,6 +257,13 @@
   /// `spread` allows more than one rack, or a rack without the data.
   [[nodiscard]] placement choose(const detail::job_state& job, const detail::unit& unit, bool spread) const;
   void hold_space(const detail::job_state& job, const detail::unit& unit);
+  /// Where a waiting gang is to go in `pool`, and how many accelerators are not free there yet.
+  struct future_place {
+    placement where;
+    std::int64_t missing{0};
+  };
+  [[nodiscard]] future_place future_place_in(const std::vector<detail::worker_state*>& pool,
+                                             const detail::job_state& job, const detail::unit& unit) const;
   void start_unit(detail::job_state& job, detail::unit& unit, const placement& where, instant now);
   void start_reserved(instant now);
   void release_reservation(detail::unit& unit, const resource_amounts& each, instant now);
@@ -260,13 +271,13 @@
   // job_scheduler_preemption.cpp
   /// A unit that may be stopped, and the work that is lost with it.
   struct victim {
-    detail::job_state* job;
-    detail::unit* target;
-    double loss;
+    detail::job_state* job{nullptr};
+    detail::unit* target{nullptr};
+    double loss{0};
   };
   /// A worker's free space, and what could be stopped there, the smallest loss first.
   struct space {
-    detail::worker_state* worker;
+    detail::worker_state* worker{nullptr};
     resource_amounts free;
     std::vector<victim> victims;
   };
@@ -276,6 +287,17 @@
     double loss{0};
   };
   [[nodiscard]] const space& space_on(detail::worker_state& worker);
+  /// The cheapest worker for one more member.
+  struct member_plan {
+    const space* where{nullptr};
+    std::vector<victim> victims;
+    std::pair<double, std::int64_t> cost;  ///< Lost work, then the accelerators that stay free.
+  };
+  using free_table = absl::flat_hash_map<worker_id, resource_amounts>;
+  [[nodiscard]] static member_plan plan_member(const std::vector<const space*>& spaces,
+                                               const free_table& free_on, const resource_amounts& need,
+                                               const std::function<bool(const victim&)>& may_stop,
+                                               const std::function<bool(const space&)>& may_use);
   [[nodiscard]] std::optional<preemption> plan_preemption(const std::vector<const space*>& spaces,
                                                           const detail::job_state& job,
                                                           const detail::unit& unit);
--- a/src/coordination/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler_placement.cpp
@@ -274,64 +274,65 @@
   return {};
 }
 
+job_scheduler::implementation::future_place job_scheduler::implementation::future_place_in(
+    const std::vector<worker_state*>& pool, const job_state& job, const unit& waiting) const {
+  struct room {
+    worker_state* worker;
+    resource_amounts free;
+    resource_amounts capacity;
+  };
+  const auto& step = step_of(job, waiting);
+  const auto need = occupied(step);
+  std::vector<room> rooms;
+  for (auto* worker : pool) {
+    if (serves(*worker, job, step) && worker->entry.capacity.covers(need)) {
+      auto free = worker->entry.capacity - worker->used - worker->reserved;
+      if (const auto kept = held.find(worker); kept != held.end()) {
+        free -= kept->second;
+      }
+      rooms.push_back({.worker = worker, .free = free, .capacity = worker->entry.capacity});
+    }
+  }
+  future_place result;
+  for (std::size_t index = 0; index < waiting.members.size(); ++index) {
+    room* pick = nullptr;
+    std::int64_t pick_missing = 0;
+    for (auto& each : rooms) {
+      const auto lacks = std::max<std::int64_t>(0, need.accelerators - each.free.accelerators) +
+                         (each.free.covers(need) ? 0 : 1);
+      if (each.capacity.covers(need) && (pick == nullptr || lacks < pick_missing)) {
+        pick = &each;
+        pick_missing = lacks;
+      }
+    }
+    if (pick == nullptr) {
+      return {};
+    }
+    result.missing += pick_missing;
+    pick->free -= need;
+    pick->capacity -= need;
+    result.where.push_back(pick->worker);
+  }
+  return result;
+}
+
 /// Keeps space for a gang that finds no place now from work that comes after it in the order. Without
 /// this, small work fills each gap as it appears, and a gang of many workers never starts.
 void job_scheduler::implementation::hold_space(const job_state& job, const unit& waiting) {
   const auto& step = step_of(job, waiting);
-  const auto need = occupied(step);
   std::int64_t offered = 0;
   for (const auto* worker : usable_workers.all) {
     offered += worker->entry.capacity.accelerators;
   }
-  const auto wanted = accelerators_of(job, waiting);
-  if (held_accelerators + wanted > static_cast<std::int64_t>(static_cast<double>(offered) * max_held_share)) {
+  const auto limit = static_cast<std::int64_t>(static_cast<double>(offered) * max_held_share);
+  if (held_accelerators + accelerators_of(job, waiting) > limit) {
     return;
   }
-  struct candidate {
-    worker_state* worker;
-    resource_amounts free;
-    resource_amounts capacity;
-  };
-  std::vector<worker_state*> best;
-  std::int64_t best_missing = 0;
+  future_place best;
   const auto consider = [&](const std::vector<worker_state*>& pool) {
-    std::vector<candidate> rooms;
-    for (auto* worker : pool) {
-      if (serves(*worker, job, step) && worker->entry.capacity.covers(need)) {
-        auto free = worker->entry.capacity - worker->used - worker->reserved;
-        if (const auto kept = held.find(worker); kept != held.end()) {
-          free -= kept->second;
-        }
-        rooms.push_back({.worker = worker, .free = free, .capacity = worker->entry.capacity});
-      }
-    }
-    std::vector<worker_state*> chosen;
-    std::int64_t missing = 0;
-    for (std::size_t index = 0; index < waiting.members.size(); ++index) {
-      candidate* pick = nullptr;
-      std::int64_t pick_missing = 0;
-      for (auto& room : rooms) {
-        if (!room.capacity.covers(need)) {
-          continue;
-        }
-        const auto lacks = std::max<std::int64_t>(0, need.accelerators - room.free.accelerators) +
-                           (room.free.covers(need) ? 0 : 1);
-        if (pick == nullptr || lacks < pick_missing) {
-          pick = &room;
-          pick_missing = lacks;
-        }
-      }
-      if (pick == nullptr) {
-        return;
-      }
-      missing += pick_missing;
-      pick->free -= need;
-      pick->capacity -= need;
-      chosen.push_back(pick->worker);
-    }
-    if (best.empty() || missing < best_missing) {
-      best = std::move(chosen);
-      best_missing = missing;
+    auto place = future_place_in(pool, job, waiting);
+    if (!place.where.empty() && (best.where.empty() || place.missing < best.missing)) {
+      best = std::move(place);
     }
   };
   if (prefers_rack(step)) {
@@ -343,7 +344,8 @@
   } else {
     consider(usable_workers.all);
   }
-  for (auto* worker : best) {
+  const auto need = occupied(step);
+  for (auto* worker : best.where) {
     held[worker] += need;
     held_accelerators += need.accelerators;
   }
--- a/src/coordination/job_scheduler_preemption.cpp
+++ b/src/coordination/job_scheduler_preemption.cpp
@@ -66,6 +66,34 @@
   return result;
 }
 
+job_scheduler::implementation::member_plan job_scheduler::implementation::plan_member(
+    const std::vector<const space*>& spaces, const free_table& free_on, const resource_amounts& need,
+    const std::function<bool(const victim&)>& may_stop, const std::function<bool(const space&)>& may_use) {
+  member_plan best;
+  for (const auto* each : spaces) {
+    if (!may_use(*each)) {
+      continue;
+    }
+    auto free = free_on.at(each->worker->entry.id);
+    member_plan plan{.where = each, .victims = {}, .cost = {}};
+    for (const auto& one : each->victims) {
+      if (free.covers(need)) {
+        break;
+      }
+      if (may_stop(one)) {
+        free += occupied(step_of(*one.job, *one.target));
+        plan.cost.first += one.loss;
+        plan.victims.push_back(one);
+      }
+    }
+    plan.cost.second = free.accelerators;
+    if (free.covers(need) && (best.where == nullptr || plan.cost < best.cost)) {
+      best = std::move(plan);
+    }
+  }
+  return best;
+}
+
 /// Finds a place for every member among `spaces` with little lost work, or nothing.
 std::optional<job_scheduler::implementation::preemption> job_scheduler::implementation::plan_preemption(
     const std::vector<const space*>& spaces, const job_state& job, const unit& placed) {
@@ -73,14 +101,18 @@
   const auto need = occupied(step);
   auto shares = urgent_shares();
   const auto own = shares[job.job.team];
-  absl::flat_hash_map<worker_id, resource_amounts> free_on;
+  free_table free_on;
   for (const auto* each : spaces) {
     free_on[each->worker->entry.id] = each->free;
   }
+  preemption plan;
   // Urgent work of a team above its guarantee runs on what others are guaranteed; it goes only for work
   // that fits wholly into its own team's guarantee.
   const bool whole_claim = own.used + accelerators_of(job, placed) <= own.guaranteed;
   const auto may_stop = [&](const victim& one) {
+    if (plan.victims.contains(one.target)) {
+      return false;
+    }
     if (one.job->queue->priority > 0) {
       return true;
     }
@@ -88,42 +120,18 @@
     return whole_claim && one.job->job.team != job.job.team &&
            share.used - accelerators_of(*one.job, *one.target) >= share.guaranteed;
   };
-  preemption plan;
   std::map<const worker_state*, std::uint32_t> of_step;
+  const auto may_use = [&](const space& each) {
+    return step.max_per_worker == 0 ||
+           tasks_of_step(*each.worker, job, placed) + of_step[each.worker] < step.max_per_worker;
+  };
   for (std::size_t index = 0; index < placed.members.size(); ++index) {
-    const space* best = nullptr;
-    std::pair<double, std::int64_t> best_cost;
-    std::vector<victim> best_victims;
-    for (const auto* each : spaces) {
-      if (step.max_per_worker > 0 &&
-          tasks_of_step(*each->worker, job, placed) + of_step[each->worker] >= step.max_per_worker) {
-        continue;
-      }
-      auto free = free_on[each->worker->entry.id];
-      double loss = 0;
-      std::vector<victim> victims;
-      for (const auto& one : each->victims) {
-        if (free.covers(need)) {
-          break;
-        }
-        if (!plan.victims.contains(one.target) && may_stop(one)) {
-          free += occupied(step_of(*one.job, *one.target));
-          loss += one.loss;
-          victims.push_back(one);
-        }
-      }
-      const std::pair cost{loss, free.accelerators};
-      if (free.covers(need) && (best == nullptr || cost < best_cost)) {
-        best = each;
-        best_cost = cost;
-        best_victims = std::move(victims);
-      }
-    }
-    if (best == nullptr) {
+    const auto chosen = plan_member(spaces, free_on, need, may_stop, may_use);
+    if (chosen.where == nullptr) {
       return std::nullopt;
     }
-    plan.loss += best_cost.first;
-    for (const auto& one : best_victims) {
+    plan.loss += chosen.cost.first;
+    for (const auto& one : chosen.victims) {
       if (!plan.victims.emplace(one.target, one.job).second) {
         continue;
       }
@@ -137,9 +145,9 @@
         }
       }
     }
-    free_on[best->worker->entry.id] -= need;
-    ++of_step[best->worker];
-    plan.where.push_back(best->worker);
+    free_on[chosen.where->worker->entry.id] -= need;
+    ++of_step[chosen.where->worker];
+    plan.where.push_back(chosen.where->worker);
   }
   return plan;
 }
--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -32,6 +32,26 @@
   return "failed";
 }
 
+std::string_view refusal_name(start_refusal refusal) {
+  switch (refusal) {
+    case start_refusal::fenced:
+      return "fenced";
+    case start_refusal::superseded:
+      return "superseded";
+    case start_refusal::too_late:
+      return "too_late";
+    case start_refusal::no_room:
+      return "no_room";
+    case start_refusal::no_ticket:
+      return "no_ticket";
+    case start_refusal::unhealthy:
+      return "unhealthy";
+    case start_refusal::invalid:
+      return "invalid";
+  }
+  return "invalid";
+}
+
 std::string_view failure_name(renewal_failure failure) {
   switch (failure) {
     case renewal_failure::unanswered:
@@ -217,65 +237,74 @@
   }
   auto& job = self.jobs.at(task.job);
   auto& started = owner->members[index];
-  const auto found = self.workers.find(id);
-  const bool stopping = started.phase == member_phase::stopping;
-  if (!stopping) {
-    started.answer_pending = false;
-  }
-  if (std::holds_alternative<start_accepted>(result)) {
-    if (!stopping) {
-      started.phase = member_phase::running;
-      started.known_at = now;
-      started.percent_changed = now;
-      job.begun = true;
-      job.phase = job.phase == job_phase::queued ? job_phase::running : job.phase;
-      if (found != self.workers.end() && !found->second.renewing) {
-        found->second.renew_at = now;
-      }
-    }
+  if (started.phase == member_phase::stopping && !std::holds_alternative<wrong_instance>(result)) {
+    // Only the stop's answer counts now.
     return;
   }
+  started.answer_pending = false;
   if (std::holds_alternative<order_unanswered>(result)) {
-    if (stopping) {
-      return;
-    }
-    started.repeat_at = now + detail::order_repeat_pause;
-    if (started.tries >= detail::max_start_tries) {
-      if (found != self.workers.end()) {
-        ++found->second.failed_renewals;
-      }
-      self.record("start_unanswered", task.job, "worker does not answer", {{"worker", id.value()}});
-      self.end_unit(job, *owner, now);
-    }
+    self.start_unanswered(job, *owner, index, now);
     return;
   }
-  // The worker did not take the run, now or later: a refusal or another instance is definite.
-  if (const auto* refused = std::get_if<start_refused>(&result)) {
-    self.record("start_refused", task.job, absl::StrCat("refusal ", static_cast<int>(refused->why)),
-                {{"worker", id.value()}, {"run", absl::StrCat(run.value())}});
+  if (!std::holds_alternative<start_accepted>(result)) {
+    self.start_rejected(job, *owner, index, result, now);
+    return;
+  }
+  started.phase = member_phase::running;
+  started.known_at = now;
+  started.percent_changed = now;
+  job.begun = true;
+  job.phase = job.phase == job_phase::queued ? job_phase::running : job.phase;
+  const auto found = self.workers.find(id);
+  if (found != self.workers.end() && !found->second.renewing) {
+    found->second.renew_at = now;
+  }
+}
+
+void job_scheduler::implementation::start_unanswered(job_state& job, unit& owner, std::size_t index,
+                                                     instant now) {
+  auto& started = owner.members[index];
+  started.repeat_at = now + detail::order_repeat_pause;
+  if (started.tries < detail::max_start_tries) {
+    return;
+  }
+  if (const auto found = workers.find(started.worker); found != workers.end()) {
+    ++found->second.failed_renewals;
+  }
+  record("start_unanswered", job.job.id, "worker does not answer", {{"worker", started.worker.value()}});
+  end_unit(job, owner, now);
+}
+
+void job_scheduler::implementation::start_rejected(job_state& job, unit& owner, std::size_t index,
+                                                   const start_result& result, instant now) {
+  auto& started = owner.members[index];
+  const auto found = workers.find(started.worker);
+  const auto* refused = std::get_if<start_refused>(&result);
+  if (refused != nullptr) {
+    record("start_refused", job.job.id, std::string{refusal_name(refused->why)},
+           {{"worker", started.worker.value()}, {"run", absl::StrCat(started.run.value())}});
     if (refused->why == start_refusal::fenced) {
-      self.actions.emplace_back(owner_superseded{.worker = id});
+      actions.emplace_back(owner_superseded{.worker = started.worker});
     }
-    if (found != self.workers.end()) {
+    if (found != workers.end()) {
       constexpr duration full_pause{std::chrono::milliseconds{400}};
       constexpr duration unhealthy_pause{std::chrono::milliseconds{2000}};
-      found->second.full_until =
-          now + (refused->why == start_refusal::unhealthy ? unhealthy_pause : full_pause);
+      const bool unhealthy = refused->why == start_refusal::unhealthy;
+      found->second.full_until = now + (unhealthy ? unhealthy_pause : full_pause);
     }
-  } else if (found != self.workers.end()) {
+  } else if (found != workers.end()) {
     found->second.replaced = true;
   }
-  if (started.tries > 1 && !std::holds_alternative<wrong_instance>(result)) {
+  if (refused != nullptr && started.tries > 1) {
     // This refusal tells nothing of an earlier try, which may still be carried out; a stop prevents that.
-    if (!stopping) {
-      self.order_stop(job, *owner, index, now);
-      self.end_unit(job, *owner, now);
-    }
+    order_stop(job, owner, index, now);
+    end_unit(job, owner, now);
     return;
   }
-  self.clear_member(job, *owner, index);
-  self.end_unit(job, *owner, now);
-  self.settle_unit(job, *owner, now);
+  // The worker did not take the run, now or later.
+  clear_member(job, owner, index);
+  end_unit(job, owner, now);
+  settle_unit(job, owner, now);
 }
 
 void job_scheduler::stop_answered(const worker_id& id, const task_ref& task, run_number run, bool answered,
--- a/src/programs/rhubarb-edge/owner_session.cpp
+++ b/src/programs/rhubarb-edge/owner_session.cpp
@@ -24,8 +24,7 @@
 
 }  // namespace
 
-owner_session::owner_session(options opts, dependencies uses)
-    : opts_{std::move(opts)}, uses_{std::move(uses)} {
+owner_session::owner_session(const options& opts, dependencies uses) : opts_{opts}, uses_{std::move(uses)} {
   const auto now = uses_.loop.now();
   scheduler_ = std::make_unique<job_scheduler>(opts_.scheduler, opts_.term, now);
   scheduler_->set_wall_clock(wall_clock(), now);
@@ -69,7 +68,7 @@
 }
 
 void owner_session::list_page(std::string prefix, std::string after,
-                              std::shared_ptr<std::vector<kv_item>> found, revision first_as_of,
+                              const std::shared_ptr<std::vector<kv_item>>& found, revision first_as_of,
                               list_handler done) {
   kv_list request{.prefix = prefix, .after = after};
   uses_.store.call(std::move(request),
@@ -120,14 +119,14 @@
     }
     self->list_all(keys::job_prefix, [self](std::vector<kv_item> jobs, revision as_of) {
       self->jobs_seen_ = as_of;
-      self->list_all(keys::progress_prefix,
-                     [self, jobs = std::move(jobs)](std::vector<kv_item> progress, revision /*as_of*/) {
-                       self->take_rows(jobs, progress, true);
-                       self->loaded_ = true;
-                       self->watch_jobs();
-                       self->poll_registry();
-                       self->run_tick();
-                     });
+      self->list_all(keys::progress_prefix, [self, jobs = std::move(jobs)](
+                                                const std::vector<kv_item>& progress, revision /*as_of*/) {
+        self->take_rows(jobs, progress, true);
+        self->loaded_ = true;
+        self->watch_jobs();
+        self->poll_registry();
+        self->run_tick();
+      });
     });
   });
 }
@@ -143,7 +142,9 @@
       continue;
     }
     progress_rows_[decoded->job] = item.changed;
-    known.emplace(decoded->job, *std::move(decoded));
+    auto row = *std::move(decoded);
+    auto id = row.job;
+    known.emplace(std::move(id), std::move(row));
   }
   const auto now = uses_.loop.now();
   for (const auto& item : jobs) {
--- a/src/programs/rhubarb-edge/owner_session.hpp
+++ b/src/programs/rhubarb-edge/owner_session.hpp
@@ -42,7 +42,7 @@
     std::function<void()> superseded;
   };
 
-  owner_session(options opts, dependencies uses);
+  owner_session(const options& opts, dependencies uses);
   void start();
   /// Stops everything; late answers are ignored.
   void stop();
@@ -64,7 +64,7 @@
 
   void load();
   void list_all(std::string prefix, list_handler done);
-  void list_page(std::string prefix, std::string after, std::shared_ptr<std::vector<kv_item>> found,
+  void list_page(std::string prefix, std::string after, const std::shared_ptr<std::vector<kv_item>>& found,
                  revision first_as_of, list_handler done);
   void take_rows(const std::vector<kv_item>& jobs, const std::vector<kv_item>& progress, bool first);
   void watch_jobs();
--- a/src/protocol/job_rows.cpp
+++ b/src/protocol/job_rows.cpp
@@ -113,8 +113,7 @@
     units.push_back(json::array({unit.occurrence, unit.step, unit.unit, unit.done, std::move(failed),
                                  unit.last_run.value(), unit.checkpoint}));
   }
-  return to_bytes(
-      json::array({progress.job.value(), static_cast<int>(progress.phase), std::move(units)}));
+  return to_bytes(json::array({progress.job.value(), static_cast<int>(progress.phase), std::move(units)}));
 }
 
 absl::StatusOr<job_progress> decode_job_progress(std::string_view bytes) {
@@ -158,8 +157,8 @@
 }
 
 std::string encode_owner(const owner_row& owner) {
-  return to_bytes(json::array(
-      {owner.vm.value(), owner.process.value(), owner.term.value(), owner.peer_address}));
+  return to_bytes(
+      json::array({owner.vm.value(), owner.process.value(), owner.term.value(), owner.peer_address}));
 }
 
 absl::StatusOr<owner_row> decode_owner(std::string_view bytes) {
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -202,8 +202,8 @@
   evhttp_set_timeout(server, static_cast<int>(seconds));
   evhttp_set_max_body_size(server, static_cast<ev_ssize_t>(implementation_->opts.max_body_bytes));
   evhttp_set_max_headers_size(server, max_read_header_bytes);
-  evhttp_set_allowed_methods(server, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
-                                         EVHTTP_REQ_HEAD);
+  evhttp_set_allowed_methods(
+      server, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD);
   const auto dispatch = [](evhttp_request* raw, void* argument) {
     static_cast<implementation*>(argument)->on_request(raw);
   };
--- a/src/transport/log.cpp
+++ b/src/transport/log.cpp
@@ -121,7 +121,7 @@
   buffer.bytes.erase(0, written);
 }
 
-void append_line(output_buffer& buffer, std::string line) {
+void append_line(output_buffer& buffer, const std::string& line) {
   if (buffer.dropped > 0 && buffer.bytes.size() < max_buffered_bytes / 2) {
     buffer.bytes += fmt::format("{{\"level\":\"warning\",\"message\":\"log_lines_dropped\",\"count\":{}}}\n",
                                 std::exchange(buffer.dropped, 0));
@@ -164,9 +164,9 @@
   }
   line.push_back('}');
   line.push_back('\n');
-  auto text = fmt::to_string(line);
+  const auto text = fmt::to_string(line);
   if (output().enabled) {
-    append_line(output(), std::move(text));
+    append_line(output(), text);
   } else {
     fmt::print(stderr, "{}", text);
   }
--- a/tests/transport/split_request_test.cpp
+++ b/tests/transport/split_request_test.cpp
@@ -35,11 +35,10 @@
   // request was split.
   event_loop loop;
   std::vector<std::string> paths;
-  http_server server{loop,
-                     {.port = port},
-                     [&](const http_request& request, const http_responder& responder) {
+  http_server server{loop, {.port = port}, [&](const http_request& request, const http_responder& responder) {
                        paths.push_back(request.path + "?" + request.query + " " +
-                                       std::string{header_value(request.headers, "Key")} + " " + request.body);
+                                       std::string{header_value(request.headers, "Key")} + " " +
+                                       request.body);
                        responder.send({.status = 200, .headers = {}, .body = "ok"});
                      }};
   REQUIRE(server.listen().ok());
