Keep a claim from replacing an owner that has just begun; larger VMs get time after a start

A claim used rows that a watch had brought after the read, so its condition matched the new owner's row and replaced it; and a VM that had heard of one small peer only did not wait. Ruled out: a lost lease; the first owner had held its own for 14 ms. Change: rows are not taken over while a lease or a claim is open; a VM gives way to an owner that appears; for 8 s after a start a VM's own size alone delays its claim.

--- a/include/rhubarbpath/coordination/owner_election.hpp
+++ b/include/rhubarbpath/coordination/owner_election.hpp
@@ -51,8 +51,9 @@
 };
 
 /// How long a VM leaves a free duty to larger VMs. The owner's work on the grown sites takes 0.3 of a core
-/// at times, and the smallest VMs have 0.12. `largest_known` is 0 while no other VM has been heard from.
-[[nodiscard]] duration claim_handicap(double own_cores, double largest_known);
+/// at times, and the smallest VMs have 0.12. Until the list of peers is complete, larger VMs that are not
+/// known yet are left time by this VM's own size alone.
+[[nodiscard]] duration claim_handicap(double own_cores, double largest_known, bool peers_complete);
 
 /// Decides when this process owns the scheduling duty. The owner row lives under a lease of the store,
 /// and the term counter rises with each claim, so workers can refuse orders of earlier owners.
--- a/src/coordination/owner_election.cpp
+++ b/src/coordination/owner_election.cpp
@@ -5,12 +5,15 @@
 
 namespace rhubarbpath {
 
-duration claim_handicap(double own_cores, double largest_known) {
+duration claim_handicap(double own_cores, double largest_known, bool peers_complete) {
   constexpr double much_larger = 2.0;
   constexpr duration behind_larger{std::chrono::milliseconds{900}};
   constexpr duration without_any_processor{std::chrono::milliseconds{400}};
-  if (largest_known > 0) {
-    return largest_known >= much_larger * own_cores ? behind_larger : duration::zero();
+  if (largest_known >= much_larger * own_cores) {
+    return behind_larger;
+  }
+  if (peers_complete) {
+    return duration::zero();
   }
   const double missing = 1.0 - std::clamp(own_cores, 0.0, 1.0);
   return duration{static_cast<std::int64_t>(static_cast<double>(without_any_processor.count()) * missing)};
@@ -25,6 +28,16 @@
 }
 
 void owner_election::observed(const ownership_view& view, instant now) {
+  const bool owned_by_other = view.owner_changed != revision{} && view.owner != opts_.self;
+  if (phase_ == phase::leasing && owned_by_other) {
+    // The lease that is on its way is given back when it arrives.
+    phase_ = phase::watching;
+  }
+  if (phase_ == phase::leasing || phase_ == phase::claiming) {
+    // A claim is conditional on the rows as they were read, when nobody owned the duty; taking newer rows
+    // would let it replace an owner that has just begun.
+    return;
+  }
   view_ = view;
   if (phase_ == phase::owning) {
     const bool own = view.owner == opts_.self && view.term == term_;
@@ -50,7 +63,7 @@
   if (phase_ != phase::watching) {
     return;
   }
-  if (view.owner_changed != revision{} && view.owner != opts_.self) {
+  if (owned_by_other) {
     claim_at_.reset();
     return;
   }
--- a/src/programs/rhubarb-edge/edge_daemon.cpp
+++ b/src/programs/rhubarb-edge/edge_daemon.cpp
@@ -28,6 +28,8 @@
 constexpr duration retry_pause{std::chrono::milliseconds{200}};
 constexpr duration greet_period{std::chrono::seconds{2}};
 constexpr duration greet_timeout{std::chrono::milliseconds{500}};
+/// Lists of peers have reached all VMs a few greetings after a start.
+constexpr duration peers_complete_after{std::chrono::seconds{8}};
 /// The settings file may change without a signal.
 constexpr duration settings_period{std::chrono::seconds{1}};
 /// The load balancer notices after two probes, a second apart, that this VM is not ready; new
@@ -117,7 +119,8 @@
                 .own_session = [this] { return session_.get(); },
                 .owner_address = [this] { return owner_address_; },
                 .stopping = [this] { return stopping_; }}},
-      process_{wall_ms()} {}
+      process_{wall_ms()},
+      started_{loop.now()} {}
 
 absl::Status edge_daemon::start() {
   const auto serve = [this](std::unique_ptr<http_server>& server, const std::string& address,
@@ -298,8 +301,10 @@
 }
 
 void edge_daemon::election_tick() {
+  const auto now = loop_.now();
+  const bool peers_complete = now - started_ > peers_complete_after;
   election_.set_claim_handicap(
-      claim_handicap(settings_.processor_cores, peers_.largest_processor(loop_.now())));
+      claim_handicap(settings_.processor_cores, peers_.largest_processor(now), peers_complete));
   election_.tick(boot_now());
   run_election();
 }
--- a/src/programs/rhubarb-edge/edge_daemon.hpp
+++ b/src/programs/rhubarb-edge/edge_daemon.hpp
@@ -68,6 +68,7 @@
   ownership_view ownership_;
   std::string owner_address_;
   incarnation process_;
+  instant started_;
   revision ownership_seen_;
   bool electing_{false};
   bool stopping_{false};
--- a/tests/coordination/owner_election_test.cpp
+++ b/tests/coordination/owner_election_test.cpp
@@ -75,9 +75,9 @@
 
 TEST_CASE_METHOD(election_fixture, "election_small_vm_waits_for_a_larger_one") {
   // A VM with 0.12 of a core became the owner of 350 workers and left jobs unserved.
-  CHECK(claim_handicap(0.5, 0.5) == duration::zero());
-  CHECK(claim_handicap(0.5, 0.0) < claim_handicap(0.12, 0.0));
-  election.set_claim_handicap(claim_handicap(0.12, 0.5));
+  CHECK(claim_handicap(0.5, 0.5, true) == duration::zero());
+  CHECK(claim_handicap(0.5, 0.12, false) < claim_handicap(0.12, 0.12, false));
+  election.set_claim_handicap(claim_handicap(0.12, 0.5, true));
   election.observed(nobody, now);
   election.tick(now + milliseconds{500});
   CHECK_FALSE(takes<read_ownership>());
@@ -85,6 +85,23 @@
   CHECK(takes<read_ownership>());
 }
 
+TEST_CASE_METHOD(election_fixture, "election_owner_that_appears_while_a_lease_is_asked_is_not_replaced") {
+  // A claim used the rows of a watch that had brought the new owner meanwhile, and replaced it.
+  election.observed(nobody, now);
+  now += milliseconds{100};
+  election.tick(now);
+  REQUIRE(takes<read_ownership>());
+  election.observed(nobody, now);
+  REQUIRE(takes<request_lease>());
+  election.observed({.owner = vm_id{"b"},
+                     .owner_changed = revision{11},
+                     .term = owner_term{5},
+                     .term_changed = revision{11}},
+                    now);
+  election.lease_granted(store_lease{5}, now, now);
+  CHECK_FALSE(takes<claim_ownership>());
+}
+
 TEST_CASE_METHOD(election_fixture, "election_resigned_vm_claims_no_more") {
   win();
   election.resign(now);
