--- /dev/null
+++ b/tests/platform/wire_test.cpp
@@ -0,0 +1,123 @@
+#include <catch2/catch.hpp>
+
+#include "platform/config_wire.hpp"
+#include "platform/job_wire.hpp"
+#include "platform/settings.hpp"
+#include "platform/store_wire.hpp"
+#include "platform/worker_wire.hpp"
+
+namespace rhubarbpath::platform {
+namespace {
+
+http_result answered(int status, std::string body) {
+  return http_response{.status = status, .headers = {}, .body = std::move(body)};
+}
+
+constexpr std::string_view settings_text = R"({"node":"edge-1","ip":"10.1.0.19","zone":"tas-hba",
+  "bindings":{"front":"10.1.0.19:1","ready":"10.1.0.19:2","control":"10.1.0.19:3"},
+  "seeds":["10.1.0.19:3"],"limits":{"cpuShare":0.25,"cores":2},"bounds":{"maxHoldMs":8000},
+  "platform":{"address":"10.200.1.7:8524"},"something":"new"})";
+
+TEST_CASE("settings_with_unknown_fields_are_read") {
+  const auto settings = decode_settings(settings_text);
+  REQUIRE(settings.ok());
+  CHECK(settings->vm == vm_id{"edge-1"});
+  CHECK(settings->processor_cores == 0.5);
+  CHECK(settings->longest_worker_lease == std::chrono::seconds{8});
+  CHECK(settings->store_address == "10.200.1.7:8524");
+}
+
+TEST_CASE("settings_with_wrong_address_name_the_field") {
+  // Guards against a process that starts with half its addresses and fails later without a reason.
+  std::string text{settings_text};
+  text.replace(text.find("10.1.0.19:2"), 11, "nowhere    ");
+  const auto settings = decode_settings(text);
+  REQUIRE_FALSE(settings.ok());
+  CHECK(settings.status().message() == "settings: bindings.ready must be an IP number and port");
+  CHECK_FALSE(decode_settings("[]").ok());
+}
+
+TEST_CASE("worker_entry_of_another_writer_names_no_worker") {
+  // The registry may hold entries with fields missing, of another type, or bytes that are not JSON.
+  const std::string good = R"({"service":"s","address":"10.0.0.1:1","state":"ready","capacity":{"gpu":8},
+    "labels":["a","r1"],"born":5})";
+  const auto entry = decode_worker_entry("servers/i-1", good);
+  REQUIRE(entry);
+  CHECK(entry->id == worker_id{"i-1"});
+  CHECK(entry->rack == rack_id{"r1"});
+  CHECK(entry->capacity.accelerators == 8);
+  for (const std::string_view bad :
+       {R"({"service":1,"address":"10.0.0.1:1","state":"ready","capacity":{}})",
+        R"({"service":"s","state":"ready","capacity":{}})",
+        R"({"service":"s","address":"10.0.0.1:1","state":"odd","capacity":{}})",
+        R"({"service":"s","address":"10.0.0.1:1","state":"ready","capacity":7})", "\xff\xfe", "", "[]"}) {
+    CHECK_FALSE(decode_worker_entry("servers/i-1", bad));
+  }
+}
+
+TEST_CASE("config_guarantee_is_read_from_its_object") {
+  const auto config = decode_config(R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/",
+    "priority":0,"service":"s","maxAttempts":3,"stretch":1.5}],"services":[],
+    "tenants":[{"name":"t","apiKeys":["k"],"guaranteedGpus":{"gpu":72}}]})");
+  REQUIRE(config.ok());
+  CHECK(config->teams.front().guaranteed_accelerators == 72);
+  CHECK(config->queues.front().max_attempts == 3);
+  CHECK_FALSE(decode_config("{}").ok());
+}
+
+TEST_CASE("job_whose_step_waits_for_a_later_step_is_refused") {
+  CHECK(decode_job(R"({"spec":"x","steps":[{"count":2},{"after":[0],"gang":true}]})").ok());
+  CHECK_FALSE(decode_job(R"({"steps":[{"after":[0]}]})").ok());
+  CHECK_FALSE(decode_job(R"({"steps":[]})").ok());
+  CHECK_FALSE(decode_job("nonsense").ok());
+}
+
+TEST_CASE("start_answer_is_definite_only_when_the_worker_or_the_network_says_so") {
+  // Guards against a second run of a task whose first start may still be carried out.
+  using result = start_result;
+  const http_result lost = http_call_failed{.bytes_sent = true, .timed_out = true, .reason = {}};
+  const http_result unsent = http_call_failed{.bytes_sent = false, .timed_out = true, .reason = {}};
+  CHECK(std::holds_alternative<order_unanswered>(decode_start_answer(lost)));
+  CHECK(std::holds_alternative<start_refused>(decode_start_answer(unsent)));
+  CHECK(std::holds_alternative<order_unanswered>(decode_start_answer(answered(500, ""))));
+  CHECK(std::holds_alternative<wrong_instance>(decode_start_answer(answered(421, ""))));
+  const result fenced = decode_start_answer(answered(409, R"({"clockMs":1,"reason":"fence"})"));
+  REQUIRE(std::holds_alternative<start_refused>(fenced));
+  CHECK(std::get<start_refused>(fenced).why == start_refusal::fenced);
+}
+
+TEST_CASE("renewal_answer_with_unreadable_rows_keeps_the_others") {
+  const auto answer = decode_renew_answer(answered(200, R"({"clockMs":5,"born":9,
+    "running":[["5c0e7a21d94b36f8.0.1.17",2,"",41,3],["bad",1,"",0],7],
+    "finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],[59,"x.0.0.0",1,"odd",""]]})"));
+  const auto* report = std::get_if<lease_report>(&answer);
+  REQUIRE(report != nullptr);
+  REQUIRE(report->running.size() == 1);
+  CHECK(report->running.front().task.index == 17);
+  REQUIRE(report->ended.size() == 1);
+  CHECK(report->ended.front().outcome == run_outcome::done);
+}
+
+TEST_CASE("store_answer_tells_refused_from_unknown") {
+  // "Nothing was done" may be told to a caller only after a refusal, never after silence.
+  const kv_request commit =
+      kv_commit{.expected = {{"k", revision{}}}, .puts = {{"k", "v", {}}}, .erases = {}};
+  CHECK(std::holds_alternative<kv_refused>(decode_store_response(commit, answered(503, ""))));
+  CHECK(std::holds_alternative<kv_refused>(decode_store_response(commit, answered(429, ""))));
+  CHECK(std::holds_alternative<kv_unknown>(decode_store_response(commit, answered(500, ""))));
+  CHECK(std::holds_alternative<kv_unknown>(
+      decode_store_response(commit, http_call_failed{.bytes_sent = true, .timed_out = true, .reason = {}})));
+  CHECK(std::holds_alternative<kv_refused>(decode_store_response(
+      commit, http_call_failed{.bytes_sent = false, .timed_out = false, .reason = {}})));
+  const auto conflict = decode_store_response(
+      commit,
+      answered(412, R"({"items":[{"key":"k","value":"dg==","revision":4},{"key":"m","revision":0}]})"));
+  REQUIRE(std::holds_alternative<kv_conflict>(conflict));
+  REQUIRE(std::get<kv_conflict>(conflict).items.size() == 1);
+  CHECK(std::get<kv_conflict>(conflict).items.front().value == "v");
+  CHECK(encode_store_request(commit).body ==
+        R"({"delete":[],"expectedRev":[{"key":"k","revision":0}],"put":[{"key":"k","value":"dg=="}]})");
+}
+
+}  // namespace
+}  // namespace rhubarbpath::platform
