Read the configuration with a time limit that grows

Ruled out: the decoding; it takes milliseconds. Change: the limit doubles with each unanswered read, up to 5.6 s, and falls back after an answer.

--- a/src/programs/rhubarb-edge/config_feed.cpp
+++ b/src/programs/rhubarb-edge/config_feed.cpp
@@ -24,8 +24,9 @@
 }
 
 void config_feed::read() {
-  store_.call(kv_get{.key = platform::config_key()}, [this](const kv_result& result) {
+  const auto take_answer = [this](const kv_result& result) {
     if (const auto* items = std::get_if<kv_items>(&result)) {
+      read_limit_.answered();
       seen_ = items->as_of;
       confirmed_at_ = loop_.now();
       for (const auto& item : items->items) {
@@ -34,8 +35,12 @@
       watch();
       return;
     }
+    if (std::holds_alternative<kv_unknown>(result)) {
+      read_limit_.timed_out();
+    }
     retry_ = loop_.run_after(retry_pause, [this] { read(); });
-  });
+  };
+  store_.call(kv_get{.key = platform::config_key()}, take_answer, read_limit_.current());
 }
 
 void config_feed::watch() {
--- a/src/programs/rhubarb-edge/config_feed.hpp
+++ b/src/programs/rhubarb-edge/config_feed.hpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 
+#include "rhubarbpath/coordination/growing_timeout.hpp"
 #include "rhubarbpath/state/fleet.hpp"
 #include "rhubarbpath/transport/event_loop.hpp"
 #include "store_access.hpp"
@@ -34,6 +35,7 @@
   pointer current_;
   revision seen_;
   instant confirmed_at_{};
+  growing_timeout read_limit_{{}};
   timer_handle retry_;
 };
 
--- a/src/programs/rhubarb-edge/store_access.cpp
+++ b/src/programs/rhubarb-edge/store_access.cpp
@@ -41,12 +41,16 @@
 struct store_access::pending {
   kv_request request;
   callback done;
+  std::optional<duration> limit;
   bool direct_tried{false};
   bool peer_tried{false};
   kv_result last{kv_refused{.reason = "no path to the store"}};
 
   [[nodiscard]] duration timeout(const options& opts) const {
     const auto* watch = std::get_if<kv_watch>(&request);
+    if (limit) {
+      return *limit;
+    }
     return watch == nullptr ? opts.call_timeout : duration{watch->wait} + opts.watch_slack;
   }
 };
@@ -60,8 +64,9 @@
       counters_{counters},
       opts_{std::move(opts)} {}
 
-void store_access::call(kv_request request, callback done) {
+void store_access::call(kv_request request, callback done, std::optional<duration> limit) {
   auto call = std::make_shared<pending>();
+  call->limit = limit;
   call->request = std::move(request);
   call->done = std::move(done);
   if (direct_healthy_ || loop_.now() >= direct_retry_at_) {
--- a/src/programs/rhubarb-edge/store_access.hpp
+++ b/src/programs/rhubarb-edge/store_access.hpp
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "rhubarbpath/coordination/peer_directory.hpp"
@@ -35,8 +36,8 @@
 
   void set_store_address(std::string address) { opts_.store_address = std::move(address); }
 
-  /// The callback runs once, from the loop.
-  void call(kv_request request, callback done);
+  /// The callback runs once, from the loop. `limit` replaces the usual time limit of one try.
+  void call(kv_request request, callback done, std::optional<duration> limit = std::nullopt);
   /// Passes a request of another VM to the store; it is never passed on to a third.
   void relay(const http_request& request, const http_responder& responder);
   /// When the store last answered, directly or through another VM.
