Remove settings, fields and parameters that nothing reads

Cause: reading the change as a newcomer found a gang time-out, a lease limit and an order time that no decision used, and a branch that did nothing. Change: removed; behaviour is the same.

--- a/include/rhubarbpath/coordination/job_scheduler.hpp
+++ b/include/rhubarbpath/coordination/job_scheduler.hpp
@@ -111,8 +111,6 @@
     duration renew_wait{std::chrono::milliseconds{1000}};
     /// A stop takes at most this long on a worker.
     duration stop_timeout{std::chrono::milliseconds{200}};
-    /// Members of a gang give up after waiting this long for the others.
-    duration gang_timeout{std::chrono::milliseconds{3000}};
     /// Factor on a task's duration away from its data or from its gang's rack.
     double remote_factor{3.0};
     /// Progress that has not moved for this long means that the worker stands still.
--- a/include/rhubarbpath/state/vm_settings.hpp
+++ b/include/rhubarbpath/state/vm_settings.hpp
@@ -21,10 +21,8 @@
   std::string store_address;
   double processor_cores{1.0};  ///< Share of a core times its relative speed.
   duration longest_worker_lease{std::chrono::seconds{10}};
-  duration shortest_store_lease{std::chrono::seconds{1}};
   duration stop_grace{std::chrono::seconds{6}};  ///< From SIGTERM to SIGKILL.
   duration task_stop_timeout{std::chrono::milliseconds{200}};
-  duration gang_timeout{std::chrono::seconds{3}};
   double remote_factor{3.0};
 
   friend bool operator==(const vm_settings&, const vm_settings&) = default;
--- a/src/coordination/job_scheduler.cpp
+++ b/src/coordination/job_scheduler.cpp
@@ -170,7 +170,7 @@
     return;
   }
   if (done.phase == unit_phase::reserved) {
-    release_reservation(done, occupied(step_of(job, done)), now);
+    release_reservation(done, occupied(step_of(job, done)));
   }
   done.phase = unit_phase::done;
   done.checkpoint.clear();
@@ -182,7 +182,7 @@
   placement_due = true;
   for (std::size_t index = 0; index < done.members.size(); ++index) {
     if (!step_of(job, done).gang && done.members[index].phase != member_phase::none) {
-      order_stop(job, done, index, now);
+      order_stop(job, done, index);
     }
   }
   if (job.units_left == 0) {
@@ -207,7 +207,7 @@
 
 void job_scheduler::implementation::end_unit(job_state& job, unit& ending, instant now) {
   if (ending.phase == unit_phase::reserved) {
-    release_reservation(ending, occupied(step_of(job, ending)), now);
+    release_reservation(ending, occupied(step_of(job, ending)));
     ending.phase = unit_phase::waiting;
     note_waiting(job, ending);
     return;
@@ -219,7 +219,7 @@
   for (std::size_t index = 0; index < ending.members.size(); ++index) {
     if (ending.members[index].phase == member_phase::starting ||
         ending.members[index].phase == member_phase::running) {
-      order_stop(job, ending, index, now);
+      order_stop(job, ending, index);
     }
   }
   settle_unit(job, ending, now);
@@ -367,11 +367,9 @@
     state.units_left = 0;
   } else {
     self.open_jobs[job.id] = &state;
-  }
-  if (is_terminal(state.phase)) {
-    // Nothing is left to do but to show it.
-  } else if (state.units_left == 0) {
-    self.end_job(state, job_phase::complete, now);
+    if (state.units_left == 0) {
+      self.end_job(state, job_phase::complete, now);
+    }
   }
   self.placement_due = true;
   self.record("job_added", job.id, inherited ? "inherited" : "new",
--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -41,7 +41,6 @@
   run_number run;
   /// When the last order about this run was answered; a report sent later shows the run, if it exists.
   instant known_at{};
-  instant ordered_at{};
   int tries{0};
   bool answer_pending{false};
   instant repeat_at{};
@@ -212,7 +211,7 @@
   void start_unanswered(detail::job_state& job, detail::unit& unit, std::size_t index, instant now);
   void start_rejected(detail::job_state& job, detail::unit& unit, std::size_t index,
                       const start_result& result, instant now);
-  void order_stop(detail::job_state& job, detail::unit& unit, std::size_t index, instant now);
+  void order_stop(detail::job_state& job, detail::unit& unit, std::size_t index);
   void adopt(detail::worker_state& worker, const active_run& run, instant now);
   void take_end(detail::worker_state& worker, const ended_run& end, instant now);
   void drop_absent(detail::worker_state& worker, const lease_report& report, bool restarted, instant sent,
@@ -266,7 +265,7 @@
                                              const detail::job_state& job, const detail::unit& unit) const;
   void start_unit(detail::job_state& job, detail::unit& unit, const placement& where, instant now);
   void start_reserved(instant now);
-  void release_reservation(detail::unit& unit, const resource_amounts& each, instant now);
+  void release_reservation(detail::unit& unit, const resource_amounts& each);
 
   // job_scheduler_preemption.cpp
   /// A unit that may be stopped, and the work that is lost with it.
--- a/src/coordination/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler_placement.cpp
@@ -367,7 +367,6 @@
     starting.members[index] = member{.phase = member_phase::starting,
                                      .worker = worker.entry.id,
                                      .run = starting.run,
-                                     .ordered_at = now,
                                      .percent_changed = now,
                                      .checkpoint = {}};
     worker.used += occupied(step_of(job, starting));
@@ -413,8 +412,7 @@
   return false;
 }
 
-void job_scheduler::implementation::release_reservation(unit& placed, const resource_amounts& each,
-                                                        instant /*now*/) {
+void job_scheduler::implementation::release_reservation(unit& placed, const resource_amounts& each) {
   for (auto& one : placed.members) {
     if (one.phase != member_phase::reserved) {
       continue;
@@ -451,7 +449,7 @@
         free = free && (found->second.entry.capacity - found->second.used).covers(needed[&found->second]);
       }
       if (lost || free) {
-        release_reservation(each, occupied(step), now);
+        release_reservation(each, occupied(step));
         each.phase = unit_phase::waiting;
         note_waiting(job, each);
       }
--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -181,7 +181,7 @@
                                    .lease_until = lease});
 }
 
-void job_scheduler::implementation::order_stop(job_state& job, unit& owner, std::size_t index, instant now) {
+void job_scheduler::implementation::order_stop(job_state& job, unit& owner, std::size_t index) {
   auto& stopping = owner.members[index];
   const auto found = workers.find(stopping.worker);
   if (found == workers.end()) {
@@ -193,7 +193,6 @@
     stopping.tries = 0;
   }
   stopping.known_at = instant{};
-  stopping.ordered_at = now;
   stopping.answer_pending = true;
   ++stopping.tries;
   actions.emplace_back(stop_order{.worker = stopping.worker,
@@ -219,7 +218,7 @@
         if (one.phase == member_phase::starting && one.tries > 0) {
           order_start(job, each, index, now);
         } else if (one.phase == member_phase::stopping && one.known_at == instant{}) {
-          order_stop(job, each, index, now);
+          order_stop(job, each, index);
         }
       }
     }
@@ -297,7 +296,7 @@
   }
   if (refused != nullptr && started.tries > 1) {
     // This refusal tells nothing of an earlier try, which may still be carried out; a stop prevents that.
-    order_stop(job, owner, index, now);
+    order_stop(job, owner, index);
     end_unit(job, owner, now);
     return;
   }
@@ -427,7 +426,7 @@
       const bool outlived_stop =
           seen.phase == member_phase::stopping && seen.known_at != instant{} && sent > seen.known_at;
       if (outlived_stop) {
-        self.order_stop(self.jobs.at(run.task.job), *owner, index, now);
+        self.order_stop(self.jobs.at(run.task.job), *owner, index);
       } else if (seen.phase != member_phase::stopping) {
         seen.known_at = std::max(seen.known_at, sent);
       }
@@ -561,7 +560,7 @@
     if (restarted && was_running && one.tries > 1) {
       // An earlier try of the start was never answered, and the new life does not know that the run has
       // ended; a stop keeps that try from being carried out now.
-      order_stop(job, *owner, index, now);
+      order_stop(job, *owner, index);
       end_unit(job, *owner, now);
       continue;
     }
--- a/src/programs/rhubarb-edge/edge_daemon.cpp
+++ b/src/programs/rhubarb-edge/edge_daemon.cpp
@@ -394,7 +394,6 @@
   scheduler.longest_lease = settings_.longest_worker_lease;
   scheduler.worker_lease = std::min(scheduler.worker_lease, settings_.longest_worker_lease);
   scheduler.stop_timeout = settings_.task_stop_timeout;
-  scheduler.gang_timeout = settings_.gang_timeout;
   scheduler.remote_factor = settings_.remote_factor;
   const auto term = action.term;
   session_ = std::make_shared<owner_session>(
