Keep an ended task in a worker's reports until its end is collected

Cause: the stop of a member that had finished unseen made the worker forget the task. With a worker paused or down for 5 s, the owner lost the member, stopped the gang, and the stop was the first command that the worker got when it came back. Ruled out: an early end of the worker's lease (attempt 2 started only after it), and late starts (no task of attempt 1 started twice). Conclusion: an end is forgotten by a worker only when its owner knows it. A worker that stays away longer than its lease (15 s) can still cause a rerun.

--- a/include/rhubarbpath/state/worker_api.hpp
+++ b/include/rhubarbpath/state/worker_api.hpp
@@ -28,6 +28,9 @@
 };
 struct stop_task {
   task_ref task;
+  /// The sender knows how the task ended, so the worker may forget it. A task that ended before a stop
+  /// without this flag stays in reports: its end may not have reached the owner.
+  bool collect{false};
 };
 struct checkpoint_task {
   task_ref task;
--- a/src/coordination/gang_controller.cpp
+++ b/src/coordination/gang_controller.cpp
@@ -225,9 +225,9 @@
     }
     const auto* owned = find_member(listed.task);
     const bool known = owned != nullptr && owned->at.worker == id;
-    const bool forgotten =
-        listed.state == task_state::stopped ||
-        (stop != nullptr && stop->task == listed.task && listed.state != task_state::running);
+    const bool forgotten = listed.state == task_state::stopped ||
+                           (stop != nullptr && stop->collect && stop->task == listed.task &&
+                            listed.state != task_state::running);
     const bool collected =
         std::find(worker.cleanup.begin(), worker.cleanup.end(), listed.task) != worker.cleanup.end();
     if (!known && !forgotten && !collected) {
@@ -602,7 +602,7 @@
   if (!worker.cleanup.empty()) {
     const auto task = worker.cleanup.front();
     worker.cleanup.pop_front();
-    return stop_task{.task = task};
+    return stop_task{.task = task, .collect = true};
   }
   if (now < worker.next_renew) {
     return std::nullopt;
--- a/src/programs/rhubarb-standin/worker_model.cpp
+++ b/src/programs/rhubarb-standin/worker_model.cpp
@@ -97,8 +97,8 @@
   }
   if (found->second.report.state == task_state::running) {
     end(found->second, task_state::stopped, now);
-  } else {
-    tasks_.erase(found);  // The owner has seen the end.
+  } else if (command.collect) {
+    tasks_.erase(found);
   }
 }
 
--- a/src/protocol/worker_codec.cpp
+++ b/src/protocol/worker_codec.cpp
@@ -42,7 +42,11 @@
     body["command"] = start.command;
     return make(start_path, std::move(body));
   }
-  worker_call_text operator()(const stop_task& stop) const { return make(stop_path, encode_task(stop.task)); }
+  worker_call_text operator()(const stop_task& stop) const {
+    json body = encode_task(stop.task);
+    body["collect"] = stop.collect;
+    return make(stop_path, std::move(body));
+  }
   worker_call_text operator()(const checkpoint_task& checkpoint) const {
     return make(checkpoint_path, encode_task(checkpoint.task));
   }
@@ -102,7 +106,9 @@
   if (path == start_path) {
     command.command = read_start(reader);
   } else if (path == stop_path) {
-    read_task(reader, command.command.emplace<stop_task>().task);
+    auto& stop = command.command.emplace<stop_task>();
+    read_task(reader, stop.task);
+    reader.field("collect", stop.collect);
   } else if (path == checkpoint_path) {
     read_task(reader, command.command.emplace<checkpoint_task>().task);
   } else if (path == renew_path) {
--- a/tests/coordination/gang_controller_test.cpp
+++ b/tests/coordination/gang_controller_test.cpp
@@ -118,6 +118,27 @@
   CHECK(test.ended_at - lost <= 25 * second);
 }
 
+// Guards against a second run of a whole gang because the stop of a member that had finished unseen made its
+// worker forget the end (fault_worker_faults, seed 7).
+TEST_CASE("gang_controller_member_finished_while_unreachable_counts_when_its_stop_is_answered") {
+  gang_under_test test;
+  test.start();
+  test.advance(run_time - second);
+  test.workers[worker_id{"w2"}].unreachable = true;
+  test.advance(5 * second);
+  CHECK_FALSE(test.ended);
+  CHECK(test.running_tasks() == 0);
+  test.workers[worker_id{"w2"}].unreachable = false;
+  test.advance(5 * second);
+  REQUIRE(test.ended);
+  CHECK(test.ended->end == gang_end::finished);
+  test.feed(gang_release{.job = job_id{"job"}, .attempt = attempt_number{1}});
+  test.advance(15 * second);
+  for (const auto& [id, worker] : test.workers) {
+    CHECK(worker.tasks.empty());
+  }
+}
+
 // Guards against an owner that renews one member for long while the others are gone and then crashes itself.
 TEST_CASE("gang_controller_member_lease_ends_15_s_after_the_whole_gang_ran") {
   gang_under_test test;
--- a/tests/coordination/simulated_domain.hpp
+++ b/tests/coordination/simulated_domain.hpp
@@ -165,7 +165,9 @@
     auto& attempt = stopped[stop.task.job];
     attempt = std::max(attempt, stop.task.attempt);
     const auto found = tasks.find({stop.task.job, stop.task.member});
-    if (found != tasks.end() && found->second.report.task.attempt == stop.task.attempt) {
+    const bool running = found != tasks.end() && found->second.report.state == task_state::running;
+    if (found != tasks.end() && found->second.report.task.attempt == stop.task.attempt &&
+        (running || stop.collect)) {
       tasks.erase(found);
       last_stop = now;
     }
--- a/tests/protocol/state_codec_test.cpp
+++ b/tests/protocol/state_codec_test.cpp
@@ -219,7 +219,8 @@
                    .lease = interval(),
                    .declared_run_time = interval(),
                    .command = text()},
-        stop_task{.task = task}, checkpoint_task{.task = task}, renew_tasks{.lease = interval()}};
+        stop_task{.task = task, .collect = small(2) == 1}, checkpoint_task{.task = task},
+        renew_tasks{.lease = interval()}};
     const fenced_worker_command command{.sender_epoch = epoch{number()},
                                         .command = commands[static_cast<std::size_t>(small(4))]};
     const auto encoded = encode_worker_command(command);
@@ -228,8 +229,11 @@
     RC_ASSERT(decoded->sender_epoch == command.sender_epoch);
     RC_ASSERT(encode_worker_command(*decoded).body == encoded.body);
   }));
-  CHECK_FALSE(decode_worker_command("/tasks/stop", R"({"epoch":1,"job":"a","attempt":1,"member":-1})").ok());
-  CHECK_FALSE(decode_worker_command("/tasks/stop", R"({"job":"a","attempt":1,"member":1})").ok());
+  CHECK_FALSE(
+      decode_worker_command("/tasks/stop", R"({"epoch":1,"job":"a","attempt":1,"member":-1,"collect":false})")
+          .ok());
+  CHECK_FALSE(
+      decode_worker_command("/tasks/stop", R"({"job":"a","attempt":1,"member":1,"collect":false})").ok());
 }
 
 TEST_CASE("worker_report_through_json_is_unchanged") {
