Add a randomized soak of rhubarb-edge against stand-ins of the platform

Change: edge_soak runs real rhubarb-edge processes against stand-ins of the store and of workers, and injects faults from outside: proxies that delay, reset, silence, cut or cut one way; kills, pauses, graceful stops, moved settings with and without SIGHUP; a store that is down, slow, refuses, loses answers, writes late or drops its history; workers that restart, vanish from the store, lose answers, act late or fail. It checks what callers are told against what ran: TWICE, ORDER, EARLY, LOST, REFUSED, CANCEL, CONFIG, DRAIN and CRASH. The HTTP client sent its own Host header before the one of a request, so the soak's calls found no queue; it now sends the request's Host alone. Before: no soak of these processes.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -262,7 +262,9 @@
     auto* raw = evhttp_request_new(&on_done, context);
     evhttp_request_set_error_cb(raw, &on_error);
     auto* headers = evhttp_request_get_output_headers(raw);
-    evhttp_add_header(headers, "Host", pending->connection->address.c_str());
+    if (header_value(request.headers, "Host").empty()) {
+      evhttp_add_header(headers, "Host", pending->connection->address.c_str());
+    }
     for (const auto& [name, value] : request.headers) {
       evhttp_add_header(headers, name.c_str(), value.c_str());
     }
--- /dev/null
+++ b/tests/platform/soak/callers.cpp
@@ -0,0 +1,223 @@
+#include "callers.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace rhubarbpath::soak {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr duration submit_period{milliseconds{160}};
+constexpr duration ask_period{milliseconds{40}};
+constexpr duration caller_patience{milliseconds{3000}};
+constexpr int most_tries = 30;
+constexpr std::uint64_t hundred = 100;
+
+bool is_accepted(const http_result& result) {
+  const auto* response = std::get_if<http_response>(&result);
+  return response != nullptr && response->status >= 200 && response->status < 300;
+}
+
+bool has_status(const http_result& result, int status) {
+  const auto* response = std::get_if<http_response>(&result);
+  return response != nullptr && response->status == status;
+}
+
+json encode(const soak_job& steps) {
+  json rows = json::array();
+  for (const auto& step : steps) {
+    json row{{"count", step.count},
+             {"cpu", step.cpu},
+             {"memMb", step.memory_mb},
+             {"estimateMs", std::chrono::duration_cast<milliseconds>(step.run_time).count()}};
+    if (step.accelerators > 0) {
+      row["gpu"] = step.accelerators;
+    }
+    if (step.gang) {
+      row["gang"] = true;
+    }
+    if (!step.after.empty()) {
+      row["after"] = step.after;
+    }
+    rows.push_back(std::move(row));
+  }
+  return {{"spec", "soak"}, {"steps", std::move(rows)}};
+}
+
+}  // namespace
+
+callers::callers(event_loop& loop, worker_fleet& fleet, random_source& random, options opts)
+    : loop_{loop}, fleet_{fleet}, random_{random}, options_{std::move(opts)}, client_{loop, {}} {}
+
+void callers::begin() {
+  submitting_ = loop_.run_every(submit_period, [this] { submit_new(); });
+  asking_ = loop_.run_every(ask_period, [this] { ask(); });
+}
+
+std::pair<std::string, soak_job> callers::draw_job() {
+  const auto id = fmt::format("{:016x}", next_job_++ * 0x9e3779b97f4a7c15ULL);
+  const auto run_time = [&](std::uint64_t most_ms) { return milliseconds{200 + random_.below(most_ms)}; };
+  switch (random_.below(4)) {
+    case 0:
+      return {id, {{.count = 3, .cpu = 1000, .memory_mb = 256, .run_time = run_time(900)}}};
+    case 1:
+      return {id,
+              {{.count = 4,
+                .cpu = 500,
+                .memory_mb = 256,
+                .accelerators = 1,
+                .run_time = run_time(1200),
+                .gang = true}}};
+    case 2:
+      return {id,
+              {{.count = 2, .cpu = 500, .memory_mb = 256, .run_time = run_time(400)},
+               {.count = 3, .cpu = 800, .memory_mb = 256, .run_time = run_time(400), .after = {0}}}};
+    default:
+      return {id,
+              {{.count = 1, .cpu = 500, .memory_mb = 128, .accelerators = 2, .run_time = run_time(2500)}}};
+  }
+}
+
+void callers::submit_new() {
+  auto [id, steps] = draw_job();
+  jobs_[id].body = encode(steps).dump();
+  fleet_.expect(id, std::move(steps));
+  submit(id);
+}
+
+void callers::call(const std::string& method, const std::string& id, http_client::callback done) {
+  const auto& address = options_.addresses[random_.below(options_.addresses.size())];
+  http_request request{.method = method,
+                       .path = options_.path_prefix + id,
+                       .query = {},
+                       .headers = {{"Host", options_.host},
+                                   {"Key", options_.key},
+                                   {"Timeout-Ms", fmt::format("{}", caller_patience.count() / 1000)}},
+                       .body = {}};
+  if (method == "POST") {
+    request.headers.emplace_back("Content-Type", "application/json");
+    request.body = jobs_.at(id).body;
+  }
+  client_.call(address, request, caller_patience, std::move(done));
+}
+
+void callers::submit_later(const std::string& id, duration pause) {
+  loop_.run_detached(pause, [this, id] { submit(id); });
+}
+
+void callers::submit(const std::string& id) {
+  ++jobs_.at(id).tries;
+  call("POST", id, [this, id](const http_result& result) {
+    auto& of = jobs_.at(id);
+    if (is_accepted(result)) {
+      const bool first = std::exchange(of.known, fate::accepted) != fate::accepted;
+      if (first && random_.below(hundred) < 15) {
+        submit_later(id, milliseconds{500 + random_.below(2000)});  // A late repeat.
+      }
+      if (first && random_.below(hundred) < 15) {
+        loop_.run_detached(milliseconds{random_.below(1500)}, [this, id] { cancel(id); });
+      }
+      return;
+    }
+    const bool refused = has_status(result, 429) || has_status(result, 503);
+    if (refused && !of.uncertain && of.known == fate::unsettled) {
+      of.known = fate::refused;
+      return;
+    }
+    of.uncertain = of.uncertain || !refused;
+    if (of.known == fate::unsettled && of.tries < most_tries) {
+      submit_later(id, milliseconds{100 + random_.below(400)});
+    }
+  });
+}
+
+void callers::cancel(const std::string& id) {
+  jobs_.at(id).cancel_sent = true;
+  call("DELETE", id, [this, id](const http_result& result) {
+    if (has_status(result, 410)) {
+      violations_.push_back(fmt::format("LOST: the cancellation of accepted job {} was answered 410", id));
+    } else if (is_accepted(result)) {
+      jobs_.at(id).cancel_confirmed = true;
+    } else {
+      loop_.run_detached(milliseconds{200}, [this, id] { cancel(id); });
+    }
+  });
+}
+
+void callers::ask() {
+  std::vector<std::string> open;
+  for (const auto& [id, of] : jobs_) {
+    const bool ended = of.phase == "complete" || of.phase == "cancelled" || of.phase == "failed";
+    if (of.known == fate::accepted && !ended) {
+      open.push_back(id);
+    }
+  }
+  if (!open.empty()) {
+    const auto id = open[random_.below(open.size())];
+    call("GET", id, [this, id](const http_result& result) { told(id, result); });
+  }
+}
+
+void callers::told(const std::string& id, const http_result& result) {
+  auto& of = jobs_.at(id);
+  if (has_status(result, 410)) {
+    violations_.push_back(fmt::format("LOST: accepted job {} was answered 410", id));
+    of.phase = "failed";
+  }
+  if (!is_accepted(result)) {
+    return;
+  }
+  const auto body = json::parse(std::get<http_response>(result).body, nullptr, false);
+  of.phase = body.is_object() ? body.value("state", "") : "";
+  if (of.phase == "complete" && !fleet_.all_done(id)) {
+    violations_.push_back(fmt::format("EARLY: job {} is shown as complete before all its tasks ended", id));
+  } else if (of.phase == "failed" || (of.phase == "cancelled" && !of.cancel_sent)) {
+    violations_.push_back(fmt::format("LOST: job {} is shown as {} without a cause", id, of.phase));
+  }
+}
+
+bool callers::settled() const {
+  return std::all_of(jobs_.begin(), jobs_.end(), [](const auto& each) {
+    const auto& of = each.second;
+    const bool ended = of.phase == "complete" || of.phase == "cancelled" || of.phase == "failed";
+    return of.known == fate::accepted ? ended : of.known == fate::refused || of.tries >= most_tries;
+  });
+}
+
+void callers::check() {
+  for (const auto& [id, of] : jobs_) {
+    if (of.known == fate::refused && fleet_.ever_started(id)) {
+      violations_.push_back(fmt::format("REFUSED: job {} was refused and its tasks ran", id));
+    }
+    if (of.known == fate::accepted && of.phase != "complete" && of.phase != "cancelled") {
+      violations_.push_back(
+          fmt::format("LOST: accepted job {} did not end; its last phase is \"{}\"", id, of.phase));
+    }
+    if (of.phase == "cancelled" && fleet_.running(id)) {
+      violations_.push_back(fmt::format("CANCEL: tasks of cancelled job {} still run", id));
+    }
+    if (of.cancel_confirmed && of.phase != "cancelled" && of.phase != "complete") {
+      violations_.push_back(fmt::format("CANCEL: job {} stayed {} after its cancellation", id, of.phase));
+    }
+  }
+}
+
+std::string callers::summary() const {
+  std::map<std::string, int> counts;
+  for (const auto& [id, of] : jobs_) {
+    const bool accepted = of.known == fate::accepted;
+    ++counts[accepted ? of.phase : of.known == fate::refused ? "refused" : "unsettled"];
+  }
+  std::string text = fmt::format("{} jobs", jobs_.size());
+  for (const auto& [name, count] : counts) {
+    text += fmt::format(", {} {}", count, name);
+  }
+  return text;
+}
+
+}  // namespace rhubarbpath::soak
--- /dev/null
+++ b/tests/platform/soak/edge_process.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <sys/types.h>
+
+#include <optional>
+#include <string>
+
+#include "rhubarbpath/state/units.hpp"
+
+namespace rhubarbpath::soak {
+
+/// One `rhubarb-edge` process. Signals go only to the process that this object started.
+class edge_process {
+ public:
+  edge_process(std::string program, std::string settings_path, std::string log_path)
+      : program_{std::move(program)},
+        settings_path_{std::move(settings_path)},
+        log_path_{std::move(log_path)} {}
+  edge_process(const edge_process&) = delete;
+  edge_process(edge_process&&) = delete;
+  edge_process& operator=(const edge_process&) = delete;
+  edge_process& operator=(edge_process&&) = delete;
+  ~edge_process();
+
+  /// Returns false when no process could be started.
+  [[nodiscard]] bool start();
+  void send(int signal_number) const;
+  /// The wait status, once, when the process has ended.
+  [[nodiscard]] std::optional<int> reap();
+  [[nodiscard]] bool alive() const noexcept { return pid_ > 0; }
+
+ private:
+  std::string program_;
+  std::string settings_path_;
+  std::string log_path_;
+  pid_t pid_{0};
+};
+
+}  // namespace rhubarbpath::soak
--- /dev/null
+++ b/tests/platform/soak/fault_proxy.cpp
@@ -0,0 +1,168 @@
+#include "fault_proxy.hpp"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include <chrono>
+#include <list>
+#include <utility>
+
+namespace rhubarbpath::soak {
+
+namespace {
+
+constexpr duration delay{std::chrono::milliseconds{300}};
+
+sockaddr_in socket_address(const std::string& address, std::uint16_t port) {
+  sockaddr_in result{};
+  result.sin_family = AF_INET;
+  result.sin_port = htons(port);
+  inet_pton(AF_INET, address.c_str(), &result.sin_addr);
+  return result;
+}
+
+}  // namespace
+
+struct fault_proxy::implementation {
+  /// One accepted connection and its twin to the target.
+  struct pair {
+    implementation* owner{nullptr};
+    std::list<std::shared_ptr<pair>>::iterator self;
+    bufferevent* client{nullptr};
+    bufferevent* target{nullptr};
+    bool silent{false};
+    bool delayed{false};  ///< Stays, because bytes sent at once would overtake delayed ones.
+    bool closed{false};
+
+    void close() {
+      closed = true;
+      bufferevent_free(client);
+      bufferevent_free(target);
+    }
+  };
+
+  event_loop& loop;
+  std::string address;
+  std::uint16_t port;
+  std::string target_address;
+  std::uint16_t target_port;
+  proxy_mode mode{proxy_mode::pass};
+  evconnlistener* listener{nullptr};
+  std::list<std::shared_ptr<pair>> pairs;
+
+  void accept(evutil_socket_t socket) {
+    if (mode == proxy_mode::reset) {
+      evutil_closesocket(socket);
+      return;
+    }
+    auto added = std::make_shared<pair>();
+    added->owner = this;
+    added->client = bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
+    added->target = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    added->self = pairs.insert(pairs.end(), added);
+    for (auto* each : {added->client, added->target}) {
+      bufferevent_setcb(each, &on_read, nullptr, &on_event, added.get());
+      bufferevent_enable(each, EV_READ | EV_WRITE);
+    }
+    const auto to = socket_address(target_address, target_port);
+    if (bufferevent_socket_connect(added->target, reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0) {
+      drop(*added);
+    }
+  }
+  void drop(pair& gone) {
+    const auto keep = *gone.self;
+    pairs.erase(gone.self);
+    keep->close();
+  }
+  static void on_read(bufferevent* from, void* context) {
+    auto& at = *static_cast<pair*>(context);
+    const bool answer = from == at.target;
+    auto* input = bufferevent_get_input(from);
+    const auto mode = at.owner->mode;
+    if (at.silent || mode == proxy_mode::cut || (mode == proxy_mode::one_way && answer)) {
+      // A stream with a gap must never be resumed, so the connection stays silent for good.
+      at.silent = true;
+      evbuffer_drain(input, evbuffer_get_length(input));
+      return;
+    }
+    auto* to = answer ? at.client : at.target;
+    at.delayed = at.delayed || mode == proxy_mode::delayed;
+    if (!at.delayed) {
+      bufferevent_write_buffer(to, input);
+      return;
+    }
+    std::string bytes(evbuffer_get_length(input), '\0');
+    evbuffer_remove(input, bytes.data(), bytes.size());
+    at.owner->loop.run_detached(delay, [held = *at.self, to, bytes = std::move(bytes)] {
+      if (!held->closed) {
+        bufferevent_write(to, bytes.data(), bytes.size());
+      }
+    });
+  }
+  static void on_event(bufferevent* /*from*/, short what, void* context) {
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) {
+      return;
+    }
+    auto& at = *static_cast<pair*>(context);
+    // What was read before the end is passed on first; on loopback one write is enough.
+    for (auto* each : {at.client, at.target}) {
+      auto* output = bufferevent_get_output(each);
+      const auto socket = bufferevent_getfd(each);
+      if (socket >= 0 && evbuffer_get_length(output) > 0) {
+        evbuffer_write(output, socket);
+      }
+    }
+    at.owner->drop(at);
+  }
+};
+
+fault_proxy::fault_proxy(event_loop& loop, std::string address, std::uint16_t port,
+                         std::string target_address, std::uint16_t target_port)
+    : implementation_{new implementation{.loop = loop,
+                                         .address = std::move(address),
+                                         .port = port,
+                                         .target_address = std::move(target_address),
+                                         .target_port = target_port,
+                                         .pairs = {}}} {}
+
+fault_proxy::~fault_proxy() {
+  for (const auto& each : implementation_->pairs) {
+    each->close();
+  }
+  if (implementation_->listener != nullptr) {
+    evconnlistener_free(implementation_->listener);
+  }
+}
+
+absl::Status fault_proxy::listen() {
+  auto& self = *implementation_;
+  const auto at = socket_address(self.address, self.port);
+  constexpr int backlog = 128;
+  self.listener = evconnlistener_new_bind(
+      self.loop.base(),
+      [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* context) {
+        static_cast<implementation*>(context)->accept(socket);
+      },
+      &self, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, backlog, reinterpret_cast<const sockaddr*>(&at),
+      sizeof at);
+  return self.listener != nullptr ? absl::OkStatus()
+                                  : absl::UnavailableError("the proxy's address is in use");
+}
+
+void fault_proxy::set_mode(proxy_mode mode) {
+  auto& self = *implementation_;
+  self.mode = mode;
+  if (mode == proxy_mode::reset) {
+    while (!self.pairs.empty()) {
+      self.drop(*self.pairs.front());
+    }
+  } else if (mode == proxy_mode::silent) {
+    for (const auto& each : self.pairs) {
+      each->silent = true;
+    }
+  }
+}
+
+}  // namespace rhubarbpath::soak
--- /dev/null
+++ b/tests/platform/soak/store_stand_in.cpp
@@ -0,0 +1,334 @@
+#include "store_stand_in.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+#include "absl/strings/escaping.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
+
+namespace rhubarbpath::soak {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr duration clock_period{std::chrono::milliseconds{25}};
+constexpr std::uint64_t hundred = 100;
+constexpr std::size_t page_items = 500;
+
+/// Decodes the percent signs of one value of a query.
+std::string query_value(const std::string& query, const std::string& name) {
+  for (const auto part : absl::StrSplit(query, '&')) {
+    const std::pair<std::string, std::string> pair = absl::StrSplit(part, absl::MaxSplits('=', 1));
+    if (pair.first != name) {
+      continue;
+    }
+    std::string text;
+    for (std::size_t i = 0; i < pair.second.size(); ++i) {
+      if (pair.second[i] == '%' && i + 2 < pair.second.size()) {
+        text += absl::HexStringToBytes(pair.second.substr(i + 1, 2));
+        i += 2;
+      } else {
+        text += pair.second[i];
+      }
+    }
+    return text;
+  }
+  return {};
+}
+
+std::uint64_t query_number(const std::string& query, const std::string& name) {
+  std::uint64_t value = 0;
+  return absl::SimpleAtoi(query_value(query, name), &value) ? value : 0;
+}
+
+http_response reply_json(int status, const json& body) {
+  return {.status = status, .headers = {{"Content-Type", "application/json"}}, .body = body.dump()};
+}
+
+}  // namespace
+
+store_stand_in::store_stand_in(event_loop& loop, const std::string& address, std::uint16_t port,
+                               random_source& random)
+    : loop_{loop},
+      random_{random},
+      advanced_{loop.now()},
+      server_{loop,
+              {.address = address, .port = port, .max_body_bytes = 8U << 20U},
+              [this](const http_request& request, const http_responder& reply) { handle(request, reply); }},
+      clock_{loop.run_every(clock_period, [this] { advance(); })} {}
+
+void store_stand_in::put(const std::string& key, const std::string& value) {
+  write(key, absl::Base64Escape(value), 0, ++revision_);
+  notify();
+}
+
+void store_stand_in::erase(const std::string& key) {
+  if (rows_.contains(key)) {
+    remove(key, ++revision_);
+    notify();
+  }
+}
+
+void store_stand_in::compact() {
+  compacted_ = revision_;
+  history_.clear();
+}
+
+void store_stand_in::handle(const http_request& request, const http_responder& reply) {
+  const auto hit = [&](int percent) {
+    return percent > 0 && random_.below(hundred) < static_cast<std::uint64_t>(percent);
+  };
+  if (faults.down || hit(faults.refused_percent)) {
+    reply.send({.status = hit(50) ? 503 : 429, .headers = {}, .body = {}});
+    return;
+  }
+  const bool writes = request.method != "GET";
+  if (writes && hit(faults.late_writes_percent)) {
+    unanswered_.push_back(reply);
+    loop_.run_detached(std::chrono::milliseconds{500 + random_.below(3000)}, [this, request] {
+      if (!faults.down) {
+        static_cast<void>(execute(request));
+        notify();
+      }
+    });
+    return;
+  }
+  const bool lost = hit(faults.lost_answers_percent);
+  const auto serve = [this, request, reply, lost] {
+    if (lost) {
+      unanswered_.push_back(reply);
+    }
+    if (request.path == "/api/kv-watch") {
+      if (!lost) {
+        watch(request, reply);
+      }
+      return;
+    }
+    const auto response = execute(request);
+    if (!lost) {
+      reply.send(response);
+    }
+    notify();
+  };
+  if (faults.answer_delay > duration::zero()) {
+    loop_.run_detached(faults.answer_delay, serve);
+  } else {
+    serve();
+  }
+}
+
+store_stand_in::answer store_stand_in::execute(const http_request& request) {
+  if (request.path == "/api/kv-key") {
+    return read_one(request);
+  }
+  if (request.path == "/api/kv-range") {
+    return read_range(request);
+  }
+  if (request.path == "/api/kv-txn") {
+    return commit(request.body);
+  }
+  return lease_call(request);
+}
+
+json store_stand_in::item(const std::string& key, const row& of) const {
+  return {{"key", key},
+          {"value", of.value},
+          {"revision", of.changed},
+          {"created", of.created},
+          {"lease", of.lease}};
+}
+
+store_stand_in::answer store_stand_in::read_one(const http_request& request) const {
+  const auto key = query_value(request.query, "key");
+  const auto found = rows_.find(key);
+  if (found == rows_.end()) {
+    return reply_json(404, {{"asOf", revision_}});
+  }
+  auto body = item(key, found->second);
+  body["asOf"] = revision_;
+  return reply_json(200, body);
+}
+
+store_stand_in::answer store_stand_in::read_range(const http_request& request) const {
+  const auto prefix = query_value(request.query, "prefix");
+  const auto after = query_value(request.query, "after");
+  json items = json::array();
+  bool more = false;
+  for (auto at = rows_.lower_bound(std::max(prefix, after)); at != rows_.end(); ++at) {
+    if (!at->first.starts_with(prefix)) {
+      break;
+    }
+    if (at->first == after) {
+      continue;
+    }
+    if (items.size() == page_items) {
+      more = true;
+      break;
+    }
+    items.push_back(item(at->first, at->second));
+  }
+  return reply_json(200, {{"items", std::move(items)}, {"hasMore", more}, {"asOf", revision_}});
+}
+
+store_stand_in::answer store_stand_in::commit(const std::string& text) {
+  const auto body = json::parse(text, nullptr, false);
+  if (!body.is_object()) {
+    return reply_json(400, json::object());
+  }
+  json current = json::array();
+  bool holds = true;
+  for (const auto& each : body.value("expectedRev", json::array())) {
+    const auto key = each.value("key", "");
+    const auto found = rows_.find(key);
+    const auto revision = found == rows_.end() ? 0 : found->second.changed;
+    holds = holds && revision == each.value("revision", std::uint64_t{0});
+    current.push_back(found == rows_.end() ? json{{"key", key}, {"revision", 0}} : item(key, found->second));
+  }
+  if (!holds) {
+    return reply_json(412, {{"items", std::move(current)}, {"asOf", revision_}});
+  }
+  for (const auto& each : body.value("put", json::array())) {
+    const auto id = each.value("lease", std::uint64_t{0});
+    if (id != 0 && !leases_.contains(id)) {
+      return reply_json(404, json::object());
+    }
+  }
+  const auto at = ++revision_;
+  for (const auto& each : body.value("put", json::array())) {
+    write(each.value("key", ""), each.value("value", ""), each.value("lease", std::uint64_t{0}), at);
+  }
+  for (const auto& key : body.value("delete", json::array())) {
+    remove(key.get<std::string>(), at);
+  }
+  return reply_json(200, {{"revision", at}});
+}
+
+store_stand_in::answer store_stand_in::lease_call(const http_request& request) {
+  if (request.path == "/api/kv-lease") {
+    const auto body = json::parse(request.body, nullptr, false);
+    const duration length = std::chrono::milliseconds{body.is_object() ? body.value("ttlMs", 0) : 0};
+    const auto id = ++next_lease_;
+    leases_[id] = {.time_to_live = length, .ends = loop_.now() + length, .keys = {}};
+    return reply_json(
+        200,
+        {{"lease", id}, {"ttlMs", std::chrono::duration_cast<std::chrono::milliseconds>(length).count()}});
+  }
+  const auto id_at = request.path.rfind('/') + 1;
+  std::uint64_t id = 0;
+  const auto found = absl::SimpleAtoi(request.path.substr(id_at), &id) ? leases_.find(id) : leases_.end();
+  if (found == leases_.end()) {
+    return reply_json(404, json::object());
+  }
+  if (request.method == "DELETE") {
+    found->second.ends = instant{};
+    advance();
+    return {.status = 200, .headers = {}, .body = {}};
+  }
+  found->second.ends = loop_.now() + found->second.time_to_live;
+  return reply_json(
+      200,
+      {{"ttlMs", std::chrono::duration_cast<std::chrono::milliseconds>(found->second.time_to_live).count()}});
+}
+
+std::optional<store_stand_in::answer> store_stand_in::events_after(const std::string& prefix,
+                                                                   std::uint64_t after) const {
+  if (after < compacted_) {
+    return reply_json(410, {{"asOf", revision_}});
+  }
+  json events = json::array();
+  for (const auto& each : history_) {
+    if (each.revision <= after || !each.key.starts_with(prefix)) {
+      continue;
+    }
+    events.push_back(each.written ? item(each.key, *each.written)
+                                  : json{{"key", each.key}, {"revision", each.revision}, {"deleted", true}});
+  }
+  if (events.empty()) {
+    return std::nullopt;
+  }
+  return reply_json(200, {{"events", std::move(events)}, {"asOf", revision_}});
+}
+
+void store_stand_in::watch(const http_request& request, const http_responder& reply) {
+  watchers_.push_back(
+      {.prefix = query_value(request.query, "prefix"),
+       .after = query_number(request.query, "after"),
+       .until = loop_.now() + std::chrono::milliseconds{query_number(request.query, "waitMs")},
+       .reply = reply});
+  notify();
+}
+
+void store_stand_in::notify() {
+  const auto now = loop_.now();
+  std::erase_if(watchers_, [&](const watcher& each) {
+    if (const auto events = events_after(each.prefix, each.after)) {
+      each.reply.send(*events);
+      return true;
+    }
+    if (each.until <= now) {
+      each.reply.send(reply_json(200, {{"events", json::array()}, {"asOf", revision_}}));
+      return true;
+    }
+    return !each.reply.open();
+  });
+}
+
+void store_stand_in::advance() {
+  const auto now = loop_.now();
+  for (auto& [id, held] : leases_) {
+    if (faults.down && faults.leases_pause) {
+      held.ends += now - advanced_;
+    }
+  }
+  advanced_ = now;
+  for (auto found = leases_.begin(); found != leases_.end();) {
+    if (found->second.ends > now) {
+      ++found;
+      continue;
+    }
+    const auto keys = found->second.keys;
+    found = leases_.erase(found);
+    if (!keys.empty()) {
+      const auto at = ++revision_;
+      for (const auto& key : keys) {
+        remove(key, at);
+      }
+    }
+  }
+  std::erase_if(unanswered_, [](const http_responder& each) { return !each.open(); });
+  notify();
+}
+
+void store_stand_in::detach(const std::string& key, std::uint64_t lease_id) {
+  if (const auto held = leases_.find(lease_id); held != leases_.end()) {
+    held->second.keys.erase(key);
+  }
+}
+
+void store_stand_in::write(const std::string& key, std::string value, std::uint64_t lease_id,
+                           std::uint64_t at) {
+  auto& target = rows_[key];
+  detach(key, target.lease);
+  target.value = std::move(value);
+  target.changed = at;
+  target.created = target.created == 0 ? at : target.created;
+  target.lease = lease_id;
+  if (lease_id != 0) {
+    leases_[lease_id].keys.insert(key);
+  }
+  history_.push_back({.revision = at, .key = key, .written = target});
+}
+
+void store_stand_in::remove(const std::string& key, std::uint64_t at) {
+  const auto found = rows_.find(key);
+  if (found == rows_.end()) {
+    return;
+  }
+  detach(key, found->second.lease);
+  rows_.erase(found);
+  history_.push_back({.revision = at, .key = key, .written = std::nullopt});
+}
+
+}  // namespace rhubarbpath::soak
--- /dev/null
+++ b/tests/platform/soak/worker_fleet.cpp
@@ -0,0 +1,486 @@
+#include "worker_fleet.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+#include <optional>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
+
+namespace rhubarbpath::soak {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr duration clock_period{milliseconds{20}};
+constexpr duration heartbeat{milliseconds{700}};
+/// A silent worker's row goes after three heartbeats.
+constexpr duration row_lifetime = 3 * heartbeat;
+constexpr std::int64_t longest_lease_ms = 10'000;
+constexpr duration stop_time{milliseconds{120}};
+/// A member that waits longer than this for the rest of its gang ends.
+constexpr duration gang_timeout{std::chrono::seconds{4}};
+constexpr std::uint64_t hundred = 100;
+constexpr int worker_cpu = 8000;
+constexpr int worker_memory_mb = 16'000;
+constexpr int worker_accelerators = 4;
+
+std::optional<task_name> parse_task(const std::string& text) {
+  const std::vector<std::string> parts = absl::StrSplit(text, '.');
+  task_name task;
+  if (parts.size() != 4 || !absl::SimpleAtoi(parts[2], &task.step) ||
+      !absl::SimpleAtoi(parts[3], &task.index)) {
+    return std::nullopt;
+  }
+  task.job = parts[0];
+  return task;
+}
+
+std::string wire_name(const task_name& task) {
+  return fmt::format("{}.0.{}.{}", task.job, task.step, task.index);
+}
+
+}  // namespace
+
+/// One worker: runs tasks under a lease on its own clock, which may be slow.
+class worker_stand_in {
+ public:
+  worker_stand_in(worker_fleet& fleet, std::string id, std::string zone, const std::string& address,
+                  std::uint16_t port, std::string reached_at)
+      : fleet_{fleet},
+        id_{std::move(id)},
+        zone_{std::move(zone)},
+        reached_at_{std::move(reached_at)},
+        clock_rate_{1.0 - 0.02 * fleet.random_.fraction()},
+        server_{
+            fleet.loop_,
+            {.address = address, .port = port},
+            [this](const http_request& request, const http_responder& reply) { handle(request, reply); }} {
+    begin_life();
+  }
+
+  [[nodiscard]] absl::Status listen() { return server_.listen(); }
+  [[nodiscard]] const std::string& id() const { return id_; }
+
+  void restart() {
+    while (!running_.empty()) {
+      end_with_gang(running_.begin()->first, "lost with its worker");
+    }
+    forgive_unacknowledged_ends();
+    begin_life();
+  }
+
+  void advance() {
+    const auto now = fleet_.loop_.now();
+    write_row(now);
+    if (clock_ms() > lease_until_ms_) {
+      while (!running_.empty()) {
+        end_with_gang(running_.begin()->first, "lapsed");
+      }
+      forgive_unacknowledged_ends();
+    }
+    std::vector<std::pair<task_name, std::string>> ends;
+    for (const auto& [task, active] : running_) {
+      if (active.stop_at != instant{} && active.stop_at <= now) {
+        ends.emplace_back(task, "stopped");
+      } else if (active.fails_at != instant{} && active.fails_at <= now) {
+        ends.emplace_back(task, "failed");
+      } else if (active.gang && active.work_began == instant{} && now - active.arrived > gang_timeout) {
+        ends.emplace_back(task, "alone");
+      } else if (active.work_began != instant{} && now - active.work_began >= active.run_time) {
+        ends.emplace_back(task, "done");
+      }
+    }
+    for (const auto& [task, how] : ends) {
+      if (running_.contains(task)) {
+        end_with_gang(task, how);
+      }
+    }
+    answer_waiting(now);
+  }
+
+  /// Whether a member of this gang run is here, and since when it works.
+  [[nodiscard]] bool has_member(const task_name& task, std::uint64_t run) const {
+    const auto found = running_.find(task);
+    return found != running_.end() && found->second.run == run && found->second.stop_at == instant{};
+  }
+  void begin_work(const task_name& task, instant now) { running_.at(task).work_began = now; }
+  void end_member(const task_name& task, std::uint64_t run, const std::string& how) {
+    const auto found = running_.find(task);
+    if (found != running_.end() && found->second.run == run) {
+      end(task, how, how == "done");
+    }
+  }
+
+  worker_faults faults;
+
+ private:
+  struct active_task {
+    std::uint64_t run{0};
+    instant arrived{};
+    instant work_began{};  ///< Zero while the gang is incomplete.
+    duration run_time{};
+    bool gang{false};
+    instant stop_at{};
+    instant fails_at{};
+  };
+  struct waiting_call {
+    std::uint64_t acknowledged{0};
+    instant until{};
+    http_responder reply;
+  };
+
+  void begin_life() {
+    born_ = std::chrono::duration_cast<milliseconds>(fleet_.loop_.now() - instant{}).count();
+    born_ = std::max(born_, last_born_ + 1);
+    last_born_ = born_;
+    life_began_ = fleet_.loop_.now();
+    clock_offset_ms_ = static_cast<std::int64_t>(fleet_.random_.below(100'000));
+    token_ = 0;
+    lease_until_ms_ = 0;
+    ends_.clear();
+    next_end_ = 1;
+    highest_ended_.clear();
+    sequence_ = 0;
+    row_due_ = instant{};
+  }
+  [[nodiscard]] std::int64_t clock_ms() const {
+    const auto lived = std::chrono::duration_cast<milliseconds>(fleet_.loop_.now() - life_began_).count();
+    return clock_offset_ms_ + static_cast<std::int64_t>(static_cast<double>(lived) * clock_rate_);
+  }
+  void write_row(instant now) {
+    const auto key = "servers/" + id_;
+    if (faults.silent_to_store || fleet_.store_.faults.down) {
+      if (now - row_written_ > row_lifetime) {
+        fleet_.store_.erase(key);
+      }
+      return;
+    }
+    if (now < row_due_) {
+      return;
+    }
+    row_due_ = now + heartbeat;
+    row_written_ = now;
+    fleet_.store_.put(
+        key,
+        json{{"service", "render"},
+             {"address", reached_at_},
+             {"zone", zone_},
+             {"version", "v1"},
+             {"slots", 8},
+             {"state", "ready"},
+             {"coldRemainingMs", 0},
+             {"seq", ++sequence_},
+             {"born", born_},
+             {"labels", {"kind-a", zone_ + "-r1"}},
+             {"capacity", {{"cpu", worker_cpu}, {"memMb", worker_memory_mb}, {"gpu", worker_accelerators}}}}
+            .dump());
+  }
+
+  void handle(const http_request& request, const http_responder& reply) {
+    const auto hit = [&](int percent) {
+      return percent > 0 && fleet_.random_.below(hundred) < static_cast<std::uint64_t>(percent);
+    };
+    if (std::string{header_value(request.headers, "Expect-Instance")} != id_) {
+      reply.send({.status = 421, .headers = {}, .body = {}});
+      return;
+    }
+    if (hit(faults.late_orders_percent)) {
+      unanswered_.push_back(reply);
+      fleet_.loop_.run_detached(milliseconds{300 + fleet_.random_.below(2500)},
+                                [this, request, born = born_] {
+                                  if (born == born_) {
+                                    static_cast<void>(execute(request));
+                                  }
+                                });
+      return;
+    }
+    const bool lost = hit(faults.lost_answers_percent);
+    const auto body = json::parse(request.body, nullptr, false);
+    const auto wait = body.is_object() ? body.value("waitMs", 0) : 0;
+    const auto response = execute(request);
+    if (lost) {
+      unanswered_.push_back(reply);
+    } else if (request.path == "/api/hold" && response.status == 200 && wait > 0 && ends_.empty()) {
+      waiting_.push_back(
+          {.acknowledged = 0, .until = fleet_.loop_.now() + milliseconds{wait}, .reply = reply});
+    } else {
+      reply.send(response);
+    }
+  }
+
+  http_response execute(const http_request& request) {
+    const auto body = json::parse(request.body, nullptr, false);
+    if (!body.is_object()) {
+      return say(400, {});
+    }
+    if (const auto token = body.value("fencingToken", std::uint64_t{0}); token < token_) {
+      return say(409, {{"reason", "fence"}});
+    } else {
+      token_ = token;
+    }
+    if (request.path == "/api/hold") {
+      return hold(body);
+    }
+    const auto task = parse_task(body.value("task", ""));
+    const auto run = body.value("run", std::uint64_t{0});
+    if (!task || run == 0) {
+      return say(400, {});
+    }
+    return request.path == "/api/run-stop" ? stop(*task, run) : start(body, *task, run);
+  }
+
+  http_response hold(const json& body) {
+    const auto acknowledged = body.value("ackedThrough", std::uint64_t{0});
+    std::erase_if(ends_, [&](const json& each) { return each[0].get<std::uint64_t>() <= acknowledged; });
+    extend_lease(body);
+    return report();
+  }
+  http_response report() const {
+    json running = json::array();
+    for (const auto& [task, active] : running_) {
+      const auto worked =
+          active.work_began == instant{} ? duration::zero() : fleet_.loop_.now() - active.work_began;
+      running.push_back({wire_name(task), active.run, "",
+                         std::min<std::int64_t>(100, worked.count() * 100 / active.run_time.count())});
+    }
+    return say(200, {{"running", std::move(running)}, {"finished", json(ends_)}});
+  }
+  http_response stop(const task_name& task, std::uint64_t run) {
+    const auto found = running_.find(task);
+    if (found != running_.end() && found->second.run <= run) {
+      if (found->second.stop_at == instant{}) {
+        found->second.stop_at = fleet_.loop_.now() + stop_time;
+      }
+    }
+    highest_ended_[task] = std::max(highest_ended_[task], run);
+    return say(200, json::object());
+  }
+  http_response start(const json& body, const task_name& task, std::uint64_t run) {
+    const auto deadline = body.value("deadlineMs", std::int64_t{0});
+    if (const auto found = running_.find(task); found != running_.end() && found->second.run == run) {
+      return say(200, json::object());
+    }
+    if (deadline <= clock_ms()) {
+      return say(409, {{"reason", "late"}});
+    }
+    extend_lease(body);
+    const auto ended = highest_ended_.find(task);
+    if (running_.contains(task) || (ended != highest_ended_.end() && run <= ended->second)) {
+      return say(409, {{"reason", "old"}});
+    }
+    const auto* step = fleet_.step_of(task);
+    if (step == nullptr) {
+      return say(400, {});
+    }
+    if (!has_room(*step)) {
+      return say(409, {{"reason", "room"}});
+    }
+    const auto now = fleet_.loop_.now();
+    active_task added{.run = run, .arrived = now, .run_time = step->run_time, .gang = step->gang};
+    if (fleet_.random_.below(hundred) < static_cast<std::uint64_t>(faults.failed_starts_percent)) {
+      added.fails_at = now + milliseconds{100};
+    }
+    added.work_began = step->gang ? instant{} : now;
+    running_[task] = added;
+    fleet_.run_began(task, run, id_);
+    if (step->gang) {
+      begin_gang_when_whole(task, *step, run);
+    }
+    return say(200, json::object());
+  }
+  [[nodiscard]] bool has_room(const soak_step& wanted) const {
+    int cpu = wanted.cpu;
+    int memory = wanted.memory_mb;
+    int accelerators = wanted.accelerators;
+    for (const auto& [task, active] : running_) {
+      const auto* step = fleet_.step_of(task);
+      cpu += step->cpu;
+      memory += step->memory_mb;
+      accelerators += step->accelerators;
+    }
+    return cpu <= worker_cpu && memory <= worker_memory_mb && accelerators <= worker_accelerators;
+  }
+  void begin_gang_when_whole(const task_name& task, const soak_step& step, std::uint64_t run) {
+    std::vector<std::pair<worker_stand_in*, task_name>> members;
+    for (int i = 0; i < step.count; ++i) {
+      const task_name member{.job = task.job, .step = task.step, .index = i};
+      for (const auto& worker : fleet_.workers_) {
+        if (worker->has_member(member, run)) {
+          members.emplace_back(worker.get(), member);
+        }
+      }
+    }
+    if (members.size() == static_cast<std::size_t>(step.count)) {
+      for (const auto& [worker, member] : members) {
+        worker->begin_work(member, fleet_.loop_.now());
+      }
+    }
+  }
+
+  /// Ends a task and, for a gang, its other members: as done together, or as broken.
+  void end_with_gang(const task_name& key, const std::string& how) {
+    const auto task = key;  // The argument may be the key of the entry that is removed here.
+    const auto active = running_.at(task);
+    end(task, how, how == "done");
+    if (!active.gang) {
+      return;
+    }
+    const auto* step = fleet_.step_of(task);
+    for (int i = 0; i < step->count; ++i) {
+      const task_name member{.job = task.job, .step = task.step, .index = i};
+      for (const auto& worker : fleet_.workers_) {
+        worker->end_member(member, active.run, how == "done" ? "done" : "broken");
+      }
+    }
+  }
+  void end(const task_name& task, const std::string& how, bool done) {
+    const auto run = running_.at(task).run;
+    running_.erase(task);
+    highest_ended_[task] = std::max(highest_ended_[task], run);
+    ends_.push_back({next_end_++, wire_name(task), run, how, ""});
+    fleet_.run_ended(task, run, id_, done);
+  }
+  /// An end that was lost with the worker, or not acknowledged before the lease ended, may be unknown to
+  /// every owner, so its task may run again.
+  void forgive_unacknowledged_ends() {
+    for (const auto& each : ends_) {
+      if (each[3] == "done") {
+        fleet_.rerun_allowed_.insert(*parse_task(each[1].get<std::string>()));
+      }
+    }
+  }
+  void answer_waiting(instant now) {
+    std::erase_if(waiting_, [&](const waiting_call& each) {
+      if (!ends_.empty() || each.until <= now) {
+        each.reply.send(report());
+        return true;
+      }
+      return !each.reply.open();
+    });
+    std::erase_if(unanswered_, [](const http_responder& each) { return !each.open(); });
+  }
+  void extend_lease(const json& body) {
+    const auto deadline = std::min(body.value("deadlineMs", std::int64_t{0}), clock_ms() + longest_lease_ms);
+    lease_until_ms_ = std::max(lease_until_ms_, deadline);
+  }
+  [[nodiscard]] http_response say(int status, json body) const {
+    body["clockMs"] = clock_ms();
+    body["born"] = born_;
+    return {.status = status, .headers = {{"Content-Type", "application/json"}}, .body = body.dump()};
+  }
+
+  worker_fleet& fleet_;
+  std::string id_;
+  std::string zone_;
+  std::string reached_at_;
+  double clock_rate_;
+  std::int64_t born_{0};
+  std::int64_t last_born_{0};
+  instant life_began_{};
+  std::int64_t clock_offset_ms_{0};
+  std::uint64_t token_{0};
+  std::int64_t lease_until_ms_{0};
+  std::map<task_name, active_task> running_;
+  std::map<task_name, std::uint64_t> highest_ended_;
+  std::vector<json> ends_;
+  std::uint64_t next_end_{1};
+  std::uint64_t sequence_{0};
+  instant row_due_{};
+  instant row_written_{};
+  std::vector<waiting_call> waiting_;
+  std::vector<http_responder> unanswered_;
+  http_server server_;
+};
+
+worker_fleet::worker_fleet(event_loop& loop, store_stand_in& store, random_source& random)
+    : loop_{loop}, store_{store}, random_{random}, clock_{loop.run_every(clock_period, [this] {
+        advance();
+      })} {}
+
+worker_fleet::~worker_fleet() = default;
+
+absl::Status worker_fleet::add(const std::string& address, std::uint16_t port,
+                               const std::string& reached_at) {
+  const auto number = workers_.size();
+  workers_.push_back(std::make_unique<worker_stand_in>(
+      *this, fmt::format("w-{:02}", number), fmt::format("zone-{}", number % 2), address, port, reached_at));
+  return workers_.back()->listen();
+}
+
+worker_faults& worker_fleet::faults(std::size_t worker) {
+  return workers_.at(worker)->faults;
+}
+
+void worker_fleet::restart(std::size_t worker) {
+  workers_.at(worker)->restart();
+}
+
+bool worker_fleet::all_done(const std::string& job) const {
+  const auto found = jobs_.find(job);
+  if (found == jobs_.end()) {
+    return false;
+  }
+  for (std::size_t step = 0; step < found->second.size(); ++step) {
+    for (int i = 0; i < found->second[step].count; ++i) {
+      if (!done_.contains({.job = job, .step = static_cast<int>(step), .index = i})) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+bool worker_fleet::running(const std::string& job) const {
+  return std::any_of(running_.begin(), running_.end(),
+                     [&](const auto& each) { return each.first.job == job; });
+}
+
+const soak_step* worker_fleet::step_of(const task_name& task) const {
+  const auto found = jobs_.find(task.job);
+  const auto step = static_cast<std::size_t>(task.step);
+  return found == jobs_.end() || step >= found->second.size() ? nullptr : &found->second[step];
+}
+
+void worker_fleet::run_began(const task_name& task, std::uint64_t run, const std::string& worker) {
+  ++run_count_;
+  started_.insert(task.job);
+  if (const auto other = running_.find(task); other != running_.end()) {
+    violation(fmt::format("TWICE: {} began as run {} on {} while it runs on {}", wire_name(task), run, worker,
+                          other->second));
+  }
+  if (done_.contains(task) && !rerun_allowed_.contains(task)) {
+    violation(fmt::format("TWICE: {} began as run {} on {} after it had ended as done", wire_name(task), run,
+                          worker));
+  }
+  for (const auto before : step_of(task)->after) {
+    for (int i = 0; i < jobs_.at(task.job)[static_cast<std::size_t>(before)].count; ++i) {
+      if (!done_.contains({.job = task.job, .step = before, .index = i})) {
+        violation(fmt::format("ORDER: {} began before step {} was done", wire_name(task), before));
+        return;
+      }
+    }
+  }
+  running_[task] = worker;
+}
+
+void worker_fleet::run_ended(const task_name& task, std::uint64_t run, const std::string& worker, bool done) {
+  if (const auto found = running_.find(task); found != running_.end() && found->second == worker) {
+    running_.erase(found);
+  }
+  if (done && !done_.insert(task).second && !rerun_allowed_.contains(task)) {
+    violation(fmt::format("TWICE: {} ended as done again with run {} on {}", wire_name(task), run, worker));
+  }
+}
+
+void worker_fleet::advance() {
+  for (const auto& worker : workers_) {
+    worker->advance();
+  }
+}
+
+}  // namespace rhubarbpath::soak
--- /dev/null
+++ b/tests/platform/soak/worker_fleet.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "rhubarbpath/state/random.hpp"
+#include "rhubarbpath/transport/event_loop.hpp"
+#include "rhubarbpath/transport/http_server.hpp"
+#include "store_stand_in.hpp"
+
+namespace rhubarbpath::soak {
+
+struct soak_step {
+  int count{1};
+  int cpu{0};
+  int memory_mb{0};
+  int accelerators{0};
+  duration run_time{};
+  bool gang{false};
+  std::vector<int> after;
+};
+using soak_job = std::vector<soak_step>;
+
+/// Name of a task on the wire: job, occurrence, step, index.
+struct task_name {
+  std::string job;
+  int step{0};
+  int index{0};
+  friend auto operator<=>(const task_name&, const task_name&) = default;
+};
+
+struct worker_faults {
+  bool silent_to_store{false};   ///< Its row in the store disappears; it runs on.
+  int late_orders_percent{0};    ///< Executed seconds later, never answered.
+  int lost_answers_percent{0};   ///< Executed at once, never answered.
+  int failed_starts_percent{0};  ///< The task ends as failed after a moment.
+};
+
+class worker_stand_in;
+
+/// All workers, what runs on them, and what must hold of it at any time.
+class worker_fleet {
+ public:
+  worker_fleet(event_loop& loop, store_stand_in& store, random_source& random);
+  ~worker_fleet();
+  worker_fleet(const worker_fleet&) = delete;
+  worker_fleet(worker_fleet&&) = delete;
+  worker_fleet& operator=(const worker_fleet&) = delete;
+  worker_fleet& operator=(worker_fleet&&) = delete;
+
+  /// `reached_at` is what the worker tells the store; a proxy may listen there.
+  [[nodiscard]] absl::Status add(const std::string& address, std::uint16_t port,
+                                 const std::string& reached_at);
+  [[nodiscard]] std::size_t size() const noexcept { return workers_.size(); }
+  [[nodiscard]] worker_faults& faults(std::size_t worker);
+  /// Loses everything on the worker, which is back under its id at once.
+  void restart(std::size_t worker);
+
+  void expect(const std::string& job, soak_job steps) { jobs_[job] = std::move(steps); }
+  /// Whether all tasks of all steps have ended as done.
+  [[nodiscard]] bool all_done(const std::string& job) const;
+  [[nodiscard]] bool ever_started(const std::string& job) const { return started_.contains(job); }
+  [[nodiscard]] bool running(const std::string& job) const;
+  [[nodiscard]] const std::vector<std::string>& violations() const noexcept { return violations_; }
+  [[nodiscard]] std::size_t runs() const noexcept { return run_count_; }
+
+ private:
+  friend class worker_stand_in;
+
+  [[nodiscard]] const soak_step* step_of(const task_name& task) const;
+  void run_began(const task_name& task, std::uint64_t run, const std::string& worker);
+  void run_ended(const task_name& task, std::uint64_t run, const std::string& worker, bool done);
+  void advance();
+  void violation(const std::string& text) { violations_.push_back(text); }
+
+  event_loop& loop_;
+  store_stand_in& store_;
+  random_source& random_;
+  std::vector<std::unique_ptr<worker_stand_in>> workers_;
+  std::map<std::string, soak_job> jobs_;
+  std::set<std::string> started_;
+  std::map<task_name, std::string> running_;  ///< The worker that runs the task.
+  std::set<task_name> done_;
+  std::set<task_name> rerun_allowed_;
+  std::vector<std::string> violations_;
+  std::size_t run_count_{0};
+  timer_handle clock_;
+};
+
+}  // namespace rhubarbpath::soak
--- a/tests/transport/http_test.cpp
+++ b/tests/transport/http_test.cpp
@@ -56,6 +56,27 @@
   }
 }
 
+// Guards against a request whose own Host header is hidden by the address of the connection.
+TEST_CASE("http_request_with_own_host_sends_that_host_alone") {
+  http_pair pair;
+  REQUIRE(pair.server.listen().ok());
+  std::vector<std::string> hosts;
+  pair.handle = [&](const http_request& request, const http_responder& reply) {
+    for (const auto& [name, value] : request.headers) {
+      if (name == "Host") {
+        hosts.push_back(value);
+      }
+    }
+    reply.send({.status = 200, .headers = {}, .body = {}});
+  };
+  http_request request{
+      .method = "GET", .path = "/", .query = {}, .headers = {{"Host", "a.example"}}, .body = {}};
+  REQUIRE(pair.call(request));
+  request.headers.clear();
+  REQUIRE(pair.call(request));
+  CHECK(hosts == std::vector<std::string>{"a.example", address});
+}
+
 // Guards against "may have run" for a request of which no byte was sent.
 TEST_CASE("http_call_to_closed_port_sends_no_bytes") {
   http_pair pair;
