Acknowledge ends to the worker's life that listed them only

Cause: each renewal carried the highest acknowledged number, also long after the worker had confirmed it. Ruled out: the stand-in's checks (the end was listed when the renewal arrived) and the start's repeat (it was refused as superseded, correctly). Change: an acknowledgement is sent until one renewal with it is answered, and never to a worker that has been silent, because it may have restarted. Before: scheduler_end_in_a_new_life_of_a_worker_survives_older_acknowledgements counted 2 starts. After: 1; the other scheduler tests pass.

--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -112,7 +112,9 @@
   std::uint64_t seen_through{0};
   std::uint64_t flushing_through{0};
   std::uint64_t acknowledged_through{0};
-  std::uint64_t acknowledged_sent{0};
+  /// The worker has answered a renewal that acknowledged these ends.
+  std::uint64_t acknowledged_confirmed{0};
+  std::uint64_t acknowledging{0};  ///< What the renewal on its way acknowledges.
   bool renewing{false};
   instant renew_at{};
   int failed_renewals{0};
--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -88,8 +88,9 @@
     if (expired) {
       drop_all(worker, "lease expired on a silent worker", now);
     }
-    const bool forgotten = !worker.listed && worker.tasks.empty() && !worker.renewing &&
-                           (worker.failed_renewals > 0 || worker.seen_through == worker.acknowledged_sent);
+    const bool forgotten =
+        !worker.listed && worker.tasks.empty() && !worker.renewing &&
+        (worker.failed_renewals > 0 || worker.seen_through == worker.acknowledged_confirmed);
     found = forgotten ? workers.erase(found) : std::next(found);
   }
 }
@@ -106,7 +107,7 @@
     return;
   }
   const bool ends_unstored = worker.seen_through > worker.acknowledged_through;
-  const bool acknowledge = worker.acknowledged_through > worker.acknowledged_sent;
+  const bool acknowledge = worker.acknowledged_through > worker.acknowledged_confirmed;
   const bool silent = worker.failed_renewals > 0 && worker.listed;
   if (worker.reported && worker.tasks.empty() && !ends_unstored && !acknowledge && !silent) {
     return;
@@ -114,9 +115,13 @@
   if (!stored_workers.contains(id)) {
     return;
   }
+  // A worker numbers its ends anew after a restart, so an acknowledgement that reaches a later life makes it
+  // forget ends that nobody has seen. Each is therefore sent only until it is answered, and not to a worker
+  // that has been silent, because it may have restarted.
+  worker.acknowledging = acknowledge && worker.failed_renewals == 0 ? worker.acknowledged_through : 0;
   renew_order order{.worker = id,
                     .address = worker.entry.address,
-                    .acknowledged_through = worker.acknowledged_through,
+                    .acknowledged_through = worker.acknowledging,
                     .lease_until = std::nullopt,
                     .wait = milliseconds{0}};
   // A renewal of a silent worker may be carried out late; it must not put off the time at which the
@@ -128,7 +133,6 @@
   if (worker.reported && !ends_unstored && !worker.tasks.empty() && worker.failed_renewals == 0) {
     order.wait = duration_cast<milliseconds>(opts.renew_wait);
   }
-  worker.acknowledged_sent = worker.acknowledged_through;
   worker.renewing = true;
   actions.emplace_back(std::move(order));
 }
@@ -400,7 +404,9 @@
     worker.born = report.born;
     worker.lease_until = milliseconds{0};
     worker.seen_through = worker.flushing_through = 0;
-    worker.acknowledged_through = worker.acknowledged_sent = 0;
+    worker.acknowledged_through = worker.acknowledged_confirmed = 0;
+  } else {
+    worker.acknowledged_confirmed = std::max(worker.acknowledged_confirmed, worker.acknowledging);
   }
   worker.clock = report.clock;
   worker.clock_at = now;
--- a/tests/coordination/job_scheduler_test.cpp
+++ b/tests/coordination/job_scheduler_test.cpp
@@ -109,6 +109,23 @@
   CHECK(fleet.phase("a") == job_phase::complete);
 }
 
+TEST_CASE_METHOD(scheduler_fixture,
+                 "scheduler_end_in_a_new_life_of_a_worker_survives_older_acknowledgements") {
+  // A worker numbers its ends anew after a restart. An acknowledgement that was meant for its earlier life
+  // made it forget an end that no owner had seen, and the task ran a second time (edge_soak, seed 37).
+  fleet.submit(simulated_workers::job("a", 1, alike_tasks(16, 1, milliseconds{400})));
+  fleet.play(seconds{4});
+  REQUIRE(fleet.phase("a") == job_phase::complete);
+  for (auto& [id, worker] : fleet.workers) {
+    fleet.restart(id);
+  }
+  fleet.submit(simulated_workers::job("b", 1, alike_tasks(1, 1, milliseconds{100})));
+  fleet.play(seconds{3});
+  CHECK(fleet.phase("b") == job_phase::complete);
+  CHECK(fleet.starts[{.job = job_id{"b"}}] == 1);
+  CHECK(fleet.violations.empty());
+}
+
 TEST_CASE_METHOD(scheduler_fixture, "scheduler_cancelled_job_stops_and_stays_stopped") {
   fleet.submit(simulated_workers::job("a", 1, alike_tasks(6, 2, seconds{20})));
   fleet.play(seconds{1});
