Let large VMs own the duty from the start, and small owners hand over

Cause: a VM may claim only when it knows a configuration, but the wait that puts larger VMs first began before one was known. Change: the wait begins when a configuration is known. An owner that has known a VM with twice its processor for 3 s hands over, at most once in 30 s.

--- a/include/rhubarbpath/coordination/owner_election.hpp
+++ b/include/rhubarbpath/coordination/owner_election.hpp
@@ -55,6 +55,9 @@
 /// known yet are left time by this VM's own size alone.
 [[nodiscard]] duration claim_handicap(double own_cores, double largest_known, bool peers_complete);
 
+/// Whether the largest known VM has so much more processor that it should own the duty.
+[[nodiscard]] bool much_larger_processor(double largest_known, double own_cores);
+
 /// Decides when this process owns the scheduling duty. The owner row lives under a lease of the store,
 /// and the term counter rises with each claim, so workers can refuse orders of earlier owners.
 ///
@@ -74,6 +77,12 @@
     duration claim_spread{std::chrono::milliseconds{80}};
     /// Pause after a failed claim.
     duration retry_pause{std::chrono::milliseconds{250}};
+    /// A much larger VM must be known for this long before a smaller owner hands over; peers exchange
+    /// their lists every 2 s.
+    duration hand_over_after{std::chrono::seconds{3}};
+    /// An owner that got the duty back after a hand-over keeps it for this long, because the larger VM
+    /// does not reach the store, or is slow to claim.
+    duration hand_over_pause{std::chrono::seconds{30}};
   };
 
   owner_election(options opts, random_source& random);
@@ -97,6 +106,8 @@
   void tick(instant now);
   /// Added before a claim; see `claim_handicap`.
   void set_claim_handicap(duration handicap) noexcept { claim_handicap_ = handicap; }
+  /// Says whether a VM is known that should own the duty instead; see `much_larger_processor`.
+  void set_larger_known(bool known, instant now);
 
   [[nodiscard]] bool owns(instant now) const;
   [[nodiscard]] std::vector<election_action> take_actions();
@@ -105,6 +116,7 @@
   enum class phase { watching, reading, leasing, claiming, owning, resigned };
 
   void become_watching(instant retry_at);
+  [[nodiscard]] bool hands_over(instant now) const;
   void end_term(std::string reason, instant now);
 
   options opts_;
@@ -119,6 +131,8 @@
   bool renewing_{false};
   duration claim_handicap_{};
   instant renew_at_{};
+  std::optional<instant> larger_known_since_;
+  std::optional<instant> handed_over_at_;
   std::vector<election_action> actions_;
 };
 
--- a/src/coordination/owner_election.cpp
+++ b/src/coordination/owner_election.cpp
@@ -5,11 +5,15 @@
 
 namespace rhubarbpath {
 
-duration claim_handicap(double own_cores, double largest_known, bool peers_complete) {
+bool much_larger_processor(double largest_known, double own_cores) {
   constexpr double much_larger = 2.0;
+  return largest_known >= much_larger * own_cores;
+}
+
+duration claim_handicap(double own_cores, double largest_known, bool peers_complete) {
   constexpr duration behind_larger{std::chrono::milliseconds{900}};
   constexpr duration without_any_processor{std::chrono::milliseconds{400}};
-  if (largest_known >= much_larger * own_cores) {
+  if (much_larger_processor(largest_known, own_cores)) {
     return behind_larger;
   }
   if (peers_complete) {
@@ -157,6 +161,19 @@
   phase_ = phase::resigned;
 }
 
+void owner_election::set_larger_known(bool known, instant now) {
+  if (!known) {
+    larger_known_since_.reset();
+  } else if (!larger_known_since_) {
+    larger_known_since_ = now;
+  }
+}
+
+bool owner_election::hands_over(instant now) const {
+  return larger_known_since_ && now - *larger_known_since_ >= opts_.hand_over_after &&
+         (!handed_over_at_ || now - *handed_over_at_ >= opts_.hand_over_pause);
+}
+
 void owner_election::superseded(instant now) {
   if (phase_ == phase::owning) {
     end_term("a newer owner has given orders", now);
@@ -169,6 +186,12 @@
     if (now >= valid_until_) {
       end_term("the lease could not be renewed in time", now);
       become_watching(now);
+    } else if (hands_over(now)) {
+      end_term("a much larger VM is known", now);
+      actions_.emplace_back(release_ownership{.lease = lease_});
+      handed_over_at_ = now;
+      // The larger VM claims as soon as the row is gone; this one only if none does.
+      become_watching(now + claim_handicap_);
     } else if (!renewing_ && now >= renew_at_) {
       renewing_ = true;
       actions_.emplace_back(renew_ownership{.lease = lease_});
--- a/src/programs/rhubarb-edge/edge_daemon.cpp
+++ b/src/programs/rhubarb-edge/edge_daemon.cpp
@@ -296,15 +296,24 @@
       }
     }
   }
-  election_.observed(ownership_, boot_now());
-  run_election();
+  if (config_.current() != nullptr) {
+    election_.observed(ownership_, boot_now());
+    run_election();
+  }
 }
 
 void edge_daemon::election_tick() {
+  if (config_.current() == nullptr) {
+    return;  // The wait before a claim would pass before any VM can claim, and the order of sizes be lost.
+  }
   const auto now = loop_.now();
   const bool peers_complete = now - started_ > peers_complete_after;
-  election_.set_claim_handicap(
-      claim_handicap(settings_.processor_cores, peers_.largest_processor(now), peers_complete));
+  const auto largest = peers_.largest_processor(now);
+  election_.set_claim_handicap(claim_handicap(settings_.processor_cores, largest, peers_complete));
+  election_.set_larger_known(much_larger_processor(largest, settings_.processor_cores), boot_now());
+  if (ownership_seen_ != revision{} && !std::exchange(election_informed_, true)) {
+    election_.observed(ownership_, boot_now());
+  }
   election_.tick(boot_now());
   run_election();
 }
--- a/src/programs/rhubarb-edge/edge_daemon.hpp
+++ b/src/programs/rhubarb-edge/edge_daemon.hpp
@@ -66,6 +66,7 @@
   std::unique_ptr<http_server> metrics_server_;
   std::shared_ptr<owner_session> session_;
   ownership_view ownership_;
+  bool election_informed_{false};  ///< Of rows that were read before the first configuration.
   std::string owner_address_;
   incarnation process_;
   instant started_;
--- a/tests/coordination/owner_election_test.cpp
+++ b/tests/coordination/owner_election_test.cpp
@@ -85,6 +85,33 @@
   CHECK(takes<read_ownership>());
 }
 
+TEST_CASE_METHOD(election_fixture, "election_small_owner_hands_over_to_a_larger_vm_once") {
+  // A VM with 0.12 of a core that won the first claim owned the duty for a whole day of 350 workers, lost its
+  // lease under load again and again, and left jobs unserved (fresh-34a2 of tutu-loan-grown).
+  win();
+  election.set_claim_handicap(milliseconds{900});
+  election.set_larger_known(true, now);
+  now += std::chrono::seconds{1};
+  election.renewed(now, now);
+  CHECK(election.owns(now));
+  now += std::chrono::seconds{2};
+  election.tick(now);
+  CHECK(takes<release_ownership>());
+  CHECK_FALSE(election.owns(now));
+  election.observed(nobody, now);
+  now += milliseconds{500};
+  election.tick(now);
+  CHECK_FALSE(takes<read_ownership>());
+  // Nobody else claims, for example because the larger VM does not reach the store.
+  now += milliseconds{500};
+  win();
+  for (int i = 0; i < 20; ++i) {
+    now += std::chrono::seconds{1};
+    election.renewed(now, now);
+    CHECK(election.owns(now));
+  }
+}
+
 TEST_CASE_METHOD(election_fixture, "election_owner_that_appears_while_a_lease_is_asked_is_not_replaced") {
   // A claim used the rows of a watch that had brought the new owner meanwhile, and replaced it.
   election.observed(nobody, now);
