--- a/src/coordination/job_scheduler.cpp
+++ b/src/coordination/job_scheduler.cpp
@@ -283,7 +283,7 @@
   placement_due = true;
   record("recovery_finished", {}, awaited.empty() ? "all workers reported" : "longest lease passed",
          {{"silent_workers", absl::StrCat(awaited.size())},
-          {"term", absl::StrCat(term.value())},
+          {"first_silent_worker", awaited.empty() ? std::string{} : awaited.begin()->value()},
           {"jobs", absl::StrCat(jobs.size())}});
   awaited.clear();
   for (auto& [id, open] : open_jobs) {
--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -345,8 +345,10 @@
       worker.renew_at = now;
     }
     if (worker.entry.draining != entry.draining || worker.entry.id.empty()) {
-      self.record(entry.draining ? "worker_draining" : "worker_listed", {}, entry.id.value(),
-                  {{"address", entry.address}, {"born", absl::StrCat(entry.born.value())}});
+      self.record(entry.draining ? "worker_draining" : "worker_listed", {}, "registry",
+                  {{"worker", entry.id.value()},
+                   {"address", entry.address},
+                   {"born", absl::StrCat(entry.born.value())}});
       self.placement_due = true;
     }
     worker.entry = entry;
@@ -369,9 +371,8 @@
   constexpr duration longest_pause{std::chrono::milliseconds{600}};
   worker.renew_at = now + std::min(longest_pause, detail::renew_pause * worker.failed_renewals);
   if (worker.failed_renewals == 1) {
-    self.record(
-        "worker_silent", {}, id.value(),
-        {{"tasks", absl::StrCat(worker.tasks.size())}, {"failure", std::string{failure_name(failure)}}});
+    self.record("worker_silent", {}, std::string{failure_name(failure)},
+                {{"worker", id.value()}, {"tasks", absl::StrCat(worker.tasks.size())}});
   }
   if (failure == renewal_failure::other_instance) {
     worker.replaced = true;
@@ -393,13 +394,14 @@
   worker.renewing = false;
   worker.replaced = false;
   if (std::exchange(worker.failed_renewals, 0) > 0) {
-    self.record("worker_answers", {}, id.value(), {});
+    self.record("worker_answers", {}, "renewal answered", {{"worker", id.value()}});
     self.placement_due = true;
   }
   const bool restarted = worker.reported && worker.born != report.born;
   if (worker.born != report.born) {
     if (restarted) {
-      self.record("worker_restarted", {}, id.value(), {{"born", absl::StrCat(report.born.value())}});
+      self.record("worker_restarted", {}, "another start time",
+                  {{"worker", id.value()}, {"born", absl::StrCat(report.born.value())}});
     }
     worker.born = report.born;
     worker.lease_until = milliseconds{0};
@@ -453,7 +455,8 @@
   auto* owner = find_unit(run.task, &index);
   const auto& id = worker.entry.id;
   const auto stop_stray = [&] {
-    record("stray_run_stopped", run.task.job, id.value(), {{"run", absl::StrCat(run.run.value())}});
+    record("stray_run_stopped", run.task.job, owner == nullptr ? "unknown task" : "not the current run",
+           {{"worker", id.value()}, {"run", absl::StrCat(run.run.value())}});
     actions.emplace_back(
         stop_order{.worker = id, .address = worker.entry.address, .task = run.task, .run = run.run});
   };
@@ -500,7 +503,8 @@
   worker.tasks[run.task] = run.run;
   job.begun = true;
   job.phase = job.phase == job_phase::queued ? job_phase::running : job.phase;
-  record("run_adopted", run.task.job, id.value(), {{"run", absl::StrCat(run.run.value())}});
+  record("run_adopted", run.task.job, "listed by its worker",
+         {{"worker", id.value()}, {"run", absl::StrCat(run.run.value())}});
 }
 
 void job_scheduler::implementation::take_end(worker_state& worker, const ended_run& end, instant now) {
@@ -572,7 +576,8 @@
     }
     clear_member(job, *owner, index);
     if (was_running && owner->phase == unit_phase::active) {
-      record("run_lost", task.job, worker.entry.id.value(), {{"run", absl::StrCat(run.value())}});
+      record("run_lost", task.job, "not listed by its worker",
+             {{"worker", worker.entry.id.value()}, {"run", absl::StrCat(run.value())}});
       end_unit(job, *owner, now);
     }
     settle_unit(job, *owner, now);
@@ -588,7 +593,8 @@
       continue;
     }
     auto& job = jobs.at(task.job);
-    record("run_lost", task.job, std::string{reason}, {{"worker", worker.entry.id.value()}});
+    record("run_lost", task.job, std::string{reason},
+           {{"worker", worker.entry.id.value()}, {"run", absl::StrCat(run.value())}});
     clear_member(job, *owner, index);
     end_unit(job, *owner, now);
     settle_unit(job, *owner, now);
@@ -621,7 +627,8 @@
         const auto since = std::max(one.percent_changed, each.all_running_since);
         if (heard && one.percent < 100 && now - since > opts.stall_timeout) {
           found->second.suspect_until = now + opts.suspicion;
-          record("run_stalled", id, one.worker.value(), {{"percent", absl::StrCat(one.percent)}});
+          record("run_stalled", id, "no progress",
+                 {{"worker", one.worker.value()}, {"percent", absl::StrCat(one.percent)}});
           end_unit(job, each, now);
           break;
         }
--- a/src/programs/rhubarb-edge/owner_session.cpp
+++ b/src/programs/rhubarb-edge/owner_session.cpp
@@ -376,7 +376,9 @@
 
 void owner_session::perform(const decision_record& decision) {
   std::vector<log_field> fields;
-  fields.push_back({"job", decision.job.value()});
+  if (!decision.job.empty()) {
+    fields.push_back({"job", decision.job.value()});
+  }
   fields.push_back({"reason", decision.reason});
   fields.push_back({"term", static_cast<std::int64_t>(opts_.term.value())});
   for (const auto& [name, value] : decision.inputs) {
--- a/src/programs/rhubarbctl/command.hpp
+++ b/src/programs/rhubarbctl/command.hpp
@@ -74,6 +74,7 @@
 command_result run_submit(command_line& line, const std::vector<std::string>& words);
 command_result run_job(command_line& line, const std::vector<std::string>& words);
 command_result run_cancel(command_line& line, const std::vector<std::string>& words);
+command_result run_explain(command_line& line, const std::vector<std::string>& words);
 command_result run_why(command_line& line, const std::vector<std::string>& words);
 
 }  // namespace rhubarbpath::ctl
--- a/tests/integration/rhubarbctl_test.cpp
+++ b/tests/integration/rhubarbctl_test.cpp
@@ -398,4 +398,24 @@
   CHECK(run("status --entry " + at_port(closed_port)).code == 5);
 }
 
+// Guards against a silent empty history, which would read as "nothing happened".
+TEST_CASE_METHOD(ctl_fixture, "explain_reads_log_files_and_names_what_is_missing") {
+  const std::string path = "explain_test.log";
+  {
+    std::ofstream file{path};
+    file << R"({"time":"2026-12-04T11:00:00.100Z","vm":"a","message":"job_added","job":"0123456789abcdef"})"
+         << "\n"
+         << R"({"time":"2026-12-04T11:00:00.2)"
+         << "\n";
+  }
+  const auto found = run("explain 0123456789abcdef " + path);
+  CHECK(found.code == 0);
+  CHECK(found.object["entries"][0]["event"] == "job_added");
+  CHECK(found.object["unreadable_lines"] == 1);
+  CHECK(found.object["findings"][0] == "nothing of it was ever started");
+  CHECK(run("explain fedcba9876543210 " + path).code == 1);
+  CHECK(run("explain 0123456789abcdef no-such-file.log").code == 2);
+  CHECK(run("explain 0123456789abcdef <" + path).object["entries"].size() == 1);
+}
+
 }  // namespace rhubarbpath
