Ask the adviser for tickets of queues that need them

Cause: a queue with an adviser in its configuration was decoded without it; each start would have been refused for want of a ticket and its jobs never have run. Change: ticket_book keeps what the adviser said by step and by life of a worker. A unit that finds no place on allowed workers asks about more, the most urgent first, with bounded calls. Placement and preemption use allowed workers only; a start carries the ticket; a refusal drops it. Before: the new scheduler tests with an adviser never completed a job. After: they complete with no refused ticket, also with lost calls and restarts. Conclusion: proved on the simulated fleet only.

--- a/include/rhubarbpath/coordination/job_scheduler.hpp
+++ b/include/rhubarbpath/coordination/job_scheduler.hpp
@@ -10,6 +10,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
+#include "rhubarbpath/coordination/ticket_book.hpp"
 #include "rhubarbpath/state/fleet.hpp"
 
 namespace rhubarbpath {
@@ -44,6 +45,7 @@
   run_number run;
   std::string payload;
   std::string checkpoint;
+  std::string ticket;                        ///< The adviser's, for queues that need one.
   std::chrono::milliseconds lease_until{0};  ///< On the worker's clock.
 };
 /// Stop a run, or prevent it from starting if the start has not arrived yet.
@@ -82,7 +84,7 @@
 };
 
 using scheduler_action = std::variant<start_order, stop_order, renew_order, store_progress, store_workers,
-                                      owner_superseded, decision_record>;
+                                      owner_superseded, advice_request, decision_record>;
 
 enum class renewal_failure {
   unanswered,      ///< It may be carried out later.
@@ -149,6 +151,9 @@
   void start_answered(const worker_id& id, const task_ref& task, run_number run, const start_result& result,
                       instant now);
   void stop_answered(const worker_id& id, const task_ref& task, run_number run, bool answered, instant now);
+  /// The adviser's answer to an `advice_request`; without a value the call failed.
+  void advice_answered(const step_ref& step, const std::optional<std::vector<granted_ticket>>& granted,
+                       instant now);
   /// The last `store_progress` is stored.
   void stored(instant now);
   /// The last `store_workers` is stored.
--- a/include/rhubarbpath/state/fleet.hpp
+++ b/include/rhubarbpath/state/fleet.hpp
@@ -13,6 +13,13 @@
 namespace rhubarbpath {
 
 /// A queue of jobs: where callers submit, who runs the tasks, and how they are ordered.
+/// The service that says which workers may run the steps of a queue.
+struct adviser_config {
+  duration decision{};    ///< Its time for one call,
+  duration per_worker{};  ///< and for each worker that the call names.
+  duration validity{};    ///< A ticket is valid for this long.
+};
+
 struct queue_config {
   queue_id id;
   std::string host;
@@ -23,6 +30,7 @@
   std::uint32_t max_attempts{1};
   double stretch{1.0};  ///< Objective as a multiple of the longest chain of work.
   duration target{};    ///< Added to the objective.
+  std::optional<adviser_config> adviser;
 };
 
 struct service_config {
--- a/include/rhubarbpath/state/vm_settings.hpp
+++ b/include/rhubarbpath/state/vm_settings.hpp
@@ -19,6 +19,7 @@
   std::string metrics_address;     ///< Counters and histograms as text.
   std::vector<std::string> seeds;  ///< Peer addresses of some VMs; may be stale.
   std::string store_address;
+  std::string adviser_address;  ///< Empty when no queue needs advice.
   double processor_cores{1.0};  ///< Share of a core times its relative speed.
   duration longest_worker_lease{std::chrono::seconds{10}};
   duration stop_grace{std::chrono::seconds{6}};  ///< From SIGTERM to SIGKILL.
--- a/src/coordination/job_scheduler.cpp
+++ b/src/coordination/job_scheduler.cpp
@@ -157,6 +157,7 @@
   job.phase = phase;
   job.ended_at = now;
   mark_dirty(job);
+  tickets.forget(job.job.id);
   record("job_ended", job.job.id, std::string{phase_name(phase)},
          {{"waited_ms",
            absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(now - job.added_at).count())}});
--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -169,6 +169,7 @@
   instant next_scan{};
   instant next_expiry{};
   std::size_t reserved_units{0};
+  ticket_book tickets{{}};
   std::vector<scheduler_action> actions;
 
   // job_scheduler.cpp
@@ -248,6 +249,13 @@
   void place_step(const waiting_step& waiting, instant now);
   [[nodiscard]] bool place(detail::job_state& job, detail::unit& unit, instant now);
   [[nodiscard]] bool usable(const detail::worker_state& worker, instant now) const;
+  /// The worker serves the step, and the adviser, where the queue has one, allows it.
+  [[nodiscard]] bool may_run(const detail::worker_state& worker, const detail::job_state& job,
+                             const detail::unit& unit) const;
+  [[nodiscard]] std::string ticket_for(const detail::worker_state& worker, const detail::job_state& job,
+                                       const detail::unit& unit) const;
+  /// Asks the adviser about more workers when a unit found no place on those that are known.
+  void ask_adviser(const detail::job_state& job, const detail::unit& unit, instant now);
   void build_pools(instant now);
   [[nodiscard]] std::uint32_t tasks_of_step(const detail::worker_state& worker, const detail::job_state& job,
                                             const detail::unit& unit) const;
@@ -314,6 +322,7 @@
     return step_of(job, unit).each.accelerators * static_cast<std::int64_t>(unit.members.size());
   }
 
+  instant pass_time{};  ///< Of the newest placement pass; tickets are compared with it.
   worker_pool trusted;  ///< Workers without a recent failure.
   worker_pool usable_workers;
   /// Space that waiting gangs keep from later work; holds for one pass.
--- a/src/coordination/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler_placement.cpp
@@ -7,7 +7,6 @@
 using detail::member;
 using detail::member_phase;
 using detail::prefers_rack;
-using detail::serves;
 using detail::unit;
 using detail::unit_phase;
 using detail::worker_state;
@@ -116,6 +115,7 @@
 void job_scheduler::implementation::place_all(instant now) {
   next_placement = now + placement_interval;
   next_recheck = now + recheck_interval;
+  pass_time = now;
   placement_due = false;
   const auto waiting = waiting_steps(now);
   if (waiting.empty()) {
@@ -148,6 +148,7 @@
       continue;
     }
     if (!place(job, each, now)) {
+      ask_adviser(job, each, now);
       if (spec.gang) {
         hold_space(job, each);
       }
@@ -165,6 +166,63 @@
          stored_workers.contains(worker.entry.id);
 }
 
+namespace {
+
+step_ref step_of_unit(const job_state& job, const unit& of) {
+  return {.job = job.job.id, .occurrence = of.occurrence, .step = of.step};
+}
+
+}  // namespace
+
+std::string job_scheduler::implementation::ticket_for(const worker_state& worker, const job_state& job,
+                                                      const unit& placed) const {
+  return tickets
+      .ticket(step_of_unit(job, placed), {.worker = worker.entry.id, .born = worker.born}, pass_time)
+      .value_or("");
+}
+
+bool job_scheduler::implementation::may_run(const worker_state& worker, const job_state& job,
+                                            const unit& placed) const {
+  return detail::serves(worker, job, step_of(job, placed)) &&
+         (!job.queue->adviser || !ticket_for(worker, job, placed).empty());
+}
+
+void job_scheduler::implementation::ask_adviser(const job_state& job, const unit& waiting, instant now) {
+  if (!job.queue->adviser) {
+    return;
+  }
+  const auto& step = step_of(job, waiting);
+  const auto need = occupied(step);
+  // Workers with room first; a worker without room now is asked about in time for when it has some.
+  std::vector<ticket_book::candidate> with_room;
+  std::vector<ticket_book::candidate> full;
+  for (const auto* worker : usable_workers.all) {
+    if (!detail::serves(*worker, job, step) || !worker->entry.capacity.covers(need)) {
+      continue;
+    }
+    const auto free = worker->entry.capacity - worker->used - worker->reserved;
+    (free.covers(need) ? with_room : full).push_back({.worker = worker->entry.id, .born = worker->born});
+  }
+  with_room.insert(with_room.end(), full.begin(), full.end());
+  const auto wanted = step.gang ? std::size_t{step.count} : waiting.members.size();
+  if (auto request = tickets.ask(step_of_unit(job, waiting), *job.queue->adviser, with_room, wanted, now)) {
+    record("advice_asked", job.job.id, "no known worker has room",
+           {{"step", absl::StrCat(waiting.occurrence, ".", waiting.step)},
+            {"workers", absl::StrCat(request->workers.size())}});
+    actions.emplace_back(*std::move(request));
+  }
+}
+
+void job_scheduler::advice_answered(const step_ref& step,
+                                    const std::optional<std::vector<granted_ticket>>& granted, instant now) {
+  auto& self = *implementation_;
+  self.tickets.answered(step, granted, now);
+  self.placement_due = true;
+  self.record("advice_received", step.job, granted ? "answered" : "the call failed",
+              {{"step", absl::StrCat(step.occurrence, ".", step.step)},
+               {"workers", absl::StrCat(granted ? granted->size() : 0)}});
+}
+
 void job_scheduler::implementation::build_pools(instant now) {
   trusted = {};
   usable_workers = {};
@@ -208,7 +266,7 @@
     if (const auto kept = held.find(worker); kept != held.end()) {
       free -= kept->second;
     }
-    if (free.covers(need) && serves(*worker, job, step)) {
+    if (free.covers(need) && may_run(*worker, job, placed)) {
       rooms.push_back({.worker = worker,
                        .free = free,
                        .of_step = step.max_per_worker == 0 ? 0 : tasks_of_step(*worker, job, placed)});
@@ -285,7 +343,7 @@
   const auto need = occupied(step);
   std::vector<room> rooms;
   for (auto* worker : pool) {
-    if (serves(*worker, job, step) && worker->entry.capacity.covers(need)) {
+    if (may_run(*worker, job, waiting) && worker->entry.capacity.covers(need)) {
       auto free = worker->entry.capacity - worker->used - worker->reserved;
       if (const auto kept = held.find(worker); kept != held.end()) {
         free -= kept->second;
--- a/src/coordination/job_scheduler_preemption.cpp
+++ b/src/coordination/job_scheduler_preemption.cpp
@@ -167,7 +167,7 @@
   const auto consider = [&](const std::vector<worker_state*>& pool) {
     std::vector<const space*> spaces;
     for (auto* worker : pool) {
-      if (detail::serves(*worker, job, step)) {
+      if (may_run(*worker, job, placed)) {
         spaces.push_back(&space_on(*worker));
       }
     }
--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -176,13 +176,15 @@
   worker.lease_until = std::max(worker.lease_until, lease);
   starting.answer_pending = true;
   ++starting.tries;
-  actions.emplace_back(start_order{.worker = starting.worker,
-                                   .address = worker.entry.address,
-                                   .task = task_of(job, owner, index),
-                                   .run = starting.run,
-                                   .payload = job.job.graph.payload,
-                                   .checkpoint = owner.checkpoint,
-                                   .lease_until = lease});
+  actions.emplace_back(start_order{
+      .worker = starting.worker,
+      .address = worker.entry.address,
+      .task = task_of(job, owner, index),
+      .run = starting.run,
+      .payload = job.job.graph.payload,
+      .checkpoint = owner.checkpoint,
+      .ticket = job.queue != nullptr && job.queue->adviser ? ticket_for(worker, job, owner) : std::string{},
+      .lease_until = lease});
 }
 
 void job_scheduler::implementation::order_stop(job_state& job, unit& owner, std::size_t index) {
@@ -289,7 +291,10 @@
     if (refused->why == start_refusal::fenced) {
       actions.emplace_back(owner_superseded{.worker = started.worker});
     }
-    if (found != workers.end()) {
+    if (refused->why == start_refusal::no_ticket) {
+      tickets.ticket_refused({.job = job.job.id, .occurrence = owner.occurrence, .step = owner.step},
+                             started.worker);
+    } else if (found != workers.end()) {
       constexpr duration full_pause{std::chrono::milliseconds{400}};
       constexpr duration unhealthy_pause{std::chrono::milliseconds{2000}};
       const bool unhealthy = refused->why == start_refusal::unhealthy;
--- a/src/programs/rhubarb-edge/edge_daemon.cpp
+++ b/src/programs/rhubarb-edge/edge_daemon.cpp
@@ -406,7 +406,10 @@
   scheduler.remote_factor = settings_.remote_factor;
   const auto term = action.term;
   session_ = std::make_shared<owner_session>(
-      owner_session::options{.term = term, .owner_row = action.owner_row, .scheduler = scheduler},
+      owner_session::options{.term = term,
+                             .owner_row = action.owner_row,
+                             .scheduler = scheduler,
+                             .adviser_address = settings_.adviser_address},
       owner_session::dependencies{.loop = loop_,
                                   .store = store_,
                                   .workers = worker_client_,
--- a/src/programs/rhubarb-edge/owner_session.cpp
+++ b/src/programs/rhubarb-edge/owner_session.cpp
@@ -374,6 +374,21 @@
   uses_.loop.post(guarded(uses_.superseded));
 }
 
+void owner_session::perform(const advice_request& request) {
+  uses_.counters.add("rhubarb_advice_calls_total");
+  // A queue that needs advice without an adviser in the settings fails here, and the log says so each time.
+  uses_.workers.call(opts_.adviser_address, platform::encode_advice_request(request), request.timeout,
+                     [weak = weak_from_this(), step = request.step](const http_result& result) {
+                       const auto self = weak.lock();
+                       if (self == nullptr || self->stopped_) {
+                         return;
+                       }
+                       self->scheduler_->advice_answered(step, platform::decode_advice_answer(result),
+                                                         self->uses_.loop.now());
+                       self->run_tick();
+                     });
+}
+
 void owner_session::perform(const decision_record& decision) {
   std::vector<log_field> fields;
   if (!decision.job.empty()) {
--- a/src/programs/rhubarb-edge/owner_session.hpp
+++ b/src/programs/rhubarb-edge/owner_session.hpp
@@ -24,6 +24,7 @@
     owner_term term;
     revision owner_row;  ///< Every write of the term is conditional on this revision.
     job_scheduler::options scheduler;
+    std::string adviser_address;
     /// A worker that drains must get no new work 2 s later.
     duration registry_period{std::chrono::milliseconds{700}};
     /// Workers answer within milliseconds.
@@ -83,6 +84,7 @@
   void perform(const store_progress& write);
   void perform(const store_workers& write);
   void perform(const owner_superseded& news);
+  void perform(const advice_request& request);
   void perform(const decision_record& decision);
   void write_progress();
   void write_workers();
--- a/tests/coordination/job_scheduler_test.cpp
+++ b/tests/coordination/job_scheduler_test.cpp
@@ -241,6 +241,51 @@
   }
 }
 
+class advised_fixture : public scheduler_fixture {
+ protected:
+  advised_fixture() : scheduler_fixture{24} {
+    auto changed = std::make_shared<fleet_config>(*fleet.configuration);
+    for (auto& queue : changed->queues) {
+      queue.adviser =
+          adviser_config{.decision = milliseconds{20}, .per_worker = milliseconds{5}, .validity = seconds{3}};
+    }
+    fleet.configuration = changed;
+    fleet.scheduler->set_config(changed, fleet.now);
+    for (const auto& [id, worker] : fleet.workers) {
+      if (fleet.may_run_advised.size() < 3) {
+        fleet.may_run_advised.insert(id);
+      }
+    }
+  }
+};
+
+TEST_CASE_METHOD(advised_fixture, "scheduler_of_advised_queue_runs_on_allowed_workers_only") {
+  // Without a ticket each start is refused, and the job never runs.
+  fleet.submit(simulated_workers::job("a", 1, alike_tasks(6, 1, seconds{4})));
+  fleet.submit(simulated_workers::job("b", 1, alike_tasks(3, 1, seconds{1}, true)));
+  fleet.play(seconds{25});
+  CHECK(fleet.phase("a") == job_phase::complete);
+  CHECK(fleet.phase("b") == job_phase::complete);
+  CHECK(fleet.refused_tickets == 0);
+  // 24 workers are asked about in groups; tickets lapse after 3 s and are asked for again when needed.
+  CHECK(fleet.advice_calls <= 16);
+  CHECK(fleet.violations.empty());
+}
+
+TEST_CASE_METHOD(advised_fixture,
+                 "scheduler_of_advised_queue_gets_new_tickets_after_restarts_and_lost_calls") {
+  fleet.injected.lost_answer = 0.3;
+  fleet.submit(simulated_workers::job("a", 1, alike_tasks(12, 1, seconds{2})));
+  for (int i = 0; i < 4; ++i) {
+    fleet.play(seconds{1});
+    fleet.restart(*fleet.may_run_advised.begin());
+  }
+  fleet.injected.lost_answer = 0;
+  fleet.play(seconds{40});
+  CHECK(fleet.phase("a") == job_phase::complete);
+  CHECK(fleet.violations.empty());
+}
+
 TEST_CASE("scheduler_random_faults_keep_every_promise") {
   // Plays cut, restarted, leaving and failing workers, late orders, lost answers, store outages and
   // changes of the owner, all drawn from the seed.
--- a/tests/coordination/simulated_workers.hpp
+++ b/tests/coordination/simulated_workers.hpp
@@ -198,6 +198,9 @@
   std::set<job_id> cancelled;
   std::vector<std::string> violations;
   std::map<task_ref, int> starts;
+  std::set<worker_id> may_run_advised;  ///< What the adviser says, for a queue that asks it.
+  int advice_calls{0};
+  int refused_tickets{0};
   /// Prints the scheduler's decisions, to find the cause of a failure; set by RHUBARBPATH_TRACE.
   bool trace{std::getenv("RHUBARBPATH_TRACE") != nullptr};
   random_source random;
@@ -206,6 +209,9 @@
   std::map<job_id, duration> real_duration;
 
  private:
+  instant adviser_free{};
+  std::uint64_t last_ticket{0};
+  std::map<std::string, std::tuple<worker_id, incarnation, instant>> tickets;
   struct message {
     instant at;
     std::uint64_t order;
@@ -370,6 +376,10 @@
     if (spec != nullptr && !(each.entry.capacity - used).covers(occupied(*spec))) {
       return start_refused{start_refusal::no_room};
     }
+    if (configuration->queues.front().adviser && !ticket_valid(each, order)) {
+      ++refused_tickets;
+      return start_refused{start_refusal::no_ticket};
+    }
     note_start(order.task, order.worker);
     const auto real = real_duration.find(order.task.job);
     const auto work = real != real_duration.end() ? real->second
@@ -578,6 +588,33 @@
       }
     });
   }
+  /// The adviser answers one call at a time, and at times not at all.
+  void perform(const advice_request& request) {
+    const auto& adviser = *configuration->queues.front().adviser;
+    ++advice_calls;
+    adviser_free = std::max(adviser_free, now) + adviser.decision +
+                   adviser.per_worker * static_cast<duration::rep>(request.workers.size());
+    const bool lost = random.fraction() < injected.lost_answer;
+    after(adviser_free - now, [this, request, lost, of_term = term, until = adviser_free + adviser.validity] {
+      std::vector<granted_ticket> granted;
+      for (const auto& id : request.workers) {
+        if (may_run_advised.contains(id)) {
+          granted.push_back({.worker = id, .ticket = "ticket-" + std::to_string(++last_ticket)});
+          tickets[granted.back().ticket] = {id, workers.at(id).entry.born, until};
+        }
+      }
+      if (of_term == term) {
+        scheduler->advice_answered(request.step, lost ? std::nullopt : std::optional{granted}, now);
+        take_actions();
+      }
+    });
+  }
+  [[nodiscard]] bool ticket_valid(const worker& at, const start_order& order) const {
+    const auto found = tickets.find(order.ticket);
+    return found != tickets.end() &&
+           found->second == std::tuple{order.worker, at.entry.born, std::get<2>(found->second)} &&
+           now < std::get<2>(found->second);
+  }
   void perform(const owner_superseded& /*news*/) { violations.emplace_back("own term is fenced"); }
   void perform(const decision_record& decision) {
     if (trace) {
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -37,6 +37,25 @@
   CHECK_FALSE(decode_settings("[]").ok());
 }
 
+TEST_CASE("advice_call_and_answer_follow_the_platform") {
+  const auto request =
+      encode_advice_request({.step = {.job = job_id{"5c0e7a21d94b36f8"}, .occurrence = 0, .step = 1},
+                             .workers = {worker_id{"i-1"}}});
+  CHECK(request.path == "/api/advise");
+  CHECK(request.body == R"({"step":"5c0e7a21d94b36f8.0.1","workers":["i-1"]})");
+  const auto granted =
+      decode_advice_answer(answered(200, R"({"good":[["i-1","t-1"],["i-2"]],"validityMs":3000})"));
+  REQUIRE(granted);
+  CHECK(*granted == std::vector<granted_ticket>{{.worker = worker_id{"i-1"}, .ticket = "t-1"}});
+  CHECK_FALSE(decode_advice_answer(answered(429, "")));
+  CHECK_FALSE(decode_advice_answer(answered(200, R"({"good":7})")));
+  const auto config = decode_config(
+      R"({"version":1,"routes":[{"name":"q","advisor":{"decisionMs":20,"perWorkerMs":5,"validityMs":3000}}]})");
+  REQUIRE(config.ok());
+  REQUIRE(config->queues.front().adviser);
+  CHECK(config->queues.front().adviser->validity == std::chrono::seconds{3});
+}
+
 TEST_CASE("worker_entry_of_another_writer_names_no_worker") {
   // The registry may hold entries with fields missing, of another type, or bytes that are not JSON.
   const std::string good = R"({"service":"s","address":"10.0.0.1:1","state":"ready","capacity":{"gpu":8},
