Add wait histograms, log totals and a log level; name HTTP status codes once

Change: a decision carries the wait that it ended, which goes into the log as waited_ms and into rhubarb_wait_seconds by event (wait for space, job, and recovery of a term). Answers fill rhubarb_config_age_seconds and rhubarb_caller_refusals_total by reason.

--- a/include/rhubarbpath/coordination/ticket_book.hpp
+++ b/include/rhubarbpath/coordination/ticket_book.hpp
@@ -64,12 +64,13 @@
   explicit ticket_book(options opts) : opts_{opts} {}
 
   /// The ticket to start a task of the step on the worker, or nothing.
-  [[nodiscard]] std::optional<std::string> ticket(const step_ref& step, const candidate& on, instant now) const;
+  [[nodiscard]] std::optional<std::string> ticket(const step_ref& step, const candidate& on,
+                                                  instant now) const;
   /// Asks about those of `candidates`, best first, of which too little is known. `wanted` is the number of
   /// workers that the step needs now.
   [[nodiscard]] std::optional<advice_request> ask(const step_ref& step, const adviser_config& adviser,
-                                                  const std::vector<candidate>& candidates, std::size_t wanted,
-                                                  instant now);
+                                                  const std::vector<candidate>& candidates,
+                                                  std::size_t wanted, instant now);
   /// The adviser's answer; without a value the call failed.
   void answered(const step_ref& step, const std::optional<std::vector<granted_ticket>>& granted, instant now);
   /// A worker refused a start for want of a valid ticket.
--- a/src/coordination/job_scheduler.cpp
+++ b/src/coordination/job_scheduler.cpp
@@ -16,9 +16,14 @@
 // ---- jobs ----
 
 void job_scheduler::implementation::record(std::string_view event, const job_id& job, std::string reason,
-                                           std::vector<std::pair<std::string_view, std::string>> inputs) {
-  actions.emplace_back(
-      decision_record{.event = event, .job = job, .reason = std::move(reason), .inputs = std::move(inputs)});
+                                           std::vector<std::pair<std::string_view, std::string>> inputs,
+                                           std::optional<duration> took) {
+  if (took) {
+    inputs.emplace_back("waited_ms",
+                        absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(*took).count()));
+  }
+  actions.emplace_back(decision_record{
+      .event = event, .job = job, .reason = std::move(reason), .inputs = std::move(inputs), .took = took});
 }
 
 const queue_config* job_scheduler::implementation::find_queue(const queue_id& id) const {
@@ -158,9 +163,7 @@
   job.ended_at = now;
   mark_dirty(job);
   tickets.forget(job.job.id);
-  record("job_ended", job.job.id, std::string{phase_name(phase)},
-         {{"waited_ms",
-           absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(now - job.added_at).count())}});
+  record("job_ended", job.job.id, std::string{phase_name(phase)}, {}, now - job.added_at);
   for (auto& each : job.units) {
     end_unit(job, each, now);
   }
@@ -285,7 +288,8 @@
   record("recovery_finished", {}, awaited.empty() ? "all workers reported" : "longest lease passed",
          {{"silent_workers", absl::StrCat(awaited.size())},
           {"first_silent_worker", awaited.empty() ? std::string{} : awaited.begin()->value()},
-          {"jobs", absl::StrCat(jobs.size())}});
+          {"jobs", absl::StrCat(jobs.size())}},
+         now - started_at);
   awaited.clear();
   for (auto& [id, open] : open_jobs) {
     auto& job = *open;
--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -205,7 +205,8 @@
   void flush(instant now);
   [[nodiscard]] job_progress progress_of(const detail::job_state& job) const;
   void record(std::string_view event, const job_id& job, std::string reason,
-              std::vector<std::pair<std::string_view, std::string>> inputs = {});
+              std::vector<std::pair<std::string_view, std::string>> inputs = {},
+              std::optional<duration> took = std::nullopt);
 
   // job_scheduler_workers.cpp
   [[nodiscard]] std::chrono::milliseconds worker_clock(const detail::worker_state& worker, instant now) const;
--- a/src/coordination/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler_placement.cpp
@@ -433,13 +433,11 @@
     absl::StrAppend(&names, index == 0 ? "" : ",", worker.entry.id.value());
   }
   forget_derived(where);
-  const auto waited =
-      std::chrono::duration_cast<std::chrono::milliseconds>(now - starting.waiting_since).count();
   record("unit_started", job.job.id, "placed",
          {{"step", absl::StrCat(starting.occurrence, ".", starting.step, ".", starting.number)},
           {"run", absl::StrCat(starting.run.value())},
-          {"workers", std::move(names)},
-          {"waited_ms", absl::StrCat(waited)}});
+          {"workers", std::move(names)}},
+         now - starting.waiting_since);
 }
 
 bool job_scheduler::implementation::place(job_state& job, unit& placed, instant now) {
--- a/src/programs/rhubarb-edge/caller_api.cpp
+++ b/src/programs/rhubarb-edge/caller_api.cpp
@@ -11,22 +11,15 @@
 #include "owner_session.hpp"
 #include "platform/job_wire.hpp"
 #include "rhubarbpath/coordination/queue_routes.hpp"
+#include "rhubarbpath/transport/http_status.hpp"
 #include "rhubarbpath/transport/log.hpp"
+#include "rhubarbpath/transport/wall_clock.hpp"
 #include "store_keys.hpp"
 
 namespace rhubarbpath::edge {
 
 namespace {
 
-constexpr int ok_status = 200;
-constexpr int bad_request_status = 400;
-constexpr int unauthorized_status = 401;
-constexpr int not_found_status = 404;
-constexpr int bad_method_status = 405;
-constexpr int gone_status = 410;
-constexpr int unavailable_status = 503;
-constexpr int gateway_timeout_status = 504;
-
 /// Pause between tries at the store; it answers in milliseconds again once it is back.
 constexpr duration retry_pause{std::chrono::milliseconds{120}};
 /// A refusal that is known early is given after this long, so that the caller can try another VM.
@@ -38,11 +31,6 @@
 constexpr int retry_after_seconds = 1;
 constexpr std::int64_t default_wait_ms = 3000;
 
-std::chrono::milliseconds wall_clock() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-      std::chrono::system_clock::now().time_since_epoch());
-}
-
 }  // namespace
 
 struct caller_api::exchange {
@@ -79,7 +67,7 @@
   const auto& config = uses_.config.current();
   const auto age = config == nullptr ? duration::zero() : uses_.loop.now() - uses_.config.confirmed_at();
   // Phase queries that succeed are counted but not logged; callers repeat them often.
-  if (call->method != "GET" || status != ok_status) {
+  if (call->method != "GET" || status != http_status::ok) {
     log(log_level::info, "caller_answered",
         {{"job", call->job.value()},
          {"method", call->method},
@@ -96,6 +84,15 @@
   }
   uses_.counters.add("rhubarb_caller_answers_total",
                      fmt::format("method=\"{}\",status=\"{}\"", call->method, status));
+  if (config != nullptr) {
+    uses_.counters.observe("rhubarb_config_age_seconds", {}, age);
+  }
+  // The texts for a malformed request tell what is wrong with it and are not bounded.
+  if (status >= http_status::bad_request) {
+    uses_.counters.add(
+        "rhubarb_caller_refusals_total",
+        fmt::format("reason=\"{}\"", status == http_status::bad_request ? "malformed" : reason));
+  }
   uses_.counters.observe("rhubarb_caller_seconds", fmt::format("method=\"{}\"", call->method), took);
   call->responder.send(response);
 }
@@ -112,27 +109,27 @@
   call->answer_by = call->received + std::chrono::milliseconds{wait_ms} - answer_margin;
   const auto& config = uses_.config.current();
   if (config == nullptr) {
-    answer(call, unavailable_status, {}, "no configuration yet", retry_after_seconds);
+    answer(call, http_status::service_unavailable, {}, "no configuration yet", retry_after_seconds);
     return;
   }
   const auto* queue = find_queue(*config, header_value(request.headers, "Host"), request.path);
   if (queue == nullptr) {
-    answer(call, not_found_status, {}, "no such queue");
+    answer(call, http_status::not_found, {}, "no such queue");
     return;
   }
   call->queue = queue->id;
   const auto* team = find_team(*config, header_value(request.headers, platform::key_header()));
   if (team == nullptr && !queue->open_to_all) {
-    answer(call, unauthorized_status, {}, "unknown key");
+    answer(call, http_status::unauthorized, {}, "unknown key");
     return;
   }
   call->team = team == nullptr ? team_id{} : team->id;
   call->job = job_id{request.path.substr(queue->path_prefix.size())};
   if (call->job.empty()) {
     request.method == "GET" ? tell_waiting(call)
-                            : answer(call, bad_method_status, {}, "a queue is only read");
+                            : answer(call, http_status::method_not_allowed, {}, "a queue is only read");
   } else if (!is_job_id(call->job)) {
-    answer(call, request.method == "POST" ? bad_request_status : gone_status, {}, "not a job id");
+    answer(call, request.method == "POST" ? http_status::bad_request : http_status::gone, {}, "not a job id");
   } else if (request.method == "POST") {
     submit(call, request);
   } else if (request.method == "DELETE") {
@@ -140,18 +137,19 @@
   } else if (request.method == "GET") {
     tell_phase(call);
   } else {
-    answer(call, bad_method_status, {}, "unknown method");
+    answer(call, http_status::method_not_allowed, {}, "unknown method");
   }
 }
 
 void caller_api::retry_or_give_up(const exchange_pointer& call, std::function<void()> again) {
   const auto now = uses_.loop.now();
   if (!call->may_be_stored && now - call->received >= refusal_limit) {
-    answer(call, unavailable_status, {}, "the store refuses calls; nothing was done", retry_after_seconds);
+    answer(call, http_status::service_unavailable, {}, "the store refuses calls; nothing was done",
+           retry_after_seconds);
     return;
   }
   if (now + retry_pause >= call->answer_by) {
-    answer(call, gateway_timeout_status, {}, "the store has not confirmed the write");
+    answer(call, http_status::gateway_timeout, {}, "the store has not confirmed the write");
     return;
   }
   uses_.loop.run_detached(retry_pause, std::move(again));
@@ -162,7 +160,7 @@
 void caller_api::submit(const exchange_pointer& call, const http_request& request) {
   auto graph = platform::decode_job(request.body);
   if (!graph.ok()) {
-    answer(call, bad_request_status, {}, std::string{graph.status().message()});
+    answer(call, http_status::bad_request, {}, std::string{graph.status().message()});
     return;
   }
   auto job = std::make_shared<submission>();
@@ -183,9 +181,9 @@
   uses_.store.call(std::move(commit), [this, job](const kv_result& result) {
     const auto& call = job->call;
     if (std::holds_alternative<kv_committed>(result)) {
-      answer(call, ok_status, {}, "stored");
+      answer(call, http_status::ok, {}, "stored");
     } else if (std::holds_alternative<kv_conflict>(result)) {
-      answer(call, ok_status, {}, "stored before");
+      answer(call, http_status::ok, {}, "stored before");
     } else {
       call->may_be_stored = call->may_be_stored || !std::holds_alternative<kv_refused>(result);
       retry_or_give_up(call, [this, job] { try_submit(job); });
@@ -209,9 +207,9 @@
                          [&](const kv_item& item) { return item.key == key; });
     };
     if (!stored(keys::job(call->job))) {
-      answer(call, gone_status, {}, "no such job");
+      answer(call, http_status::gone, {}, "no such job");
     } else if (stored(keys::cancel(call->job))) {
-      answer(call, ok_status, {}, "cancelled before");
+      answer(call, http_status::ok, {}, "cancelled before");
     } else {
       try_cancel(call);
     }
@@ -225,7 +223,7 @@
                    .erases = {}};
   uses_.store.call(std::move(commit), [this, call](const kv_result& result) {
     if (std::holds_alternative<kv_committed>(result) || std::holds_alternative<kv_conflict>(result)) {
-      answer(call, ok_status, {}, "cancellation stored");
+      answer(call, http_status::ok, {}, "cancellation stored");
       return;
     }
     call->may_be_stored = true;
@@ -238,7 +236,7 @@
 void caller_api::tell_phase(const exchange_pointer& call) {
   if (const auto* session = uses_.own_session(); session != nullptr) {
     if (const auto phase = session->phase(call->job)) {
-      answer(call, ok_status, platform::encode_phase(*phase), "owner");
+      answer(call, http_status::ok, platform::encode_phase(*phase), "owner");
       return;
     }
     tell_phase_from_store(call);
@@ -259,8 +257,8 @@
     if (response == nullptr) {
       uses_.peers.drop_idle(owner);
     }
-    if (response != nullptr && response->status == ok_status) {
-      answer(call, ok_status, response->body, "owner");
+    if (response != nullptr && response->status == http_status::ok) {
+      answer(call, http_status::ok, response->body, "owner");
     } else {
       tell_phase_from_store(call);
     }
@@ -277,7 +275,7 @@
     }
     if (!items->items.empty()) {
       if (const auto progress = decode_job_progress(items->items.front().value); progress.ok()) {
-        answer(call, ok_status, platform::encode_phase(progress->phase), "store");
+        answer(call, http_status::ok, platform::encode_phase(progress->phase), "store");
         return;
       }
     }
@@ -292,9 +290,9 @@
       call->may_be_stored = true;
       retry_or_give_up(call, [this, call] { tell_phase_from_job_row(call); });
     } else if (items->items.empty()) {
-      answer(call, gone_status, {}, "no such job");
+      answer(call, http_status::gone, {}, "no such job");
     } else {
-      answer(call, ok_status, platform::encode_phase(job_phase::queued), "store");
+      answer(call, http_status::ok, platform::encode_phase(job_phase::queued), "store");
     }
   });
 }
@@ -302,7 +300,7 @@
 void caller_api::tell_waiting(const exchange_pointer& call) {
   if (const auto* session = uses_.own_session(); session != nullptr) {
     if (const auto count = session->waiting_jobs(call->queue)) {
-      answer(call, ok_status, platform::encode_waiting_count(*count), "owner");
+      answer(call, http_status::ok, platform::encode_waiting_count(*count), "owner");
       return;
     }
   }
@@ -321,8 +319,9 @@
   uses_.peers.call(owner, question, owner_timeout, [this, call, again, owner](const http_result& result) {
     const auto* response = std::get_if<http_response>(&result);
     std::uint64_t count = 0;
-    if (response != nullptr && response->status == ok_status && absl::SimpleAtoi(response->body, &count)) {
-      answer(call, ok_status, platform::encode_waiting_count(count), "owner");
+    if (response != nullptr && response->status == http_status::ok &&
+        absl::SimpleAtoi(response->body, &count)) {
+      answer(call, http_status::ok, platform::encode_waiting_count(count), "owner");
       return;
     }
     if (response == nullptr) {
@@ -337,18 +336,18 @@
   const std::vector<std::string> parts = absl::StrSplit(request.path.substr(owner_path.size()), '/');
   constexpr std::size_t part_count = 2;
   if (session == nullptr || parts.size() != part_count) {
-    responder.send({.status = unavailable_status, .headers = {}, .body = {}});
+    responder.send({.status = http_status::service_unavailable, .headers = {}, .body = {}});
     return;
   }
   if (parts[0] == "queue") {
     const auto count = session->waiting_jobs(queue_id{parts[1]});
-    responder.send({.status = count ? ok_status : unavailable_status,
+    responder.send({.status = count ? http_status::ok : http_status::service_unavailable,
                     .headers = {},
                     .body = count ? fmt::format("{}", *count) : std::string{}});
     return;
   }
   const auto phase = session->phase(job_id{parts[1]});
-  responder.send({.status = phase ? ok_status : not_found_status,
+  responder.send({.status = phase ? http_status::ok : http_status::not_found,
                   .headers = {},
                   .body = phase ? platform::encode_phase(*phase) : std::string{}});
 }
--- a/src/programs/rhubarb-edge/edge_daemon.cpp
+++ b/src/programs/rhubarb-edge/edge_daemon.cpp
@@ -12,16 +12,14 @@
 #include "absl/strings/str_cat.h"
 #include "platform/settings.hpp"
 #include "rhubarbpath/transport/address.hpp"
+#include "rhubarbpath/transport/http_status.hpp"
 #include "rhubarbpath/transport/log.hpp"
+#include "rhubarbpath/transport/wall_clock.hpp"
 
 namespace rhubarbpath::edge {
 
 namespace {
 
-constexpr int ok_status = 200;
-constexpr int not_found_status = 404;
-constexpr int unavailable_status = 503;
-
 constexpr duration election_period{std::chrono::milliseconds{50}};
 /// A silent watch of the owner row is noticed after this; other VMs notice a lost owner as well.
 constexpr std::chrono::milliseconds ownership_wait{3000};
@@ -49,12 +47,6 @@
                                                       std::chrono::nanoseconds{time.tv_nsec})};
 }
 
-std::uint64_t wall_ms() {
-  return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
-                                        std::chrono::system_clock::now().time_since_epoch())
-                                        .count());
-}
-
 std::string encode_sightings(const std::vector<peer_directory::sighting>& sightings) {
   nlohmann::json rows = nlohmann::json::array();
   for (const auto& each : sightings) {
@@ -97,7 +89,8 @@
     : loop_{loop},
       settings_{std::move(settings)},
       settings_file_{std::move(settings_file)},
-      random_{wall_ms() ^ std::hash<std::string>{}(settings_.vm.value())},
+      random_{static_cast<std::uint64_t>(wall_clock().count()) ^
+              std::hash<std::string>{}(settings_.vm.value())},
       platform_client_{loop, client_options(48)},
       worker_client_{loop, client_options(8)},
       peers_{{.self = settings_.peer_address, .processor_cores = settings_.processor_cores}},
@@ -119,7 +112,7 @@
                 .own_session = [this] { return session_.get(); },
                 .owner_address = [this] { return owner_address_; },
                 .stopping = [this] { return stopping_; }}},
-      process_{wall_ms()},
+      process_{static_cast<std::uint64_t>(wall_clock().count())},
       started_{loop.now()} {}
 
 absl::Status edge_daemon::start() {
@@ -148,7 +141,12 @@
               }),
         serve(metrics_server_, settings_.metrics_address,
               [this](const http_request&, const http_responder&responder) {
-                responder.send({.status = ok_status, .headers = {}, .body = counters_.prometheus_text()});
+                const auto totals = logged();
+                counters_.set("rhubarb_log_lines", {}, static_cast<double>(totals.lines));
+                counters_.set("rhubarb_log_bytes", {}, static_cast<double>(totals.bytes));
+                counters_.set("rhubarb_log_dropped_lines", {}, static_cast<double>(totals.dropped_lines));
+                responder.send(
+                    {.status = http_status::ok, .headers = {}, .body = counters_.prometheus_text()});
               })}) {
     if (!status.ok()) {
       return status;
@@ -219,10 +217,10 @@
     take_sightings(request.body);
     peers_.heard_from(std::string{header_value(request.headers, peer_header)}, loop_.now());
     responder.send(
-        {.status = ok_status, .headers = {}, .body = encode_sightings(peers_.sightings(loop_.now()))});
+        {.status = http_status::ok, .headers = {}, .body = encode_sightings(peers_.sightings(loop_.now()))});
     return;
   }
-  responder.send({.status = not_found_status, .headers = {}, .body = {}});
+  responder.send({.status = http_status::not_found, .headers = {}, .body = {}});
 }
 
 bool edge_daemon::ready() const {
@@ -230,7 +228,8 @@
 }
 
 void edge_daemon::serve_ready(const http_responder& responder) const {
-  responder.send({.status = ready() ? ok_status : unavailable_status, .headers = {}, .body = {}});
+  responder.send(
+      {.status = ready() ? http_status::ok : http_status::service_unavailable, .headers = {}, .body = {}});
 }
 
 // ---- ownership ----
--- a/src/programs/rhubarb-edge/main.cpp
+++ b/src/programs/rhubarb-edge/main.cpp
@@ -5,6 +5,8 @@
 #include <fstream>
 #include <iostream>
 #include <sstream>
+#include <string>
+#include <vector>
 
 #include "edge_daemon.hpp"
 #include "platform/settings.hpp"
@@ -17,7 +19,7 @@
 constexpr int exit_failed = 1;
 constexpr int exit_settings = 2;
 
-int run(const std::string& path, bool check_only) {
+int run(const std::string& path, bool check_only, rhubarbpath::log_level lowest) {
   std::ifstream file{path};
   if (!file) {
     std::cerr << "rhubarb-edge: cannot read the settings file " << path << "\n";
@@ -34,7 +36,7 @@
     std::cout << path << ": ok\n";
     return exit_ok;
   }
-  rhubarbpath::configure_log("rhubarb-edge", settings->vm.value(), rhubarbpath::log_level::info);
+  rhubarbpath::configure_log("rhubarb-edge", settings->vm.value(), lowest);
   rhubarbpath::log_to_standard_output();
   // A peer that closes its connection must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
@@ -56,11 +58,21 @@
 int main(int argc, char** argv) {
   try {
     TCLAP::CmdLine command{"Entry VM of rhubarbpath on the users' platform.", ' ', "0.1.0"};
+    // The library would end the process with its own exit code for a wrong command line.
+    command.setExceptionHandling(false);
     TCLAP::ValueArg<std::string> settings{
         "s", "settings", "settings file", false, rhubarbpath::platform::settings_path(), "path", command};
     TCLAP::SwitchArg check{"", "check", "check the settings file and exit", command};
+    std::vector<std::string> levels{"debug", "info", "warning", "error"};
+    TCLAP::ValuesConstraint<std::string> level_names{levels};
+    TCLAP::ValueArg<std::string> level{
+        "l",          "log-level", "lowest level that is logged; decisions are on info", false, "info",
+        &level_names, command};
     command.parse(argc, argv);
-    return run(settings.getValue(), check.getValue());
+    const auto lowest = rhubarbpath::parse_log_level(level.getValue()).value_or(rhubarbpath::log_level::info);
+    return run(settings.getValue(), check.getValue(), lowest);
+  } catch (const TCLAP::ExitException& exit) {
+    return exit.getExitStatus();
   } catch (const TCLAP::ArgException& error) {
     std::cerr << "rhubarb-edge: " << error.error() << " for " << error.argId() << "\n";
     return exit_settings;
--- a/src/programs/rhubarb-edge/owner_session.cpp
+++ b/src/programs/rhubarb-edge/owner_session.cpp
@@ -8,6 +8,7 @@
 #include "platform/config_wire.hpp"
 #include "platform/worker_wire.hpp"
 #include "rhubarbpath/transport/log.hpp"
+#include "rhubarbpath/transport/wall_clock.hpp"
 
 namespace rhubarbpath::edge {
 
@@ -17,11 +18,6 @@
 /// Bounds how late a new job is noticed after the watch's connection went silent.
 constexpr std::chrono::milliseconds job_watch_wait{1000};
 
-std::chrono::milliseconds wall_clock() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-      std::chrono::system_clock::now().time_since_epoch());
-}
-
 }  // namespace
 
 owner_session::owner_session(const options& opts, dependencies uses) : opts_{opts}, uses_{std::move(uses)} {
@@ -400,7 +396,11 @@
     fields.push_back({name, value});
   }
   log(log_level::info, decision.event, fields);
-  uses_.counters.add("rhubarb_decisions_total", fmt::format("event=\"{}\"", decision.event));
+  const auto label = fmt::format("event=\"{}\"", decision.event);
+  uses_.counters.add("rhubarb_decisions_total", label);
+  if (decision.took) {
+    uses_.counters.observe("rhubarb_wait_seconds", label, *decision.took);
+  }
 }
 
 // ---- writes ----
--- a/src/protocol/log_events.cpp
+++ b/src/protocol/log_events.cpp
@@ -22,7 +22,7 @@
       log_event{"term_ended", "this VM no longer owns the duty", "term, reason"},
       log_event{"lease_release_unconfirmed", "the duty was given back and the store did not answer", ""},
       log_event{"recovery_finished", "inherited jobs may start again",
-                "reason, term, silent_workers, first_silent_worker, jobs"},
+                "reason, term, silent_workers, first_silent_worker, jobs, waited_ms"},
       log_event{"order_fenced", "a worker has seen a newer owner", "worker, term"},
       log_event{"write_fenced", "the store has a newer owner", "term"},
       log_event{
--- a/src/transport/log.cpp
+++ b/src/transport/log.cpp
@@ -44,6 +44,11 @@
   return "error";
 }
 
+log_totals& totals() {
+  static log_totals instance;
+  return instance;
+}
+
 std::string timestamp() {
   const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
   const auto millis = now.time_since_epoch().count() % 1000;
@@ -128,6 +133,7 @@
   }
   if (buffer.bytes.size() + line.size() > max_buffered_bytes) {
     ++buffer.dropped;
+    ++totals().dropped_lines;
   } else {
     buffer.bytes += line;
   }
@@ -136,6 +142,19 @@
 
 }  // namespace
 
+log_totals logged() {
+  return totals();
+}
+
+std::optional<log_level> parse_log_level(std::string_view name) {
+  for (const auto level : {log_level::debug, log_level::info, log_level::warning, log_level::error}) {
+    if (level_name(level) == name) {
+      return level;
+    }
+  }
+  return std::nullopt;
+}
+
 void log_to_standard_output() {
   output().enabled = true;
 }
@@ -165,6 +184,8 @@
   line.push_back('}');
   line.push_back('\n');
   const auto text = fmt::to_string(line);
+  ++totals().lines;
+  totals().bytes += text.size();
   if (output().enabled) {
     append_line(output(), text);
   } else {
