Drop queued starts whose run is no longer awaited

Cause: orders to one worker queue behind two open calls. With a link that delays each call past its 400 ms limit, repeats of starts waited for seconds and were sent although their run had been listed as done. Ruled out: late execution on the wire (the starts had been answered or cut two seconds before), and the acknowledgement of ends (each was confirmed). Change: an order is asked whether it is still wanted when its turn comes; job_scheduler::wants says so for starts. The new test checks the decision; the queue itself is proved by the soak. Conclusion: the wait in the queue also explains starts refused for want of room on slow links; not measured.

--- a/include/rhubarbpath/coordination/job_scheduler.hpp
+++ b/include/rhubarbpath/coordination/job_scheduler.hpp
@@ -164,6 +164,9 @@
   void tick(instant now);
 
   [[nodiscard]] std::vector<scheduler_action> take_actions();
+  /// Whether a start that has not been sent yet is still to be sent. A worker that restarts would carry out
+  /// a start of a run that has ended since.
+  [[nodiscard]] bool wants(const start_order& order) const;
   /// When `tick` is needed next if nothing else happens.
   [[nodiscard]] instant next_deadline(instant now) const;
 
--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -156,6 +156,17 @@
       .lease_until = lease});
 }
 
+bool job_scheduler::wants(const start_order& order) const {
+  std::uint32_t index = 0;
+  const auto* owner = implementation_->find_unit(order.task, &index);
+  if (owner == nullptr) {
+    return false;
+  }
+  const auto& started = owner->members[index];
+  return started.phase == member_phase::starting && started.worker == order.worker &&
+         started.run == order.run;
+}
+
 void job_scheduler::implementation::order_stop(job_state& job, unit& owner, std::size_t index) {
   auto& stopping = owner.members[index];
   const auto found = workers.find(stopping.worker);
--- a/src/programs/rhubarb-edge/owner_session.cpp
+++ b/src/programs/rhubarb-edge/owner_session.cpp
@@ -276,19 +276,21 @@
   running_actions_ = false;
 }
 
-void owner_session::send(const worker_id& worker, const std::string& address, http_request request,
-                         std::function<void(const http_result&)> done) {
+void owner_session::send(const worker_id& worker, const std::string& address, queued_order order) {
   auto& link = links_[worker];
   link.address = address;
-  link.waiting.emplace_back(std::move(request), std::move(done));
+  link.waiting.push_back(std::move(order));
   pump(worker);
 }
 
 void owner_session::pump(const worker_id& worker) {
   auto& link = links_[worker];
   while (!stopped_ && link.open < opts_.open_orders && !link.waiting.empty()) {
-    auto [request, done] = std::move(link.waiting.front());
+    auto [request, done, wanted] = std::move(link.waiting.front());
     link.waiting.pop_front();
+    if (!wanted()) {
+      continue;
+    }
     if (!uses_.may_order()) {
       done(http_call_failed{.bytes_sent = false, .timed_out = false, .reason = "the term has ended"});
       continue;
@@ -318,19 +320,26 @@
 
 void owner_session::perform(const start_order& order) {
   uses_.counters.add("rhubarb_orders_total", "order=\"start\"");
-  send(order.worker, order.address, platform::encode_order(order, opts_.term),
-       [this, worker = order.worker, task = order.task, run = order.run](const http_result& result) {
-         scheduler_->start_answered(worker, task, run, platform::decode_start_answer(result),
-                                    uses_.loop.now());
-       });
+  send(order.worker, order.address,
+       {.request = platform::encode_order(order, opts_.term),
+        .done =
+            [this, worker = order.worker, task = order.task, run = order.run](const http_result& result) {
+              scheduler_->start_answered(worker, task, run, platform::decode_start_answer(result),
+                                         uses_.loop.now());
+            },
+        .wanted = [this, order] { return scheduler_->wants(order); }});
 }
 
 void owner_session::perform(const stop_order& order) {
   uses_.counters.add("rhubarb_orders_total", "order=\"stop\"");
-  send(order.worker, order.address, platform::encode_order(order, opts_.term),
-       [this, worker = order.worker, task = order.task, run = order.run](const http_result& result) {
-         scheduler_->stop_answered(worker, task, run, platform::decode_stop_answer(result), uses_.loop.now());
-       });
+  send(order.worker, order.address,
+       {.request = platform::encode_order(order, opts_.term),
+        .done =
+            [this, worker = order.worker, task = order.task, run = order.run](const http_result& result) {
+              scheduler_->stop_answered(worker, task, run, platform::decode_stop_answer(result),
+                                        uses_.loop.now());
+            },
+        .wanted = [] { return true; }});
 }
 
 void owner_session::perform(const renew_order& order) {
--- a/src/programs/rhubarb-edge/owner_session.hpp
+++ b/src/programs/rhubarb-edge/owner_session.hpp
@@ -56,8 +56,13 @@
   [[nodiscard]] owner_term term() const noexcept { return opts_.term; }
 
  private:
+  struct queued_order {
+    http_request request;
+    std::function<void(const http_result&)> done;
+    std::function<bool()> wanted;  ///< Asked when its turn comes; an order that is not wanted is dropped.
+  };
   struct worker_link {
-    std::deque<std::pair<http_request, std::function<void(const http_result&)>>> waiting;
+    std::deque<queued_order> waiting;
     std::string address;
     std::size_t open{0};
   };
@@ -75,8 +80,7 @@
   void run_actions();
   void run_tick();
   void schedule_tick();
-  void send(const worker_id& worker, const std::string& address, http_request request,
-            std::function<void(const http_result&)> done);
+  void send(const worker_id& worker, const std::string& address, queued_order order);
   void pump(const worker_id& worker);
   void perform(const start_order& order);
   void perform(const stop_order& order);
--- a/tests/coordination/job_scheduler_test.cpp
+++ b/tests/coordination/job_scheduler_test.cpp
@@ -126,6 +126,20 @@
   CHECK(fleet.violations.empty());
 }
 
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_wants_a_queued_start_only_until_the_run_is_known") {
+  // Repeats of a start that waited behind slow calls were sent after the run had ended. A worker that had
+  // restarted meanwhile carried them out, and the tasks ran twice (edge_soak, seed 106).
+  fleet.injected.lost_answer = 1.0;
+  fleet.submit(simulated_workers::job("a", 1, alike_tasks(1, 1, milliseconds{300})));
+  fleet.play(milliseconds{100});
+  REQUIRE(fleet.last_start);
+  CHECK(fleet.scheduler->wants(*fleet.last_start));
+  fleet.injected.lost_answer = 0;
+  fleet.play(seconds{2});
+  CHECK(fleet.phase("a") == job_phase::complete);
+  CHECK_FALSE(fleet.scheduler->wants(*fleet.last_start));
+}
+
 TEST_CASE_METHOD(scheduler_fixture, "scheduler_cancelled_job_stops_and_stays_stopped") {
   fleet.submit(simulated_workers::job("a", 1, alike_tasks(6, 2, seconds{20})));
   fleet.play(seconds{1});
--- a/tests/coordination/simulated_workers.hpp
+++ b/tests/coordination/simulated_workers.hpp
@@ -199,6 +199,7 @@
   std::vector<std::string> violations;
   std::map<task_ref, int> starts;
   std::set<worker_id> may_run_advised;  ///< What the adviser says, for a queue that asks it.
+  std::optional<start_order> last_start;
   int advice_calls{0};
   int refused_tickets{0};
   /// Prints the scheduler's decisions, to find the cause of a failure; set by RHUBARBPATH_TRACE.
@@ -509,6 +510,7 @@
   }
 
   void perform(const start_order& order) {
+    last_start = order;
     transmit(
         order.worker, [this, order, from = term](worker& at) { return start(at, order, from); },
         [this, order](const start_result& result) {
