--- a/benchmark/job_scheduler.cpp
+++ b/benchmark/job_scheduler.cpp
@@ -1,19 +1,25 @@
 #include <fmt/format.h>
+#include <tclap/CmdLine.h>
 
 #include <chrono>
 #include <cmath>
 
 #include "coordination/simulated_workers.hpp"
 
-/// Plays the arrivals of a heavy day on a simulated fleet and prints what callers get and what the
-/// scheduler costs. The load: 350 workers of 8 accelerators; urgent gangs, larger gangs that prefer one
-/// rack, and many single-accelerator tasks, together a little above what the fleet can carry.
+/// Plays the arrivals of a heavy day on simulated fleets and prints what callers get and what the scheduler
+/// costs. The load grows with the fleet: urgent gangs, larger gangs that prefer one rack, and many
+/// single-accelerator tasks; at load 1.6 together a little above what the fleet can carry.
 namespace rhubarbpath {
 namespace {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+struct result {
+  std::size_t workers{0};
+  double scheduler_seconds{0};
+};
+
 struct kind {
   const char* name;
   int priority;
@@ -41,8 +47,10 @@
   return static_cast<std::uint32_t>(std::clamp(std::round(drawn), 1.0, 6.0 * mean));
 }
 
-int run(std::size_t workers, double load) {
-  testing::simulated_workers fleet{20261204};
+result run(std::size_t workers, double load, std::uint64_t seed) {
+  testing::simulated_workers fleet{seed};
+  // Arrivals have a random source of their own, so that they do not depend on the scheduler's decisions.
+  random_source random{seed + 1};
   fleet.add_workers(workers);
   auto config = testing::simulated_workers::config();
   config->teams.front().guaranteed_accelerators = static_cast<std::int64_t>(workers) * 5;
@@ -64,7 +72,6 @@
   std::vector<submitted> jobs;
   constexpr seconds traffic{30};
   constexpr milliseconds step{20};
-  auto& random = fleet.random;
   std::chrono::nanoseconds wall{0};
   for (duration passed{}; passed < traffic + seconds{30}; passed += step) {
     for (std::size_t index = 0; index < kinds.size() && passed < traffic; ++index) {
@@ -105,23 +112,49 @@
       ++(*each.done - each.at <= objective ? counted.on_time : counted.late);
     }
   }
-  fmt::print("{} workers, load {:.2f}: {:.2f} s of processor for 60 s, scheduler {:.2f} s\n", workers, load,
-             std::chrono::duration<double>{wall}.count(),
-             std::chrono::duration<double>{fleet.scheduler_time}.count());
+  const auto scheduler_seconds = std::chrono::duration<double>{fleet.scheduler_time}.count();
+  fmt::print(
+      "{} workers, load {:.2f}, seed {}: {:.2f} s for 60 s, scheduler {:.2f} s; a call p50 {:.3f} ms, "
+      "p99 {:.3f} ms, most {:.3f} ms\n",
+      workers, load, seed, std::chrono::duration<double>{wall}.count(), scheduler_seconds,
+      fleet.scheduler_call_ms(0.5), fleet.scheduler_call_ms(0.99), fleet.scheduler_call_ms(1.0));
   for (std::size_t index = 0; index < kinds.size(); ++index) {
     const auto& counted = tallies[index];
     fmt::print("  {:8} jobs {:5} on time {:5.3f} late {:5.3f} unfinished {}\n", kinds[index].name,
                counted.jobs, static_cast<double>(counted.on_time) / std::max(1, counted.jobs),
                static_cast<double>(counted.late) / std::max(1, counted.jobs), counted.unfinished);
   }
-  return 0;
+  return {.workers = workers, .scheduler_seconds = scheduler_seconds};
+}
+
+/// Exponent of the scheduler's cost as a power of the number of workers.
+double growth(const result& small, const result& large) {
+  return std::log(large.scheduler_seconds / small.scheduler_seconds) /
+         std::log(static_cast<double>(large.workers) / static_cast<double>(small.workers));
 }
 
 }  // namespace
 }  // namespace rhubarbpath
 
 int main(int argc, char** argv) {
-  const std::size_t workers = argc > 1 ? std::stoul(argv[1]) : 350;
-  const double load = argc > 2 ? std::stod(argv[2]) : 1.0;
-  return rhubarbpath::run(workers, load);
+  TCLAP::CmdLine command{"Cost and results of the job scheduler on a simulated heavy day"};
+  TCLAP::MultiArg<std::size_t> sizes{"w",   "workers", "Number of workers; may be repeated",
+                                     false, "N",       command};
+  TCLAP::ValueArg<double> load{"l", "load", "Arrivals; 1.6 is a little above capacity", false, 1.6,
+                               "X", command};
+  TCLAP::ValueArg<std::uint64_t> seed{"s", "seed", "First seed", false, 20261204, "N", command};
+  TCLAP::ValueArg<std::uint64_t> plays{"p", "plays", "Number of seeds for each size", false, 1, "N", command};
+  command.parse(argc, argv);
+  const auto chosen = sizes.getValue().empty() ? std::vector<std::size_t>{350} : sizes.getValue();
+  std::vector<rhubarbpath::result> results;
+  for (const auto workers : chosen) {
+    for (std::uint64_t play = 0; play < plays.getValue(); ++play) {
+      results.push_back(rhubarbpath::run(workers, load.getValue(), seed.getValue() + play));
+    }
+  }
+  if (chosen.size() > 1) {
+    fmt::print("scheduler cost grows with power {:.2f} of the number of workers\n",
+               rhubarbpath::growth(results.front(), results.back()));
+  }
+  return 0;
 }
--- a/src/coordination/job_scheduler.cpp
+++ b/src/coordination/job_scheduler.cpp
@@ -249,17 +249,55 @@
 
 void job_scheduler::implementation::clear_member(job_state& job, unit& parent, std::size_t index) {
   auto& cleared = parent.members[index];
-  const auto found = workers.find(cleared.worker);
-  if (found != workers.end() && cleared.phase != member_phase::none) {
-    found->second.used -= occupied(step_of(job, parent));
-    found->second.tasks.erase(task_of(job, parent, index));
+  if (cleared.phase != member_phase::none) {
+    cleared.worker->used -= occupied(step_of(job, parent));
+    std::erase(cleared.worker->tasks, detail::assigned_task{.job = &job, .parent = &parent, .index = index});
+    --job.assigned_members;
     placement_due = true;
   }
   cleared = member{};
 }
 
-void job_scheduler::implementation::flush(instant /*now*/) {
-  if (storing || dirty.empty()) {
+void job_scheduler::implementation::assign_member(job_state& job, unit& parent, std::size_t index) {
+  auto& worker = *parent.members[index].worker;
+  worker.used += occupied(step_of(job, parent));
+  worker.tasks.push_back({.job = &job, .parent = &parent, .index = index});
+  ++job.assigned_members;
+  track(job, parent);
+}
+
+void job_scheduler::implementation::track(job_state& job, unit& parent) {
+  if (!std::exchange(parent.tracked, true)) {
+    active_units.emplace_back(&job, &parent);
+  }
+}
+
+void job_scheduler::implementation::acknowledge_stored_ends(instant now) {
+  std::vector<worker_state*> acknowledged;
+  std::erase_if(workers_with_ends, [&](worker_state* worker) {
+    if (worker->flushing_through > worker->acknowledged_through) {
+      worker->acknowledged_through = worker->flushing_through;
+      acknowledged.push_back(worker);
+    }
+    worker->has_unacknowledged_ends = worker->seen_through > worker->acknowledged_through;
+    return !worker->has_unacknowledged_ends;
+  });
+  for (auto* worker : acknowledged) {
+    worker->renew_at = now;
+    renew_worker(*worker, now);
+  }
+}
+
+void job_scheduler::implementation::flush(instant now) {
+  if (storing) {
+    return;
+  }
+  if (dirty.empty()) {
+    // Ends that change no progress need no write, so they are acknowledged at once.
+    for (auto* worker : workers_with_ends) {
+      worker->flushing_through = worker->seen_through;
+    }
+    acknowledge_stored_ends(now);
     return;
   }
   store_progress write;
@@ -274,8 +312,8 @@
     phases_being_stored.emplace_back(id, job->phase);
   }
   dirty.clear();
-  for (auto& [id, worker] : workers) {
-    worker.flushing_through = worker.seen_through;
+  for (auto* worker : workers_with_ends) {
+    worker->flushing_through = worker->seen_through;
   }
   storing = true;
   actions.emplace_back(std::move(write));
@@ -295,18 +333,16 @@
           {"jobs", absl::StrCat(jobs.size())}},
          now - started_at);
   unreported_workers.clear();
-  for (auto& [id, open] : open_jobs) {
-    auto& job = *open;
-    for (auto& each : job.units) {
-      if (each.phase != unit_phase::active) {
-        continue;
-      }
-      const bool all_adopted = std::all_of(each.members.begin(), each.members.end(), [&](const member& one) {
-        return one.phase == member_phase::running && one.run == each.run;
-      });
-      if (!all_adopted || is_terminal(job.phase)) {
-        end_unit(job, each, now);
-      }
+  for (auto& [job, each] : active_units) {
+    if (each->phase != unit_phase::active) {
+      continue;
+    }
+    const auto run = each->run;
+    const bool all_adopted = std::all_of(each->members.begin(), each->members.end(), [&](const member& one) {
+      return one.phase == member_phase::running && one.run == run;
+    });
+    if (!all_adopted || is_terminal(job->phase)) {
+      end_unit(*job, *each, now);
     }
   }
 }
@@ -341,6 +377,9 @@
       self.unreported_workers.insert(id);
     }
     self.stored_workers.insert(id);
+    if (found != self.workers.end()) {
+      found->second.stored = true;
+    }
   }
   self.recovery = true;
   // The lease is measured on the worker's clock, which may run slow, and stopping the runs takes time after
@@ -403,20 +442,19 @@
       job->stored_phase = phase;
     }
   }
-  for (auto& [id, worker] : self.workers) {
-    if (worker.flushing_through > worker.acknowledged_through) {
-      worker.acknowledged_through = worker.flushing_through;
-      worker.renew_at = now;
-    }
-  }
+  self.acknowledge_stored_ends(now);
   self.flush(now);
-  self.renew_workers(now);
 }
 
 void job_scheduler::workers_stored(instant now) {
   auto& self = *implementation_;
   self.storing_workers = false;
-  self.stored_workers.insert(self.worker_set_being_stored.begin(), self.worker_set_being_stored.end());
+  for (const auto& id : self.worker_set_being_stored) {
+    self.stored_workers.insert(id);
+    if (const auto found = self.workers.find(id); found != self.workers.end()) {
+      found->second.stored = true;
+    }
+  }
   self.placement_due = true;
   self.renew_workers(now);
   self.store_worker_set();
@@ -486,10 +524,10 @@
   for (auto found = self.jobs.begin(); found != self.jobs.end();) {
     auto& job = found->second;
     const bool idle = std::all_of(job.units.begin(), job.units.end(), [](const unit& each) {
-      return each.phase == unit_phase::waiting || each.phase == unit_phase::done;
+      return !each.tracked && (each.phase == unit_phase::waiting || each.phase == unit_phase::done);
     });
-    if (is_terminal(job.stored_phase) && idle && !job.dirty &&
-        now - job.ended_at > self.opts.ended_job_retention) {
+    if (is_terminal(job.stored_phase) && !job.dirty && now - job.ended_at > self.opts.ended_job_retention &&
+        idle) {
       expired.push_back(found->first);
       self.open_jobs.erase(found->first);
       self.jobs.erase(found++);
--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -10,6 +11,8 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/node_hash_map.h"
+#include "absl/functional/function_ref.h"
+#include "rhubarbpath/coordination/free_space_index.hpp"
 #include "rhubarbpath/coordination/job_scheduler.hpp"
 
 namespace rhubarbpath {
@@ -32,12 +35,15 @@
 /// Number of consecutive failed renewals after which a worker gets no new work.
 constexpr int unusable_after_failed_renewals = 1;
 
+struct worker_state;
+struct job_state;
+
 enum class member_phase { none, reserved, starting, running, stopping };
 
 /// One task of a unit, with the worker and the state of its current run.
 struct member {
   member_phase phase{member_phase::none};
-  worker_id worker;
+  worker_state* worker{nullptr};  ///< Set in every phase but `none`.
   run_number run;
   /// When the last order about this run was answered. A report requested later lists the run if it exists.
   instant confirmed_at{};
@@ -67,6 +73,7 @@
   instant waiting_since{};
   instant all_running_since{};
   instant reserved_until{};
+  bool tracked{false};  ///< Is in `active_units` of the scheduler.
 };
 
 /// The units of one step of one occurrence: the range [begin, end) of indexes into the job's units.
@@ -92,6 +99,16 @@
   instant objective{};  ///< When the job should be complete.
   instant ended_at{};
   std::size_t units_left{0};
+  std::size_t assigned_members{0};  ///< Members that are starting, running or stopping.
+};
+
+/// A task that is starting, running or stopping on a worker.
+struct assigned_task {
+  job_state* job{nullptr};
+  unit* parent{nullptr};
+  std::size_t index{0};  ///< Of the member in its unit.
+
+  friend bool operator==(const assigned_task&, const assigned_task&) = default;
 };
 
 struct worker_state {
@@ -105,8 +122,10 @@
   std::chrono::milliseconds lease_until{0};
   resource_amounts used;
   resource_amounts reserved;
-  /// Tasks that are assigned to the worker, with their runs.
-  std::map<task_ref, run_number> tasks;
+  std::vector<assigned_task> tasks;
+  /// Position in the index of its service; empty until the worker is listed.
+  std::optional<worker_slot> slot;
+  bool stored{false};  ///< Its id is in the stored set of workers, so it may get orders.
   /// The worker announced that it is draining, so it is expected to leave.
   bool was_draining{false};
   /// Highest number of the worker's ended runs that was processed, is being stored, and is stored and thus
@@ -116,7 +135,8 @@
   std::uint64_t acknowledged_through{0};
   /// The worker has answered a renewal that acknowledged ended runs up to this number.
   std::uint64_t acknowledged_confirmed{0};
-  std::uint64_t acknowledging{0};  ///< What the renewal in flight acknowledges.
+  std::uint64_t acknowledging{0};       ///< What the renewal in flight acknowledges.
+  bool has_unacknowledged_ends{false};  ///< Is in `workers_with_ends` of the scheduler.
   bool renewing{false};
   instant renew_at{};
   int failed_renewals{0};
@@ -126,19 +146,31 @@
   instant full_until{};     ///< Gets no new work until then, after it refused a start.
 };
 
+/// Whether the member has this run on this worker.
+inline bool is_run(const member& one, const worker_id& worker, run_number run) {
+  return one.worker != nullptr && one.run == run && one.worker->entry.id == worker;
+}
+
 /// Whether the step runs slower outside the rack of its data, or as a gang spread over racks.
 inline bool prefers_rack(const step_spec& step) {
   return !step.data_rack.empty() || (step.gang && step.same_rack);
 }
 
-/// Whether the worker belongs to the queue's service and has the label that the step requires.
-inline bool serves(const worker_state& worker, const job_state& job, const step_spec& step) {
+inline bool has_required_label(const worker_state& worker, const step_spec& step) {
   const auto& labels = worker.entry.labels;
-  return worker.entry.service == job.queue->service &&
-         (step.required_label.empty() ||
-          std::find(labels.begin(), labels.end(), step.required_label) != labels.end());
+  return step.required_label.empty() ||
+         std::find(labels.begin(), labels.end(), step.required_label) != labels.end();
 }
 
+/// The workers of one service. `workers` is ordered by slot.
+struct service_space {
+  free_space_index index;
+  std::vector<worker_state*> workers;
+  [[nodiscard]] worker_state& at(worker_slot slot) const {
+    return *workers[static_cast<std::uint32_t>(slot)];
+  }
+};
+
 }  // namespace detail
 
 struct job_scheduler::implementation {
@@ -154,7 +186,13 @@
   absl::node_hash_map<job_id, detail::job_state> jobs;
   /// Jobs that have not ended, or that may still have runs that are stopping. Scans cover only these.
   std::map<job_id, detail::job_state*> open_jobs;
+  /// Units with a member that is reserved, starting, running or stopping. Units that no longer have one are
+  /// dropped by `repeat_orders`. Scans cover only these, because most units of a long queue wait.
+  std::vector<std::pair<detail::job_state*, detail::unit*>> active_units;
   std::map<worker_id, detail::worker_state> workers;
+  std::map<service_id, detail::service_space> services;
+  /// Workers with ended runs that are not acknowledged yet.
+  std::vector<detail::worker_state*> workers_with_ends;
   std::set<worker_id> unreported_workers;  ///< Workers whose first report the recovery is waiting for.
   bool recovery{false};
   instant recovery_ends;
@@ -203,9 +241,15 @@
   void end_unit(detail::job_state& job, detail::unit& unit, instant now);
   /// Returns an ending unit to waiting if all its members have ended.
   void requeue_if_ended(detail::job_state& job, detail::unit& unit, instant now);
+  /// Assigns a task to the worker of its member.
+  void assign_member(detail::job_state& job, detail::unit& unit, std::size_t index);
   void clear_member(detail::job_state& job, detail::unit& unit, std::size_t index);
+  void track(detail::job_state& job, detail::unit& unit);
   void finish_recovery(instant now);
+  /// Stores what has changed, or acknowledges the ended runs that change nothing.
   void flush(instant now);
+  /// Lets the workers drop the ended runs whose outcome is stored.
+  void acknowledge_stored_ends(instant now);
   [[nodiscard]] job_progress progress_of(const detail::job_state& job) const;
   void record(std::string_view event, const job_id& job, std::string reason,
               std::vector<std::pair<std::string_view, std::string>> inputs = {},
@@ -222,6 +266,9 @@
   void renew_workers(instant now);
   void renew_worker(detail::worker_state& worker, instant now);
   void expire_silent_workers(instant now);
+  void forget_worker(detail::worker_state& worker);
+  /// Keeps the worker in the index of its service and rack.
+  void index_worker(detail::worker_state& worker, const worker_entry& entry);
   void repeat_orders(instant now);
   void store_worker_set();
 
@@ -244,11 +291,6 @@
     int rank{0};
     instant objective{};
   };
-  /// The workers that may get work. Built once per pass, because most steps consider all of them.
-  struct worker_pool {
-    std::vector<detail::worker_state*> all;
-    std::map<rack_id, std::vector<detail::worker_state*>> racks;
-  };
   using placement = std::vector<detail::worker_state*>;
   [[nodiscard]] bool step_ready(const detail::job_state& job, std::uint32_t occurrence, std::uint32_t step,
                                 instant now) const;
@@ -259,33 +301,22 @@
   [[nodiscard]] bool place(detail::job_state& job, detail::unit& unit, instant now);
   /// Whether the worker may get new work.
   [[nodiscard]] bool usable(const detail::worker_state& worker, instant now) const;
-  /// Whether the worker serves the step and, if the queue has an adviser, has a valid ticket.
-  [[nodiscard]] bool may_run(const detail::worker_state& worker, const detail::job_state& job,
-                             const detail::unit& unit) const;
+  /// Number of members of the unit's step that the worker may take, apart from its free space.
+  [[nodiscard]] std::uint32_t allowance_on(const detail::worker_state& worker, const detail::job_state& job,
+                                           const detail::unit& unit) const;
   [[nodiscard]] std::string ticket_for(const detail::worker_state& worker, const detail::job_state& job,
                                        const detail::unit& unit) const;
   /// Asks the adviser about more workers when a unit does not fit on those with a valid ticket.
   void ask_adviser(const detail::job_state& job, const detail::unit& unit, instant now);
-  void build_pools(instant now);
+  /// Brings the indexes up to date with all workers at the begin of a pass.
+  void refresh_spaces(instant now);
+  void refresh_space(detail::worker_state& worker);
+  [[nodiscard]] detail::service_space* space_for(const detail::job_state& job);
   [[nodiscard]] std::uint32_t tasks_of_step(const detail::worker_state& worker, const detail::job_state& job,
                                             const detail::unit& unit) const;
-  [[nodiscard]] placement fit(const std::vector<detail::worker_state*>& pool, const detail::job_state& job,
-                              const detail::unit& unit) const;
-  [[nodiscard]] placement fit_in_rack(const worker_pool& pool, const detail::job_state& job,
-                                      const detail::unit& unit) const;
   /// `spread` allows several racks, or a rack without the data.
-  [[nodiscard]] placement choose_workers(const detail::job_state& job, const detail::unit& unit,
-                                         bool spread) const;
-  void hold_back_space(const detail::job_state& job, const detail::unit& unit);
-  /// The planned workers of a waiting gang, and how much is not free on them yet, in accelerators plus one
-  /// for each member that does not fit now.
-  struct planned_placement {
-    placement where;
-    std::int64_t missing{0};
-  };
-  [[nodiscard]] planned_placement plan_future_placement(const std::vector<detail::worker_state*>& pool,
-                                                        const detail::job_state& job,
-                                                        const detail::unit& unit) const;
+  [[nodiscard]] placement choose_workers(const detail::job_state& job, const detail::unit& unit, bool spread);
+  void hold_back_space(const detail::job_state& job, const detail::unit& unit, instant now);
   void start_unit(detail::job_state& job, detail::unit& unit, const placement& where, instant now);
   void start_reserved(instant now);
   void release_reservation(detail::unit& unit, const resource_amounts& each);
@@ -315,11 +346,11 @@
     std::vector<victim> victims;
     std::pair<double, std::int64_t> cost;  ///< Lost work, then the accelerators that remain free.
   };
-  using free_map = absl::flat_hash_map<worker_id, resource_amounts>;
+  using free_map = absl::flat_hash_map<const detail::worker_state*, resource_amounts>;
   [[nodiscard]] static member_plan plan_member(const std::vector<const preemptible_space*>& spaces,
                                                const free_map& free_by_worker, const resource_amounts& need,
-                                               const std::function<bool(const victim&)>& may_stop,
-                                               const std::function<bool(const preemptible_space&)>& may_use);
+                                               absl::FunctionRef<bool(const victim&)> may_stop,
+                                               absl::FunctionRef<bool(const preemptible_space&)> may_use);
   [[nodiscard]] std::optional<preemption> plan_preemption(const std::vector<const preemptible_space*>& spaces,
                                                           const detail::job_state& job,
                                                           const detail::unit& unit);
@@ -331,16 +362,39 @@
     std::int64_t guaranteed{0};
   };
   [[nodiscard]] const std::map<team_id, team_share>& urgent_shares();
+  /// Number of racks that preemption considers, those with the most free accelerators first. Bounds its cost
+  /// in large fleets.
+  static constexpr std::size_t max_preemption_racks = 256;
   [[nodiscard]] static std::int64_t accelerators_of(const detail::job_state& job, const detail::unit& unit) {
     return step_of(job, unit).each.accelerators * static_cast<std::int64_t>(unit.members.size());
   }
 
+  /// A request that did not fit during this pass. Space only shrinks within a pass, so a request that needs
+  /// at least as much does not fit either.
+  struct unplaceable_request {
+    service_id service;
+    std::string required_label;
+    std::string data_rack;
+    bool in_rack{false};
+    free_space_index::request wanted;
+  };
+  [[nodiscard]] bool known_unplaceable(const unplaceable_request& request) const;
+  /// The workers whose space is held back for a waiting gang. Kept from pass to pass for `plan_lifetime`,
+  /// because planning all waiting gangs again in each pass would dominate its cost.
+  struct kept_plan {
+    placement where;
+    instant planned_at{};
+  };
+  [[nodiscard]] kept_plan plan_gang(const detail::job_state& job, const detail::unit& unit, instant now);
+
   instant pass_time{};  ///< When the last placement pass began. Tickets must be valid at this time.
-  worker_pool unsuspected_workers;  ///< Workers without a recent failure.
-  worker_pool usable_workers;
+  std::vector<unplaceable_request> unplaceable;
   /// Space that is held back for waiting gangs during one placement pass.
-  std::map<detail::worker_state*, resource_amounts> held_back;
+  absl::flat_hash_map<const detail::worker_state*, resource_amounts> held_back;
   std::int64_t held_back_accelerators{0};
+  std::int64_t usable_accelerators{0};
+  absl::flat_hash_map<const detail::unit*, kept_plan> plans;  ///< Of the current pass.
+  absl::flat_hash_map<const detail::unit*, kept_plan> previous_plans;
   /// Computed at most once per pass, because each waiting urgent unit needs all of them.
   absl::node_hash_map<const detail::worker_state*, preemptible_space> space_cache;
   std::optional<std::map<team_id, team_share>> share_cache;
--- a/src/coordination/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler_placement.cpp
@@ -1,3 +1,5 @@
+#include <limits>
+
 #include "absl/strings/str_cat.h"
 #include "job_scheduler_impl.hpp"
 
@@ -19,6 +21,8 @@
 /// time.
 constexpr duration recheck_interval{std::chrono::milliseconds{50}};
 
+/// How long the plan of a waiting gang is used before it is made again.
+constexpr duration plan_lifetime{std::chrono::milliseconds{120}};
 /// Maximum share of all accelerators that is held back for waiting gangs.
 constexpr double max_held_back_share = 0.25;
 
@@ -55,14 +59,10 @@
   for (const auto& team : config->teams) {
     shares[team.id].guaranteed = team.guaranteed_accelerators;
   }
-  for (const auto& [id, job] : open_jobs) {
-    if (job->queue == nullptr || job->queue->priority != 0 || is_terminal(job->phase)) {
-      continue;
-    }
-    for (const auto& each : job->units) {
-      if (each.phase == unit_phase::active || each.phase == unit_phase::reserved) {
-        shares[job->job.team].used += accelerators_of(*job, each);
-      }
+  for (const auto& [job, each] : active_units) {
+    const bool urgent = job->queue != nullptr && job->queue->priority == 0 && !is_terminal(job->phase);
+    if (urgent && (each->phase == unit_phase::active || each->phase == unit_phase::reserved)) {
+      shares[job->job.team].used += accelerators_of(*job, *each);
     }
   }
   return shares;
@@ -123,9 +123,11 @@
   if (waiting.empty()) {
     return;
   }
-  build_pools(now);
   held_back.clear();
   held_back_accelerators = 0;
+  unplaceable.clear();
+  previous_plans = std::exchange(plans, {});
+  refresh_spaces(now);
   space_cache.clear();
   share_cache.reset();
   for (const auto& each : waiting) {
@@ -153,7 +155,7 @@
     if (!place(job, each, now)) {
       ask_adviser(job, each, now);
       if (spec.gang) {
-        hold_back_space(job, each);
+        hold_back_space(job, each, now);
       }
       return;
     }
@@ -166,7 +168,7 @@
 bool job_scheduler::implementation::usable(const worker_state& worker, instant now) const {
   return worker.listed && worker.reported && !worker.replaced && !worker.entry.draining &&
          worker.failed_renewals < detail::unusable_after_failed_renewals && now >= worker.full_until &&
-         stored_workers.contains(worker.entry.id);
+         worker.stored;
 }
 
 namespace {
@@ -183,10 +185,18 @@
       .value_or("");
 }
 
-bool job_scheduler::implementation::may_run(const worker_state& worker, const job_state& job,
-                                            const unit& placed) const {
-  return detail::serves(worker, job, step_of(job, placed)) &&
-         (!job.queue->adviser || !ticket_for(worker, job, placed).empty());
+std::uint32_t job_scheduler::implementation::allowance_on(const worker_state& worker, const job_state& job,
+                                                          const unit& placed) const {
+  const auto& step = step_of(job, placed);
+  if (!detail::has_required_label(worker, step) ||
+      (job.queue->adviser && ticket_for(worker, job, placed).empty())) {
+    return 0;
+  }
+  if (step.max_per_worker == 0) {
+    return std::numeric_limits<std::uint32_t>::max();
+  }
+  const auto present = tasks_of_step(worker, job, placed);
+  return step.max_per_worker > present ? step.max_per_worker - present : 0;
 }
 
 void job_scheduler::implementation::ask_adviser(const job_state& job, const unit& waiting, instant now) {
@@ -199,8 +209,13 @@
   // space becomes free.
   std::vector<ticket_book::candidate> with_room;
   std::vector<ticket_book::candidate> full;
-  for (const auto* worker : usable_workers.all) {
-    if (!detail::serves(*worker, job, step) || !worker->entry.capacity.covers(need)) {
+  const auto* space = space_for(job);
+  if (space == nullptr) {
+    return;
+  }
+  for (const auto* worker : space->workers) {
+    if (worker == nullptr || !usable(*worker, now) || !detail::has_required_label(*worker, step) ||
+        !worker->entry.capacity.covers(need)) {
       continue;
     }
     const auto free = worker->entry.capacity - worker->used - worker->reserved;
@@ -226,190 +241,121 @@
                {"workers", absl::StrCat(granted ? granted->size() : 0)}});
 }
 
-void job_scheduler::implementation::build_pools(instant now) {
-  unsuspected_workers = {};
-  usable_workers = {};
-  for (auto& [id, worker] : workers) {
-    if (!usable(worker, now)) {
-      continue;
-    }
-    usable_workers.all.push_back(&worker);
-    usable_workers.racks[worker.entry.rack].push_back(&worker);
-    if (now >= worker.suspect_until) {
-      unsuspected_workers.all.push_back(&worker);
-      unsuspected_workers.racks[worker.entry.rack].push_back(&worker);
-    }
+void job_scheduler::implementation::refresh_space(worker_state& worker) {
+  if (!worker.slot) {
+    return;
   }
+  free_space_index::worker_space space{.free = worker.entry.capacity - worker.used - worker.reserved,
+                                       .capacity = worker.entry.capacity,
+                                       .usable = usable(worker, pass_time),
+                                       .suspect = pass_time < worker.suspect_until};
+  if (const auto kept = held_back.find(&worker); kept != held_back.end()) {
+    space.free -= kept->second;
+  }
+  services[worker.entry.service].index.set(*worker.slot, space);
 }
 
-std::uint32_t job_scheduler::implementation::tasks_of_step(const worker_state& worker, const job_state& job,
-                                                           const unit& placed) const {
-  std::uint32_t count = 0;
-  for (const auto& [task, run] : worker.tasks) {
-    if (task.job == job.job.id && task.occurrence == placed.occurrence && task.step == placed.step) {
-      ++count;
-    }
+void job_scheduler::implementation::refresh_spaces(instant now) {
+  usable_accelerators = 0;
+  for (auto& [id, worker] : workers) {
+    refresh_space(worker);
+    usable_accelerators += usable(worker, now) ? worker.entry.capacity.accelerators : 0;
   }
-  return count;
 }
 
-/// Assigns a worker to each member by best fit on accelerators. Returns an empty placement if not all fit.
-job_scheduler::implementation::placement job_scheduler::implementation::fit(
-    const std::vector<worker_state*>& pool, const job_state& job, const unit& placed) const {
-  const auto& step = step_of(job, placed);
-  const auto need = occupied(step);
-  struct room {
-    worker_state* worker;
-    resource_amounts free;
-    std::uint32_t step_tasks;
-  };
-  std::vector<room> rooms;
-  for (auto* worker : pool) {
-    auto free = worker->entry.capacity - worker->used - worker->reserved;
-    if (const auto kept = held_back.find(worker); kept != held_back.end()) {
-      free -= kept->second;
-    }
-    if (free.covers(need) && may_run(*worker, job, placed)) {
-      rooms.push_back({.worker = worker,
-                       .free = free,
-                       .step_tasks = step.max_per_worker == 0 ? 0 : tasks_of_step(*worker, job, placed)});
-    }
-  }
-  placement where;
-  where.reserve(placed.members.size());
-  for (std::size_t index = 0; index < placed.members.size(); ++index) {
-    room* best = nullptr;
-    for (auto& each : rooms) {
-      if (!each.free.covers(need) || (step.max_per_worker > 0 && each.step_tasks >= step.max_per_worker)) {
-        continue;
-      }
-      if (best == nullptr || std::pair{each.free.accelerators, each.free.memory_mb} <
-                                 std::pair{best->free.accelerators, best->free.memory_mb}) {
-        best = &each;
-      }
-    }
-    if (best == nullptr) {
-      return {};
-    }
-    best->free -= need;
-    ++best->step_tasks;
-    where.push_back(best->worker);
-  }
-  return where;
+detail::service_space* job_scheduler::implementation::space_for(const job_state& job) {
+  const auto found = services.find(job.queue->service);
+  return found == services.end() ? nullptr : &found->second;
 }
 
-/// Fits all members into one rack, preferring the rack with the fewest free accelerators to avoid
-/// fragmentation of emptier racks.
-job_scheduler::implementation::placement job_scheduler::implementation::fit_in_rack(
-    const worker_pool& pool, const job_state& job, const unit& placed) const {
-  const auto& step = step_of(job, placed);
-  placement best;
-  std::int64_t best_free = 0;
-  for (const auto& [rack, members] : pool.racks) {
-    if (!step.data_rack.empty() && rack.value() != step.data_rack) {
-      continue;
-    }
-    std::int64_t free = 0;
-    for (const auto* worker : members) {
-      free += (worker->entry.capacity - worker->used - worker->reserved).accelerators;
-    }
-    if (!best.empty() && free >= best_free) {
-      continue;
-    }
-    if (auto where = fit(members, job, placed); !where.empty()) {
-      best = std::move(where);
-      best_free = free;
-    }
-  }
-  return best;
+std::uint32_t job_scheduler::implementation::tasks_of_step(const worker_state& worker, const job_state& job,
+                                                           const unit& placed) const {
+  return static_cast<std::uint32_t>(
+      std::count_if(worker.tasks.begin(), worker.tasks.end(), [&](const detail::assigned_task& task) {
+        return task.job == &job && task.parent->occurrence == placed.occurrence &&
+               task.parent->step == placed.step;
+      }));
+}
+
+bool job_scheduler::implementation::known_unplaceable(const unplaceable_request& request) const {
+  return std::any_of(unplaceable.begin(), unplaceable.end(), [&](const unplaceable_request& failed) {
+    return failed.in_rack == request.in_rack && request.wanted.each.covers(failed.wanted.each) &&
+           request.wanted.members >= failed.wanted.members && failed.service == request.service &&
+           failed.required_label == request.required_label && failed.data_rack == request.data_rack;
+  });
 }
 
 job_scheduler::implementation::placement job_scheduler::implementation::choose_workers(const job_state& job,
                                                                                        const unit& placed,
-                                                                                       bool spread) const {
-  const bool rack = prefers_rack(step_of(job, placed)) && !spread;
-  for (const auto* pool : {&unsuspected_workers, &usable_workers}) {
-    if (auto where = rack ? fit_in_rack(*pool, job, placed) : fit(pool->all, job, placed); !where.empty()) {
-      return where;
-    }
+                                                                                       bool spread) {
+  auto* space = space_for(job);
+  if (space == nullptr) {
+    return {};
   }
-  return {};
+  const auto& step = step_of(job, placed);
+  const bool rack = prefers_rack(step) && !spread;
+  unplaceable_request request{
+      .service = job.queue->service,
+      .required_label = step.required_label,
+      .data_rack = rack ? step.data_rack : std::string{},
+      .in_rack = rack,
+      .wanted = {.each = occupied(step), .members = static_cast<std::uint32_t>(placed.members.size())}};
+  if (known_unplaceable(request)) {
+    return {};
+  }
+  const auto allowed = [&](worker_slot at) { return allowance_on(space->at(at), job, placed); };
+  const auto slots = rack ? space->index.fit_in_rack(request.wanted, step.data_rack, allowed)
+                          : space->index.fit(request.wanted, allowed);
+  placement where;
+  where.reserve(slots.size());
+  for (const auto at : slots) {
+    where.push_back(&space->at(at));
+  }
+  // With an adviser or a limit for each worker, a request fails for reasons of its own.
+  if (where.empty() && !job.queue->adviser && step.max_per_worker == 0) {
+    unplaceable.push_back(std::move(request));
+  }
+  return where;
 }
 
-job_scheduler::implementation::planned_placement job_scheduler::implementation::plan_future_placement(
-    const std::vector<worker_state*>& pool, const job_state& job, const unit& waiting) const {
-  struct room {
-    worker_state* worker;
-    resource_amounts free;
-    resource_amounts capacity;
-  };
-  const auto& step = step_of(job, waiting);
-  const auto need = occupied(step);
-  std::vector<room> rooms;
-  for (auto* worker : pool) {
-    if (may_run(*worker, job, waiting) && worker->entry.capacity.covers(need)) {
-      auto free = worker->entry.capacity - worker->used - worker->reserved;
-      if (const auto kept = held_back.find(worker); kept != held_back.end()) {
-        free -= kept->second;
-      }
-      rooms.push_back({.worker = worker, .free = free, .capacity = worker->entry.capacity});
-    }
+job_scheduler::implementation::kept_plan job_scheduler::implementation::plan_gang(const job_state& job,
+                                                                                  const unit& waiting,
+                                                                                  instant now) {
+  const auto kept = previous_plans.find(&waiting);
+  if (kept != previous_plans.end() && now - kept->second.planned_at < plan_lifetime) {
+    return std::move(kept->second);
   }
-  planned_placement result;
-  for (std::size_t index = 0; index < waiting.members.size(); ++index) {
-    room* pick = nullptr;
-    std::int64_t pick_missing = 0;
-    for (auto& each : rooms) {
-      const auto shortfall = std::max<std::int64_t>(0, need.accelerators - each.free.accelerators) +
-                             (each.free.covers(need) ? 0 : 1);
-      if (each.capacity.covers(need) && (pick == nullptr || shortfall < pick_missing)) {
-        pick = &each;
-        pick_missing = shortfall;
-      }
-    }
-    if (pick == nullptr) {
-      return {};
-    }
-    result.missing += pick_missing;
-    pick->free -= need;
-    pick->capacity -= need;
-    result.where.push_back(pick->worker);
+  kept_plan plan{.where = {}, .planned_at = now};
+  auto* space = space_for(job);
+  if (space == nullptr) {
+    return plan;
   }
-  return result;
+  const auto& step = step_of(job, waiting);
+  const free_space_index::request wanted{.each = occupied(step),
+                                         .members = static_cast<std::uint32_t>(waiting.members.size())};
+  const auto allowed = [&](worker_slot at) { return allowance_on(space->at(at), job, waiting); };
+  const auto planned = prefers_rack(step) ? space->index.plan_in_rack(wanted, step.data_rack, allowed)
+                                          : space->index.plan(wanted, allowed);
+  for (const auto at : planned.where) {
+    plan.where.push_back(&space->at(at));
+  }
+  return plan;
 }
 
 /// Holds back space for a gang that does not fit now, so that work behind it in the order cannot use it.
 /// Without this, small units take space as it becomes free, and large gangs starve.
-void job_scheduler::implementation::hold_back_space(const job_state& job, const unit& waiting) {
-  const auto& step = step_of(job, waiting);
-  std::int64_t offered = 0;
-  for (const auto* worker : usable_workers.all) {
-    offered += worker->entry.capacity.accelerators;
-  }
-  const auto limit = static_cast<std::int64_t>(static_cast<double>(offered) * max_held_back_share);
+void job_scheduler::implementation::hold_back_space(const job_state& job, const unit& waiting, instant now) {
+  const auto limit =
+      static_cast<std::int64_t>(static_cast<double>(usable_accelerators) * max_held_back_share);
   if (held_back_accelerators + accelerators_of(job, waiting) > limit) {
     return;
   }
-  planned_placement best;
-  const auto consider = [&](const std::vector<worker_state*>& pool) {
-    auto place = plan_future_placement(pool, job, waiting);
-    if (!place.where.empty() && (best.where.empty() || place.missing < best.missing)) {
-      best = std::move(place);
-    }
-  };
-  if (prefers_rack(step)) {
-    for (const auto& [rack, members] : usable_workers.racks) {
-      if (step.data_rack.empty() || rack.value() == step.data_rack) {
-        consider(members);
-      }
-    }
-  } else {
-    consider(usable_workers.all);
-  }
-  const auto need = occupied(step);
-  for (auto* worker : best.where) {
+  const auto need = occupied(step_of(job, waiting));
+  const auto& plan = plans[&waiting] = plan_gang(job, waiting, now);
+  for (auto* worker : plan.where) {
     held_back[worker] += need;
     held_back_accelerators += need.accelerators;
+    refresh_space(*worker);
   }
 }
 
@@ -428,12 +374,11 @@
   for (std::size_t index = 0; index < starting.members.size(); ++index) {
     auto& worker = *where[index];
     starting.members[index] = member{.phase = member_phase::starting,
-                                     .worker = worker.entry.id,
+                                     .worker = &worker,
                                      .run = starting.run,
                                      .percent_changed = now,
                                      .checkpoint = {}};
-    worker.used += occupied(step_of(job, starting));
-    worker.tasks[task_of(job, starting, index)] = starting.run;
+    assign_member(job, starting, index);
     order_start(job, starting, index, now);
     absl::StrAppend(&worker_names, index == 0 ? "" : ",", worker.entry.id.value());
   }
@@ -479,9 +424,7 @@
     if (one.phase != member_phase::reserved) {
       continue;
     }
-    if (const auto found = workers.find(one.worker); found != workers.end()) {
-      found->second.reserved -= each;
-    }
+    one.worker->reserved -= each;
     one = member{};
   }
   --reserved_units;
@@ -489,35 +432,33 @@
 }
 
 void job_scheduler::implementation::start_reserved(instant now) {
-  for (auto& [id, open] : open_jobs) {
-    auto& job = *open;
-    for (auto& each : job.units) {
-      if (each.phase != unit_phase::reserved) {
-        continue;
-      }
-      const auto& step = step_of(job, each);
-      placement where;
-      bool free = true;
-      bool lost = now > each.reserved_until;
-      std::map<worker_state*, resource_amounts> needed;
-      for (const auto& one : each.members) {
-        const auto found = workers.find(one.worker);
-        if (found == workers.end() || !usable(found->second, now)) {
-          lost = true;
-          break;
-        }
-        where.push_back(&found->second);
-        needed[&found->second] += occupied(step);
-        free = free && (found->second.entry.capacity - found->second.used).covers(needed[&found->second]);
-      }
-      if (lost || free) {
-        release_reservation(each, occupied(step));
-        each.phase = unit_phase::waiting;
-        mark_waiting(job, each);
-      }
-      if (!lost && free) {
-        start_unit(job, each, where, now);
+  // Iterates over a copy, because starting a unit changes the list.
+  const auto tracked = active_units;
+  for (const auto& [job, each] : tracked) {
+    if (each->phase != unit_phase::reserved) {
+      continue;
+    }
+    const auto need = occupied(step_of(*job, *each));
+    placement where;
+    bool free = true;
+    bool lost = now > each->reserved_until;
+    absl::flat_hash_map<const worker_state*, resource_amounts> needed;
+    for (const auto& one : each->members) {
+      if (!usable(*one.worker, now)) {
+        lost = true;
+        break;
       }
+      where.push_back(one.worker);
+      needed[one.worker] += need;
+      free = free && (one.worker->entry.capacity - one.worker->used).covers(needed[one.worker]);
+    }
+    if (lost || free) {
+      release_reservation(*each, need);
+      each->phase = unit_phase::waiting;
+      mark_waiting(*job, *each);
+    }
+    if (!lost && free) {
+      start_unit(*job, *each, where, now);
     }
   }
 }
--- a/src/coordination/job_scheduler_preemption.cpp
+++ b/src/coordination/job_scheduler_preemption.cpp
@@ -45,11 +45,8 @@
   }
   result.worker = &worker;
   result.free = worker.entry.capacity - worker.used - worker.reserved;
-  for (const auto& [task, run] : worker.tasks) {
-    std::uint32_t index = 0;
-    auto* target = find_unit(task, &index);
-    auto* victim_job = find_job(task.job);
-    if (target == nullptr || victim_job->queue == nullptr) {
+  for (const auto& [victim_job, target, index] : worker.tasks) {
+    if (victim_job->queue == nullptr) {
       continue;
     }
     const auto& step = step_of(*victim_job, *target);
@@ -74,14 +71,14 @@
 
 job_scheduler::implementation::member_plan job_scheduler::implementation::plan_member(
     const std::vector<const preemptible_space*>& spaces, const free_map& free_by_worker,
-    const resource_amounts& need, const std::function<bool(const victim&)>& may_stop,
-    const std::function<bool(const preemptible_space&)>& may_use) {
+    const resource_amounts& need, absl::FunctionRef<bool(const victim&)> may_stop,
+    absl::FunctionRef<bool(const preemptible_space&)> may_use) {
   member_plan best;
   for (const auto* each : spaces) {
     if (!may_use(*each)) {
       continue;
     }
-    auto free = free_by_worker.at(each->worker->entry.id);
+    auto free = free_by_worker.at(each->worker);
     member_plan plan{.where = each, .victims = {}, .cost = {}};
     for (const auto& one : each->victims) {
       if (free.covers(need)) {
@@ -110,7 +107,7 @@
   const auto own = shares[job.job.team];
   free_map free_by_worker;
   for (const auto* each : spaces) {
-    free_by_worker[each->worker->entry.id] = each->free;
+    free_by_worker[each->worker] = each->free;
   }
   preemption plan;
   // Urgent work of a team above its guarantee uses capacity that is guaranteed to other teams. It is
@@ -152,7 +149,7 @@
         }
       }
     }
-    free_by_worker[chosen.where->worker->entry.id] -= need;
+    free_by_worker[chosen.where->worker] -= need;
     ++planned_tasks[chosen.where->worker];
     plan.where.push_back(chosen.where->worker);
   }
@@ -160,8 +157,9 @@
 }
 
 void job_scheduler::implementation::invalidate_caches(const std::vector<worker_state*>& changed) {
-  for (const auto* worker : changed) {
+  for (auto* worker : changed) {
     space_cache.erase(worker);
+    refresh_space(*worker);
   }
   share_cache.reset();
 }
@@ -169,35 +167,47 @@
 /// Frees space for an urgent unit by stopping other units with the least lost work. The space stays reserved
 /// until the workers report that the stopped runs have ended.
 bool job_scheduler::implementation::preempt(job_state& job, unit& placed, bool spread, instant now) {
+  auto* space = space_for(job);
+  if (space == nullptr) {
+    return false;
+  }
   const auto& step = step_of(job, placed);
+  const bool in_rack = detail::prefers_rack(step) && !spread;
+  const auto racks =
+      space->index.emptiest_racks(max_preemption_racks, in_rack ? step.data_rack : std::string{});
   std::optional<preemption> best;
-  const auto consider = [&](const std::vector<worker_state*>& pool) {
-    std::vector<const preemptible_space*> spaces;
-    for (auto* worker : pool) {
-      if (may_run(*worker, job, placed)) {
-        spaces.push_back(&preemptible_space_on(*worker));
-      }
-    }
+  std::vector<const preemptible_space*> spaces;
+  const auto consider = [&] {
     auto plan = plan_preemption(spaces, job, placed);
     if (plan && (!best || plan->lost_work < best->lost_work)) {
       best = std::move(plan);
     }
   };
-  if (spread || !detail::prefers_rack(step)) {
-    consider(usable_workers.all);
-  } else {
-    for (const auto& [rack, members] : usable_workers.racks) {
-      if (step.data_rack.empty() || rack.value() == step.data_rack) {
-        consider(members);
+  for (const auto& rack : racks) {
+    for (const auto at : rack) {
+      auto& worker = space->at(at);
+      if (allowance_on(worker, job, placed) > 0) {
+        spaces.push_back(&preemptible_space_on(worker));
       }
     }
+    if (in_rack) {
+      consider();
+      spaces.clear();
+    }
+  }
+  if (!in_rack) {
+    consider();
   }
   if (!best) {
     return false;
   }
-  // Victims have members on workers outside the plan, so the whole cache is invalid.
-  space_cache.clear();
-  share_cache.reset();
+  // The victims may have members on workers outside the plan.
+  for (const auto& [target, victim_job] : best->victims) {
+    for (const auto& one : target->members) {
+      space_cache.erase(one.worker);
+    }
+  }
+  invalidate_caches(best->where);
   for (const auto& [target, victim_job] : best->victims) {
     record("unit_preempted", victim_job->job.id, absl::StrCat("for ", job.job.id.value()),
            {{"step", absl::StrCat(target->occurrence, ".", target->step, ".", target->number)}});
@@ -209,9 +219,11 @@
   for (std::size_t index = 0; index < placed.members.size(); ++index) {
     auto& worker = *best->where[index];
     placed.members[index] =
-        member{.phase = member_phase::reserved, .worker = worker.entry.id, .run = {}, .checkpoint = {}};
+        member{.phase = member_phase::reserved, .worker = &worker, .run = {}, .checkpoint = {}};
     worker.reserved += occupied(step);
+    refresh_space(worker);
   }
+  track(job, placed);
   return true;
 }
 
--- a/src/coordination/job_scheduler_reports.cpp
+++ b/src/coordination/job_scheduler_reports.cpp
@@ -63,7 +63,8 @@
                    {"born", absl::StrCat(entry.born.value())}});
       self.placement_due = true;
     }
-    worker.entry = entry;
+    self.index_worker(worker, entry);
+    worker.stored = worker.stored || self.stored_workers.contains(entry.id);
     worker.listed = true;
     worker.was_draining = entry.draining;
   }
@@ -135,13 +136,16 @@
     if (end.number > worker.seen_through) {
       self.process_ended_run(worker, end, now);
       worker.seen_through = end.number;
+      if (!std::exchange(worker.has_unacknowledged_ends, true)) {
+        self.workers_with_ends.push_back(&worker);
+      }
     }
   }
   for (const auto& run : report.running) {
     self.process_active_run(worker, run, now);
     std::uint32_t index = 0;
     if (auto* parent = self.find_unit(run.task, &index);
-        parent != nullptr && parent->members[index].worker == id && parent->members[index].run == run.run) {
+        parent != nullptr && detail::is_run(parent->members[index], id, run.run)) {
       auto& seen = parent->members[index];
       const bool still_running_after_stop =
           seen.phase == member_phase::stopping && seen.confirmed_at != instant{} && sent > seen.confirmed_at;
@@ -180,7 +184,7 @@
   auto& job = jobs.at(run.task.job);
   auto& tracked = parent->members[index];
   if (tracked.phase != member_phase::none && tracked.phase != member_phase::reserved &&
-      tracked.worker == id && tracked.run == run.run) {
+      tracked.worker == &worker && tracked.run == run.run) {
     if (tracked.phase == member_phase::starting) {
       tracked.phase = member_phase::running;
       tracked.answer_pending = false;
@@ -206,14 +210,13 @@
   parent->phase = unit_phase::active;
   parent->run = run.run;
   tracked = member{.phase = member_phase::running,
-                   .worker = id,
+                   .worker = &worker,
                    .run = run.run,
                    .confirmed_at = now,
                    .percent = run.percent,
                    .percent_changed = now,
                    .checkpoint = run.checkpoint};
-  worker.used += occupied(step_of(job, *parent));
-  worker.tasks[run.task] = run.run;
+  assign_member(job, *parent, index);
   job.has_started_task = true;
   job.phase = job.phase == job_phase::queued ? job_phase::running : job.phase;
   record("run_adopted", run.task.job, "listed by its worker",
@@ -234,7 +237,7 @@
           {"task", absl::StrCat(end.task.occurrence, ".", end.task.step, ".", end.task.index)},
           {"run", absl::StrCat(end.run.value())}});
   const bool current =
-      tracked.worker == worker.entry.id && tracked.run == end.run && tracked.phase != member_phase::none;
+      tracked.worker == &worker && tracked.run == end.run && tracked.phase != member_phase::none;
   if (current) {
     clear_member(job, *parent, index);
   }
@@ -261,25 +264,23 @@
 
 void job_scheduler::implementation::clear_unlisted_runs(worker_state& worker, const lease_report& report,
                                                         bool restarted, instant sent, instant now) {
-  std::set<std::pair<task_ref, run_number>> listed;
+  absl::flat_hash_set<std::pair<task_ref, run_number>> listed;
   for (const auto& run : report.running) {
     listed.emplace(run.task, run.run);
   }
-  // Iterates over a copy, because clearing members changes the map.
+  // Iterates over a copy, because clearing members changes the list.
   const auto tasks = worker.tasks;
-  for (const auto& [task, run] : tasks) {
-    std::uint32_t index = 0;
-    auto* parent = find_unit(task, &index);
-    if (parent == nullptr || listed.contains({task, run})) {
-      continue;
-    }
+  for (const auto& assigned : tasks) {
+    auto* parent = assigned.parent;
+    const auto index = assigned.index;
     const auto& one = parent->members[index];
     const bool past_starting = one.phase == member_phase::running || one.phase == member_phase::stopping;
-    if (one.worker != worker.entry.id || one.run != run || !past_starting || one.answer_pending ||
-        one.confirmed_at == instant{} || one.confirmed_at >= sent) {
+    if (one.worker != &worker || !past_starting || one.answer_pending || one.confirmed_at == instant{} ||
+        one.confirmed_at >= sent || listed.contains({task_of(*assigned.job, *parent, index), one.run})) {
       continue;
     }
-    auto& job = jobs.at(task.job);
+    const auto run = one.run;
+    auto& job = *assigned.job;
     const bool was_running = one.phase == member_phase::running;
     if (restarted && was_running && one.attempts > 1) {
       // An earlier attempt of the start was never answered and may still arrive. The restarted worker does
@@ -290,7 +291,7 @@
     }
     clear_member(job, *parent, index);
     if (was_running && parent->phase == unit_phase::active) {
-      record("run_lost", task.job, "not listed by its worker",
+      record("run_lost", job.job.id, "not listed by its worker",
              {{"worker", worker.entry.id.value()}, {"run", absl::StrCat(run.value())}});
       end_unit(job, *parent, now);
     }
@@ -301,53 +302,47 @@
 void job_scheduler::implementation::clear_all_runs(worker_state& worker, std::string_view reason,
                                                    instant now) {
   const auto tasks = worker.tasks;
-  for (const auto& [task, run] : tasks) {
-    std::uint32_t index = 0;
-    auto* parent = find_unit(task, &index);
-    if (parent == nullptr || parent->members[index].worker != worker.entry.id) {
+  for (const auto& assigned : tasks) {
+    auto& job = *assigned.job;
+    auto& parent = *assigned.parent;
+    const auto& one = parent.members[assigned.index];
+    if (one.worker != &worker) {
       continue;
     }
-    auto& job = jobs.at(task.job);
-    record("run_lost", task.job, std::string{reason},
-           {{"worker", worker.entry.id.value()}, {"run", absl::StrCat(run.value())}});
-    clear_member(job, *parent, index);
-    end_unit(job, *parent, now);
-    requeue_if_ended(job, *parent, now);
+    record("run_lost", job.job.id, std::string{reason},
+           {{"worker", worker.entry.id.value()}, {"run", absl::StrCat(one.run.value())}});
+    clear_member(job, parent, assigned.index);
+    end_unit(job, parent, now);
+    requeue_if_ended(job, parent, now);
   }
-  worker.tasks.clear();
 }
 
 void job_scheduler::implementation::detect_stalls(instant now) {
-  for (auto& [id, open] : open_jobs) {
-    auto& job = *open;
-    if (is_terminal(job.phase)) {
+  for (auto& [active_job, active_unit] : active_units) {
+    auto& job = *active_job;
+    auto& each = *active_unit;
+    if (is_terminal(job.phase) || each.phase != unit_phase::active || step_of(job, each).long_running) {
       continue;
     }
-    for (auto& each : job.units) {
-      if (each.phase != unit_phase::active || step_of(job, each).long_running) {
-        continue;
-      }
-      const bool all_running = std::all_of(each.members.begin(), each.members.end(), [](const member& one) {
-        return one.phase == member_phase::running;
-      });
-      if (!all_running) {
-        each.all_running_since = instant{};
-        continue;
-      }
-      if (each.all_running_since == instant{}) {
-        each.all_running_since = now;
-      }
-      for (const auto& one : each.members) {
-        const auto found = workers.find(one.worker);
-        const bool reachable = found != workers.end() && found->second.failed_renewals == 0;
-        const auto since = std::max(one.percent_changed, each.all_running_since);
-        if (reachable && one.percent < 100 && now - since > opts.stall_timeout) {
-          found->second.suspect_until = now + opts.suspect_duration;
-          record("run_stalled", id, "no progress",
-                 {{"worker", one.worker.value()}, {"percent", absl::StrCat(one.percent)}});
-          end_unit(job, each, now);
-          break;
-        }
+    const bool all_running = std::all_of(each.members.begin(), each.members.end(), [](const member& one) {
+      return one.phase == member_phase::running;
+    });
+    if (!all_running) {
+      each.all_running_since = instant{};
+      continue;
+    }
+    if (each.all_running_since == instant{}) {
+      each.all_running_since = now;
+    }
+    for (const auto& one : each.members) {
+      const bool reachable = one.worker->failed_renewals == 0;
+      const auto since = std::max(one.percent_changed, each.all_running_since);
+      if (reachable && one.percent < 100 && now - since > opts.stall_timeout) {
+        one.worker->suspect_until = now + opts.suspect_duration;
+        record("run_stalled", job.job.id, "no progress",
+               {{"worker", one.worker->entry.id.value()}, {"percent", absl::StrCat(one.percent)}});
+        end_unit(job, each, now);
+        break;
       }
     }
   }
--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -58,12 +58,50 @@
       clear_all_runs(worker, "lease expired on a silent worker", now);
     }
     const bool removable =
-        !worker.listed && worker.tasks.empty() && !worker.renewing &&
+        !worker.listed && worker.tasks.empty() && worker.reserved == resource_amounts{} && !worker.renewing &&
         (worker.failed_renewals > 0 || worker.seen_through == worker.acknowledged_confirmed);
-    found = removable ? workers.erase(found) : std::next(found);
+    if (!removable) {
+      ++found;
+      continue;
+    }
+    forget_worker(worker);
+    found = workers.erase(found);
+  }
+}
+
+void job_scheduler::implementation::forget_worker(worker_state& worker) {
+  std::erase(workers_with_ends, &worker);
+  space_cache.erase(&worker);
+  held_back.erase(&worker);
+  plans.clear();
+  if (worker.slot) {
+    auto& space = services[worker.entry.service];
+    space.index.remove(*worker.slot);
+    space.workers[static_cast<std::uint32_t>(*worker.slot)] = nullptr;
+    worker.slot.reset();
   }
 }
 
+void job_scheduler::implementation::index_worker(worker_state& worker, const worker_entry& entry) {
+  const bool in_place =
+      worker.slot && worker.entry.service == entry.service && worker.entry.rack == entry.rack;
+  if (in_place) {
+    worker.entry = entry;
+    return;
+  }
+  if (worker.slot) {
+    auto& previous = services[worker.entry.service];
+    previous.index.remove(*worker.slot);
+    previous.workers[static_cast<std::uint32_t>(*worker.slot)] = nullptr;
+  }
+  worker.entry = entry;
+  auto& space = services[entry.service];
+  worker.slot = space.index.add(entry.rack);
+  const auto position = static_cast<std::size_t>(*worker.slot);
+  space.workers.resize(std::max(space.workers.size(), position + 1));
+  space.workers[position] = &worker;
+}
+
 void job_scheduler::implementation::renew_workers(instant now) {
   for (auto& [id, worker] : workers) {
     renew_worker(worker, now);
@@ -81,7 +119,7 @@
   if (worker.reported && worker.tasks.empty() && !ends_unstored && !acknowledge && !silent) {
     return;
   }
-  if (!stored_workers.contains(id)) {
+  if (!worker.stored) {
     return;
   }
   // A worker restarts the numbering of its ended runs when it restarts, so an acknowledgement that reaches a
@@ -115,7 +153,7 @@
   for (const auto& [id, worker] : workers) {
     if (worker.listed || !worker.tasks.empty()) {
       to_store.insert(id);
-      has_missing = has_missing || !stored_workers.contains(id);
+      has_missing = has_missing || !worker.stored;
     }
   }
   const bool has_extra =
@@ -129,6 +167,9 @@
   }
   // Ids that will be removed become unusable before the write, so that none gets work while it is in flight.
   std::erase_if(stored_workers, [&](const worker_id& id) { return !to_store.contains(id); });
+  for (auto& [id, worker] : workers) {
+    worker.stored = worker.stored && to_store.contains(id);
+  }
   worker_set_being_stored = to_store;
   storing_workers = true;
   actions.emplace_back(store_workers{.workers = {to_store.begin(), to_store.end()}});
@@ -139,7 +180,7 @@
 void job_scheduler::implementation::order_start(job_state& job, unit& parent, std::size_t index,
                                                 instant now) {
   auto& starting = parent.members[index];
-  auto& worker = workers.at(starting.worker);
+  auto& worker = *starting.worker;
   // A start that is never answered blocks its unit until the lease has expired, so the first lease is shorter
   // than that of a renewal. It still outlasts a failover to another owner.
   constexpr milliseconds first_lease{4500};
@@ -148,7 +189,7 @@
   starting.answer_pending = true;
   ++starting.attempts;
   actions.emplace_back(start_order{
-      .worker = starting.worker,
+      .worker = worker.entry.id,
       .address = worker.entry.address,
       .task = task_of(job, parent, index),
       .run = starting.run,
@@ -165,17 +206,12 @@
     return false;
   }
   const auto& started = parent->members[index];
-  return started.phase == member_phase::starting && started.worker == order.worker &&
+  return started.phase == member_phase::starting && started.worker->entry.id == order.worker &&
          started.run == order.run;
 }
 
 void job_scheduler::implementation::order_stop(job_state& job, unit& parent, std::size_t index) {
   auto& stopping = parent.members[index];
-  const auto found = workers.find(stopping.worker);
-  if (found == workers.end()) {
-    clear_member(job, parent, index);
-    return;
-  }
   if (stopping.phase != member_phase::stopping) {
     stopping.phase = member_phase::stopping;
     stopping.attempts = 0;
@@ -183,35 +219,38 @@
   stopping.confirmed_at = instant{};
   stopping.answer_pending = true;
   ++stopping.attempts;
-  actions.emplace_back(stop_order{.worker = stopping.worker,
-                                  .address = found->second.entry.address,
+  actions.emplace_back(stop_order{.worker = stopping.worker->entry.id,
+                                  .address = stopping.worker->entry.address,
                                   .task = task_of(job, parent, index),
                                   .run = stopping.run});
 }
 
 void job_scheduler::implementation::repeat_orders(instant now) {
-  for (auto found = open_jobs.begin(); found != open_jobs.end();) {
-    auto& job = *found->second;
-    bool all_runs_ended = is_terminal(job.phase);
-    for (auto& each : job.units) {
-      if (each.phase == unit_phase::waiting || each.phase == unit_phase::reserved) {
+  std::erase_if(active_units, [](const auto& active) {
+    const auto& [job, each] = active;
+    each->tracked = std::any_of(each->members.begin(), each->members.end(),
+                                [](const detail::member& one) { return one.phase != member_phase::none; });
+    return !each->tracked;
+  });
+  for (auto& [job, each] : active_units) {
+    if (each->phase == unit_phase::reserved) {
+      continue;
+    }
+    for (std::size_t index = 0; index < each->members.size(); ++index) {
+      const auto& one = each->members[index];
+      if (one.answer_pending || now < one.repeat_at) {
         continue;
       }
-      for (std::size_t index = 0; index < each.members.size(); ++index) {
-        auto& one = each.members[index];
-        all_runs_ended = all_runs_ended && one.phase == member_phase::none;
-        if (one.answer_pending || now < one.repeat_at) {
-          continue;
-        }
-        if (one.phase == member_phase::starting && one.attempts > 0) {
-          order_start(job, each, index, now);
-        } else if (one.phase == member_phase::stopping && one.confirmed_at == instant{}) {
-          order_stop(job, each, index);
-        }
+      if (one.phase == member_phase::starting && one.attempts > 0) {
+        order_start(*job, *each, index, now);
+      } else if (one.phase == member_phase::stopping && one.confirmed_at == instant{}) {
+        order_stop(*job, *each, index);
       }
     }
-    found = all_runs_ended ? open_jobs.erase(found) : std::next(found);
   }
+  std::erase_if(open_jobs, [](const auto& open) {
+    return is_terminal(open.second->phase) && open.second->assigned_members == 0;
+  });
 }
 
 void job_scheduler::start_answered(const worker_id& id, const task_ref& task, run_number run,
@@ -219,7 +258,7 @@
   auto& self = *implementation_;
   std::uint32_t index = 0;
   auto* parent = self.find_unit(task, &index);
-  if (parent == nullptr || parent->members[index].worker != id || parent->members[index].run != run) {
+  if (parent == nullptr || !detail::is_run(parent->members[index], id, run)) {
     return;
   }
   auto& job = self.jobs.at(task.job);
@@ -242,9 +281,8 @@
   started.percent_changed = now;
   job.has_started_task = true;
   job.phase = job.phase == job_phase::queued ? job_phase::running : job.phase;
-  const auto found = self.workers.find(id);
-  if (found != self.workers.end() && !found->second.renewing) {
-    found->second.renew_at = now;
+  if (!started.worker->renewing) {
+    started.worker->renew_at = now;
   }
 }
 
@@ -255,35 +293,34 @@
   if (started.attempts < detail::max_start_attempts) {
     return;
   }
-  if (const auto found = workers.find(started.worker); found != workers.end()) {
-    ++found->second.failed_renewals;
-  }
-  record("start_unanswered", job.job.id, "worker does not respond", {{"worker", started.worker.value()}});
+  ++started.worker->failed_renewals;
+  record("start_unanswered", job.job.id, "worker does not respond",
+         {{"worker", started.worker->entry.id.value()}});
   end_unit(job, parent, now);
 }
 
 void job_scheduler::implementation::start_rejected(job_state& job, unit& parent, std::size_t index,
                                                    const start_result& result, instant now) {
   auto& started = parent.members[index];
-  const auto found = workers.find(started.worker);
+  auto& worker = *started.worker;
   const auto* refused = std::get_if<start_refused>(&result);
   if (refused != nullptr) {
     record("start_refused", job.job.id, std::string{refusal_name(refused->why)},
-           {{"worker", started.worker.value()}, {"run", absl::StrCat(started.run.value())}});
+           {{"worker", worker.entry.id.value()}, {"run", absl::StrCat(started.run.value())}});
     if (refused->why == start_refusal::fenced) {
-      actions.emplace_back(owner_superseded{.worker = started.worker});
+      actions.emplace_back(owner_superseded{.worker = worker.entry.id});
     }
     if (refused->why == start_refusal::no_ticket) {
       tickets.ticket_refused({.job = job.job.id, .occurrence = parent.occurrence, .step = parent.step},
-                             started.worker);
-    } else if (found != workers.end()) {
+                             worker.entry.id);
+    } else {
       constexpr duration full_pause{std::chrono::milliseconds{400}};
       constexpr duration unhealthy_pause{std::chrono::milliseconds{2000}};
       const bool unhealthy = refused->why == start_refusal::unhealthy;
-      found->second.full_until = now + (unhealthy ? unhealthy_pause : full_pause);
+      worker.full_until = now + (unhealthy ? unhealthy_pause : full_pause);
     }
-  } else if (found != workers.end()) {
-    found->second.replaced = true;
+  } else {
+    worker.replaced = true;
   }
   if (refused != nullptr && started.attempts > 1) {
     // The refusal covers only this attempt. An earlier attempt may still be processed; a stop order prevents
@@ -303,7 +340,7 @@
   auto& self = *implementation_;
   std::uint32_t index = 0;
   auto* parent = self.find_unit(task, &index);
-  if (parent == nullptr || parent->members[index].worker != id || parent->members[index].run != run ||
+  if (parent == nullptr || !detail::is_run(parent->members[index], id, run) ||
       parent->members[index].phase != member_phase::stopping) {
     return;
   }
--- a/tests/coordination/simulated_workers.hpp
+++ b/tests/coordination/simulated_workers.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <boost/histogram.hpp>
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
@@ -140,7 +141,9 @@
         }
         const auto begin = std::chrono::steady_clock::now();
         scheduler->tick(now);
-        scheduler_time += std::chrono::steady_clock::now() - begin;
+        const std::chrono::duration<double, std::milli> took = std::chrono::steady_clock::now() - begin;
+        scheduler_time += std::chrono::duration_cast<std::chrono::nanoseconds>(took);
+        scheduler_calls(took.count());
         take_actions();
       }
     }
@@ -207,6 +210,20 @@
   bool trace{std::getenv("RHUBARBPATH_TRACE") != nullptr};
   random_source random;
   std::chrono::nanoseconds scheduler_time{0};  ///< Real time spent in `tick`.
+  /// Returns the time of a call of `tick` below which this share of all calls are, in milliseconds.
+  [[nodiscard]] double scheduler_call_ms(double share) const {
+    const auto wanted =
+        share * boost::histogram::algorithm::sum(scheduler_calls, boost::histogram::coverage::all);
+    double seen = 0;
+    double result = 0;
+    for (const auto& bin : boost::histogram::indexed(scheduler_calls, boost::histogram::coverage::all)) {
+      if (*bin > 0 && (seen < wanted || seen == 0)) {
+        result = bin.bin().upper();
+      }
+      seen += *bin;
+    }
+    return result;
+  }
   /// Actual duration of the tasks of a job; the default is the estimate of the step.
   std::map<job_id, duration> real_duration;
 
@@ -634,6 +651,10 @@
     }
   }
 
+  /// Time of each call of `tick`, in milliseconds.
+  decltype(boost::histogram::make_histogram(
+      boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>{})) scheduler_calls{
+      boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>{200, 0.0001, 1000.0}};
   std::multiset<message> messages;
   std::uint64_t message_count{0};
   instant next_listing{};
