Set failing workers aside and let only tasks of leaving workers wait

After the loss of all VMs, inherited jobs waited 7.2 s for 43 workers that had drained and left while the store was busy.

Ruled out: keeping units with a failed run off suspect workers; a hopeless job then failed 3 to 9 s later, which its caller waits for.

Change: worker_health, which the other scheduler core uses, sets workers aside after three failures of two different units that do not fail elsewhere, a fifth of the fleet at most; trials after 3 to 12 s restore them. The owner stores which workers get no new work and what runs on them, in a row that is written with the set of workers and valid at its revision only; a new owner holds back just these tasks, by their own lease.

--- a/include/rhubarbpath/coordination/job_scheduler.hpp
+++ b/include/rhubarbpath/coordination/job_scheduler.hpp
@@ -66,10 +66,18 @@
 struct store_progress {
   std::vector<job_progress> jobs;
 };
-/// Store the ids of all workers that may get work. No worker gets an order before its id is stored, so that
-/// the next owner knows which workers to wait for.
+/// A worker that gets no new work, and the tasks that may still run there.
+struct leaving_worker {
+  worker_id worker;
+  std::vector<task_ref> tasks;
+  friend bool operator==(const leaving_worker&, const leaving_worker&) = default;
+};
+/// Store the ids of all workers that may have work. No worker gets an order before its id is stored, so that
+/// the next owner knows which workers to wait for. Of a worker in `leaving`, only the tasks listed there must
+/// wait for it.
 struct store_workers {
   std::vector<worker_id> workers;
+  std::vector<leaving_worker> leaving;
 };
 /// A worker rejected an order because it has seen orders of a newer owner.
 struct owner_superseded {
@@ -138,8 +146,10 @@
   void set_wall_clock(std::chrono::milliseconds wall, instant now);
 
   /// Starts recovery: `workers` may run work of the previous owner. Jobs that it may have started are not
-  /// placed until each of these workers has reported or its longest lease has passed.
-  void expect_workers(const std::vector<worker_id>& workers, instant now);
+  /// placed until each of these workers has reported or its longest lease has passed. For those in `leaving`,
+  /// only the tasks listed there wait.
+  void expect_workers(const std::vector<worker_id>& workers, const std::vector<leaving_worker>& leaving,
+                      instant now);
   /// Updates the workers from the registry. Workers that are no longer listed are kept while they have work.
   void set_workers(const std::vector<worker_entry>& entries, instant now);
   /// Adds an accepted job. `inherited` is true if a previous owner may have started it. Repeated calls for
--- a/include/rhubarbpath/protocol/job_rows.hpp
+++ b/include/rhubarbpath/protocol/job_rows.hpp
@@ -18,6 +18,8 @@
 
 [[nodiscard]] std::string encode_worker_ids(const std::vector<worker_id>& workers);
 [[nodiscard]] absl::StatusOr<std::vector<worker_id>> decode_worker_ids(std::string_view bytes);
+[[nodiscard]] std::string encode_leaving_workers(const std::vector<leaving_worker>& workers);
+[[nodiscard]] absl::StatusOr<std::vector<leaving_worker>> decode_leaving_workers(std::string_view bytes);
 
 /// Current owner of the scheduling duty. The owner writes the row when its term begins.
 struct owner_row {
--- a/src/coordination/job_scheduler.cpp
+++ b/src/coordination/job_scheduler.cpp
@@ -165,6 +165,9 @@
   tickets.forget(job.job.id);
   record("job_ended", job.job.id, std::string{phase_name(phase)}, {}, now - job.added_at);
   for (auto& each : job.units) {
+    if (!each.failed_runs.empty()) {
+      update_health(worker_health::job_removed{detail::health_key(job, each)}, now);
+    }
     end_unit(job, each, now);
   }
 }
@@ -330,6 +333,7 @@
          {{"silent_workers", absl::StrCat(unreported_workers.size())},
           {"first_silent_worker",
            unreported_workers.empty() ? std::string{} : unreported_workers.begin()->value()},
+          {"silent_leaving_workers", absl::StrCat(unreported_leaving.size())},
           {"jobs", absl::StrCat(jobs.size())}},
          now - started_at);
   unreported_workers.clear();
@@ -369,7 +373,8 @@
   implementation_->wall_at = now;
 }
 
-void job_scheduler::expect_workers(const std::vector<worker_id>& workers, instant now) {
+void job_scheduler::expect_workers(const std::vector<worker_id>& workers,
+                                   const std::vector<leaving_worker>& leaving, instant now) {
   auto& self = *implementation_;
   for (const auto& id : workers) {
     const auto found = self.workers.find(id);
@@ -381,6 +386,15 @@
       found->second.stored = true;
     }
   }
+  for (const auto& each : leaving) {
+    if (self.unreported_workers.erase(each.worker) > 0) {
+      self.unreported_leaving[each.worker] = each.tasks;
+      self.blocked_tasks.insert(each.tasks.begin(), each.tasks.end());
+    }
+    if (const auto found = self.workers.find(each.worker); found != self.workers.end()) {
+      found->second.stored_as_leaving = true;
+    }
+  }
   self.recovery = true;
   // The lease is measured on the worker's clock, which may run slow, and stopping the runs takes time after
   // it expires.
@@ -400,7 +414,7 @@
   state.job = job;
   state.queue = self.find_queue(job.queue);
   state.added_at = now;
-  self.build_units(state, inherited && self.recovery, now);
+  self.build_units(state, inherited && (self.recovery || !self.unreported_leaving.empty()), now);
   if (progress) {
     implementation::apply_progress(state, *progress);
   }
@@ -453,6 +467,7 @@
     self.stored_workers.insert(id);
     if (const auto found = self.workers.find(id); found != self.workers.end()) {
       found->second.stored = true;
+      found->second.stored_as_leaving = self.leaving_being_stored.contains(id);
     }
   }
   self.placement_due = true;
@@ -463,8 +478,15 @@
 void job_scheduler::tick(instant now) {
   auto& self = *implementation_;
   self.finish_recovery(now);
+  if (now >= self.recovery_ends && !self.unreported_leaving.empty()) {
+    // The longest lease that the previous owner may have granted has passed.
+    self.unreported_leaving.clear();
+    self.blocked_tasks.clear();
+    self.placement_due = true;
+  }
   if (now >= self.next_scan) {
     self.next_scan = now + detail::scan_interval;
+    self.update_health(worker_health::tick{}, now);
     self.expire_silent_workers(now);
     self.detect_stalls(now);
     self.repeat_orders(now);
--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -12,8 +12,10 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/node_hash_map.h"
 #include "absl/functional/function_ref.h"
+#include "absl/strings/str_cat.h"
 #include "rhubarbpath/coordination/free_space_index.hpp"
 #include "rhubarbpath/coordination/job_scheduler.hpp"
+#include "rhubarbpath/coordination/worker_health.hpp"
 
 namespace rhubarbpath {
 
@@ -129,6 +131,10 @@
   /// Position in the index of its service; empty until the worker is listed.
   std::optional<worker_slot> slot;
   bool stored{false};  ///< Its id is in the stored set of workers, so it may get orders.
+  /// The stored set says that the worker gets no new work.
+  bool stored_as_leaving{false};
+  bool set_aside{false};  ///< Its runs fail, by `worker_health`.
+  bool trial{false};      ///< One run may show whether a worker that is set aside works again.
   /// The worker announced that it is draining, so it is expected to leave.
   bool was_draining{false};
   /// Highest number of the worker's ended runs that was processed, is being stored, and is stored and thus
@@ -159,6 +165,12 @@
   return !step.data_rack.empty() || (step.gang && step.same_rack);
 }
 
+/// Identifies a unit for `worker_health`, which tells faulty workers from tasks that fail everywhere. A job
+/// would be too coarse: the tasks of a wide one run on several faulty workers at a time.
+inline job_id health_key(const job_state& job, const unit& each) {
+  return job_id{absl::StrCat(job.job.id.value(), "/", each.occurrence, ".", each.step, ".", each.number)};
+}
+
 inline bool has_required_label(const worker_state& worker, const step_spec& step) {
   const auto& labels = worker.entry.labels;
   return step.required_label.empty() ||
@@ -197,6 +209,10 @@
   /// Workers with ended runs that are not acknowledged yet.
   std::vector<detail::worker_state*> workers_with_ends;
   std::set<worker_id> unreported_workers;  ///< Workers whose first report the recovery is waiting for.
+  /// Leaving workers of the previous owner that have not reported, with the tasks that may run there.
+  std::map<worker_id, std::vector<task_ref>> unreported_leaving;
+  /// All tasks in `unreported_leaving`. They are not placed.
+  absl::flat_hash_set<task_ref> blocked_tasks;
   bool recovery{false};
   instant recovery_ends;
   instant recovery_not_before{};
@@ -205,6 +221,7 @@
   std::vector<std::pair<job_id, job_phase>> phases_being_stored;
   std::set<worker_id> stored_workers;
   std::set<worker_id> worker_set_being_stored;
+  std::set<worker_id> leaving_being_stored;
   bool storing_workers{false};
   bool placement_due{true};
   instant next_placement{};
@@ -213,6 +230,10 @@
   instant next_expiry{};
   std::size_t reserved_units{0};
   ticket_book tickets{{}};
+  worker_health health{{.failures_to_set_aside = 3,
+                        .workers_to_fail_job = 3,
+                        .initial_backoff = std::chrono::seconds{3},
+                        .max_backoff = std::chrono::seconds{12}}};
   std::vector<scheduler_action> actions;
 
   // job_scheduler.cpp
@@ -270,6 +291,12 @@
   void renew_worker(detail::worker_state& worker, instant now);
   void expire_silent_workers(instant now);
   void forget_worker(detail::worker_state& worker);
+  /// Reports an outcome or the passing of time to `worker_health` and applies what it decides.
+  void update_health(const worker_health::event& event, instant now);
+  /// The worker has reported, or nothing can run there any more.
+  void unblock_tasks_of(const worker_id& worker);
+  [[nodiscard]] bool blocked(const detail::job_state& job, const detail::unit& unit) const;
+  [[nodiscard]] std::vector<leaving_worker> leaving_workers() const;
   /// Keeps the worker in the index of its service and rack.
   void index_worker(detail::worker_state& worker, const worker_entry& entry);
   void repeat_orders(instant now);
--- a/src/coordination/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler_placement.cpp
@@ -148,7 +148,7 @@
       step.first_waiting += index == step.first_waiting && all_placed ? 1 : 0;
       continue;
     }
-    if (now < each.not_before || (each.inherited && recovery)) {
+    if (now < each.not_before || (each.inherited && (recovery || blocked(job, each)))) {
       all_placed = false;
       continue;
     }
@@ -168,7 +168,8 @@
 bool job_scheduler::implementation::usable(const worker_state& worker, instant now) const {
   return worker.listed && worker.reported && !worker.replaced && !worker.entry.draining &&
          worker.failed_renewals < detail::unusable_after_failed_renewals && now >= worker.full_until &&
-         worker.stored;
+         worker.stored && !worker.stored_as_leaving &&
+         (!worker.set_aside || (worker.trial && worker.tasks.empty()));
 }
 
 namespace {
@@ -188,10 +189,15 @@
 std::uint32_t job_scheduler::implementation::allowance_on(const worker_state& worker, const job_state& job,
                                                           const unit& placed) const {
   const auto& step = step_of(job, placed);
-  if (!detail::has_required_label(worker, step) ||
+  // The attempts of a unit are limited, so one that failed before is not used for a trial.
+  const bool no_trial = worker.set_aside && !placed.failed_runs.empty();
+  if (!detail::has_required_label(worker, step) || no_trial ||
       (job.queue->adviser && ticket_for(worker, job, placed).empty())) {
     return 0;
   }
+  if (worker.set_aside) {
+    return 1;
+  }
   if (step.max_per_worker == 0) {
     return std::numeric_limits<std::uint32_t>::max();
   }
@@ -248,7 +254,7 @@
   free_space_index::worker_space space{.free = worker.entry.capacity - worker.used - worker.reserved,
                                        .capacity = worker.entry.capacity,
                                        .usable = usable(worker, pass_time),
-                                       .suspect = pass_time < worker.suspect_until};
+                                       .suspect = worker.set_aside || pass_time < worker.suspect_until};
   if (const auto kept = held_back.find(&worker); kept != held_back.end()) {
     space.free -= kept->second;
   }
@@ -311,8 +317,8 @@
   for (const auto at : slots) {
     where.push_back(&space->at(at));
   }
-  // With an adviser or a limit for each worker, a request fails for reasons of its own.
-  if (where.empty() && !job.queue->adviser && step.max_per_worker == 0) {
+  // With an adviser, a limit for each worker or earlier failures, a request fails for reasons of its own.
+  if (where.empty() && !job.queue->adviser && step.max_per_worker == 0 && placed.failed_runs.empty()) {
     unplaceable.push_back(std::move(request));
   }
   return where;
--- a/src/coordination/job_scheduler_reports.cpp
+++ b/src/coordination/job_scheduler_reports.cpp
@@ -68,6 +68,11 @@
     worker.listed = true;
     worker.was_draining = entry.draining;
   }
+  // A fifth of the workers at most, because the judgement may be wrong.
+  constexpr double set_aside_share = 0.2;
+  self.update_health(worker_health::fleet_changed{.workers = static_cast<int>(entries.size()),
+                                                  .set_aside_share = set_aside_share},
+                     now);
   self.store_worker_set();
   self.renew_workers(now);
 }
@@ -90,6 +95,7 @@
   if (failure == renewal_failure::other_instance) {
     worker.replaced = true;
     self.unreported_workers.erase(id);
+    self.unblock_tasks_of(id);
     self.clear_all_runs(worker, "another instance responds at the address", now);
   } else if (failure == renewal_failure::refused && worker.was_draining && !worker.listed) {
     self.clear_all_runs(worker, "the worker drained and left", now);
@@ -113,6 +119,8 @@
   const bool restarted = worker.reported && worker.born != report.born;
   if (worker.born != report.born) {
     if (restarted) {
+      self.update_health(worker_health::worker_removed{id}, now);
+      worker.set_aside = worker.trial = false;
       self.record("worker_restarted", {}, "new incarnation",
                   {{"worker", id.value()}, {"born", absl::StrCat(report.born.value())}});
     }
@@ -158,6 +166,7 @@
   }
   self.clear_unlisted_runs(worker, report, restarted, sent, now);
   self.unreported_workers.erase(id);
+  self.unblock_tasks_of(id);
   self.finish_recovery(now);
   self.flush(now);
   const bool ends_unstored = worker.seen_through > worker.acknowledged_through;
@@ -245,6 +254,7 @@
   if (end.outcome == run_outcome::done) {
     worker.consecutive_failures = 0;
     worker.suspect_until = instant{};
+    update_health(worker_health::task_finished{worker.entry.id, {}}, now);
     complete_unit(job, *parent, now);
     return;
   }
@@ -255,6 +265,7 @@
   if (end.outcome == run_outcome::failed) {
     ++worker.consecutive_failures;
     worker.suspect_until = now + opts.suspect_duration * std::min(worker.consecutive_failures, 3);
+    update_health(worker_health::task_failed{worker.entry.id, detail::health_key(job, *parent)}, now);
     record_failed_run(job, *parent, end.run, now);
   }
   if (parent->phase == unit_phase::active && end.run == parent->run) {
@@ -340,6 +351,7 @@
     for (const auto& one : each.members) {
       if (one.percent < 100 && one.listed_at - one.progress_at > opts.stall_timeout) {
         one.worker->suspect_until = now + opts.suspect_duration;
+        update_health(worker_health::task_failed{one.worker->entry.id, detail::health_key(job, each)}, now);
         record("run_stalled", job.job.id, "no progress",
                {{"worker", one.worker->entry.id.value()}, {"percent", absl::StrCat(one.percent)}});
         end_unit(job, each, now);
--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -70,6 +70,7 @@
 }
 
 void job_scheduler::implementation::forget_worker(worker_state& worker) {
+  update_health(worker_health::worker_removed{worker.entry.id}, started_at);
   std::erase(workers_with_ends, &worker);
   space_cache.erase(&worker);
   held_back.erase(&worker);
@@ -82,6 +83,70 @@
   }
 }
 
+void job_scheduler::implementation::update_health(const worker_health::event& event, instant now) {
+  std::vector<worker_health::action> decisions;
+  health.handle(event, now, decisions);
+  const auto apply = [&](const worker_id& id, bool set_aside, bool trial, std::string_view what,
+                         std::string reason) {
+    if (const auto found = workers.find(id); found != workers.end()) {
+      found->second.set_aside = set_aside;
+      found->second.trial = trial;
+      placement_due = true;
+      record(what, {}, std::move(reason), {{"worker", id.value()}});
+    }
+  };
+  for (auto& decision : decisions) {
+    if (auto* aside = std::get_if<worker_health::set_aside>(&decision)) {
+      apply(aside->worker, true, false, "worker_set_aside", std::move(aside->reason));
+    } else if (const auto* trial = std::get_if<worker_health::begin_trial>(&decision)) {
+      apply(trial->worker, true, true, "worker_trial", "one run may be placed on it");
+    } else if (const auto* restored = std::get_if<worker_health::restore>(&decision)) {
+      apply(restored->worker, false, false, "worker_restored", "a run ended well, or none was tried");
+    }
+    // A task that fails on every worker ends its job by the queue's limit of attempts.
+  }
+}
+
+void job_scheduler::implementation::unblock_tasks_of(const worker_id& worker) {
+  if (unreported_leaving.erase(worker) == 0) {
+    return;
+  }
+  blocked_tasks.clear();
+  for (const auto& [id, tasks] : unreported_leaving) {
+    blocked_tasks.insert(tasks.begin(), tasks.end());
+  }
+  placement_due = true;
+}
+
+bool job_scheduler::implementation::blocked(const job_state& job, const unit& waiting) const {
+  for (std::size_t index = 0; index < waiting.members.size() && !blocked_tasks.empty(); ++index) {
+    if (blocked_tasks.contains(task_of(job, waiting, index))) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::vector<leaving_worker> job_scheduler::implementation::leaving_workers() const {
+  std::vector<leaving_worker> leaving;
+  for (const auto& [id, tasks] : unreported_leaving) {
+    leaving.push_back({.worker = id, .tasks = tasks});
+  }
+  for (const auto& [id, worker] : workers) {
+    // Only after its first report is it known what runs on a worker. A draining one gets nothing new.
+    const bool may_run_tasks = worker.listed || !worker.tasks.empty();
+    if (!may_run_tasks || !worker.reported || !worker.was_draining || unreported_leaving.contains(id)) {
+      continue;
+    }
+    leaving_worker each{.worker = id, .tasks = {}};
+    for (const auto& task : worker.tasks) {
+      each.tasks.push_back(task_of(*task.job, *task.parent, task.index));
+    }
+    leaving.push_back(std::move(each));
+  }
+  return leaving;
+}
+
 void job_scheduler::implementation::index_worker(worker_state& worker, const worker_entry& entry) {
   const bool in_place =
       worker.slot && worker.entry.service == entry.service && worker.entry.rack == entry.rack;
@@ -150,21 +215,30 @@
   }
   std::set<worker_id> to_store;
   bool has_missing = false;
+  bool leaving_changed = false;
   for (const auto& [id, worker] : workers) {
     if (worker.listed || !worker.tasks.empty()) {
       to_store.insert(id);
       has_missing = has_missing || !worker.stored;
+      const bool leaving = worker.reported && worker.was_draining;
+      leaving_changed = leaving_changed || leaving != worker.stored_as_leaving;
     }
   }
   const bool has_extra =
       !recovery && std::any_of(stored_workers.begin(), stored_workers.end(),
                                [&](const worker_id& id) { return !to_store.contains(id); });
-  if (!has_missing && !has_extra) {
+  if (!has_missing && !has_extra && !leaving_changed) {
     return;
   }
   if (recovery) {
     to_store.insert(unreported_workers.begin(), unreported_workers.end());
   }
+  auto leaving = leaving_workers();
+  leaving_being_stored.clear();
+  for (const auto& each : leaving) {
+    to_store.insert(each.worker);
+    leaving_being_stored.insert(each.worker);
+  }
   // Ids that will be removed become unusable before the write, so that none gets work while it is in flight.
   std::erase_if(stored_workers, [&](const worker_id& id) { return !to_store.contains(id); });
   for (auto& [id, worker] : workers) {
@@ -172,7 +246,8 @@
   }
   worker_set_being_stored = to_store;
   storing_workers = true;
-  actions.emplace_back(store_workers{.workers = {to_store.begin(), to_store.end()}});
+  actions.emplace_back(
+      store_workers{.workers = {to_store.begin(), to_store.end()}, .leaving = std::move(leaving)});
 }
 
 // ---- orders ----
--- a/src/programs/rhubarb-edge/owner_session.cpp
+++ b/src/programs/rhubarb-edge/owner_session.cpp
@@ -105,25 +105,59 @@
       self->run_later(retry_pause, [self] { self->load(); });
       return;
     }
-    if (!items->items.empty()) {
-      self->workers_revision_ = items->items.front().changed;
-      auto ids = decode_worker_ids(items->items.front().value);
-      if (!ids.ok()) {
-        log(log_level::error, "worker_row_unreadable", {{"reason", std::string{ids.status().message()}}});
-      }
-      self->scheduler_->expect_workers(ids.ok() ? *ids : std::vector<worker_id>{}, self->deps_.loop.now());
+    if (items->items.empty()) {
+      self->load_jobs();
+      return;
     }
-    self->list_all(keys::job_prefix, [self](std::vector<kv_item> jobs, revision as_of) {
-      self->jobs_revision_ = as_of;
-      self->list_all(keys::progress_prefix, [self, jobs = std::move(jobs)](
-                                                const std::vector<kv_item>& progress, revision /*as_of*/) {
-        self->apply_rows(jobs, progress, true);
-        self->loaded_ = true;
-        self->watch_jobs();
-        self->poll_registry();
-        self->run_tick();
-      });
-    });
+    self->workers_revision_ = items->items.front().changed;
+    auto ids = decode_worker_ids(items->items.front().value);
+    if (!ids.ok()) {
+      log(log_level::error, "worker_row_unreadable", {{"reason", std::string{ids.status().message()}}});
+    }
+    self->load_leaving_workers(ids.ok() ? *std::move(ids) : std::vector<worker_id>{});
+  });
+}
+
+void owner_session::load_leaving_workers(std::vector<worker_id> workers) {
+  deps_.store.call(kv_get{.key = keys::leaving_workers},
+                   [weak = weak_from_this(), workers = std::move(workers)](const kv_result& result) {
+                     const auto self = weak.lock();
+                     if (self == nullptr || self->stopped_) {
+                       return;
+                     }
+                     const auto* items = std::get_if<kv_items>(&result);
+                     if (items == nullptr) {
+                       self->run_later(retry_pause, [self, workers] { self->load_leaving_workers(workers); });
+                       return;
+                     }
+                     std::vector<leaving_worker> leaving;
+                     // At another revision the row is older than the set of workers, and does not say what
+                     // runs now.
+                     if (!items->items.empty() && items->items.front().changed == self->workers_revision_) {
+                       auto decoded = decode_leaving_workers(items->items.front().value);
+                       if (decoded.ok()) {
+                         leaving = *std::move(decoded);
+                       } else {
+                         log(log_level::error, "leaving_row_unreadable",
+                             {{"reason", std::string{decoded.status().message()}}});
+                       }
+                     }
+                     self->scheduler_->expect_workers(workers, leaving, self->deps_.loop.now());
+                     self->load_jobs();
+                   });
+}
+
+void owner_session::load_jobs() {
+  list_all(keys::job_prefix, [self = shared_from_this()](std::vector<kv_item> jobs, revision as_of) {
+    self->jobs_revision_ = as_of;
+    self->list_all(keys::progress_prefix,
+                   [self, jobs = std::move(jobs)](const std::vector<kv_item>& progress, revision /*as_of*/) {
+                     self->apply_rows(jobs, progress, true);
+                     self->loaded_ = true;
+                     self->watch_jobs();
+                     self->poll_registry();
+                     self->run_tick();
+                   });
   });
 }
 
@@ -479,15 +513,17 @@
 }
 
 void owner_session::perform(const store_workers& write) {
-  worker_set_ = write.workers;
+  worker_set_ = write;
   write_workers();
 }
 
 void owner_session::write_workers() {
-  kv_commit commit{.expected = {{.key = keys::owner, .changed = opts_.owner_row},
-                                {.key = keys::workers, .changed = workers_revision_}},
-                   .puts = {{.key = keys::workers, .value = encode_worker_ids(worker_set_)}},
-                   .erases = {}};
+  kv_commit commit{
+      .expected = {{.key = keys::owner, .changed = opts_.owner_row},
+                   {.key = keys::workers, .changed = workers_revision_}},
+      .puts = {{.key = keys::workers, .value = encode_worker_ids(worker_set_.workers)},
+               {.key = keys::leaving_workers, .value = encode_leaving_workers(worker_set_.leaving)}},
+      .erases = {}};
   deps_.store.call(std::move(commit), [weak = weak_from_this()](const kv_result& result) {
     const auto self = weak.lock();
     if (self == nullptr || self->stopped_) {
--- a/src/programs/rhubarb-edge/owner_session.hpp
+++ b/src/programs/rhubarb-edge/owner_session.hpp
@@ -73,6 +73,8 @@
   using list_handler = std::function<void(std::vector<kv_item>, revision)>;
 
   void load();
+  void load_leaving_workers(std::vector<worker_id> workers);
+  void load_jobs();
   void list_all(std::string prefix, list_handler done);
   void list_page(std::string prefix, std::string after, const std::shared_ptr<std::vector<kv_item>>& found,
                  revision first_as_of, list_handler done);
@@ -111,7 +113,7 @@
   revision workers_revision_;
   std::deque<job_progress> unsaved_progress_;
   std::size_t rows_in_commit_{0};  ///< Rows at the front of `unsaved_progress_` that are being written.
-  std::vector<worker_id> worker_set_;
+  store_workers worker_set_;
   std::map<worker_id, worker_channel> channels_;
   timer_handle tick_timer_;
   instant next_tick_at_{};
--- a/src/programs/rhubarb-edge/store_keys.hpp
+++ b/src/programs/rhubarb-edge/store_keys.hpp
@@ -15,6 +15,9 @@
 inline const std::string term = "rhubarb/owner/term";
 /// Ids of the workers that may be running tasks.
 inline const std::string workers = "rhubarb/workers";
+/// Those of them that get no new work, with the tasks that may run there. Written together with `workers`,
+/// and valid only at the same revision.
+inline const std::string leaving_workers = "rhubarb/leaving";
 inline const std::string job_prefix = "rhubarb/job/";
 inline const std::string progress_prefix = "rhubarb/progress/";
 inline const std::string cancel_suffix = "/cancel";
--- a/src/protocol/job_rows.cpp
+++ b/src/protocol/job_rows.cpp
@@ -156,6 +156,35 @@
   });
 }
 
+std::string encode_leaving_workers(const std::vector<leaving_worker>& workers) {
+  json rows = json::array();
+  for (const auto& each : workers) {
+    json tasks = json::array();
+    for (const auto& task : each.tasks) {
+      tasks.push_back({task.job.value(), task.occurrence, task.step, task.index});
+    }
+    rows.push_back({each.worker.value(), std::move(tasks)});
+  }
+  return to_bytes(rows);
+}
+
+absl::StatusOr<std::vector<leaving_worker>> decode_leaving_workers(std::string_view bytes) {
+  return decode_row<std::vector<leaving_worker>>(bytes, "leaving workers row", [](const json& rows) {
+    std::vector<leaving_worker> workers;
+    for (const auto& row : rows) {
+      leaving_worker each{.worker = worker_id{row.at(0).get<std::string>()}, .tasks = {}};
+      for (const auto& task : row.at(1)) {
+        each.tasks.push_back({.job = job_id{task.at(0).get<std::string>()},
+                              .occurrence = task.at(1).get<std::uint32_t>(),
+                              .step = task.at(2).get<std::uint32_t>(),
+                              .index = task.at(3).get<std::uint32_t>()});
+      }
+      workers.push_back(std::move(each));
+    }
+    return workers;
+  });
+}
+
 std::string encode_owner(const owner_row& owner) {
   return to_bytes(
       json::array({owner.vm.value(), owner.process.value(), owner.term.value(), owner.peer_address}));
--- a/tests/coordination/job_scheduler_test.cpp
+++ b/tests/coordination/job_scheduler_test.cpp
@@ -306,6 +306,76 @@
   CHECK(fleet.violations.empty());
 }
 
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_workers_that_fail_every_run_get_few_runs") {
+  // Guards against a black hole: a worker that fails each run at once always has free space, so on a full
+  // fleet it got thousands of runs, and jobs failed because their attempts were used up there.
+  fleet.add_workers(18);
+  fleet.workers.at(worker_id{"w3"}).fails_every_run = true;
+  fleet.workers.at(worker_id{"w11"}).fails_every_run = true;
+  fleet.advance(milliseconds{1000});
+  for (int job = 0; job < 40; ++job) {
+    fleet.submit(simulated_workers::job("j" + std::to_string(job), 1, identical_tasks(12, 1, seconds{2})));
+  }
+  fleet.advance(seconds{10});
+  // As many runs as fit at once before the first failure is known, and trials after 3 s and 9 s.
+  constexpr int most_runs = 8 + 2;
+  CHECK(fleet.starts_on[worker_id{"w3"}] <= most_runs);
+  CHECK(fleet.starts_on[worker_id{"w11"}] <= most_runs);
+  int failed = 0;
+  for (int job = 0; job < 40; ++job) {
+    failed += fleet.phase("j" + std::to_string(job)) == job_phase::failed ? 1 : 0;
+  }
+  CHECK(failed == 0);
+  // Once it is sound again, a trial restores the worker.
+  fleet.workers.at(worker_id{"w3"}).fails_every_run = false;
+  for (int job = 0; job < 100; ++job) {
+    fleet.submit(simulated_workers::job("k" + std::to_string(job), 1, identical_tasks(12, 1, seconds{2})));
+  }
+  fleet.advance(seconds{20});
+  CHECK(fleet.starts_on[worker_id{"w3"}] > most_runs + 8);
+  CHECK(fleet.violations.empty());
+}
+
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_job_that_always_fails_sets_no_sound_worker_aside") {
+  // Guards against a job that can never succeed and takes sound workers out of use.
+  fleet.configuration = simulated_workers::config(20);
+  fleet.begin_term();
+  fleet.injected_faults.failing_task = 1.0;
+  fleet.submit(simulated_workers::job("hopeless", 1, identical_tasks(1, 1, milliseconds{20})));
+  fleet.advance(seconds{5});
+  CHECK(fleet.phase("hopeless") == job_phase::failed);
+  fleet.injected_faults.failing_task = 0.0;
+  fleet.submit(simulated_workers::job("wide", 1, identical_tasks(6, 8, seconds{1})));
+  fleet.advance(milliseconds{1800});
+  CHECK(fleet.phase("wide") == job_phase::complete);
+}
+
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_inherited_jobs_do_not_wait_for_workers_that_left") {
+  // Guards against a new owner that holds back all inherited jobs for the longest lease, because workers that
+  // had drained and left shortly before can no longer be asked. Only what may run there must wait.
+  const auto occupy = identical_tasks(1, 8, seconds{30});
+  for (int job = 0; job < 6; ++job) {
+    fleet.submit(simulated_workers::job("running" + std::to_string(job), 1, occupy));
+  }
+  fleet.advance(milliseconds{500});
+  fleet.workers.at(worker_id{"w2"}).entry.draining = true;
+  fleet.advance(milliseconds{1500});
+  const auto held = fleet.workers.at(worker_id{"w2"}).tasks.begin()->first;
+  // The worker is cut off: it still runs its task under its lease, but no owner can reach it.
+  fleet.workers.at(worker_id{"w2"}).disconnected = true;
+  fleet.unlisted.insert(worker_id{"w2"});
+  fleet.add_workers(2);
+  fleet.scheduler.reset();
+  fleet.submit(simulated_workers::job("waiting", 1, identical_tasks(2, 8, seconds{1})));
+  fleet.begin_term();
+  fleet.advance(milliseconds{1000});
+  CHECK(fleet.starts[task_ref{.job = job_id{"waiting"}}] == 1);
+  CHECK(fleet.starts[held] == 1);
+  fleet.advance(seconds{14});
+  CHECK(fleet.starts[held] == 2);
+  CHECK(fleet.violations.empty());
+}
+
 TEST_CASE_METHOD(scheduler_fixture, "scheduler_paused_owner_keeps_running_tasks") {
   // Guards against an owner that takes its own lateness for a fault of a worker: after a pause, or while its
   // reports wait to be read, it stopped sound runs as stalled and started them again elsewhere.
--- a/tests/coordination/simulated_workers.hpp
+++ b/tests/coordination/simulated_workers.hpp
@@ -37,7 +37,7 @@
     double clock_rate{1.0};
     bool running{true};
     bool disconnected{false};
-    bool fails_every_run{false};
+    bool fails_every_run{false};  ///< Runs fail as soon as they have begun.
     bool stalled{false};
     std::uint64_t highest_term{0};
     std::map<task_ref, run_state> tasks;
@@ -101,7 +101,7 @@
     scheduler->set_wall_clock(wall(), now);
     scheduler->set_config(configuration, now);
     if (!stored_workers.empty()) {
-      scheduler->expect_workers(stored_workers, now);
+      scheduler->expect_workers(stored_workers, stored_leaving, now);
     }
     for (const auto& [id, stored] : stored_jobs) {
       const auto found = stored_progress.find(id);
@@ -208,9 +208,11 @@
   std::map<job_id, accepted_job> stored_jobs;
   std::map<job_id, job_progress> stored_progress;
   std::vector<worker_id> stored_workers;
+  std::vector<leaving_worker> stored_leaving;
   std::set<job_id> cancelled;
   std::vector<std::string> violations;
   std::map<task_ref, int> starts;
+  std::map<worker_id, int> starts_on;
   std::set<worker_id> workers_allowed_by_adviser;  ///< For queues that have an adviser.
   std::optional<start_order> last_start;
   int advice_calls{0};
@@ -285,6 +287,7 @@
 
   void record_start(const task_ref& task, const worker_id& at) {
     ++starts[task];
+    ++starts_on[at];
     if (trace) {
       std::printf("%lld starts %s.%u on %s\n", static_cast<long long>(now.time_since_epoch().count() / 1000),
                   task.job.value().c_str(), task.index, at.value().c_str());
@@ -374,7 +377,7 @@
           continue;
         }
         state.work_left -= step;
-        if (state.work_left > duration::zero()) {
+        if (state.work_left > duration::zero() && !each.fails_every_run) {
           continue;
         }
         const auto outcome = each.fails_every_run || random.fraction() < injected_faults.failing_task
@@ -635,6 +638,7 @@
     after(milliseconds{4}, [this, write, of_term = term] {
       if (of_term == term) {
         stored_workers = write.workers;
+        stored_leaving = write.leaving;
         scheduler->workers_stored(now);
         take_actions();
       }
