Hold starts while cancellations may be unknown

An owner that is late, paused, or whose watch of jobs has gone silent starts tasks on what it knew of jobs before.

Change: the owner measures the age of its knowledge of jobs on the clock that counts suspension. Above 2.5 s it starts nothing, repeats no start and sends no queued one; renewals and stops go on. The watch answers every 0.7 s.

--- a/include/rhubarbpath/coordination/job_scheduler.hpp
+++ b/include/rhubarbpath/coordination/job_scheduler.hpp
@@ -157,6 +157,9 @@
   void add_job(const accepted_job& job, const std::optional<job_progress>& progress, bool inherited,
                instant now);
   void cancel_job(const job_id& id, instant now);
+  /// While held, no task is started and no unanswered start is repeated, because cancellations may be
+  /// unknown; renewals and stops go on. Returns whether this changes anything.
+  bool hold_starts(bool hold);
 
   /// Takes the response to a renewal that was sent at `sent`.
   void worker_reported(const worker_id& id, const lease_report& report, instant sent, instant now);
--- a/include/rhubarbpath/transport/wall_clock.hpp
+++ b/include/rhubarbpath/transport/wall_clock.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
+
+#include "rhubarbpath/state/units.hpp"
 
 namespace rhubarbpath {
 
@@ -11,4 +14,13 @@
       std::chrono::system_clock::now().time_since_epoch());
 }
 
+/// Time since boot, which includes the time during which the VM was suspended. The clock of `event_loop` does
+/// not, so permissions and knowledge that expire are measured with this one.
+[[nodiscard]] inline instant boot_clock_now() {
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return instant{std::chrono::duration_cast<duration>(std::chrono::seconds{time.tv_sec} +
+                                                      std::chrono::nanoseconds{time.tv_nsec})};
+}
+
 }  // namespace rhubarbpath
--- a/src/coordination/job_scheduler.cpp
+++ b/src/coordination/job_scheduler.cpp
@@ -448,6 +448,12 @@
   }
 }
 
+bool job_scheduler::hold_starts(bool hold) {
+  auto& self = *implementation_;
+  self.placement_due = self.placement_due || self.starts_held;
+  return std::exchange(self.starts_held, hold) != hold;
+}
+
 void job_scheduler::stored(instant now) {
   auto& self = *implementation_;
   self.storing = false;
@@ -492,12 +498,13 @@
     self.repeat_orders(now);
     self.renew_workers(now);
   }
-  if (self.reserved_units > 0) {
+  if (self.reserved_units > 0 && !self.starts_held) {
     self.start_reserved(now);
   }
   // Units also become ready without an event: after a delay, at a due time, or when they no longer have to
   // wait for their preferred rack.
-  if ((self.placement_due || now >= self.next_recheck) && now >= self.next_placement) {
+  const bool due = self.placement_due || now >= self.next_recheck;
+  if (due && now >= self.next_placement && !self.starts_held) {
     self.run_placement_pass(now);
   }
   self.flush(now);
@@ -510,7 +517,7 @@
 instant job_scheduler::next_deadline(instant now) const {
   const auto& self = *implementation_;
   const auto scan = std::max(now, self.next_scan);
-  return self.placement_due ? std::min(scan, std::max(now, self.next_placement)) : scan;
+  return self.placement_due && !self.starts_held ? std::min(scan, std::max(now, self.next_placement)) : scan;
 }
 
 std::optional<job_phase> job_scheduler::phase(const job_id& id) const {
--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -224,6 +224,7 @@
   std::set<worker_id> leaving_being_stored;
   bool storing_workers{false};
   bool placement_due{true};
+  bool starts_held{false};
   instant next_placement{};
   instant next_recheck{};
   instant next_scan{};
--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -316,7 +316,7 @@
       if (one.answer_pending || now < one.repeat_at) {
         continue;
       }
-      if (one.phase == member_phase::starting && one.attempts > 0) {
+      if (one.phase == member_phase::starting && one.attempts > 0 && !starts_held) {
         order_start(*job, *each, index, now);
       } else if (one.phase == member_phase::stopping && one.confirmed_at == instant{}) {
         order_stop(*job, *each, index);
--- a/src/programs/rhubarb-edge/edge_daemon.cpp
+++ b/src/programs/rhubarb-edge/edge_daemon.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <csignal>
-#include <ctime>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -41,14 +40,6 @@
 constexpr duration max_store_silence{std::chrono::milliseconds{2500}};
 constexpr std::size_t max_body_bytes = 4U << 20U;
 
-/// Returns the time since boot, which includes the time during which the VM was suspended.
-instant boot_clock_now() {
-  timespec time{};
-  clock_gettime(CLOCK_BOOTTIME, &time);
-  return instant{std::chrono::duration_cast<duration>(std::chrono::seconds{time.tv_sec} +
-                                                      std::chrono::nanoseconds{time.tv_nsec})};
-}
-
 std::string encode_sightings(const std::vector<peer_directory::peer_record>& sightings) {
   nlohmann::json rows = nlohmann::json::array();
   for (const auto& each : sightings) {
--- a/src/programs/rhubarb-edge/owner_session.cpp
+++ b/src/programs/rhubarb-edge/owner_session.cpp
@@ -15,8 +15,12 @@
 namespace {
 
 constexpr duration retry_pause{std::chrono::milliseconds{100}};
-/// Bounds the delay until a new job is noticed when the watch's connection has gone silent.
-constexpr std::chrono::milliseconds job_watch_wait{1000};
+/// Bounds the delay until a new job is noticed when the watch's connection has gone silent, and with it the
+/// age of what the owner knows of cancellations.
+constexpr std::chrono::milliseconds job_watch_wait{700};
+/// No task is started on older knowledge of jobs. A cancelled job must start no task 3 s after the
+/// acknowledgement, and an order takes up to 0.4 s.
+constexpr duration max_job_age{std::chrono::milliseconds{2500}};
 
 }  // namespace
 
@@ -148,6 +152,7 @@
 }
 
 void owner_session::load_jobs() {
+  jobs_known_at_ = boot_clock_now();
   list_all(keys::job_prefix, [self = shared_from_this()](std::vector<kv_item> jobs, revision as_of) {
     self->jobs_revision_ = as_of;
     self->list_all(keys::progress_prefix,
@@ -218,34 +223,38 @@
 
 void owner_session::watch_jobs() {
   kv_watch request{.prefix = keys::job_prefix, .after = jobs_revision_, .wait = job_watch_wait};
-  deps_.store.call(std::move(request), [weak = weak_from_this()](const kv_result& result) {
-    const auto self = weak.lock();
-    if (self == nullptr || self->stopped_) {
-      return;
-    }
-    if (const auto* events = std::get_if<kv_events>(&result)) {
-      self->jobs_revision_ = std::max(self->jobs_revision_, events->as_of);
-      for (const auto& event : events->events) {
-        if (!event.deleted) {
-          self->apply_job_item(event.item);
-        }
-      }
-      self->watch_jobs();
-      if (!events->events.empty()) {
-        self->run_tick();
-      }
-      return;
-    }
-    if (std::holds_alternative<kv_compacted>(result)) {
-      self->reload_jobs();
-      return;
-    }
-    self->run_later(retry_pause, [self] { self->watch_jobs(); });
-  });
+  deps_.store.call(std::move(request),
+                   [weak = weak_from_this(), sent_at = boot_clock_now()](const kv_result& result) {
+                     const auto self = weak.lock();
+                     if (self == nullptr || self->stopped_) {
+                       return;
+                     }
+                     if (const auto* events = std::get_if<kv_events>(&result)) {
+                       self->jobs_known_at_ = std::max(self->jobs_known_at_, sent_at);
+                       self->jobs_revision_ = std::max(self->jobs_revision_, events->as_of);
+                       for (const auto& event : events->events) {
+                         if (!event.deleted) {
+                           self->apply_job_item(event.item);
+                         }
+                       }
+                       self->watch_jobs();
+                       if (!events->events.empty()) {
+                         self->run_tick();
+                       }
+                       return;
+                     }
+                     if (std::holds_alternative<kv_compacted>(result)) {
+                       self->reload_jobs();
+                       return;
+                     }
+                     self->run_later(retry_pause, [self] { self->watch_jobs(); });
+                   });
 }
 
 void owner_session::reload_jobs() {
-  list_all(keys::job_prefix, [self = shared_from_this()](const std::vector<kv_item>& jobs, revision as_of) {
+  list_all(keys::job_prefix, [self = shared_from_this(), sent_at = boot_clock_now()](
+                                 const std::vector<kv_item>& jobs, revision as_of) {
+    self->jobs_known_at_ = std::max(self->jobs_known_at_, sent_at);
     self->jobs_revision_ = as_of;
     self->apply_rows(jobs, {}, false);
     self->watch_jobs();
@@ -277,12 +286,27 @@
   }
   const auto now = deps_.loop.now();
   scheduler_->set_wall_clock(wall_clock(), now);
+  check_job_age();
   scheduler_->tick(now);
   run_actions();
   erase_expired();
   schedule_tick();
 }
 
+bool owner_session::jobs_outdated() const {
+  return boot_clock_now() - jobs_known_at_ > max_job_age;
+}
+
+void owner_session::check_job_age() {
+  const auto age = boot_clock_now() - jobs_known_at_;
+  const bool hold = jobs_outdated();
+  if (scheduler_->hold_starts(hold)) {
+    log(hold ? log_level::warning : log_level::info, hold ? "starts_held" : "starts_resumed",
+        {{"reason", hold ? "the watch of jobs has not answered" : "the watch of jobs answers"},
+         {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(age).count()}});
+  }
+}
+
 void owner_session::schedule_tick() {
   const auto now = deps_.loop.now();
   const auto at = scheduler_->next_deadline(now);
@@ -320,7 +344,7 @@
 void owner_session::send_queued_orders(const worker_id& worker) {
   auto& channel = channels_[worker];
   while (!stopped_ && channel.in_flight < opts_.max_orders_in_flight && !channel.waiting.empty()) {
-    auto [request, done, wanted] = std::move(channel.waiting.front());
+    auto [request, done, wanted, starts_task] = std::move(channel.waiting.front());
     channel.waiting.pop_front();
     if (!wanted()) {
       continue;
@@ -329,6 +353,12 @@
       done(http_call_failed{.bytes_sent = false, .timed_out = false, .reason = "the term has ended"});
       continue;
     }
+    if (starts_task && jobs_outdated()) {
+      // The order may have been queued before this process was paused.
+      done(http_call_failed{
+          .bytes_sent = false, .timed_out = false, .reason = "cancellations may be unknown"});
+      continue;
+    }
     ++channel.in_flight;
     const auto address = channel.address;
     deps_.workers.call(
@@ -362,7 +392,8 @@
              scheduler_->start_answered(worker, task, run, platform::decode_start_answer(result),
                                         deps_.loop.now());
            },
-       .wanted = [this, order] { return scheduler_->start_still_needed(order); }});
+       .wanted = [this, order] { return scheduler_->start_still_needed(order); },
+       .starts_task = true});
 }
 
 void owner_session::perform(const stop_order& order) {
--- a/src/programs/rhubarb-edge/owner_session.hpp
+++ b/src/programs/rhubarb-edge/owner_session.hpp
@@ -63,6 +63,7 @@
     http_request request;
     std::function<void(const http_result&)> done;
     std::function<bool()> wanted;  ///< Checked immediately before sending; on false the order is dropped.
+    bool starts_task{false};
   };
   /// The orders to one worker that wait for a free slot, and the number of unanswered ones.
   struct worker_channel {
@@ -99,6 +100,10 @@
   void write_progress();
   void write_workers();
   void erase_expired();
+  /// Whether cancellations may have gone unread for too long to start tasks.
+  [[nodiscard]] bool jobs_outdated() const;
+  /// Holds starts while that is so.
+  void check_job_age();
   [[nodiscard]] std::function<void()> unless_stopped(std::function<void()> call);
   void run_later(duration delay, std::function<void()> call);
 
@@ -109,6 +114,8 @@
   bool loaded_{false};
   bool running_actions_{false};
   revision jobs_revision_;
+  /// All changes of jobs before this time are known, on the boot clock.
+  instant jobs_known_at_{};
   std::map<job_id, revision> progress_revisions_;  ///< Last known revision of each progress row.
   revision workers_revision_;
   std::deque<job_progress> unsaved_progress_;
--- a/tests/coordination/job_scheduler_test.cpp
+++ b/tests/coordination/job_scheduler_test.cpp
@@ -376,6 +376,27 @@
   CHECK(fleet.violations.empty());
 }
 
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_held_starts_begin_no_task_and_keep_leases") {
+  // Guards against an owner that was paused, or whose watch of jobs went silent, and that starts tasks of a
+  // job whose cancellation was acknowledged seconds ago.
+  fleet.submit(simulated_workers::job("running", 1, identical_tasks(2, 1, seconds{14})));
+  fleet.advance(milliseconds{500});
+  CHECK(fleet.scheduler->hold_starts(true));
+  CHECK_FALSE(fleet.scheduler->hold_starts(true));
+  fleet.submit(simulated_workers::job("cancelled", 0, identical_tasks(2, 1, seconds{1}, true)));
+  fleet.advance(seconds{12});
+  CHECK(fleet.starts[task_ref{.job = job_id{"cancelled"}}] == 0);
+  CHECK(fleet.running_tasks() == 2);
+  fleet.cancel(job_id{"cancelled"});
+  CHECK(fleet.scheduler->hold_starts(false));
+  fleet.submit(simulated_workers::job("next", 0, identical_tasks(2, 1, seconds{1}, true)));
+  fleet.advance(seconds{4});
+  CHECK(fleet.starts[task_ref{.job = job_id{"cancelled"}}] == 0);
+  CHECK(fleet.phase("running") == job_phase::complete);
+  CHECK(fleet.phase("next") == job_phase::complete);
+  CHECK(fleet.violations.empty());
+}
+
 TEST_CASE_METHOD(scheduler_fixture, "scheduler_paused_owner_keeps_running_tasks") {
   // Guards against an owner that takes its own lateness for a fault of a worker: after a pause, or while its
   // reports wait to be read, it stopped sound runs as stalled and started them again elsewhere.
