--- a/tests/protocol/job_rows_test.cpp
+++ b/tests/protocol/job_rows_test.cpp
@@ -45,11 +45,22 @@
   CHECK(read->units == progress.units);
 }
 
+TEST_CASE("leaving_workers_row_round_trip_keeps_every_task") {
+  // Guards against a task that is lost from the row: the next owner would start it while it still runs.
+  const std::vector<leaving_worker> workers{
+      {.worker = worker_id{"w1"}, .tasks = {{.job = job_id{"j"}, .occurrence = 1, .step = 2, .index = 3}}},
+      {.worker = worker_id{"w2"}, .tasks = {}}};
+  const auto read = decode_leaving_workers(encode_leaving_workers(workers));
+  REQUIRE(read.ok());
+  CHECK(*read == workers);
+}
+
 TEST_CASE("rows_that_cannot_be_read_give_an_error") {
   for (const std::string_view bad : {"", "\xff", "\x01", "\x81\x01"}) {
     CHECK_FALSE(decode_accepted_job(bad).ok());
     CHECK_FALSE(decode_job_progress(bad).ok());
     CHECK_FALSE(decode_owner(bad).ok());
+    CHECK_FALSE(decode_leaving_workers(bad).ok());
   }
 }
 
