--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -89,22 +89,24 @@
 void job_scheduler::implementation::update_health(const worker_health::event& event, instant now) {
   std::vector<worker_health::action> decisions;
   health.handle(event, now, decisions);
-  const auto apply = [&](const worker_id& id, bool set_aside, bool trial, std::string_view what,
-                         std::string reason) {
+  const auto mark = [&](const worker_id& id, bool set_aside, bool trial) {
     if (const auto found = workers.find(id); found != workers.end()) {
       found->second.set_aside = set_aside;
       found->second.trial = trial;
       placement_due = true;
-      record(what, {}, std::move(reason), {{"worker", id.value()}});
     }
   };
   for (auto& decision : decisions) {
     if (auto* aside = std::get_if<worker_health::set_aside>(&decision)) {
-      apply(aside->worker, true, false, "worker_set_aside", std::move(aside->reason));
+      mark(aside->worker, true, false);
+      record("worker_set_aside", {}, std::move(aside->reason), {{"worker", aside->worker.value()}});
     } else if (const auto* trial = std::get_if<worker_health::begin_trial>(&decision)) {
-      apply(trial->worker, true, true, "worker_trial", "one run may be placed on it");
+      mark(trial->worker, true, true);
+      record("worker_trial", {}, "the pause is over", {{"worker", trial->worker.value()}});
     } else if (const auto* restored = std::get_if<worker_health::restore>(&decision)) {
-      apply(restored->worker, false, false, "worker_restored", "a run ended well, or none was tried");
+      mark(restored->worker, false, false);
+      record("worker_restored", {}, "a run ended well, or none was tried",
+             {{"worker", restored->worker.value()}});
     }
     // A task that fails on every worker ends its job by the queue's limit of attempts.
   }
