--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -305,6 +305,7 @@
   void store_worker_set();
 
   // job_scheduler_reports.cpp
+  void note_incarnation(detail::worker_state& worker, const lease_report& report, instant now);
   /// Updates, adopts or stops a run that the worker lists as running.
   void process_active_run(detail::worker_state& worker, const active_run& run, instant now);
   void process_ended_run(detail::worker_state& worker, const ended_run& end, instant now);
--- a/src/coordination/job_scheduler_reports.cpp
+++ b/src/coordination/job_scheduler_reports.cpp
@@ -102,27 +102,16 @@
   }
 }
 
-void job_scheduler::worker_reported(const worker_id& id, const lease_report& report, instant sent,
-                                    instant now) {
-  auto& self = *implementation_;
-  const auto found = self.workers.find(id);
-  if (found == self.workers.end()) {
-    return;
-  }
-  auto& worker = found->second;
-  worker.renewing = false;
-  worker.replaced = false;
-  if (std::exchange(worker.failed_renewals, 0) > 0) {
-    self.record("worker_answers", {}, "renewal answered", {{"worker", id.value()}});
-    self.placement_due = true;
-  }
+/// Takes over the worker's incarnation and clock. A new incarnation knows nothing of what ran before.
+void job_scheduler::implementation::note_incarnation(worker_state& worker, const lease_report& report,
+                                                     instant now) {
   const bool restarted = worker.reported && worker.born != report.born;
   if (worker.born != report.born) {
     if (restarted) {
-      self.update_health(worker_health::worker_removed{id}, now);
+      update_health(worker_health::worker_removed{worker.entry.id}, now);
       worker.set_aside = worker.trial = false;
-      self.record("worker_restarted", {}, "new incarnation",
-                  {{"worker", id.value()}, {"born", absl::StrCat(report.born.value())}});
+      record("worker_restarted", {}, "new incarnation",
+             {{"worker", worker.entry.id.value()}, {"born", absl::StrCat(report.born.value())}});
     }
     worker.born = report.born;
     worker.lease_until = milliseconds{0};
@@ -135,11 +124,29 @@
   worker.clock_at = now;
   if (!std::exchange(worker.reported, true)) {
     // The lease that an earlier owner granted is unknown, but it is at most the longest lease.
-    worker.lease_until = report.clock + duration_cast<milliseconds>(self.opts.max_lease);
+    worker.lease_until = report.clock + duration_cast<milliseconds>(opts.max_lease);
     // A stop order of the previous owner may still be in progress. Its run is in neither list until it ends.
-    self.recovery_not_before = now + self.opts.stop_timeout;
+    recovery_not_before = now + opts.stop_timeout;
+    placement_due = true;
+  }
+}
+
+void job_scheduler::worker_reported(const worker_id& id, const lease_report& report, instant sent,
+                                    instant now) {
+  auto& self = *implementation_;
+  const auto found = self.workers.find(id);
+  if (found == self.workers.end()) {
+    return;
+  }
+  auto& worker = found->second;
+  worker.renewing = false;
+  worker.replaced = false;
+  if (std::exchange(worker.failed_renewals, 0) > 0) {
+    self.record("worker_answers", {}, "renewal answered", {{"worker", id.value()}});
     self.placement_due = true;
   }
+  const bool restarted = worker.reported && worker.born != report.born;
+  self.note_incarnation(worker, report, now);
   for (const auto& end : report.ended) {
     if (end.number > worker.seen_through) {
       self.process_ended_run(worker, end, now);
