Keep what the stored row says of leaving workers across owners

Cause: found in the review of the row of leaving workers: a worker stored as leaving that restarts under its id, as ready, got work from a new owner without the row being written again; the owner after that took the old list for what may run there and started the new task a second time.

Change: the set of workers that the row calls leaving is kept as loaded and as written, and a worker in it gets no work before the row is written again. Records of worker_health about a job's units all go with the job.

The test (new) showed the double run before the change and passes after it.

--- a/src/coordination/job_scheduler.cpp
+++ b/src/coordination/job_scheduler.cpp
@@ -165,9 +165,7 @@
   tickets.forget(job.job.id);
   record("job_ended", job.job.id, std::string{phase_name(phase)}, {}, now - job.added_at);
   for (auto& each : job.units) {
-    if (!each.failed_runs.empty()) {
-      update_health(worker_health::job_removed{detail::health_key(job, each)}, now);
-    }
+    update_health(worker_health::job_removed{detail::health_key(job, each)}, now);
     end_unit(job, each, now);
   }
 }
@@ -391,9 +389,10 @@
       self.unreported_leaving[each.worker] = each.tasks;
       self.blocked_tasks.insert(each.tasks.begin(), each.tasks.end());
     }
-    if (const auto found = self.workers.find(each.worker); found != self.workers.end()) {
-      found->second.stored_as_leaving = true;
-    }
+    self.stored_leaving.insert(each.worker);
+  }
+  for (auto& [id, worker] : self.workers) {
+    worker.stored_as_leaving = self.stored_leaving.contains(id);
   }
   self.recovery = true;
   // The lease is measured on the worker's clock, which may run slow, and stopping the runs takes time after
@@ -476,9 +475,12 @@
     self.stored_workers.insert(id);
     if (const auto found = self.workers.find(id); found != self.workers.end()) {
       found->second.stored = true;
-      found->second.stored_as_leaving = self.leaving_being_stored.contains(id);
     }
   }
+  self.stored_leaving = std::exchange(self.leaving_being_stored, {});
+  for (auto& [id, worker] : self.workers) {
+    worker.stored_as_leaving = self.stored_leaving.contains(id);
+  }
   self.placement_due = true;
   self.renew_workers(now);
   self.store_worker_set();
--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -132,7 +132,7 @@
   /// Position in the index of its service; empty until the worker is listed.
   std::optional<worker_slot> slot;
   bool stored{false};  ///< Its id is in the stored set of workers, so it may get orders.
-  /// The stored set says that the worker gets no new work.
+  /// The stored row says that the worker gets no new work. Before it gets some, the row is written again.
   bool stored_as_leaving{false};
   bool set_aside{false};  ///< Its runs fail, by `worker_health`.
   bool trial{false};      ///< One run may show whether a worker that is set aside works again.
@@ -222,6 +222,7 @@
   std::vector<std::pair<job_id, job_phase>> phases_being_stored;
   std::set<worker_id> stored_workers;
   std::set<worker_id> worker_set_being_stored;
+  std::set<worker_id> stored_leaving;
   std::set<worker_id> leaving_being_stored;
   bool storing_workers{false};
   bool placement_due{true};
--- a/src/coordination/job_scheduler_reports.cpp
+++ b/src/coordination/job_scheduler_reports.cpp
@@ -65,6 +65,7 @@
     }
     self.index_worker(worker, entry);
     worker.stored = worker.stored || self.stored_workers.contains(entry.id);
+    worker.stored_as_leaving = self.stored_leaving.contains(entry.id);
     worker.listed = true;
     worker.was_draining = entry.draining;
   }
--- a/tests/coordination/job_scheduler_test.cpp
+++ b/tests/coordination/job_scheduler_test.cpp
@@ -376,6 +376,36 @@
   CHECK(fleet.violations.empty());
 }
 
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_restarted_worker_of_the_leaving_list_blocks_its_new_tasks") {
+  // Guards against a task that runs twice: a worker that was stored as leaving restarts under its id, a new
+  // owner gives it work, and the owner after that takes the old list for what runs there.
+  const worker_id w2{"w2"};
+  for (int job = 0; job < 6; ++job) {
+    fleet.submit(
+        simulated_workers::job("running" + std::to_string(job), 1, identical_tasks(1, 8, seconds{60})));
+  }
+  fleet.advance(milliseconds{500});
+  fleet.workers.at(w2).entry.draining = true;
+  fleet.advance(milliseconds{1500});
+  REQUIRE(fleet.stored_leaving.size() == 1);
+  const auto listed_job = fleet.workers.at(w2).tasks.begin()->first.job;
+  fleet.scheduler.reset();
+  fleet.cancel(listed_job);
+  fleet.submit(simulated_workers::job("other", 1, identical_tasks(1, 8, seconds{60})));
+  fleet.restart(w2);
+  fleet.workers.at(w2).entry.draining = false;
+  fleet.begin_term();
+  fleet.advance(seconds{3});
+  REQUIRE(fleet.workers.at(w2).tasks.begin()->first.job == job_id{"other"});
+  fleet.workers.at(w2).disconnected = true;
+  fleet.unlisted.insert(w2);
+  fleet.add_workers(2);
+  fleet.begin_term();
+  fleet.advance(seconds{4});
+  CHECK(fleet.workers.at(w2).tasks.size() == 1);
+  CHECK(fleet.violations.empty());
+}
+
 TEST_CASE_METHOD(scheduler_fixture, "scheduler_steady_urgent_load_on_a_full_fleet_preempts_little") {
   // Guards against a full fleet on which each urgent gang must stop other work first: the urgent caller waits
   // for the stops, and what was stopped is done again.
