Move held-back space to a file of its own and bound the urgent arrivals

Arrivals were dropped only when less urgent work waited, so they would grow without end on a fleet that has urgent work alone. The rest is a move.

--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -326,12 +326,6 @@
     instant objective{};
   };
   using placement = std::vector<detail::worker_state*>;
-  /// The workers whose space is held back for a waiting gang. Kept from pass to pass for `plan_lifetime`,
-  /// because planning all waiting gangs again in each pass would dominate its cost.
-  struct kept_plan {
-    placement where;
-    instant planned_at{};
-  };
   [[nodiscard]] bool step_ready(const detail::job_state& job, std::uint32_t occurrence, std::uint32_t step,
                                 instant now) const;
   [[nodiscard]] std::vector<waiting_step> waiting_steps(instant now);
@@ -348,20 +342,33 @@
                                        const detail::unit& unit) const;
   /// Asks the adviser about more workers when a unit does not fit on those with a valid ticket.
   void ask_adviser(const detail::job_state& job, const detail::unit& unit, instant now);
-  /// Brings the indexes up to date with all workers at the begin of a pass.
-  void refresh_spaces(instant now);
-  void refresh_space(detail::worker_state& worker);
   [[nodiscard]] detail::service_space* space_for(const detail::job_state& job);
   [[nodiscard]] std::uint32_t tasks_of_step(const detail::worker_state& worker, const detail::job_state& job,
                                             const detail::unit& unit) const;
   /// `spread` allows several racks, or a rack without the data.
   [[nodiscard]] placement choose_workers(const detail::job_state& job, const detail::unit& unit, bool spread);
+  void start_unit(detail::job_state& job, detail::unit& unit, const placement& where, instant now);
+  void start_reserved(instant now);
+  void release_reservation(detail::unit& unit, const resource_amounts& each);
+
+  // job_scheduler_held_space.cpp
+  /// Brings the indexes up to date with all workers at the begin of a pass.
+  void refresh_spaces(instant now);
+  void refresh_space(detail::worker_state& worker);
+  /// The workers whose space is held back for a waiting gang. Kept from pass to pass for `plan_lifetime`,
+  /// because planning all waiting gangs again in each pass would dominate its cost.
+  struct kept_plan {
+    placement where;
+    instant planned_at{};
+  };
+  [[nodiscard]] kept_plan plan_gang(const detail::job_state& job, const detail::unit& unit, instant now);
   void hold_back_space(const detail::job_state& job, const detail::unit& unit, instant now);
   /// Keeps space free for urgent work, which is expected to arrive as it did during the last second. Urgent
   /// jobs then start at once; otherwise each must wait until preempted runs have stopped, and their work is
   /// lost.
   void hold_back_for_urgent(instant now);
   void expect_urgent(const detail::job_state& job, instant now);
+  void drop_old_arrivals(instant now);
   /// An urgent unit that arrived recently.
   struct urgent_arrival {
     service_id service;
@@ -370,9 +377,6 @@
     instant at{};
     kept_plan plan;
   };
-  void start_unit(detail::job_state& job, detail::unit& unit, const placement& where, instant now);
-  void start_reserved(instant now);
-  void release_reservation(detail::unit& unit, const resource_amounts& each);
 
   // job_scheduler_preemption.cpp
   /// A unit that may be preempted, and the work that would be lost, in core seconds.
@@ -432,7 +436,6 @@
     free_space_index::request wanted;
   };
   [[nodiscard]] bool known_unplaceable(const unplaceable_request& request) const;
-  [[nodiscard]] kept_plan plan_gang(const detail::job_state& job, const detail::unit& unit, instant now);
 
   instant pass_time{};  ///< When the last placement pass began. Tickets must be valid at this time.
   std::vector<unplaceable_request> unplaceable;
