--- a/src/programs/rhubarb-edge/caller_api.cpp
+++ b/src/programs/rhubarb-edge/caller_api.cpp
@@ -146,12 +146,13 @@
 
 void caller_api::retry_or_fail(const pending_call_ptr& call, std::function<void()> retry) {
   const auto now = deps_.loop.now();
-  if (!call->may_be_stored && now - call->received_at >= refusal_timeout) {
+  const bool out_of_time = now + retry_pause >= call->answer_deadline;
+  if (!call->may_be_stored && (out_of_time || now - call->received_at >= refusal_timeout)) {
     answer(call, http_status::service_unavailable, {}, "the store refuses calls; nothing was done",
            retry_after_seconds);
     return;
   }
-  if (now + retry_pause >= call->answer_deadline) {
+  if (out_of_time) {
     answer(call, http_status::gateway_timeout, {}, "the store has not confirmed the write");
     return;
   }
@@ -177,6 +178,16 @@
 }
 
 void caller_api::try_submit(const std::shared_ptr<submission>& job) {
+  const auto advice = job->call->may_be_stored ? write_gate::advice::send : deps_.store.new_write_advice();
+  if (advice == write_gate::advice::refuse) {
+    answer(job->call, http_status::service_unavailable, {}, "the store does not answer; nothing was sent",
+           retry_after_seconds);
+    return;
+  }
+  if (advice == write_gate::advice::wait) {
+    retry_or_fail(job->call, [this, job] { try_submit(job); });
+    return;
+  }
   const auto key = keys::job(job->job.id);
   kv_commit commit{.expected = {{.key = key, .changed = revision{}}},
                    .puts = {{.key = key, .value = encode_accepted_job(job->job)}},
--- a/src/programs/rhubarb-edge/store_access.cpp
+++ b/src/programs/rhubarb-edge/store_access.cpp
@@ -180,6 +180,9 @@
   }
   if (!std::holds_alternative<kv_unknown>(result) && !std::holds_alternative<kv_refused>(result)) {
     last_answer_ = loop_.now();
+    gate_.answered();
+  } else {
+    gate_.failed(loop_.now());
   }
   call->done(std::move(result));
 }
--- a/src/programs/rhubarb-edge/store_access.hpp
+++ b/src/programs/rhubarb-edge/store_access.hpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "rhubarbpath/coordination/peer_directory.hpp"
+#include "rhubarbpath/coordination/write_gate.hpp"
 #include "rhubarbpath/state/kv.hpp"
 #include "rhubarbpath/transport/event_loop.hpp"
 #include "rhubarbpath/transport/http_client.hpp"
@@ -44,6 +45,8 @@
   void relay(const http_request& request, const http_responder& responder);
   /// Time of the store's last answer, received directly or through another VM.
   [[nodiscard]] instant last_answer() const noexcept { return last_answer_; }
+  /// Whether a new write may be sent, by how the latest calls went.
+  [[nodiscard]] write_gate::advice new_write_advice() const { return gate_.new_write(loop_.now()); }
 
  private:
   struct pending_call;
@@ -65,6 +68,7 @@
   bool direct_healthy_{true};
   instant direct_retry_at_{};
   instant last_answer_{};
+  write_gate gate_;
   std::string working_relay_;  ///< Peer address of the last relay that worked; empty after a failure.
 };
 
