Log how a version came, what became of the call for it and how late the loop was

A refusal from an old version could come from a lost call, from a late loop or from a change that no watch reported, and the logs could not tell them apart. config_in_force names the call that brought the version, config_path_lost and config_path_regained the first failure and the recovery of the path, loop_late and rhubarb_loop_delay_seconds the lateness of the process.

--- a/src/programs/rhubarb-edge/config_feed.cpp
+++ b/src/programs/rhubarb-edge/config_feed.cpp
@@ -1,5 +1,7 @@
 #include "config_feed.hpp"
 
+#include <fmt/format.h>
+
 #include <utility>
 
 #include "platform/config_wire.hpp"
@@ -16,21 +18,23 @@
 
 }  // namespace
 
-config_feed::config_feed(event_loop& loop, store_access& store, on_change changed)
-    : loop_{loop}, store_{store}, on_change_{std::move(changed)} {}
+config_feed::config_feed(event_loop& loop, store_access& store, metrics& counters, on_change changed)
+    : loop_{loop}, store_{store}, counters_{counters}, on_change_{std::move(changed)} {}
 
 void config_feed::start() {
   read();
 }
 
 void config_feed::read() {
-  const auto handle_result = [this](const kv_result& result) {
+  const auto sent_at = loop_.now();
+  const auto handle_result = [this, sent_at](const kv_result& result) {
+    record_path("read", result, sent_at);
     if (const auto* items = std::get_if<kv_items>(&result)) {
       read_timeout_.answered();
       watch_revision_ = items->as_of;
       confirmed_at_ = loop_.now();
       for (const auto& item : items->items) {
-        apply(item);
+        apply(item, "read");
       }
       watch();
       return;
@@ -46,13 +50,15 @@
 
 void config_feed::watch() {
   kv_watch request{.prefix = platform::config_key(), .after = watch_revision_, .wait = watch_wait};
-  store_.call(std::move(request), [this](const kv_result& result) {
+  const auto sent_at = loop_.now();
+  store_.call(std::move(request), [this, sent_at](const kv_result& result) {
+    record_path("watch", result, sent_at);
     if (const auto* events = std::get_if<kv_events>(&result)) {
       watch_revision_ = std::max(watch_revision_, events->as_of);
       confirmed_at_ = loop_.now();
       for (const auto& event : events->events) {
         if (!event.deleted) {
-          apply(event.item);
+          apply(event.item, "watch");
         }
       }
       watch();
@@ -68,7 +74,38 @@
   });
 }
 
-void config_feed::apply(const kv_item& item) {
+void config_feed::record_path(std::string_view call, const kv_result& result, instant sent_at) {
+  const auto milliseconds_since = [this](instant then) {
+    return static_cast<std::int64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(loop_.now() - then).count());
+  };
+  const auto* refused = std::get_if<kv_refused>(&result);
+  const auto* unknown = std::get_if<kv_unknown>(&result);
+  const bool failed =
+      refused != nullptr || unknown != nullptr || std::holds_alternative<kv_compacted>(result);
+  if (!failed) {
+    if (const auto failures = std::exchange(path_failures_, 0); failures > 0) {
+      log(log_level::info, "config_path_regained",
+          {{"call", std::string{call}},
+           {"failures", failures},
+           {"config_age_ms", milliseconds_since(confirmed_at_)}});
+    }
+    return;
+  }
+  ++path_failures_;
+  counters_.add("rhubarb_config_path_failures_total", fmt::format("call=\"{}\"", call));
+  if (path_failures_ == 1) {
+    log(log_level::warning, "config_path_lost",
+        {{"call", std::string{call}},
+         {"reason", refused != nullptr   ? refused->reason
+                    : unknown != nullptr ? unknown->reason
+                                         : std::string{"history discarded"}},
+         {"took_ms", milliseconds_since(sent_at)},
+         {"config_age_ms", milliseconds_since(confirmed_at_)}});
+  }
+}
+
+void config_feed::apply(const kv_item& item, std::string_view source) {
   if (item.key != platform::config_key()) {
     return;
   }
@@ -83,7 +120,8 @@
   log(log_level::info, "config_in_force",
       {{"version", static_cast<std::int64_t>(decoded->version.value())},
        {"revision", static_cast<std::int64_t>(item.changed.value())},
-       {"queues", static_cast<std::int64_t>(decoded->queues.size())}});
+       {"queues", static_cast<std::int64_t>(decoded->queues.size())},
+       {"source", std::string{source}}});
   current_ = std::make_shared<const fleet_config>(*std::move(decoded));
   on_change_(current_);
 }
--- a/src/programs/rhubarb-edge/config_feed.hpp
+++ b/src/programs/rhubarb-edge/config_feed.hpp
@@ -2,10 +2,12 @@
 
 #include <functional>
 #include <memory>
+#include <string_view>
 
 #include "rhubarbpath/coordination/growing_timeout.hpp"
 #include "rhubarbpath/state/fleet.hpp"
 #include "rhubarbpath/transport/event_loop.hpp"
+#include "rhubarbpath/transport/metrics.hpp"
 #include "store_access.hpp"
 
 namespace rhubarbpath::edge {
@@ -17,7 +19,7 @@
   using pointer = std::shared_ptr<const fleet_config>;
   using on_change = std::function<void(const pointer&)>;
 
-  config_feed(event_loop& loop, store_access& store, on_change changed);
+  config_feed(event_loop& loop, store_access& store, metrics& counters, on_change changed);
   void start();
 
   /// Null until a valid configuration has been read.
@@ -28,15 +30,20 @@
  private:
   void read();
   void watch();
-  void apply(const kv_item& item);
+  /// Takes a newer version into force; `source` tells the log which call brought it.
+  void apply(const kv_item& item, std::string_view source);
+  /// Logs the first failed call after an answered one, and the first answered one after that.
+  void record_path(std::string_view call, const kv_result& result, instant sent_at);
 
   event_loop& loop_;
   store_access& store_;
+  metrics& counters_;
   on_change on_change_;
   pointer current_;
   revision watch_revision_;
   instant confirmed_at_{};
   growing_timeout read_timeout_{{}};
+  std::int64_t path_failures_{0};  ///< Failed calls since the last answered one.
   timer_handle retry_timer_;
 };
 
--- a/src/programs/rhubarb-edge/edge_daemon.cpp
+++ b/src/programs/rhubarb-edge/edge_daemon.cpp
@@ -38,6 +38,8 @@
 /// The VM reports that it is not ready when the store has not answered for this long, so that callers are
 /// sent to other VMs.
 constexpr duration max_store_silence{std::chrono::milliseconds{2500}};
+/// A loop that is late by this much is logged, because its VM then acts on outdated knowledge.
+constexpr duration reported_lateness{std::chrono::milliseconds{500}};
 constexpr std::size_t max_body_bytes = 4U << 20U;
 
 std::string encode_sightings(const std::vector<peer_directory::peer_record>& sightings) {
@@ -91,7 +93,7 @@
       store_{loop,      platform_client_,
              peers_,    random_,
              counters_, {.store_address = settings_.store_address, .self = settings_.peer_address}},
-      config_{loop, store_,
+      config_{loop, store_, counters_,
               [this](const config_feed::pointer& config) {
                 if (session_ != nullptr) {
                   session_->set_config(config);
@@ -107,7 +109,8 @@
                 .owner_address = [this] { return owner_address_; },
                 .stopping = [this] { return stopping_; }}},
       incarnation_{static_cast<std::uint64_t>(wall_clock().count())},
-      started_at_{loop.now()} {}
+      started_at_{loop.now()},
+      last_tick_{started_at_} {}
 
 absl::Status edge_daemon::start() {
   const auto start_server = [this](std::unique_ptr<http_server>& server, const std::string& address,
@@ -296,7 +299,19 @@
   }
 }
 
+void edge_daemon::measure_lateness() {
+  const auto now = loop_.now();
+  const auto late = now - std::exchange(last_tick_, now) - election_interval;
+  counters_.observe("rhubarb_loop_delay_seconds", {}, std::max(late, duration::zero()));
+  if (late > reported_lateness) {
+    log(log_level::warning, "loop_late",
+        {{"late_ms",
+          static_cast<std::int64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(late).count())}});
+  }
+}
+
 void edge_daemon::election_tick() {
+  measure_lateness();
   if (config_.current() == nullptr) {
     // No VM can claim ownership before the first configuration. If the delay that lets larger VMs claim
     // first ran now, it would expire before the first claim and have no effect.
--- a/src/programs/rhubarb-edge/edge_daemon.hpp
+++ b/src/programs/rhubarb-edge/edge_daemon.hpp
@@ -35,6 +35,8 @@
   void read_ownership();
   void watch_ownership();
   void apply_ownership(const std::vector<kv_item>& items);
+  /// Records by how much the election timer fired late.
+  void measure_lateness();
   void election_tick();
   void run_election();
   void perform(const request_lease& action);
@@ -71,6 +73,7 @@
   std::string owner_address_;
   incarnation incarnation_;
   instant started_at_;
+  instant last_tick_;  ///< Last run of the election timer.
   revision ownership_revision_;
   bool running_election_{false};
   bool stopping_{false};
