--- /dev/null
+++ b/tests/platform/edge/edge_processes.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "../soak/edge_process.hpp"
+#include "../soak/fault_proxy.hpp"
+#include "../soak/store_stand_in.hpp"
+#include "rhubarbpath/transport/http_client.hpp"
+
+namespace rhubarbpath::soak {
+
+/// A few `rhubarb-edge` processes on loopback, each with a proxy of its own before the stand-in of the store.
+class edge_processes {
+ public:
+  explicit edge_processes(int vms);
+  edge_processes(const edge_processes&) = delete;
+  edge_processes(edge_processes&&) = delete;
+  edge_processes& operator=(const edge_processes&) = delete;
+  edge_processes& operator=(edge_processes&&) = delete;
+  ~edge_processes();
+
+  [[nodiscard]] store_stand_in& store() noexcept { return store_; }
+  [[nodiscard]] fault_proxy& store_proxy(std::size_t vm) { return *vms_.at(vm).store_proxy; }
+  [[nodiscard]] std::size_t size() const noexcept { return vms_.size(); }
+  void send(std::size_t vm, int signal_number) const { vms_.at(vm).process->send(signal_number); }
+
+  /// Writes version `number` of the configuration.
+  void put_config(int number);
+  /// Runs the event loop for `length`.
+  void run_for(duration length);
+  /// Queries the queue that version `number` adds, for a job id that cannot exist: 410 from a VM that knows
+  /// the queue.
+  [[nodiscard]] http_result query_version(std::size_t vm, int number);
+  /// The status of that answer; 0 without one.
+  [[nodiscard]] int query_status(std::size_t vm, int number);
+  /// Waits until the VM uses version `number`; false after `limit`.
+  [[nodiscard]] bool uses(std::size_t vm, int number, duration limit);
+  /// Waits until every VM uses version `number`; false after `limit`.
+  [[nodiscard]] bool all_use(int number, duration limit);
+  /// Number of store calls that the VM has relayed for others.
+  [[nodiscard]] int relayed_calls(std::size_t vm);
+
+ private:
+  struct entry_vm {
+    std::string address;
+    std::unique_ptr<fault_proxy> store_proxy;
+    std::unique_ptr<edge_process> process;
+  };
+  [[nodiscard]] http_result call(const std::string& address, const http_request& request);
+
+  std::filesystem::path folder_;
+  std::string network_prefix_;
+  event_loop loop_;
+  random_source random_{1};
+  store_stand_in store_;
+  http_client client_;
+  std::vector<entry_vm> vms_;
+};
+
+}  // namespace rhubarbpath::soak
--- a/tests/platform/soak/edge_soak.cpp
+++ b/tests/platform/soak/edge_soak.cpp
@@ -18,6 +18,7 @@
 #include "callers.hpp"
 #include "edge_process.hpp"
 #include "fault_proxy.hpp"
+#include "platform_documents.hpp"
 #include "store_stand_in.hpp"
 #include "worker_fleet.hpp"
 
@@ -25,15 +26,11 @@
 
 namespace {
 
-using nlohmann::json;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 constexpr std::uint16_t store_port = 8524;
 constexpr std::uint16_t moved_store_port = 8624;
-constexpr std::uint16_t caller_port = 8521;
-constexpr std::uint16_t ready_port = 8523;
-constexpr std::uint16_t peer_port = 8526;
 constexpr std::uint16_t proxy_port = 9000;
 constexpr std::uint16_t worker_port = 9100;
 /// A process must end within this time after SIGTERM; the platform then kills it.
@@ -43,7 +40,6 @@
 constexpr duration settle_limit{seconds{45}};
 /// The configuration must be in force on every VM within this time after the last fault.
 constexpr duration config_limit{seconds{9}};
-constexpr std::string_view caller_host = "soak.example";
 
 struct soak_options {
   std::string program;
@@ -171,61 +167,24 @@
   }
   void write_settings(const vm& entry_vm) {
     const auto index = static_cast<int>(&entry_vm - vms_.data());
-    json seeds = json::array();
+    std::vector<std::string> seeds;
     for (int i = 0; i < std::min(3, options_.vms); ++i) {
       seeds.push_back(fmt::format("{}.{}:{}", network_prefix_, 10 + i, peer_port));
     }
-    const json settings{
-        {"node", entry_vm.name},
-        {"ip", entry_vm.address},
-        {"zone", fmt::format("zone-{}", index % 2)},
-        {"bindings",
-         {{"front", fmt::format("{}:{}", entry_vm.address, caller_port)},
-          {"ready", fmt::format("{}:{}", entry_vm.address, ready_port)},
-          {"control", fmt::format("{}:{}", entry_vm.address, peer_port)}}},
-        {"seeds", seeds},
-        {"limits", {{"cpuShare", 1.0}, {"cores", 1}}},
-        {"bounds", {{"maxHoldMs", 10000}, {"stopTimeoutMs", 200}, {"remoteFactor", 3}, {"graceS", 6}}},
-        {"controlMode", "request"},
-        {"platform",
-         {{"address", fmt::format("{}.2:{}", network_prefix_,
-                                  (entry_vm.moved ? moved_store_port : proxy_port) + index)}}}};
-    // Write to a temporary file and rename it, so that no process reads a partial file.
-    const auto temporary_path = settings_path(entry_vm) + ".next";
-    std::ofstream{temporary_path} << settings.dump(1);
-    std::filesystem::rename(temporary_path, settings_path(entry_vm));
+    soak::write_settings(
+        settings_path(entry_vm),
+        {.name = entry_vm.name,
+         .address = entry_vm.address,
+         .zone = fmt::format("zone-{}", index % 2),
+         .seeds = seeds,
+         .store_address = fmt::format("{}.2:{}", network_prefix_,
+                                      (entry_vm.moved ? moved_store_port : proxy_port) + index)});
   }
 
   /// Writes the next configuration. Each version adds one route named after it and keeps all earlier ones.
   void write_config() {
     ++config_version_;
-    json routes = json::array({{{"name", "jobs"},
-                                {"host", caller_host},
-                                {"prefix", "/jobs/"},
-                                {"service", "render"},
-                                {"priority", 1},
-                                {"maxAttempts", 20},
-                                {"stretch", 3.0},
-                                {"targetDurationMs", 20'000}}});
-    for (int i = 1; i <= config_version_; ++i) {
-      routes.push_back({{"name", fmt::format("probe-{}", i)},
-                        {"host", caller_host},
-                        {"prefix", fmt::format("/probe-{}/", i)},
-                        {"service", "render"},
-                        {"public", true},
-                        {"priority", 2},
-                        {"maxAttempts", 1},
-                        {"stretch", 3.0},
-                        {"targetDurationMs", 20'000}});
-    }
-    store_.put(
-        "op/config",
-        json{{"version", config_version_ * 3},
-             {"routes", std::move(routes)},
-             {"services", {{{"name", "render"}, {"admissionControl", true}}}},
-             {"tenants", {{{"name", "team-a"}, {"apiKeys", {"key-a"}}, {"guaranteedGpus", {{"gpu", 4}}}}}},
-             {"limits", {{"maxBodyBytes", 1'000'000}}}}
-            .dump());
+    store_.put("op/config", config_text(config_version_));
   }
 
   // ---- faults ----
--- /dev/null
+++ b/tests/platform/soak/platform_documents.cpp
@@ -0,0 +1,64 @@
+#include "platform_documents.hpp"
+
+#include <fmt/format.h>
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+namespace rhubarbpath::soak {
+
+using nlohmann::json;
+
+void write_settings(const std::filesystem::path& path, const vm_document& vm) {
+  const json settings{{"node", vm.name},
+                      {"ip", vm.address},
+                      {"zone", vm.zone},
+                      {"bindings",
+                       {{"front", fmt::format("{}:{}", vm.address, caller_port)},
+                        {"ready", fmt::format("{}:{}", vm.address, ready_port)},
+                        {"control", fmt::format("{}:{}", vm.address, peer_port)}}},
+                      {"seeds", vm.seeds},
+                      {"limits", {{"cpuShare", 1.0}, {"cores", 1}}},
+                      {"bounds",
+                       {{"maxHoldMs", 10000},
+                        {"stopTimeoutMs", 200},
+                        {"remoteFactor", 3},
+                        {"graceS", 6},
+                        {"configApplyMs", 2000}}},
+                      {"controlMode", "request"},
+                      {"platform", {{"address", vm.store_address}}}};
+  auto temporary_path = path;
+  temporary_path += ".next";
+  std::ofstream{temporary_path} << settings.dump(1);
+  std::filesystem::rename(temporary_path, path);
+}
+
+std::string config_text(int number) {
+  json routes = json::array({{{"name", "jobs"},
+                              {"host", caller_host},
+                              {"prefix", "/jobs/"},
+                              {"service", "render"},
+                              {"priority", 1},
+                              {"maxAttempts", 20},
+                              {"stretch", 3.0},
+                              {"targetDurationMs", 20'000}}});
+  for (int i = 1; i <= number; ++i) {
+    routes.push_back({{"name", fmt::format("probe-{}", i)},
+                      {"host", caller_host},
+                      {"prefix", fmt::format("/probe-{}/", i)},
+                      {"service", "render"},
+                      {"public", true},
+                      {"priority", 2},
+                      {"maxAttempts", 1},
+                      {"stretch", 3.0},
+                      {"targetDurationMs", 20'000}});
+  }
+  return json{{"version", number * 3},
+              {"routes", std::move(routes)},
+              {"services", {{{"name", "render"}, {"admissionControl", true}}}},
+              {"tenants", {{{"name", "team-a"}, {"apiKeys", {"key-a"}}, {"guaranteedGpus", {{"gpu", 4}}}}}},
+              {"limits", {{"maxBodyBytes", 1'000'000}}}}
+      .dump();
+}
+
+}  // namespace rhubarbpath::soak
--- /dev/null
+++ b/tests/platform/soak/platform_documents.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstdint>
+#include <filesystem>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// The documents that the platform writes: a VM's settings file and the operator's configuration.
+namespace rhubarbpath::soak {
+
+constexpr std::uint16_t caller_port = 8521;
+constexpr std::uint16_t ready_port = 8523;
+constexpr std::uint16_t peer_port = 8526;
+constexpr std::string_view caller_host = "soak.example";
+
+struct vm_document {
+  std::string name;
+  std::string address;  ///< IP number of the VM.
+  std::string zone;
+  std::vector<std::string> seeds;
+  std::string store_address;
+};
+
+/// Replaces the settings file at `path` in one step, so that no process reads a partial file.
+void write_settings(const std::filesystem::path& path, const vm_document& vm);
+
+/// Returns version `number` of the configuration. It has the queue "/jobs/" and one queue for each version
+/// so far, "/probe-1/" to "/probe-NUMBER/", which shows callers the version that a VM uses.
+[[nodiscard]] std::string config_text(int number);
+
+}  // namespace rhubarbpath::soak
