Refuse nobody by a configuration that may be outdated

A version decides only while it was known to be the newest within the permitted time less 0.1 s, on the clock that counts suspension. After that, and when another VM is known to hold a newer one, a call waits up to 0.6 s for a check. If that fails, what the version would refuse is answered 503 with Retry-After, and so are new jobs and cancellations; queries of known queues are answered, because they change nothing.

Ruled out: making each stored job conditional on the configuration's revision, which protects neither refusals nor queries.

--- a/src/programs/rhubarb-edge/caller_api.cpp
+++ b/src/programs/rhubarb-edge/caller_api.cpp
@@ -109,24 +109,64 @@
     timeout_ms = default_timeout_ms;
   }
   call->answer_deadline = call->received_at + std::chrono::milliseconds{timeout_ms} - answer_margin;
+  route(call, request);
+}
+
+void caller_api::route(const pending_call_ptr& call, const http_request& request) {
   const auto& config = deps_.config.current();
   if (config == nullptr) {
     answer(call, http_status::service_unavailable, {}, "no configuration yet", retry_after_seconds);
     return;
   }
   const auto* queue = find_queue(*config, header_value(request.headers, "Host"), request.path);
-  if (queue == nullptr) {
-    answer(call, http_status::not_found, {}, "no such queue");
+  const auto* team = find_team(*config, header_value(request.headers, platform::key_header()));
+  const int refusal = queue == nullptr                         ? http_status::not_found
+                      : team == nullptr && !queue->open_to_all ? http_status::unauthorized
+                                                               : 0;
+  if (must_wait(call, refusal)) {
+    deps_.config.when_checked([this, call, request] { route(call, request); });
     return;
   }
-  call->queue = queue->id;
-  const auto* team = find_team(*config, header_value(request.headers, platform::key_header()));
-  if (team == nullptr && !queue->open_to_all) {
-    answer(call, http_status::unauthorized, {}, "unknown key");
+  const bool confirmed = deps_.config.standing() == version_tracker::standing::confirmed;
+  if (refusal != 0 && (!confirmed || deps_.config.outdated())) {
+    answer(call, http_status::service_unavailable, {}, "the configuration may be outdated; nothing was done",
+           retry_after_seconds);
+    return;
+  }
+  if (refusal != 0) {
+    answer(call, refusal, {}, refusal == http_status::not_found ? "no such queue" : "unknown key");
     return;
   }
+  // A query changes nothing, so it is answered during an outage of the store as well.
+  if (!confirmed && request.method != "GET") {
+    answer(call, http_status::service_unavailable, {}, "the configuration may be outdated; nothing was done",
+           retry_after_seconds);
+    return;
+  }
+  call->queue = queue->id;
   call->team = team == nullptr ? team_id{} : team->id;
   call->job = job_id{request.path.substr(queue->path_prefix.size())};
+  start(call, request);
+}
+
+bool caller_api::must_wait(const pending_call_ptr& call, int status) {
+  const auto now = deps_.loop.now();
+  if (now - call->received_at >= refusal_timeout || now >= call->answer_deadline) {
+    return false;
+  }
+  switch (deps_.config.standing()) {
+    case version_tracker::standing::confirmed:
+      return status != 0 && deps_.config.outdated();
+    case version_tracker::standing::checking:
+      // A job that the store cannot take is refused without waiting for the check.
+      return call->method != "POST" || deps_.store.new_write_advice() != write_gate::advice::refuse;
+    case version_tracker::standing::unconfirmed:
+      return false;
+  }
+  return false;
+}
+
+void caller_api::start(const pending_call_ptr& call, const http_request& request) {
   if (call->job.empty()) {
     request.method == "GET" ? answer_waiting_count(call)
                             : answer(call, http_status::method_not_allowed, {}, "a queue is only read");
