Drop the announcement of a version that its announcer does not serve

An announcement with a version that nobody holds, from a damaged message or a VM that is gone, would have kept the VM fetching, and what it refuses at 503, for the life of the process. Headers that are not numbers are taken as absent, so a negative age cannot confirm a version in the future. Found in review.

announced_version_that_its_announcer_does_not_hold_is_dropped and announced_version_whose_announcer_is_gone_is_dropped state both cases; no run of the older code was made.

--- a/include/rhubarbpath/coordination/version_tracker.hpp
+++ b/include/rhubarbpath/coordination/version_tracker.hpp
@@ -27,6 +27,8 @@
     /// announcer, besides the time of its transfer.
     duration announcement_grace{std::chrono::milliseconds{150}};
     duration fetch_retry_pause{std::chrono::milliseconds{100}};
+    /// After this many failures the announcement is dropped; a check finds another VM that holds the version.
+    int max_failed_fetches{3};
   };
   enum class standing {
     confirmed,    ///< The version held was the newest a short time ago.
@@ -48,9 +50,13 @@
     std::optional<instant> confirmed_at;  ///< When it was the newest one, if that is known.
   };
   void announced(const announcement& heard, instant now);
+  /// The VM that announced a version has served what it holds. If that was older or invalid, the announcement
+  /// is dropped.
+  void fetched();
   void fetch_failed(instant now);
 
-  /// Returns the VM to fetch a newer version from, at most one at a time: until `hold` or `fetch_failed`.
+  /// Returns the VM to fetch a newer version from, at most one at a time: until `fetched` or
+  /// `fetch_failed`.
   [[nodiscard]] std::optional<std::string> fetch_due(instant now);
   /// Returns true when a check is due, and counts it as begun.
   [[nodiscard]] bool check_due(instant now);
@@ -68,6 +74,8 @@
     duration transfer{};
     instant fetch_at{};
     bool fetching{false};
+    document_version fetched_version;  ///< The version announced when the fetch began.
+    int failed_fetches{0};
   };
 
   options opts_;
--- a/src/coordination/version_tracker.cpp
+++ b/src/coordination/version_tracker.cpp
@@ -14,7 +14,6 @@
   } else {
     // The VM's own watch works, so it gets time for the newer version as well.
     newer_->fetch_at = now + opts_.announcement_grace + newer_->transfer;
-    newer_->fetching = false;
   }
 }
 
@@ -44,16 +43,33 @@
     return std::nullopt;
   }
   newer_->fetching = true;
+  newer_->fetched_version = newer_->version;
   return newer_->peer;
 }
 
-void version_tracker::fetch_failed(instant now) {
-  if (newer_) {
+void version_tracker::fetched() {
+  if (!newer_) {
+    return;
+  }
+  if (newer_->version == newer_->fetched_version) {
+    newer_.reset();
+  } else {
     newer_->fetching = false;
-    newer_->fetch_at = now + opts_.fetch_retry_pause;
   }
 }
 
+void version_tracker::fetch_failed(instant now) {
+  if (!newer_) {
+    return;
+  }
+  if (++newer_->failed_fetches >= opts_.max_failed_fetches) {
+    newer_.reset();
+    return;
+  }
+  newer_->fetching = false;
+  newer_->fetch_at = now + opts_.fetch_retry_pause;
+}
+
 bool version_tracker::check_due(instant now) {
   const bool aged = !confirmed_at_ || now - *confirmed_at_ >= opts_.check_after;
   if (!aged || now - last_check_ < opts_.check_interval) {
--- a/src/programs/rhubarb-edge/config_feed.cpp
+++ b/src/programs/rhubarb-edge/config_feed.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "absl/strings/numbers.h"
@@ -41,16 +42,18 @@
 /// Time since the sender knew its version to be the newest, in microseconds.
 constexpr std::string_view age_header = "Rhubarb-Config-Age-Us";
 
-std::uint64_t number_header(const http_headers& headers, std::string_view name) {
-  std::uint64_t value = 0;
-  return absl::SimpleAtoi(std::string{header_value(headers, name)}, &value) ? value : 0;
+/// Returns the number in a header; nothing when it is absent, malformed or negative.
+std::optional<std::uint64_t> number_header(const http_headers& headers, std::string_view name) {
+  std::int64_t value = 0;
+  const bool valid = absl::SimpleAtoi(std::string{header_value(headers, name)}, &value) && value >= 0;
+  return valid ? std::optional{static_cast<std::uint64_t>(value)} : std::nullopt;
 }
 
 /// Reads the announcement in the headers, without the time of confirmation.
 version_tracker::announcement decode_announcement(const std::string& peer, const http_headers& headers) {
-  const auto transfer = number_header(headers, size_header) / slow_link_bytes_per_microsecond;
+  const auto transfer = number_header(headers, size_header).value_or(0) / slow_link_bytes_per_microsecond;
   return {.peer = peer,
-          .version = document_version{number_header(headers, version_header)},
+          .version = document_version{number_header(headers, version_header).value_or(0)},
           .transfer = duration{static_cast<std::int64_t>(transfer)},
           .confirmed_at = std::nullopt};
 }
@@ -211,9 +214,10 @@
 }
 
 void config_feed::note_peer(const std::string& peer, const http_headers& headers, instant sent_at) {
-  const duration age{static_cast<std::int64_t>(number_header(headers, age_header))};
   auto heard = decode_announcement(peer, headers);
-  heard.confirmed_at = sent_at - age;
+  if (const auto age = number_header(headers, age_header)) {
+    heard.confirmed_at = sent_at - duration{static_cast<std::int64_t>(*age)};
+  }
   tracker_.announced(heard, boot_clock_now());
   run_waiting();
 }
@@ -252,7 +256,7 @@
     }
     apply({.key = platform::config_key(),
            .value = response->body,
-           .changed = revision{number_header(response->headers, revision_header)}},
+           .changed = revision{number_header(response->headers, revision_header).value_or(0)}},
           "peer");
     // Does nothing if the announced version was taken.
     tracker_.fetch_failed(boot_clock_now());
--- a/tests/coordination/version_tracker_test.cpp
+++ b/tests/coordination/version_tracker_test.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <cstdint>
 
 namespace rhubarbpath {
 namespace {
@@ -97,6 +98,37 @@
   CHECK(tracker.fetch_due(start + options.announcement_grace + transfer));
 }
 
+TEST_CASE_METHOD(version_tracker_fixture, "announced_version_that_its_announcer_does_not_hold_is_dropped") {
+  tracker.announced({.peer = "peer", .version = document_version{~std::uint64_t{0}}}, start);
+  REQUIRE(tracker.fetch_due(start + options.announcement_grace));
+  tracker.fetched();
+  CHECK_FALSE(tracker.newer_announced());
+}
+
+TEST_CASE_METHOD(version_tracker_fixture, "version_announced_during_a_fetch_is_fetched_next") {
+  tracker.announced({.peer = "peer", .version = new_version}, start);
+  const auto due = start + options.announcement_grace;
+  REQUIRE(tracker.fetch_due(due));
+  tracker.announced({.peer = "other", .version = new_version.next()}, due);
+  tracker.hold(new_version, due);
+  tracker.fetched();
+  CHECK(tracker.fetch_due(due + options.announcement_grace) == "other");
+}
+
+TEST_CASE_METHOD(version_tracker_fixture, "announced_version_whose_announcer_is_gone_is_dropped") {
+  tracker.announced({.peer = "peer", .version = new_version}, start);
+  auto now = start + options.announcement_grace;
+  for (int i = 0; i < options.max_failed_fetches; ++i) {
+    REQUIRE(tracker.fetch_due(now));
+    tracker.fetch_failed(now);
+    now += options.fetch_retry_pause;
+  }
+  CHECK_FALSE(tracker.newer_announced());
+  // Another VM that holds it is asked.
+  tracker.announced({.peer = "other", .version = new_version}, now);
+  CHECK(tracker.newer_announced());
+}
+
 TEST_CASE("vm_without_a_configuration_fetches_an_announced_version_at_once") {
   version_tracker tracker{{}};
   tracker.announced({.peer = "peer", .version = new_version}, start);
