--- a/tests/coordination/domain_owner_test.cpp
+++ b/tests/coordination/domain_owner_test.cpp
@@ -102,6 +102,10 @@
   REQUIRE(rc::check([] { run_random_domain(*rc::gen::arbitrary<std::uint64_t>(), false); }));
 }
 
+TEST_CASE("domain_owner_gang_with_missing_members_is_stopped_within_15_s") {
+  run_random_domain(104792539, true);
+}
+
 // Guards against the same failures with the placement engine, and against a job state that differs between
 // the owner and the engine.
 TEST_CASE("domain_owner_with_placement_engine_preserves_invariants") {
