Tell other VMs no age of a version that was never confirmed, and check less often in an outage

A VM that held a version without any confirmation announced the age zero, which would have confirmed the version for others.

--- a/include/rhubarbpath/coordination/version_tracker.hpp
+++ b/include/rhubarbpath/coordination/version_tracker.hpp
@@ -21,6 +21,8 @@
     /// Without a confirmation for this long, the VM checks on other ways than its watch.
     duration check_after{std::chrono::milliseconds{1700}};
     duration check_interval{std::chrono::milliseconds{300}};
+    /// The same after checks have failed for `check_limit`, so that a long outage costs little.
+    duration outage_check_interval{std::chrono::seconds{1}};
     /// A version that may be outdated counts as being checked for this long.
     duration check_limit{std::chrono::milliseconds{600}};
     /// Time for this VM's own watch to bring an announced version before the VM fetches it from the
@@ -64,8 +66,8 @@
   /// Returns whether another VM holds a newer version.
   [[nodiscard]] bool newer_announced() const noexcept { return newer_.has_value(); }
   [[nodiscard]] document_version version() const noexcept { return held_; }
-  /// Time since the version held was known to be the newest; zero before the first version.
-  [[nodiscard]] duration age(instant now) const;
+  /// Time since the version held was known to be the newest; nothing if it never was.
+  [[nodiscard]] std::optional<duration> age(instant now) const;
 
  private:
   struct newer_version {
--- a/src/coordination/version_tracker.cpp
+++ b/src/coordination/version_tracker.cpp
@@ -72,7 +72,8 @@
 
 bool version_tracker::check_due(instant now) {
   const bool aged = !confirmed_at_ || now - *confirmed_at_ >= opts_.check_after;
-  if (!aged || now - last_check_ < opts_.check_interval) {
+  const bool failing = outdated_since_ && now - *outdated_since_ >= opts_.check_limit;
+  if (!aged || now - last_check_ < (failing ? opts_.outage_check_interval : opts_.check_interval)) {
     return false;
   }
   last_check_ = now;
@@ -88,8 +89,8 @@
   return now - *outdated_since_ < opts_.check_limit ? standing::checking : standing::unconfirmed;
 }
 
-duration version_tracker::age(instant now) const {
-  return confirmed_at_ ? now - *confirmed_at_ : duration::zero();
+std::optional<duration> version_tracker::age(instant now) const {
+  return confirmed_at_ ? std::optional{now - *confirmed_at_} : std::nullopt;
 }
 
 }  // namespace rhubarbpath
--- a/src/programs/rhubarb-edge/config_feed.cpp
+++ b/src/programs/rhubarb-edge/config_feed.cpp
@@ -80,7 +80,7 @@
 }
 
 duration config_feed::age() const {
-  return tracker_.age(boot_clock_now());
+  return tracker_.age(boot_clock_now()).value_or(duration::zero());
 }
 
 // ---- the store ----
@@ -181,10 +181,13 @@
 // ---- other VMs ----
 
 http_headers config_feed::version_headers() const {
-  return {{std::string{version_header}, fmt::format("{}", tracker_.version().value())},
-          {std::string{revision_header}, fmt::format("{}", current_revision_.value())},
-          {std::string{size_header}, fmt::format("{}", current_text_.size())},
-          {std::string{age_header}, fmt::format("{}", age().count())}};
+  http_headers headers{{std::string{version_header}, fmt::format("{}", tracker_.version().value())},
+                       {std::string{revision_header}, fmt::format("{}", current_revision_.value())},
+                       {std::string{size_header}, fmt::format("{}", current_text_.size())}};
+  if (const auto known_age = tracker_.age(boot_clock_now())) {
+    headers.emplace_back(age_header, fmt::format("{}", known_age->count()));
+  }
+  return headers;
 }
 
 void config_feed::announce() {
--- a/src/programs/rhubarb-edge/config_feed.hpp
+++ b/src/programs/rhubarb-edge/config_feed.hpp
@@ -46,7 +46,7 @@
   [[nodiscard]] version_tracker::standing standing();
   /// Whether another VM is known to hold a newer version.
   [[nodiscard]] bool outdated() const noexcept { return tracker_.newer_announced(); }
-  /// Time since `current` was known to be the newest version.
+  /// Time since `current` was known to be the newest version; zero if it never was.
   [[nodiscard]] duration age() const;
   /// Runs `call` once, when the standing may have changed.
   void when_checked(std::function<void()> call) { waiting_.push_back(std::move(call)); }
--- a/tests/coordination/version_tracker_test.cpp
+++ b/tests/coordination/version_tracker_test.cpp
@@ -129,6 +129,22 @@
   CHECK(tracker.newer_announced());
 }
 
+TEST_CASE("version_that_was_never_confirmed_has_no_age_to_tell_others") {
+  version_tracker tracker{{}};
+  tracker.hold(old_version, start);
+  CHECK_FALSE(tracker.age(start));
+  CHECK(tracker.standing_at(start) == standing::checking);
+}
+
+TEST_CASE_METHOD(version_tracker_fixture, "checks_are_rare_during_a_long_outage") {
+  const auto outdated = start + options.max_age + milliseconds{1};
+  static_cast<void>(tracker.standing_at(outdated));
+  const auto later = outdated + options.check_limit;
+  REQUIRE(tracker.check_due(later));
+  CHECK_FALSE(tracker.check_due(later + options.check_interval));
+  CHECK(tracker.check_due(later + options.outage_check_interval));
+}
+
 TEST_CASE("vm_without_a_configuration_fetches_an_announced_version_at_once") {
   version_tracker tracker{{}};
   tracker.announced({.peer = "peer", .version = new_version}, start);
