Derive the watch's wait and the check from the site's permitted time

A site that permits less than 1.8 s would have had a limit below the 1.5 s that a watch waits, so that every call would have waited for a check between two answers. Waits and checks are as before from 2 s on.

watch_and_check_are_due_before_the_version_may_no_longer_decide_on_sites_of_all_limits states it for 0.8 to 9 s.

--- a/include/rhubarbpath/coordination/version_tracker.hpp
+++ b/include/rhubarbpath/coordination/version_tracker.hpp
@@ -18,7 +18,8 @@
   struct options {
     /// The version held may decide for this long after it was known to be the newest.
     duration max_age{std::chrono::milliseconds{1900}};
-    /// Without a confirmation for this long, the VM checks on other ways than its watch.
+    /// Without a confirmation for this long, the VM asks by other means than its watch. Longer than the wait
+    /// of a watch and shorter than `max_age`, also where little time is permitted.
     duration check_after{std::chrono::milliseconds{1700}};
     duration check_interval{std::chrono::milliseconds{300}};
     /// The same after checks have failed for `check_limit`, so that a long outage costs little.
@@ -32,6 +33,12 @@
     /// After this many failures the announcement is dropped; a check finds another VM that holds the version.
     int max_failed_fetches{3};
   };
+  /// Returns the options of a site that permits `apply_limit`, 0.8 s or more, until a version must be in
+  /// force.
+  [[nodiscard]] static options options_for(duration apply_limit);
+  /// Returns how long a watch may wait, so that its answer is due before a check is.
+  [[nodiscard]] static duration watch_wait(const options& opts);
+
   enum class standing {
     confirmed,    ///< The version held was the newest a short time ago.
     checking,     ///< It may be outdated; a check is likely to tell soon.
--- a/src/coordination/version_tracker.cpp
+++ b/src/coordination/version_tracker.cpp
@@ -4,6 +4,30 @@
 
 namespace rhubarbpath {
 
+namespace {
+
+/// Where less is permitted, the store is asked as often as here.
+constexpr duration min_apply_limit{std::chrono::milliseconds{800}};
+/// Part of the permitted time that is left for the inaccuracy of clocks and links.
+constexpr duration apply_margin{std::chrono::milliseconds{100}};
+/// Time for the answer to a watch that waited as long as it may, and for that to a check.
+constexpr duration answer_time{std::chrono::milliseconds{200}};
+/// Each watch is a call to the store, so its wait is as long as the permitted time allows.
+constexpr duration max_watch_wait{std::chrono::milliseconds{1500}};
+
+}  // namespace
+
+version_tracker::options version_tracker::options_for(duration apply_limit) {
+  options opts;
+  opts.max_age = std::max(apply_limit, min_apply_limit) - apply_margin;
+  opts.check_after = std::min(opts.max_age - answer_time, max_watch_wait + answer_time);
+  return opts;
+}
+
+duration version_tracker::watch_wait(const options& opts) {
+  return opts.check_after - answer_time;
+}
+
 void version_tracker::hold(document_version version, instant now) {
   held_ = std::max(held_, version);
   if (!newer_) {
--- a/src/programs/rhubarb-edge/config_feed.cpp
+++ b/src/programs/rhubarb-edge/config_feed.cpp
@@ -16,8 +16,6 @@
 
 namespace {
 
-/// A watch whose connection has gone silent is detected only after this wait.
-constexpr std::chrono::milliseconds watch_wait{1500};
 /// Wait of the watch after a change. An answer with a change may have been on its way for a whole wait, so a
 /// short watch confirms the version.
 constexpr std::chrono::milliseconds confirming_wait{250};
@@ -26,8 +24,6 @@
 constexpr duration check_timeout{std::chrono::milliseconds{700}};
 constexpr duration retry_pause{std::chrono::milliseconds{150}};
 constexpr duration tick_interval{std::chrono::milliseconds{100}};
-/// Part of the time for a version to be in force that is left for the clocks' and the links' inaccuracy.
-constexpr duration apply_margin{std::chrono::milliseconds{100}};
 constexpr duration announce_timeout{std::chrono::milliseconds{500}};
 /// Collects versions in close succession into one announcement.
 constexpr duration announce_pause{std::chrono::milliseconds{50}};
@@ -68,7 +64,9 @@
     : deps_{deps},
       self_{std::move(self)},
       on_change_{std::move(changed)},
-      tracker_{version_tracker::options{.max_age = apply_limit - apply_margin}} {}
+      watch_wait_{std::chrono::duration_cast<std::chrono::milliseconds>(
+          version_tracker::watch_wait(version_tracker::options_for(apply_limit)))},
+      tracker_{version_tracker::options_for(apply_limit)} {}
 
 void config_feed::start() {
   tick_timer_ = deps_.loop.run_every(tick_interval, [this] { tick(); });
@@ -110,7 +108,8 @@
 }
 
 void config_feed::watch() {
-  const auto wait = std::exchange(changed_in_last_watch_, false) ? confirming_wait : watch_wait;
+  const bool changed = std::exchange(changed_in_last_watch_, false);
+  const auto wait = changed ? std::min(confirming_wait, watch_wait_) : watch_wait_;
   kv_watch request{.prefix = platform::config_key(), .after = watch_revision_, .wait = wait};
   const auto sent_at = boot_clock_now();
   deps_.store.call(std::move(request), [this, sent_at, wait](const kv_result& result) {
--- a/tests/coordination/version_tracker_test.cpp
+++ b/tests/coordination/version_tracker_test.cpp
@@ -129,6 +129,17 @@
   CHECK(tracker.newer_announced());
 }
 
+TEST_CASE("watch_and_check_are_due_before_the_version_may_no_longer_decide_on_sites_of_all_limits") {
+  for (const int limit_ms : {800, 1000, 2000, 3000, 4000, 9000}) {
+    const duration limit{milliseconds{limit_ms}};
+    const auto opts = version_tracker::options_for(limit);
+    CHECK(opts.max_age < limit);
+    CHECK(opts.check_after < opts.max_age);
+    CHECK(version_tracker::watch_wait(opts) < opts.check_after);
+    CHECK(version_tracker::watch_wait(opts) >= milliseconds{300});
+  }
+}
+
 TEST_CASE("version_that_was_never_confirmed_has_no_age_to_tell_others") {
   version_tracker tracker{{}};
   tracker.hold(old_version, start);
