Tell the tracker that a configuration was fetched

The tests of version_tracker are unchanged; no test runs config_feed with such a peer, and no failing run was made.

--- a/src/programs/rhubarb-edge/config_feed.cpp
+++ b/src/programs/rhubarb-edge/config_feed.cpp
@@ -260,8 +260,7 @@
            .value = response->body,
            .changed = revision{number_header(response->headers, revision_header).value_or(0)}},
           "peer");
-    // Does nothing if the announced version was taken.
-    tracker_.fetch_failed(boot_clock_now());
+    tracker_.fetched();
     note_peer(peer, response->headers, sent_at);
   });
 }
