Derive the watch's wait from the tracker instead of keeping a copy

config_feed computed the options of its tracker twice and kept the wait beside them. The tracker now answers for itself. No change of behaviour; the test asks the same of it.

--- a/include/rhubarbpath/coordination/version_tracker.hpp
+++ b/include/rhubarbpath/coordination/version_tracker.hpp
@@ -36,8 +36,6 @@
   /// Returns the options of a site that permits `apply_limit`, 0.8 s or more, until a version must be in
   /// force.
   [[nodiscard]] static options options_for(duration apply_limit);
-  /// Returns how long a watch may wait, so that its answer is due before a check is.
-  [[nodiscard]] static duration watch_wait(const options& opts);
 
   enum class standing {
     confirmed,    ///< The version held was the newest a short time ago.
@@ -67,6 +65,8 @@
   /// Returns the VM to fetch a newer version from, at most one at a time: until `fetched` or
   /// `fetch_failed`.
   [[nodiscard]] std::optional<std::string> fetch_due(instant now);
+  /// Returns how long a watch may wait, so that its answer is due before a check is.
+  [[nodiscard]] duration watch_wait() const;
   /// Returns true when a check is due, and counts it as begun.
   [[nodiscard]] bool check_due(instant now);
   [[nodiscard]] standing standing_at(instant now);
--- a/src/coordination/version_tracker.cpp
+++ b/src/coordination/version_tracker.cpp
@@ -24,8 +24,8 @@
   return opts;
 }
 
-duration version_tracker::watch_wait(const options& opts) {
-  return opts.check_after - answer_time;
+duration version_tracker::watch_wait() const {
+  return opts_.check_after - answer_time;
 }
 
 void version_tracker::hold(document_version version, instant now) {
--- a/src/programs/rhubarb-edge/config_feed.cpp
+++ b/src/programs/rhubarb-edge/config_feed.cpp
@@ -64,8 +64,6 @@
     : deps_{deps},
       self_{std::move(self)},
       on_change_{std::move(changed)},
-      watch_wait_{std::chrono::duration_cast<std::chrono::milliseconds>(
-          version_tracker::watch_wait(version_tracker::options_for(apply_limit)))},
       tracker_{version_tracker::options_for(apply_limit)} {}
 
 void config_feed::start() {
@@ -109,7 +107,8 @@
 
 void config_feed::watch() {
   const bool changed = std::exchange(changed_in_last_watch_, false);
-  const auto wait = changed ? std::min(confirming_wait, watch_wait_) : watch_wait_;
+  const auto longest = std::chrono::duration_cast<std::chrono::milliseconds>(tracker_.watch_wait());
+  const auto wait = changed ? std::min(confirming_wait, longest) : longest;
   kv_watch request{.prefix = platform::config_key(), .after = watch_revision_, .wait = wait};
   const auto sent_at = boot_clock_now();
   deps_.store.call(std::move(request), [this, sent_at, wait](const kv_result& result) {
--- a/src/programs/rhubarb-edge/config_feed.hpp
+++ b/src/programs/rhubarb-edge/config_feed.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -82,7 +81,6 @@
   std::string current_text_;  ///< As it was read from the store.
   revision current_revision_;
   revision watch_revision_;
-  std::chrono::milliseconds watch_wait_;  ///< A watch that has gone silent is noticed only after it.
   version_tracker tracker_;
   growing_timeout read_timeout_{{}};
   std::int64_t path_failures_{0};  ///< Failed calls since the last answered one.
--- a/tests/coordination/version_tracker_test.cpp
+++ b/tests/coordination/version_tracker_test.cpp
@@ -135,8 +135,8 @@
     const auto opts = version_tracker::options_for(limit);
     CHECK(opts.max_age < limit);
     CHECK(opts.check_after < opts.max_age);
-    CHECK(version_tracker::watch_wait(opts) < opts.check_after);
-    CHECK(version_tracker::watch_wait(opts) >= milliseconds{300});
+    CHECK(version_tracker{opts}.watch_wait() < opts.check_after);
+    CHECK(version_tracker{opts}.watch_wait() >= milliseconds{300});
   }
 }
 
