review: case 3, a draining worker that is cut off has its task run twice (TWICE)

Cause: a refused connection of a draining worker whose entry has lapsed counts as its exit, so its runs are started elsewhere while they work on. No code of the project is changed.

--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -21,6 +21,12 @@
   if (facts.gang) {
     step["gang"] = true;
   }
+  if (facts.long_running) {
+    step["longRunning"] = true;
+  }
+  if (facts.max_per_worker > 0) {
+    step["maxPerServer"] = facts.max_per_worker;
+  }
   if (!facts.after.empty()) {
     step["after"] = facts.after;
   }
@@ -239,6 +245,126 @@
   return lost ? broken : held;
 }
 
+/// A draining worker is cut off, so that its entry lapses and connections to it are refused; its task runs
+/// on.
+int draining_and_cut(world& here, bool trouble) {
+  here.put_config({plain_route});
+  if (!here.start()) {
+    return could_not_run;
+  }
+  here.run_for(milliseconds{2000});
+  const std::string id = "5c0e7a21d94b0001";
+  const step_facts step{.count = 1, .cpu = 3700, .memory_mb = 2000, .gpu = 1, .length = milliseconds{11'000}};
+  if (!here.submit("/plain/", id, job_of({step}), {step}) ||
+      !here.run_until([&] { return here.book().running(id) == step.count; }, milliseconds{5000})) {
+    return could_not_run;
+  }
+  std::size_t chosen = 0;
+  while (here.workers()[chosen]->running() == 0) {
+    ++chosen;
+  }
+  here.run_for(milliseconds{1000});
+  here.workers()[chosen]->drain();
+  here.run_for(milliseconds{1000});
+  // The cut begins shortly before a heartbeat, so that the entry is removed well before the cut ends.
+  here.run_until([&] { return here.workers()[chosen]->entry_expires() - here.now() <= milliseconds{3300}; },
+                 milliseconds{3000});
+  if (trouble) {
+    here.cut_worker(chosen);
+  }
+  here.run_for(milliseconds{5500});
+  if (trouble) {
+    here.workers()[chosen]->cut_off(false);
+  }
+  here.run_until([&] { return here.book().done(id) == step.count && here.book().running(id) == 0; },
+                 milliseconds{30'000});
+  here.run_for(milliseconds{2000});
+  here.call(1, "GET", "/plain/" + id);
+  const auto twice = here.book().twice();
+  for (const auto& each : twice) {
+    here.write("TWICE: " + each);
+  }
+  here.write(fmt::format("TWICE broken {} times", twice.size()));
+  return twice.empty() ? held : broken;
+}
+
+/// The store loses the answer to one write. The client that waits for it leaves and cancels its job.
+int cancelled_in_flight(world& here, bool trouble) {
+  here.put_config({plain_route});
+  if (!here.start()) {
+    return could_not_run;
+  }
+  const std::string id = "5c0e7a21d94b0001";
+  const step_facts first{.count = 2, .cpu = 3700, .memory_mb = 2000, .gpu = 1, .length = milliseconds{4000}};
+  auto second = first;
+  second.after = {0};
+  here.book().submitted(id, {first, second});
+  if (trouble) {
+    here.write("store: loses the answer to the next write, which is done late");
+    here.store().faults.late_writes_percent = 100;
+  }
+  static_cast<void>(here.send(0, "POST", "/plain/" + id, job_of({first, second}).dump(), milliseconds{400}));
+  here.run_for(milliseconds{100});
+  here.store().faults.late_writes_percent = 0;
+  here.run_for(milliseconds{350});
+  const auto cancel = here.call(1, "DELETE", "/plain/" + id);
+  const auto acknowledged_at = here.now();
+  if (cancel.status != 200 && cancel.status != 410) {
+    return could_not_run;
+  }
+  here.run_for(milliseconds{15'000});
+  here.call(1, "GET", "/plain/" + id);
+  const int late = here.book().starts_after(id, acknowledged_at + milliseconds{3000});
+  here.write(fmt::format("starts later than cancel_ms after the answer to DELETE: {}", late));
+  return late > 0 ? broken : held;
+}
+
+/// A gang without accelerators that needs whole workers waits, because each runs a small task that lasts.
+/// Plain jobs come after it.
+int waiting_gang(world& here, bool trouble) {
+  const route patient{.name = "r-patient", .prefix = "/patient/", .priority = 2};
+  here.put_config({plain_route, patient});
+  if (!here.start()) {
+    return could_not_run;
+  }
+  here.run_for(milliseconds{2000});
+  const int workers = static_cast<int>(here.workers().size());
+  const step_facts lasting{.count = workers,
+                           .cpu = 1000,
+                           .memory_mb = 500,
+                           .long_running = true,
+                           .max_per_worker = 1,
+                           .length = milliseconds{3'600'000}};
+  if (!here.submit("/plain/", "5c0e7a21d94b0001", job_of({lasting}), {lasting}) ||
+      !here.run_until([&] { return here.book().running("5c0e7a21d94b0001") == workers; },
+                      milliseconds{5000})) {
+    return could_not_run;
+  }
+  const step_facts gang{
+      .count = workers, .cpu = 32'000, .memory_mb = 500, .gang = true, .length = milliseconds{60'000}};
+  if (trouble && !here.submit("/plain/", "5c0e7a21d94b0002", job_of({gang}), {gang})) {
+    return could_not_run;
+  }
+  here.run_for(milliseconds{1000});
+  const std::string id = "5c0e7a21d94b0003";
+  const step_facts plain{.count = 3, .cpu = 3700, .memory_mb = 2000, .length = milliseconds{2500}};
+  if (!here.submit("/patient/", id, job_of({plain}), {plain})) {
+    return could_not_run;
+  }
+  here.run_for(milliseconds{14'000});
+  const bool idle = idle_for_three_seconds(here, id);
+  here.call(1, "GET", "/patient/" + id);
+  const int done = here.book().done(id);
+  here.write(fmt::format("the plain job: {} of {} tasks done", done, plain.count));
+  const bool lost = idle && done < plain.count;
+  here.write(fmt::format("LOST broken: {}", lost));
+  if (lost) {
+    here.run_for(milliseconds{60'000});
+    here.write(fmt::format("60 s later: {} of {} tasks done", here.book().done(id), plain.count));
+  }
+  return lost ? broken : held;
+}
+
 }  // namespace
 
 }  // namespace review
@@ -268,6 +394,18 @@
     world here{argv[2], {.vms = 3, .workers = 8}};
     return replaced_worker(here, trouble);
   }
+  if (name == "draining_and_cut") {
+    world here{argv[2], {.vms = 3, .workers = 16}};
+    return draining_and_cut(here, trouble);
+  }
+  if (name == "cancelled_in_flight") {
+    world here{argv[2], {}};
+    return cancelled_in_flight(here, trouble);
+  }
+  if (name == "waiting_gang") {
+    world here{argv[2], {.vms = 3, .workers = 8}};
+    return waiting_gang(here, trouble);
+  }
   if (name == "removed_route") {
     world here{argv[2], {}};
     return removed_route(here, trouble);
--- a/review/standin/worker.cpp
+++ b/review/standin/worker.cpp
@@ -185,14 +185,35 @@
       begun_{loop.now()},
       born_{std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
                 .count()},
-      server_{loop,
-              {.address = opts_.address, .port = opts_.port},
-              [this](const http_request& request, const http_responder& reply) { handle(request, reply); }},
       tick_timer_{loop.run_every(milliseconds{10}, [this] { advance(); })},
       entry_timer_{loop.run_every(opts_.heartbeat, [this] { write_entry(); })} {
   write_entry();
 }
 
+bool worker::listen() {
+  server_ = std::make_unique<rhubarbpath::http_server>(
+      loop_, rhubarbpath::http_server::options{.address = opts_.address, .port = opts_.port},
+      [this](const http_request& request, const http_responder& reply) { handle(request, reply); });
+  return server_->listen().ok();
+}
+
+void worker::drain() {
+  draining_ = true;
+  write_(opts_.id + " reports that it is draining");
+  write_entry();
+}
+
+void worker::cut_off(bool cut) {
+  cut_ = cut;
+  write_(fmt::format("{} is {}", opts_.id, cut ? "cut off, connections are refused" : "in touch again"));
+  if (cut) {
+    waiting_.clear();
+    server_.reset();
+  } else if (listen()) {
+    write_entry();
+  }
+}
+
 worker::~worker() {
   for (const auto& [task, active] : running_) {
     book_.ended(task, active.run, opts_.id, "lost with its worker", loop_.now());
@@ -211,7 +232,7 @@
 
 void worker::write_entry() {
   // The heartbeat is a write like any other, so it fails while the store is down; the entry stays.
-  if (store_.faults.down) {
+  if (store_.faults.down || cut_) {
     return;
   }
   last_beat_ = loop_.now();
@@ -221,7 +242,7 @@
                   {"zone", opts_.zone},
                   {"version", "v1"},
                   {"slots", 8},
-                  {"state", "ready"},
+                  {"state", draining_ ? "draining" : "ready"},
                   {"coldRemainingMs", 0},
                   {"capacity", {{"cpu", opts_.cpu}, {"memMb", opts_.memory_mb}, {"gpu", opts_.gpu}}},
                   {"labels", {"a", opts_.zone + "-r1"}},
--- a/review/standin/worker.hpp
+++ b/review/standin/worker.hpp
@@ -4,6 +4,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
@@ -26,6 +27,8 @@
   int memory_mb{0};
   int gpu{0};
   bool gang{false};
+  bool long_running{false};
+  int max_per_worker{0};
   std::vector<int> after;
   milliseconds length{1000};
   milliseconds spread{0};  ///< Task I takes `length` + I / `count` * `spread`.
@@ -105,7 +108,12 @@
   worker& operator=(worker&&) = delete;
   /// A crash: what runs is gone, the ends are forgotten and the connections close.
   ~worker();
-  [[nodiscard]] bool listen() { return server_.listen().ok(); }
+  [[nodiscard]] bool listen();
+  /// The worker is to be taken away: it says so in its entry and runs on for now.
+  void drain();
+  /// While cut off, connections to it are reset and refused and it does not reach the store; its tasks run
+  /// on.
+  void cut_off(bool cut);
   [[nodiscard]] int used_cpu() const;
   [[nodiscard]] int cpu() const { return opts_.cpu; }
   [[nodiscard]] std::size_t unacknowledged() const { return ended_.size(); }
@@ -162,7 +170,9 @@
   std::uint64_t sequence_{0};
   instant last_beat_{};
   std::vector<waiting_look> waiting_;
-  rhubarbpath::http_server server_;
+  bool draining_{false};
+  bool cut_{false};
+  std::unique_ptr<rhubarbpath::http_server> server_;  ///< Empty while cut off.
   rhubarbpath::timer_handle tick_timer_;
   rhubarbpath::timer_handle entry_timer_;
 };
--- a/review/standin/world.cpp
+++ b/review/standin/world.cpp
@@ -209,6 +209,16 @@
                     add_worker(number, opts) ? "listening" : "cannot listen"));
 }
 
+void world::cut_worker(std::size_t number) {
+  workers_[number]->cut_off(true);
+  loop_.run_detached(workers_[number]->entry_expires() - loop_.now(), [this, number] {
+    if (loop_.now() + milliseconds{5} >= workers_[number]->entry_expires()) {
+      store_.erase("servers/" + workers_[number]->opts().id);
+      write("store: removes servers/" + workers_[number]->opts().id);
+    }
+  });
+}
+
 bool world::start() {
   if (folder_.empty() || !store_.listen().ok()) {
     write("cannot set up the deployment");
--- a/review/standin/world.hpp
+++ b/review/standin/world.hpp
@@ -72,6 +72,8 @@
   /// The worker crashes and starts again after `down` at the same address, as a new incarnation with an id of
   /// its own. The entry of the old one is removed after three heartbeats of silence.
   void crash_worker(std::size_t number, milliseconds down);
+  /// Cuts a worker off; the platform removes its entry after three heartbeats of silence.
+  void cut_worker(std::size_t number);
   [[nodiscard]] rhubarbpath::soak::store_stand_in& store() { return store_; }
   [[nodiscard]] ledger& book() { return book_; }
   [[nodiscard]] int vms() const { return opts_.vms; }
