--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -365,6 +365,39 @@
   return lost ? broken : held;
 }
 
+/// A job with very many tasks; its progress no longer fits into one value of the store.
+int large_job(world& here, bool trouble) {
+  here.put_config({plain_route});
+  if (!here.start()) {
+    return could_not_run;
+  }
+  const std::string id = "5c0e7a21d94b0001";
+  const step_facts step{
+      .count = trouble ? 110'000 : 50'000, .cpu = 100, .memory_mb = 64, .length = milliseconds{700}};
+  if (!here.submit("/plain/", id, job_of({step}), {step})) {
+    return could_not_run;
+  }
+  here.run_until([&] { return here.tasks_done() >= step.count; }, milliseconds{75'000});
+  here.write(fmt::format("{} tasks have ended", here.tasks_done()));
+  const std::string plain_id = "5c0e7a21d94b0002";
+  const step_facts plain{.count = 3, .cpu = 3700, .memory_mb = 2000, .gpu = 1, .length = milliseconds{1000}};
+  if (!here.submit("/plain/", plain_id, job_of({plain}), {plain})) {
+    return could_not_run;
+  }
+  here.run_for(milliseconds{14'000});
+  const auto state = here.call(1, "GET", "/plain/" + plain_id);
+  here.call(1, "GET", "/plain/" + id);
+  std::size_t waiting = 0;
+  for (const auto& each : here.workers()) {
+    waiting += each->unacknowledged();
+  }
+  here.write(fmt::format("{} ends are listed and not taken note of; the plain job: {} of {} tasks done",
+                         waiting, here.book().done(plain_id), plain.count));
+  return here.book().done(plain_id) == plain.count && state.body.find("complete") == std::string::npos
+             ? broken
+             : held;
+}
+
 }  // namespace
 
 }  // namespace review
@@ -406,6 +439,10 @@
     world here{argv[2], {.vms = 3, .workers = 8}};
     return waiting_gang(here, trouble);
   }
+  if (name == "large_job") {
+    world here{argv[2], {.vms = 2, .workers = 8}};
+    return large_job(here, trouble);
+  }
   if (name == "removed_route") {
     world here{argv[2], {}};
     return removed_route(here, trouble);
--- a/review/standin/worker.cpp
+++ b/review/standin/worker.cpp
@@ -77,6 +77,7 @@
   if (auto* facts = find(task, run, on); facts != nullptr) {
     facts->ended = now;
     facts->how = how;
+    all_done_ += how == "done" ? 1 : 0;
   }
   write_(fmt::format("end {} run {} on {}: {}", task, run, on, how));
 }
--- a/review/standin/worker.hpp
+++ b/review/standin/worker.hpp
@@ -57,6 +57,8 @@
 
   /// Number of tasks of the job that have ended as done.
   [[nodiscard]] int done(const std::string& job) const;
+  /// The same over all jobs.
+  [[nodiscard]] int all_done() const { return all_done_; }
   [[nodiscard]] int starts(const std::string& job) const;
   [[nodiscard]] int starts_after(const std::string& job, instant when) const;
   [[nodiscard]] int running(const std::string& job) const;
@@ -80,6 +82,7 @@
   std::map<std::string, std::vector<step_facts>> jobs_;
   std::map<std::string, std::vector<run_facts>> runs_;
   std::vector<std::string> overlaps_;
+  int all_done_{0};
 };
 
 /// A worker as the users' PROTOCOL describes it, with control by requests.
--- a/review/standin/world.cpp
+++ b/review/standin/world.cpp
@@ -18,12 +18,14 @@
 namespace review {
 
 using rhubarbpath::http_request;
+using rhubarbpath::http_responder;
 using rhubarbpath::http_response;
 using rhubarbpath::http_result;
 
 namespace {
 
 constexpr std::uint16_t store_port = 8524;
+constexpr std::size_t value_bytes = 1048576;
 constexpr std::uint16_t front_port = 8521;
 constexpr std::uint16_t ready_port = 8523;
 constexpr std::uint16_t control_port = 8526;
@@ -83,8 +85,12 @@
       network_{choose_network()},
       record_{record_path},
       begun_{loop_.now()},
-      store_{loop_, network_ + ".1", store_port, random_},
-      client_{loop_, {}},
+      store_{loop_, network_ + ".2", store_port, random_},
+      client_{loop_, {.max_connections_per_address = 2000, .max_body_bytes = 64U << 20U}},
+      store_front_{
+          loop_,
+          {.address = network_ + ".1", .port = store_port, .max_body_bytes = 64U << 20U},
+          [this](const http_request& request, const http_responder& reply) { serve_store(request, reply); }},
       book_{[this](const std::string& line) { write(line); }} {
   store_.faults.answer_delay = milliseconds{4};
 }
@@ -162,7 +168,7 @@
                         {"writesPerS", 400},
                         {"readsPerS", 2000},
                         {"retentionS", 20},
-                        {"valueBytes", 1048576},
+                        {"valueBytes", value_bytes},
                         {"minTtlMs", 1000}}}};
   std::ofstream{each.settings_path} << settings.dump(1);
 }
@@ -187,6 +193,26 @@
   write(fmt::format("platform: process of {} started", each.name));
 }
 
+void world::serve_store(const http_request& request, const http_responder& reply) {
+  if (request.path == "/api/kv-txn" && request.body.size() > value_bytes) {
+    const auto body = json::parse(request.body, nullptr, false);
+    for (const auto& each : body.is_object() ? body.value("put", json::array()) : json::array()) {
+      if (each.value("value", "").size() / 4 * 3 > value_bytes) {
+        write(fmt::format("store: refuses a value of {} bytes for {}, more than valueBytes",
+                          each.value("value", "").size() / 4 * 3, each.value("key", "")));
+        reply.send({.status = 400, .headers = {}, .body = {}});
+        return;
+      }
+    }
+  }
+  client_.call(fmt::format("{}.2:{}", network_, store_port), request, milliseconds{31'000},
+               [reply](const http_result& result) {
+                 if (const auto* response = std::get_if<http_response>(&result)) {
+                   reply.send({.status = response->status, .headers = {}, .body = response->body});
+                 }
+               });
+}
+
 bool world::add_worker(std::size_t number, worker::options opts) {
   workers_[number] = std::make_unique<worker>(
       loop_, store_, book_, [this](const std::string& line) { write(line); }, std::move(opts));
@@ -220,7 +246,7 @@
 }
 
 bool world::start() {
-  if (folder_.empty() || !store_.listen().ok()) {
+  if (folder_.empty() || !store_.listen().ok() || !store_front_.listen().ok()) {
     write("cannot set up the deployment");
     return false;
   }
--- a/review/standin/world.hpp
+++ b/review/standin/world.hpp
@@ -76,6 +76,7 @@
   void cut_worker(std::size_t number);
   [[nodiscard]] rhubarbpath::soak::store_stand_in& store() { return store_; }
   [[nodiscard]] ledger& book() { return book_; }
+  [[nodiscard]] int tasks_done() const { return book_.all_done(); }
   [[nodiscard]] int vms() const { return opts_.vms; }
   /// How often the process of each machine ended by itself or was killed for its memory.
   [[nodiscard]] std::vector<int> ends_of_processes() const;
@@ -94,6 +95,7 @@
   };
 
   [[nodiscard]] bool add_worker(std::size_t number, worker::options opts);
+  void serve_store(const rhubarbpath::http_request& request, const rhubarbpath::http_responder& reply);
   void write_settings(const machine& each, const std::vector<std::string>& seeds) const;
   void launch(machine& each);
   /// What the platform does: restarts ended processes, kills one that is over its memory.
@@ -109,6 +111,8 @@
   instant begun_;
   rhubarbpath::soak::store_stand_in store_;
   rhubarbpath::http_client client_;
+  /// What the machines speak to: passes calls on to the store, but no value above `valueBytes`.
+  rhubarbpath::http_server store_front_;
   ledger book_;
   std::vector<std::unique_ptr<worker>> workers_;
   std::vector<machine> machines_;
