review: case 5, an urgent job within its guarantee never begins (RECLAIM)

Cause: lasting tasks are never preempted, whatever their priority and their team's guarantee. Change: review/5 and its scenario. No code of the project is changed.

--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -398,6 +398,47 @@
              : held;
 }
 
+/// Tasks of a tenant without a guarantee fill all workers. An urgent job of another tenant, within that
+/// tenant's guarantee, comes.
+int filled_by_lasting(world& here, bool trouble) {
+  const route urgent{.name = "r-urgent", .prefix = "/urgent/", .priority = 0, .max_attempts = 3};
+  const route patient{.name = "r-patient", .prefix = "/patient/", .priority = 2};
+  here.put_config({urgent, patient});
+  if (!here.start()) {
+    return could_not_run;
+  }
+  here.run_for(milliseconds{2000});
+  const int gpus = static_cast<int>(here.workers().size()) * 8;
+  // With TROUBLE=0 the same tasks do not last, but take longer than the case.
+  const step_facts filler{.count = gpus,
+                          .cpu = 3700,
+                          .memory_mb = 2000,
+                          .gpu = 1,
+                          .long_running = trouble,
+                          .length = milliseconds{3'600'000}};
+  if (!here.submit("/patient/", "5c0e7a21d94b0001", job_of({filler}), {filler}, tenant_b_key) ||
+      !here.run_until([&] { return here.book().running("5c0e7a21d94b0001") == gpus; }, milliseconds{8000})) {
+    return could_not_run;
+  }
+  here.run_for(milliseconds{3000});
+  const std::string id = "5c0e7a21d94b0002";
+  const step_facts step{.count = 3, .cpu = 3700, .memory_mb = 2000, .gpu = 1, .length = milliseconds{2500}};
+  if (!here.submit("/urgent/", id, job_of({step}), {step})) {
+    return could_not_run;
+  }
+  // `reclaimMs` after the acknowledgement.
+  here.run_for(milliseconds{2700});
+  const int begun = here.book().starts(id);
+  here.write(fmt::format("2.7 s after the acknowledgement {} of {} tasks have begun", begun, step.count));
+  if (begun < step.count) {
+    here.run_for(milliseconds{30'000});
+    here.call(1, "GET", "/urgent/" + id);
+    here.write(fmt::format("30 s later {} of {} tasks have begun", here.book().starts(id), step.count));
+  }
+  here.write(fmt::format("RECLAIM broken: {}", begun < step.count));
+  return begun < step.count ? broken : held;
+}
+
 }  // namespace
 
 }  // namespace review
@@ -443,6 +484,10 @@
     world here{argv[2], {.vms = 2, .workers = 8}};
     return large_job(here, trouble);
   }
+  if (name == "filled_by_lasting") {
+    world here{argv[2], {.vms = 3, .workers = 4}};
+    return filled_by_lasting(here, trouble);
+  }
   if (name == "removed_route") {
     world here{argv[2], {}};
     return removed_route(here, trouble);
--- a/review/standin/world.cpp
+++ b/review/standin/world.cpp
@@ -31,7 +31,6 @@
 constexpr std::uint16_t control_port = 8526;
 constexpr std::uint16_t worker_port = 8080;
 constexpr std::string_view host = "jobs.example";
-constexpr std::string_view key = "key-a";
 constexpr std::string_view service = "render";
 const std::vector<std::string> zones{"zone-a", "zone-b", "zone-c"};
 
@@ -371,20 +370,23 @@
              json{{"version", version_},
                   {"routes", std::move(rows)},
                   {"services", {{{"name", service}, {"healthPath", "/health"}, {"admissionControl", true}}}},
-                  {"tenants", {{{"name", "tenant-a"}, {"apiKeys", {key}}, {"guaranteedGpus", {{"gpu", 8}}}}}},
+                  {"tenants",
+                   {{{"name", "tenant-a"}, {"apiKeys", {tenant_a_key}}, {"guaranteedGpus", {{"gpu", 8}}}},
+                    {{"name", "tenant-b"}, {"apiKeys", {tenant_b_key}}, {"guaranteedGpus", {{"gpu", 0}}}}}},
                   {"limits", {{"maxBodyBytes", 262144}}}}
                  .dump());
   write(fmt::format("operator: configuration {} acknowledged, routes{}", version_, names));
 }
 
 std::shared_ptr<std::optional<reply>> world::send(int vm, const std::string& method, const std::string& path,
-                                                  const std::string& body, milliseconds patience) {
+                                                  const std::string& body, milliseconds patience,
+                                                  const std::string& key) {
   auto answer = std::make_shared<std::optional<reply>>();
   http_request request{.method = method,
                        .path = path,
                        .query = {},
                        .headers = {{"Host", std::string{host}},
-                                   {"Key", std::string{key}},
+                                   {"Key", key},
                                    {"Timeout-Ms", fmt::format("{}", patience.count())}},
                        .body = body};
   if (!body.empty()) {
@@ -404,18 +406,19 @@
   return answer;
 }
 
-reply world::call(int vm, const std::string& method, const std::string& path, const std::string& body) {
-  const auto answer = send(vm, method, path, body);
+reply world::call(int vm, const std::string& method, const std::string& path, const std::string& body,
+                  const std::string& key) {
+  const auto answer = send(vm, method, path, body, milliseconds{3000}, key);
   run_until([&] { return answer->has_value(); }, milliseconds{5000});
   return answer->value_or(reply{});
 }
 
 bool world::submit(const std::string& path, const std::string& id, const json& body,
-                   std::vector<step_facts> steps) {
+                   std::vector<step_facts> steps, const std::string& key) {
   book_.submitted(id, std::move(steps));
   constexpr int attempts = 5;
   for (int i = 0; i < attempts; ++i) {
-    const auto answer = call(i % opts_.vms, "POST", path + id, body.dump());
+    const auto answer = call(i % opts_.vms, "POST", path + id, body.dump(), key);
     if (answer.status >= 200 && answer.status < 300) {
       return true;
     }
--- a/review/standin/world.hpp
+++ b/review/standin/world.hpp
@@ -24,6 +24,10 @@
   int max_attempts{2};
 };
 
+/// The keys of the two tenants. The first one has 8 guaranteed GPUs, the second one none.
+inline const std::string tenant_a_key{"key-a"};
+inline const std::string tenant_b_key{"key-b"};
+
 /// A client's answer; status 0 means that none came.
 struct reply {
   int status{0};
@@ -59,12 +63,14 @@
   /// waits for `patience`.
   std::shared_ptr<std::optional<reply>> send(int vm, const std::string& method, const std::string& path,
                                              const std::string& body = {},
-                                             milliseconds patience = milliseconds{3000});
+                                             milliseconds patience = milliseconds{3000},
+                                             const std::string& key = tenant_a_key);
   /// The same, and waits for the answer.
-  reply call(int vm, const std::string& method, const std::string& path, const std::string& body = {});
+  reply call(int vm, const std::string& method, const std::string& path, const std::string& body = {},
+             const std::string& key = tenant_a_key);
   /// Hands a job in like a client of the users' pages: up to four retries, each at another machine.
   [[nodiscard]] bool submit(const std::string& path, const std::string& id, const json& body,
-                            std::vector<step_facts> steps);
+                            std::vector<step_facts> steps, const std::string& key = tenant_a_key);
 
   [[nodiscard]] double seconds() const;
   [[nodiscard]] instant now() const { return loop_.now(); }
