Pass answered orders back to the job scheduler whole

The scheduler was told the worker and the task of an answer, but not the address that was called, and an answer of another instance to a stop looked like no answer. No decision changes.

--- a/include/rhubarbpath/coordination/job_scheduler.hpp
+++ b/include/rhubarbpath/coordination/job_scheduler.hpp
@@ -102,6 +102,12 @@
   other_instance,  ///< Another instance responds at the address.
 };
 
+enum class stop_result {
+  acknowledged,    ///< The run ends within the worker's stop time, or will never start.
+  unanswered,      ///< The worker may still process the order.
+  other_instance,  ///< Another instance responds at the address.
+};
+
 using start_result = std::variant<start_accepted, start_refused, order_unanswered, wrong_instance>;
 
 /// Schedules the jobs of all queues onto all workers during one ownership term. Only the current owner sends
@@ -162,12 +168,11 @@
   bool hold_starts(bool hold);
 
   /// Takes the response to a renewal that was sent at `sent`.
-  void worker_reported(const worker_id& id, const lease_report& report, instant sent, instant now);
+  void worker_reported(const renew_order& order, const lease_report& report, instant sent, instant now);
   /// A renewal failed without a report.
-  void worker_unreachable(const worker_id& id, renewal_failure failure, instant now);
-  void start_answered(const worker_id& id, const task_ref& task, run_number run, const start_result& result,
-                      instant now);
-  void stop_answered(const worker_id& id, const task_ref& task, run_number run, bool answered, instant now);
+  void worker_unreachable(const renew_order& order, renewal_failure failure, instant now);
+  void start_answered(const start_order& order, const start_result& result, instant now);
+  void stop_answered(const stop_order& order, stop_result result, instant now);
   /// Takes the adviser's answer to an `advice_request`; `granted` has no value if the call failed.
   void advice_answered(const step_ref& step, const std::optional<std::vector<granted_ticket>>& granted,
                        instant now);
--- a/src/coordination/job_scheduler_reports.cpp
+++ b/src/coordination/job_scheduler_reports.cpp
@@ -78,8 +78,9 @@
   self.renew_workers(now);
 }
 
-void job_scheduler::worker_unreachable(const worker_id& id, renewal_failure failure, instant now) {
+void job_scheduler::worker_unreachable(const renew_order& order, renewal_failure failure, instant now) {
   auto& self = *implementation_;
+  const auto& id = order.worker;
   const auto found = self.workers.find(id);
   if (found == self.workers.end()) {
     return;
@@ -132,9 +133,10 @@
   }
 }
 
-void job_scheduler::worker_reported(const worker_id& id, const lease_report& report, instant sent,
+void job_scheduler::worker_reported(const renew_order& order, const lease_report& report, instant sent,
                                     instant now) {
   auto& self = *implementation_;
+  const auto& id = order.worker;
   const auto found = self.workers.find(id);
   if (found == self.workers.end()) {
     return;
--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -333,15 +333,14 @@
   });
 }
 
-void job_scheduler::start_answered(const worker_id& id, const task_ref& task, run_number run,
-                                   const start_result& result, instant now) {
+void job_scheduler::start_answered(const start_order& order, const start_result& result, instant now) {
   auto& self = *implementation_;
   std::uint32_t index = 0;
-  auto* parent = self.find_unit(task, &index);
-  if (parent == nullptr || !detail::is_run(parent->members[index], id, run)) {
+  auto* parent = self.find_unit(order.task, &index);
+  if (parent == nullptr || !detail::is_run(parent->members[index], order.worker, order.run)) {
     return;
   }
-  auto& job = self.jobs.at(task.job);
+  auto& job = self.jobs.at(order.task.job);
   auto& started = parent->members[index];
   if (started.phase == member_phase::stopping && !std::holds_alternative<wrong_instance>(result)) {
     // A stop order was sent since; only its response matters.
@@ -414,18 +413,17 @@
   requeue_if_ended(job, parent, now);
 }
 
-void job_scheduler::stop_answered(const worker_id& id, const task_ref& task, run_number run, bool answered,
-                                  instant now) {
+void job_scheduler::stop_answered(const stop_order& order, stop_result result, instant now) {
   auto& self = *implementation_;
   std::uint32_t index = 0;
-  auto* parent = self.find_unit(task, &index);
-  if (parent == nullptr || !detail::is_run(parent->members[index], id, run) ||
+  auto* parent = self.find_unit(order.task, &index);
+  if (parent == nullptr || !detail::is_run(parent->members[index], order.worker, order.run) ||
       parent->members[index].phase != member_phase::stopping) {
     return;
   }
   auto& stopped = parent->members[index];
   stopped.answer_pending = false;
-  if (answered) {
+  if (result == stop_result::acknowledged) {
     // Until the stop takes effect the run continues, although the worker may not list it.
     stopped.confirmed_at = now + self.opts.stop_timeout;
     return;
--- a/src/programs/rhubarb-edge/owner_session.cpp
+++ b/src/programs/rhubarb-edge/owner_session.cpp
@@ -384,29 +384,27 @@
 
 void owner_session::perform(const start_order& order) {
   deps_.counters.add("rhubarb_orders_total", "order=\"start\"");
-  enqueue_order(
-      order.worker, order.address,
-      {.request = platform::encode_order(order, opts_.term),
-       .done =
-           [this, worker = order.worker, task = order.task, run = order.run](const http_result& result) {
-             scheduler_->start_answered(worker, task, run, platform::decode_start_answer(result),
-                                        deps_.loop.now());
-           },
-       .wanted = [this, order] { return scheduler_->start_still_needed(order); },
-       .starts_task = true});
+  enqueue_order(order.worker, order.address,
+                {.request = platform::encode_order(order, opts_.term),
+                 .done =
+                     [this, order](const http_result& result) {
+                       scheduler_->start_answered(order, platform::decode_start_answer(result),
+                                                  deps_.loop.now());
+                     },
+                 .wanted = [this, order] { return scheduler_->start_still_needed(order); },
+                 .starts_task = true});
 }
 
 void owner_session::perform(const stop_order& order) {
   deps_.counters.add("rhubarb_orders_total", "order=\"stop\"");
-  enqueue_order(
-      order.worker, order.address,
-      {.request = platform::encode_order(order, opts_.term),
-       .done =
-           [this, worker = order.worker, task = order.task, run = order.run](const http_result& result) {
-             scheduler_->stop_answered(worker, task, run, platform::decode_stop_answer(result),
-                                       deps_.loop.now());
-           },
-       .wanted = [] { return true; }});
+  enqueue_order(order.worker, order.address,
+                {.request = platform::encode_order(order, opts_.term),
+                 .done =
+                     [this, order](const http_result& result) {
+                       scheduler_->stop_answered(order, platform::decode_stop_answer(result),
+                                                 deps_.loop.now());
+                     },
+                 .wanted = [] { return true; }});
 }
 
 void owner_session::perform(const renew_order& order) {
@@ -417,8 +415,7 @@
   const auto sent = deps_.loop.now();
   deps_.workers.call(order.address, platform::encode_order(order, opts_.term),
                      duration{order.wait} + opts_.order_timeout,
-                     [weak = weak_from_this(), worker = order.worker, address = order.address,
-                      sent](const http_result& result) {
+                     [weak = weak_from_this(), order, sent](const http_result& result) {
                        const auto self = weak.lock();
                        if (self == nullptr || self->stopped_) {
                          return;
@@ -426,15 +423,15 @@
                        const auto now = self->deps_.loop.now();
                        const auto answer = platform::decode_renew_answer(result);
                        if (const auto* report = std::get_if<lease_report>(&answer)) {
-                         self->scheduler_->worker_reported(worker, *report, sent, now);
+                         self->scheduler_->worker_reported(order, *report, sent, now);
                        } else {
                          const auto& failed = std::get<platform::renew_failed>(answer);
-                         self->deps_.workers.drop_idle(address);
+                         self->deps_.workers.drop_idle(order.address);
                          if (failed.fenced) {
-                           self->perform(owner_superseded{.worker = worker});
+                           self->perform(owner_superseded{.worker = order.worker});
                            return;
                          }
-                         self->scheduler_->worker_unreachable(worker, failed.failure, now);
+                         self->scheduler_->worker_unreachable(order, failed.failure, now);
                        }
                        self->run_tick();
                      });
