Give up all runs of a worker when another instance answers at its address

Cause: three answers can show that another instance listens at the address, and each was handled in its own way. A renewal gave up all runs there; a start gave up only its own member and marked the worker, after which no renewal was sent any more; a stop counted as unanswered and was repeated for ever. Members whose starts were still queued got such stops, so the unit stayed in its ending phase.

Ruled out: the queue of orders itself (start_still_needed drops the right ones), and a failed renewal (none is sent to a worker without tasks).

Change: one function takes the answer, whichever order it belongs to. It gives up all runs at once, so no stop is sent to an instance that cannot know the run. The worker is asked again every 2 s while it is listed, so a wrong answer does not take it out of use for the term.

Test: scheduler_gang_placed_on_a_replaced_worker_is_placed_elsewhere fails on the code before (phase queued after 5 s) and passes now.

--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -33,6 +33,8 @@
 constexpr duration placement_pause{std::chrono::milliseconds{60}};
 /// A reservation is released if its space has not become free within this time.
 constexpr duration reservation_timeout{std::chrono::milliseconds{1200}};
+/// Interval of renewals to a worker whose address answers as another instance, while it is still listed.
+constexpr duration replaced_pause{std::chrono::seconds{2}};
 /// Interval of the checks for expired leases, retries, stalls and due renewals; bounds how late they act.
 constexpr duration scan_interval{std::chrono::milliseconds{25}};
 /// Number of consecutive failed renewals after which a worker gets no new work.
@@ -288,11 +290,13 @@
   void order_start(detail::job_state& job, detail::unit& unit, std::size_t index, instant now);
   void start_unanswered(detail::job_state& job, detail::unit& unit, std::size_t index, instant now);
   void start_rejected(detail::job_state& job, detail::unit& unit, std::size_t index,
-                      const start_result& result, instant now);
+                      const start_refused& refused, instant now);
   void order_stop(detail::job_state& job, detail::unit& unit, std::size_t index);
   void renew_workers(instant now);
   void renew_worker(detail::worker_state& worker, instant now);
   void expire_silent_workers(instant now);
+  /// Another instance responds at the worker's address, so nothing runs on the worker any more.
+  void instance_replaced(detail::worker_state& worker, instant now);
   void forget_worker(detail::worker_state& worker);
   /// Reports an outcome or the passing of time to `worker_health` and applies what it decides.
   void update_health(const worker_health::event& event, instant now);
--- a/src/coordination/job_scheduler_reports.cpp
+++ b/src/coordination/job_scheduler_reports.cpp
@@ -95,15 +95,27 @@
                 {{"worker", id.value()}, {"tasks", absl::StrCat(worker.tasks.size())}});
   }
   if (failure == renewal_failure::other_instance) {
-    worker.replaced = true;
-    self.unreported_workers.erase(id);
-    self.unblock_tasks_of(id);
-    self.clear_all_runs(worker, "another instance responds at the address", now);
+    self.instance_replaced(worker, now);
   } else if (failure == renewal_failure::refused && worker.was_draining && !worker.listed) {
     self.clear_all_runs(worker, "the worker drained and left", now);
   }
 }
 
+void job_scheduler::implementation::instance_replaced(worker_state& worker, instant now) {
+  const auto& id = worker.entry.id;
+  if (!std::exchange(worker.replaced, true)) {
+    record("worker_replaced", {}, "another instance responds at the address",
+           {{"worker", id.value()},
+            {"address", worker.entry.address},
+            {"tasks", absl::StrCat(worker.tasks.size())}});
+  }
+  worker.failed_renewals = std::max(worker.failed_renewals, 1);
+  worker.renew_at = now + detail::replaced_pause;
+  unreported_workers.erase(id);
+  unblock_tasks_of(id);
+  clear_all_runs(worker, "another instance responds at the address", now);
+}
+
 /// Takes over the worker's incarnation and clock. A new incarnation knows nothing of what ran before.
 void job_scheduler::implementation::note_incarnation(worker_state& worker, const lease_report& report,
                                                      instant now) {
@@ -324,18 +336,15 @@
 void job_scheduler::implementation::clear_all_runs(worker_state& worker, std::string_view reason,
                                                    instant now) {
   const auto tasks = worker.tasks;
-  for (const auto& assigned : tasks) {
-    auto& job = *assigned.job;
-    auto& parent = *assigned.parent;
-    const auto& one = parent.members[assigned.index];
-    if (one.worker != &worker) {
-      continue;
-    }
-    record("run_lost", job.job.id, std::string{reason},
-           {{"worker", worker.entry.id.value()}, {"run", absl::StrCat(one.run.value())}});
-    clear_member(job, parent, assigned.index);
-    end_unit(job, parent, now);
-    requeue_if_ended(job, parent, now);
+  for (const auto& [job, parent, index] : tasks) {
+    record("run_lost", job->job.id, std::string{reason},
+           {{"worker", worker.entry.id.value()}, {"run", absl::StrCat(parent->members[index].run.value())}});
+    clear_member(*job, *parent, index);
+  }
+  // Only after all members here are cleared, so that none of them gets a stop order.
+  for (const auto& [job, parent, index] : tasks) {
+    end_unit(*job, *parent, now);
+    requeue_if_ended(*job, *parent, now);
   }
 }
 
--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -180,7 +180,7 @@
 
 void job_scheduler::implementation::renew_worker(worker_state& worker, instant now) {
   const auto& id = worker.entry.id;
-  if (worker.renewing || worker.replaced || now < worker.renew_at) {
+  if (worker.renewing || now < worker.renew_at) {
     return;
   }
   const bool ends_unstored = worker.seen_through > worker.acknowledged_through;
@@ -342,7 +342,11 @@
   }
   auto& job = self.jobs.at(order.task.job);
   auto& started = parent->members[index];
-  if (started.phase == member_phase::stopping && !std::holds_alternative<wrong_instance>(result)) {
+  if (std::holds_alternative<wrong_instance>(result)) {
+    self.instance_replaced(*started.worker, now);
+    return;
+  }
+  if (started.phase == member_phase::stopping) {
     // A stop order was sent since; only its response matters.
     return;
   }
@@ -351,8 +355,8 @@
     self.start_unanswered(job, *parent, index, now);
     return;
   }
-  if (!std::holds_alternative<start_accepted>(result)) {
-    self.start_rejected(job, *parent, index, result, now);
+  if (const auto* refused = std::get_if<start_refused>(&result)) {
+    self.start_rejected(job, *parent, index, *refused, now);
     return;
   }
   started.phase = member_phase::running;
@@ -378,29 +382,24 @@
 }
 
 void job_scheduler::implementation::start_rejected(job_state& job, unit& parent, std::size_t index,
-                                                   const start_result& result, instant now) {
+                                                   const start_refused& refused, instant now) {
   auto& started = parent.members[index];
   auto& worker = *started.worker;
-  const auto* refused = std::get_if<start_refused>(&result);
-  if (refused != nullptr) {
-    record("start_refused", job.job.id, std::string{refusal_name(refused->why)},
-           {{"worker", worker.entry.id.value()}, {"run", absl::StrCat(started.run.value())}});
-    if (refused->why == start_refusal::fenced) {
-      actions.emplace_back(owner_superseded{.worker = worker.entry.id});
-    }
-    if (refused->why == start_refusal::no_ticket) {
-      tickets.ticket_refused({.job = job.job.id, .occurrence = parent.occurrence, .step = parent.step},
-                             worker.entry.id);
-    } else {
-      constexpr duration full_pause{std::chrono::milliseconds{400}};
-      constexpr duration unhealthy_pause{std::chrono::milliseconds{2000}};
-      const bool unhealthy = refused->why == start_refusal::unhealthy;
-      worker.full_until = now + (unhealthy ? unhealthy_pause : full_pause);
-    }
+  record("start_refused", job.job.id, std::string{refusal_name(refused.why)},
+         {{"worker", worker.entry.id.value()}, {"run", absl::StrCat(started.run.value())}});
+  if (refused.why == start_refusal::fenced) {
+    actions.emplace_back(owner_superseded{.worker = worker.entry.id});
+  }
+  if (refused.why == start_refusal::no_ticket) {
+    tickets.ticket_refused({.job = job.job.id, .occurrence = parent.occurrence, .step = parent.step},
+                           worker.entry.id);
   } else {
-    worker.replaced = true;
+    constexpr duration full_pause{std::chrono::milliseconds{400}};
+    constexpr duration unhealthy_pause{std::chrono::milliseconds{2000}};
+    const bool unhealthy = refused.why == start_refusal::unhealthy;
+    worker.full_until = now + (unhealthy ? unhealthy_pause : full_pause);
   }
-  if (refused != nullptr && started.attempts > 1) {
+  if (started.attempts > 1) {
     // The refusal covers only this attempt. An earlier attempt may still be processed; a stop order prevents
     // that.
     order_stop(job, parent, index);
@@ -422,6 +421,10 @@
     return;
   }
   auto& stopped = parent->members[index];
+  if (result == stop_result::other_instance) {
+    self.instance_replaced(*stopped.worker, now);
+    return;
+  }
   stopped.answer_pending = false;
   if (result == stop_result::acknowledged) {
     // Until the stop takes effect the run continues, although the worker may not list it.
--- a/tests/coordination/job_scheduler_test.cpp
+++ b/tests/coordination/job_scheduler_test.cpp
@@ -113,6 +113,24 @@
   CHECK(fleet.phase("a") == job_phase::complete);
 }
 
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_gang_placed_on_a_replaced_worker_is_placed_elsewhere") {
+  // Guards against a gang that hangs: a worker without work was replaced at its address, and members whose
+  // start orders were still queued waited for the answer of an instance that no longer existed.
+  fleet.max_orders_in_flight = 2;
+  fleet.submit(simulated_workers::job("others", 1, identical_tasks(40, 1, seconds{60})));
+  fleet.advance(milliseconds{500});
+  const auto idle = std::find_if(fleet.workers.begin(), fleet.workers.end(),
+                                 [](const auto& worker) { return worker.second.tasks.empty(); });
+  REQUIRE(idle != fleet.workers.end());
+  fleet.replace(idle->first);
+  fleet.submit(simulated_workers::job("gang", 1, identical_tasks(6, 1, seconds{2}, true)));
+  fleet.advance(milliseconds{100});
+  fleet.add_workers(1);
+  fleet.advance(seconds{5});
+  CHECK(fleet.phase("gang") == job_phase::complete);
+  CHECK(fleet.violations.empty());
+}
+
 TEST_CASE_METHOD(scheduler_fixture,
                  "scheduler_acknowledgement_for_an_earlier_incarnation_does_not_drop_ended_runs") {
   // A worker restarts the numbering of its ended runs when it restarts. An acknowledgement for the earlier
--- a/tests/coordination/simulated_workers.hpp
+++ b/tests/coordination/simulated_workers.hpp
@@ -190,8 +190,10 @@
   /// The worker crashes, and another instance listens at its address. Its entry stays until it is in
   /// `unlisted`.
   void replace(const worker_id& id) {
+    const auto entry = workers.at(id).entry;
     remove(id);
-    addresses_taken_over.insert(workers.at(id).entry.address);
+    workers.at(id).entry = entry;
+    addresses_taken_over.insert(entry.address);
   }
 
   [[nodiscard]] std::optional<job_phase> phase(const std::string& id) const {
