Let another instance's answer end only the runs of the address that was called

Callers could see a task run twice: an answer of another instance gave up all runs of a worker, although the call had gone to an address that the worker had left, or to an address in its entry at which it had never answered.

Cause: the judgement knew the worker but not the address of the call, and not at which address the incarnation that holds the runs had answered. Orders that waited in a worker's queue were also sent to its newest address, whatever the order said.

Change: answers about an address that is no longer the worker's are dropped, and the renewal is sent again. Runs end only if the worker itself answered before at the address that now answers as another instance; otherwise they wait for a report or for the lease. An order is sent to its own address.

Found while reading the users' list of run ends (other_instance), not seen in a run of the product. Tests, failing before (two starts, and the simulation reports two runs at the same time): scheduler_other_instance_at_an_earlier_address_ends_no_run, scheduler_worker_listed_at_a_wrong_address_keeps_its_task_until_its_lease_expires.

--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -125,6 +125,7 @@
   /// The first report of this term has arrived, so the worker rejects orders of earlier owners.
   bool reported{false};
   incarnation born;
+  std::string answered_at;  ///< Address at which it last reported, or accepted a start.
   std::chrono::milliseconds clock{0};
   instant clock_at{};
   std::chrono::milliseconds lease_until{0};
@@ -295,8 +296,9 @@
   void renew_workers(instant now);
   void renew_worker(detail::worker_state& worker, instant now);
   void expire_silent_workers(instant now);
-  /// Another instance responds at the worker's address, so nothing runs on the worker any more.
-  void instance_replaced(detail::worker_state& worker, instant now);
+  /// Another instance responds at `address`. If the worker itself answered there before, it runs nothing any
+  /// more. Runs of a worker that answered elsewhere are kept until it reports or its lease expires.
+  void instance_replaced(detail::worker_state& worker, const std::string& address, instant now);
   void forget_worker(detail::worker_state& worker);
   /// Reports an outcome or the passing of time to `worker_health` and applies what it decides.
   void update_health(const worker_health::event& event, instant now);
--- a/src/coordination/job_scheduler_reports.cpp
+++ b/src/coordination/job_scheduler_reports.cpp
@@ -87,6 +87,12 @@
   }
   auto& worker = found->second;
   worker.renewing = false;
+  if (order.address != worker.entry.address) {
+    // The worker has moved since; what answers or fails at its earlier address says nothing about it.
+    worker.renew_at = now;
+    self.renew_worker(worker, now);
+    return;
+  }
   ++worker.failed_renewals;
   constexpr duration longest_pause{std::chrono::milliseconds{600}};
   worker.renew_at = now + std::min(longest_pause, detail::renew_pause * worker.failed_renewals);
@@ -95,25 +101,32 @@
                 {{"worker", id.value()}, {"tasks", absl::StrCat(worker.tasks.size())}});
   }
   if (failure == renewal_failure::other_instance) {
-    self.instance_replaced(worker, now);
+    self.instance_replaced(worker, order.address, now);
   } else if (failure == renewal_failure::refused && worker.was_draining && !worker.listed) {
     self.clear_all_runs(worker, "the worker drained and left", now);
   }
 }
 
-void job_scheduler::implementation::instance_replaced(worker_state& worker, instant now) {
+void job_scheduler::implementation::instance_replaced(worker_state& worker, const std::string& address,
+                                                      instant now) {
   const auto& id = worker.entry.id;
+  if (address != worker.entry.address) {
+    return;
+  }
   if (!std::exchange(worker.replaced, true)) {
     record("worker_replaced", {}, "another instance responds at the address",
            {{"worker", id.value()},
-            {"address", worker.entry.address},
+            {"address", address},
+            {"answered_at", worker.answered_at},
             {"tasks", absl::StrCat(worker.tasks.size())}});
   }
   worker.failed_renewals = std::max(worker.failed_renewals, 1);
   worker.renew_at = now + detail::replaced_pause;
   unreported_workers.erase(id);
   unblock_tasks_of(id);
-  clear_all_runs(worker, "another instance responds at the address", now);
+  if (address == worker.answered_at) {
+    clear_all_runs(worker, "another instance responds at the address", now);
+  }
 }
 
 /// Takes over the worker's incarnation and clock. A new incarnation knows nothing of what ran before.
@@ -156,6 +169,7 @@
   auto& worker = found->second;
   worker.renewing = false;
   worker.replaced = false;
+  worker.answered_at = order.address;
   if (std::exchange(worker.failed_renewals, 0) > 0) {
     self.record("worker_answers", {}, "renewal answered", {{"worker", id.value()}});
     self.placement_due = true;
--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -343,8 +343,10 @@
   auto& job = self.jobs.at(order.task.job);
   auto& started = parent->members[index];
   if (std::holds_alternative<wrong_instance>(result)) {
-    self.instance_replaced(*started.worker, now);
-    return;
+    self.instance_replaced(*started.worker, order.address, now);
+    if (!detail::is_run(started, order.worker, order.run)) {
+      return;
+    }
   }
   if (started.phase == member_phase::stopping) {
     // A stop order was sent since; only its response matters.
@@ -355,12 +357,14 @@
     self.start_unanswered(job, *parent, index, now);
     return;
   }
-  if (const auto* refused = std::get_if<start_refused>(&result)) {
-    self.start_rejected(job, *parent, index, *refused, now);
+  if (!std::holds_alternative<start_accepted>(result)) {
+    const auto* refused = std::get_if<start_refused>(&result);
+    self.start_rejected(job, *parent, index, refused == nullptr ? start_refused{} : *refused, now);
     return;
   }
   started.phase = member_phase::running;
   started.confirmed_at = now;
+  started.worker->answered_at = order.address;
   job.has_started_task = true;
   job.phase = job.phase == job_phase::queued ? job_phase::running : job.phase;
   if (!started.worker->renewing) {
@@ -422,8 +426,10 @@
   }
   auto& stopped = parent->members[index];
   if (result == stop_result::other_instance) {
-    self.instance_replaced(*stopped.worker, now);
-    return;
+    self.instance_replaced(*stopped.worker, order.address, now);
+    if (!detail::is_run(stopped, order.worker, order.run)) {
+      return;
+    }
   }
   stopped.answer_pending = false;
   if (result == stop_result::acknowledged) {
--- a/src/programs/rhubarb-edge/owner_session.cpp
+++ b/src/programs/rhubarb-edge/owner_session.cpp
@@ -334,17 +334,15 @@
   running_actions_ = false;
 }
 
-void owner_session::enqueue_order(const worker_id& worker, const std::string& address, queued_order order) {
-  auto& channel = channels_[worker];
-  channel.address = address;
-  channel.waiting.push_back(std::move(order));
+void owner_session::enqueue_order(const worker_id& worker, queued_order order) {
+  channels_[worker].waiting.push_back(std::move(order));
   send_queued_orders(worker);
 }
 
 void owner_session::send_queued_orders(const worker_id& worker) {
   auto& channel = channels_[worker];
   while (!stopped_ && channel.in_flight < opts_.max_orders_in_flight && !channel.waiting.empty()) {
-    auto [request, done, wanted, starts_task] = std::move(channel.waiting.front());
+    auto [address, request, done, wanted, starts_task] = std::move(channel.waiting.front());
     channel.waiting.pop_front();
     if (!wanted()) {
       continue;
@@ -360,51 +358,50 @@
       continue;
     }
     ++channel.in_flight;
-    const auto address = channel.address;
-    deps_.workers.call(
-        address, request, opts_.order_timeout,
-        [weak = weak_from_this(), worker, address, done = std::move(done)](const http_result& result) {
-          const auto self = weak.lock();
-          if (self == nullptr) {
-            return;
-          }
-          --self->channels_[worker].in_flight;
-          if (std::holds_alternative<http_call_failed>(result)) {
-            self->deps_.workers.drop_idle(address);
-          }
-          if (!self->stopped_) {
-            done(result);
-            self->send_queued_orders(worker);
-            self->run_actions();
-            self->schedule_tick();
-          }
-        });
+    deps_.workers.call(address, request, opts_.order_timeout,
+                       [weak = weak_from_this(), worker, address = address,
+                        done = std::move(done)](const http_result& result) {
+                         const auto self = weak.lock();
+                         if (self == nullptr) {
+                           return;
+                         }
+                         --self->channels_[worker].in_flight;
+                         if (std::holds_alternative<http_call_failed>(result)) {
+                           self->deps_.workers.drop_idle(address);
+                         }
+                         if (!self->stopped_) {
+                           done(result);
+                           self->send_queued_orders(worker);
+                           self->run_actions();
+                           self->schedule_tick();
+                         }
+                       });
   }
 }
 
 void owner_session::perform(const start_order& order) {
   deps_.counters.add("rhubarb_orders_total", "order=\"start\"");
-  enqueue_order(order.worker, order.address,
-                {.request = platform::encode_order(order, opts_.term),
-                 .done =
-                     [this, order](const http_result& result) {
-                       scheduler_->start_answered(order, platform::decode_start_answer(result),
-                                                  deps_.loop.now());
-                     },
-                 .wanted = [this, order] { return scheduler_->start_still_needed(order); },
-                 .starts_task = true});
+  enqueue_order(order.worker, {.address = order.address,
+                               .request = platform::encode_order(order, opts_.term),
+                               .done =
+                                   [this, order](const http_result& result) {
+                                     scheduler_->start_answered(order, platform::decode_start_answer(result),
+                                                                deps_.loop.now());
+                                   },
+                               .wanted = [this, order] { return scheduler_->start_still_needed(order); },
+                               .starts_task = true});
 }
 
 void owner_session::perform(const stop_order& order) {
   deps_.counters.add("rhubarb_orders_total", "order=\"stop\"");
-  enqueue_order(order.worker, order.address,
-                {.request = platform::encode_order(order, opts_.term),
-                 .done =
-                     [this, order](const http_result& result) {
-                       scheduler_->stop_answered(order, platform::decode_stop_answer(result),
-                                                 deps_.loop.now());
-                     },
-                 .wanted = [] { return true; }});
+  enqueue_order(order.worker, {.address = order.address,
+                               .request = platform::encode_order(order, opts_.term),
+                               .done =
+                                   [this, order](const http_result& result) {
+                                     scheduler_->stop_answered(order, platform::decode_stop_answer(result),
+                                                               deps_.loop.now());
+                                   },
+                               .wanted = [] { return true; }});
 }
 
 void owner_session::perform(const renew_order& order) {
--- a/src/programs/rhubarb-edge/owner_session.hpp
+++ b/src/programs/rhubarb-edge/owner_session.hpp
@@ -60,6 +60,7 @@
 
  private:
   struct queued_order {
+    std::string address;
     http_request request;
     std::function<void(const http_result&)> done;
     std::function<bool()> wanted;  ///< Checked immediately before sending; on false the order is dropped.
@@ -68,7 +69,6 @@
   /// The orders to one worker that wait for a free slot, and the number of unanswered ones.
   struct worker_channel {
     std::deque<queued_order> waiting;
-    std::string address;
     std::size_t in_flight{0};
   };
   using list_handler = std::function<void(std::vector<kv_item>, revision)>;
@@ -87,7 +87,7 @@
   void run_actions();
   void run_tick();
   void schedule_tick();
-  void enqueue_order(const worker_id& worker, const std::string& address, queued_order order);
+  void enqueue_order(const worker_id& worker, queued_order order);
   void send_queued_orders(const worker_id& worker);
   void perform(const start_order& order);
   void perform(const stop_order& order);
--- a/tests/coordination/job_scheduler_test.cpp
+++ b/tests/coordination/job_scheduler_test.cpp
@@ -21,6 +21,16 @@
     fleet.begin_term();
     fleet.advance(milliseconds{200});
   }
+  /// The only worker that runs a task.
+  [[nodiscard]] worker_id busy_worker() const {
+    for (const auto& [id, worker] : fleet.workers) {
+      if (!worker.tasks.empty()) {
+        return id;
+      }
+    }
+    FAIL("no worker runs a task");
+    return {};
+  }
   simulated_workers fleet{20261204};
 };
 
@@ -131,6 +141,34 @@
   CHECK(fleet.violations.empty());
 }
 
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_other_instance_at_an_earlier_address_ends_no_run") {
+  // Guards against a task that runs twice: the answer to a call that was sent before the worker moved says
+  // nothing about the worker at its present address.
+  fleet.submit(simulated_workers::job("a", 1, identical_tasks(1, 1, seconds{20})));
+  fleet.advance(milliseconds{1500});
+  fleet.scheduler->worker_unreachable({.worker = busy_worker(), .address = "10.0.1.1:1"},
+                                      renewal_failure::other_instance, fleet.now);
+  fleet.advance(seconds{5});
+  CHECK(fleet.starts[{.job = job_id{"a"}}] == 1);
+  CHECK(fleet.running_tasks() == 1);
+  CHECK(fleet.violations.empty());
+}
+
+TEST_CASE_METHOD(scheduler_fixture,
+                 "scheduler_worker_listed_at_a_wrong_address_keeps_its_task_until_its_lease_expires") {
+  // Guards against a task that runs twice: the entry of a worker names an address at which another instance
+  // listens, and the worker that answered at its earlier address still runs the task.
+  fleet.submit(simulated_workers::job("a", 1, identical_tasks(1, 1, seconds{20})));
+  fleet.advance(milliseconds{1500});
+  fleet.listed_addresses[busy_worker()] = "10.0.1.1:1";
+  fleet.addresses_taken_over.insert("10.0.1.1:1");
+  fleet.advance(seconds{5});
+  CHECK(fleet.starts[{.job = job_id{"a"}}] == 1);
+  fleet.advance(seconds{10});
+  CHECK(fleet.starts[{.job = job_id{"a"}}] == 2);
+  CHECK(fleet.violations.empty());
+}
+
 TEST_CASE_METHOD(scheduler_fixture,
                  "scheduler_acknowledgement_for_an_earlier_incarnation_does_not_drop_ended_runs") {
   // A worker restarts the numbering of its ended runs when it restarts. An acknowledgement for the earlier
--- a/tests/coordination/simulated_workers.hpp
+++ b/tests/coordination/simulated_workers.hpp
@@ -165,6 +165,9 @@
     for (auto& [id, each] : workers) {
       if ((each.running || addresses_taken_over.contains(each.entry.address)) && !unlisted.contains(id)) {
         entries.push_back(each.entry);
+        if (const auto other = listed_addresses.find(id); other != listed_addresses.end()) {
+          entries.back().address = other->second;
+        }
       }
     }
     scheduler->set_workers(entries, now);
@@ -209,8 +212,10 @@
 
   std::map<worker_id, worker> workers;
   std::set<worker_id> unlisted;  ///< Running workers that are missing from the registry.
-  std::set<std::string>
-      addresses_taken_over;  ///< Other instances listen there, which the registry does not show.
+  /// Of workers whose entry names another address than theirs.
+  std::map<worker_id, std::string> listed_addresses;
+  /// Other instances listen there, which the registry does not show.
+  std::set<std::string> addresses_taken_over;
   faults injected_faults;
   bool store_up{true};
   /// Unanswered orders for each worker; later ones wait.
