Wait for the lease of a draining worker that refuses connections

Cause: a refused connection of a worker that had announced that it drains and was no longer listed counted as "it has left", and all its runs were given up at once. A worker that is cut off looks the same: connections to it are refused, its entry lapses after three silent heartbeats, and it works on under its lease. Neither observation, nor both, shows that it has exited.

Ruled out: the lease itself (9.5 s, not expired), and a change of the owner (there is none in the case).

Change: the special case is gone; the lease decides, as for other workers.

Test: scheduler_draining_worker_that_refuses_connections_keeps_its_task_until _its_lease_expires fails on the code before (2 starts, two runs at the same time).

--- a/src/coordination/job_scheduler_reports.cpp
+++ b/src/coordination/job_scheduler_reports.cpp
@@ -102,9 +102,9 @@
   }
   if (failure == renewal_failure::other_instance) {
     self.instance_replaced(worker, order.address, now);
-  } else if (failure == renewal_failure::refused && worker.was_draining && !worker.listed) {
-    self.clear_all_runs(worker, "the worker drained and left", now);
   }
+  // A refused connection does not show that the worker has left, even if it was draining and its entry is
+  // gone: it may be cut off and run its tasks under their lease.
 }
 
 void job_scheduler::implementation::instance_replaced(worker_state& worker, const std::string& address,
--- a/tests/coordination/job_scheduler_test.cpp
+++ b/tests/coordination/job_scheduler_test.cpp
@@ -141,6 +141,26 @@
   CHECK(fleet.violations.empty());
 }
 
+TEST_CASE_METHOD(
+    scheduler_fixture,
+    "scheduler_draining_worker_that_refuses_connections_keeps_its_task_until_its_lease_expires") {
+  // Guards against a task that runs twice: a draining worker is cut off, so that connections to it are
+  // refused and its entry lapses, but it works on under its lease.
+  fleet.submit(simulated_workers::job("a", 1, identical_tasks(1, 1, seconds{30})));
+  fleet.advance(milliseconds{1500});
+  const auto cut = busy_worker();
+  fleet.workers.at(cut).entry.draining = true;
+  fleet.advance(milliseconds{1000});
+  fleet.workers.at(cut).disconnected = true;
+  fleet.workers.at(cut).refuses_connections = true;
+  fleet.unlisted.insert(cut);
+  fleet.advance(seconds{5});
+  CHECK(fleet.starts[{.job = job_id{"a"}}] == 1);
+  fleet.advance(seconds{9});
+  CHECK(fleet.starts[{.job = job_id{"a"}}] == 2);
+  CHECK(fleet.violations.empty());
+}
+
 TEST_CASE_METHOD(scheduler_fixture, "scheduler_other_instance_at_an_earlier_address_ends_no_run") {
   // Guards against a task that runs twice: the answer to a call that was sent before the worker moved says
   // nothing about the worker at its present address.
