Take no run as lost that a full or unreadable list may leave out

Cause: a run that a report names in neither list counted as lost. A worker lists its ended runs 500 at a time, so a full list may not be the whole one, and a row that cannot be read was skipped as if the run were not there.

Related: a new owner took the first report of a worker for all that it had to say, and ran the tasks again whose ends were left out.

Ruled out: a lease that expired (none did), a late report (one renewal is in flight for each worker).

Change: a report says whether it is complete: fewer ends than the limit, and all rows read. Only then does the absence of a run count, and only then is the recovery's wait for this worker over. The ends that are listed are stored and acknowledged as before, so the next report brings the following ones.

Tests, failing before: scheduler_ends_left_out_of_a_full_list_are_not_run _again (3 starts of a task), scheduler_recovery_waits_for_the_ends_left_out_of _a_full_list (4 starts), renewal_answer_is_complete_only_if_its_lists_can_name _every_run (did not compile before: reports had no such field).

--- a/include/rhubarbpath/state/fleet.hpp
+++ b/include/rhubarbpath/state/fleet.hpp
@@ -91,6 +91,9 @@
   std::chrono::milliseconds clock{0};  ///< The worker's monotonic clock; may run 2% slow.
   std::vector<active_run> running;
   std::vector<ended_run> ended;
+  /// Whether the lists name every run of the worker that runs, or ended and is not acknowledged. Otherwise a
+  /// run that is missing may still be running or may have ended.
+  bool complete{true};
 };
 
 /// Why a worker refused a start order.
--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -212,7 +212,7 @@
   std::map<service_id, detail::service_space> services;
   /// Workers with ended runs that are not acknowledged yet.
   std::vector<detail::worker_state*> workers_with_ends;
-  std::set<worker_id> unreported_workers;  ///< Workers whose first report the recovery is waiting for.
+  std::set<worker_id> unreported_workers;  ///< Workers whose first complete report recovery waits for.
   /// Leaving workers of the previous owner that have not reported, with the tasks that may run there.
   std::map<worker_id, std::vector<task_ref>> unreported_leaving;
   /// All tasks in `unreported_leaving`. They are not placed.
@@ -316,7 +316,7 @@
   /// Updates, adopts or stops a run that the worker lists as running.
   void process_active_run(detail::worker_state& worker, const active_run& run, instant now);
   void process_ended_run(detail::worker_state& worker, const ended_run& end, instant now);
-  /// Clears the runs that the worker should be running but does not list.
+  /// Clears the runs that the worker should be running but does not name in a complete report.
   void clear_unlisted_runs(detail::worker_state& worker, const lease_report& report, bool restarted,
                            instant sent, instant now);
   /// Clears all runs of a worker that is known to run nothing.
--- a/src/coordination/job_scheduler_reports.cpp
+++ b/src/coordination/job_scheduler_reports.cpp
@@ -200,10 +200,12 @@
       }
     }
   }
-  self.clear_unlisted_runs(worker, report, restarted, sent, now);
-  self.unreported_workers.erase(id);
-  self.unblock_tasks_of(id);
-  self.finish_recovery(now);
+  if (report.complete) {
+    self.clear_unlisted_runs(worker, report, restarted, sent, now);
+    self.unreported_workers.erase(id);
+    self.unblock_tasks_of(id);
+    self.finish_recovery(now);
+  }
   self.flush(now);
   const bool ends_unstored = worker.seen_through > worker.acknowledged_through;
   // `stored` makes the renewal due earlier; until then the lease is renewed at a longer interval.
--- a/tests/coordination/job_scheduler_test.cpp
+++ b/tests/coordination/job_scheduler_test.cpp
@@ -189,6 +189,42 @@
   CHECK(fleet.violations.empty());
 }
 
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_ends_left_out_of_a_full_list_are_not_run_again") {
+  // Guards against a task that runs again after it was done: a worker lists its ends a limited number at a
+  // time, and the runs whose ends are left out counted as lost.
+  fleet.max_listed_ends = 3;
+  fleet.submit(simulated_workers::job("a", 1, identical_tasks(8, 1, seconds{1})));
+  fleet.advance(milliseconds{800});
+  fleet.store_up = false;
+  fleet.advance(seconds{2});
+  fleet.store_up = true;
+  fleet.advance(seconds{3});
+  CHECK(fleet.phase("a") == job_phase::complete);
+  for (const auto& [task, count] : fleet.starts) {
+    CHECK(count == 1);
+  }
+  CHECK(fleet.violations.empty());
+}
+
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_recovery_waits_for_the_ends_left_out_of_a_full_list") {
+  // Guards against a new owner that takes the first report of a worker, with a full list of ends, for all
+  // that it has to say, and runs tasks again whose ends come later.
+  fleet.max_listed_ends = 3;
+  fleet.submit(simulated_workers::job("a", 1, identical_tasks(8, 1, seconds{1})));
+  fleet.advance(milliseconds{800});
+  fleet.store_up = false;
+  fleet.advance(seconds{2});
+  fleet.begin_term();
+  fleet.advance(seconds{2});
+  fleet.store_up = true;
+  fleet.advance(seconds{3});
+  CHECK(fleet.phase("a") == job_phase::complete);
+  for (const auto& [task, count] : fleet.starts) {
+    CHECK(count == 1);
+  }
+  CHECK(fleet.violations.empty());
+}
+
 TEST_CASE_METHOD(scheduler_fixture,
                  "scheduler_acknowledgement_for_an_earlier_incarnation_does_not_drop_ended_runs") {
   // A worker restarts the numbering of its ended runs when it restarts. An acknowledgement for the earlier
--- a/tests/coordination/simulated_workers.hpp
+++ b/tests/coordination/simulated_workers.hpp
@@ -218,6 +218,7 @@
   std::set<std::string> addresses_taken_over;
   faults injected_faults;
   bool store_up{true};
+  std::size_t max_listed_ends{500};  ///< Of a report.
   /// Unanswered orders for each worker; later ones wait.
   std::size_t max_orders_in_flight{std::numeric_limits<std::size_t>::max()};
   /// Processor time that the owner needs for each answer. Later answers wait until it is free, but ticks do
@@ -488,6 +489,10 @@
       report.running.push_back({.task = task, .run = state.run, .percent = percent_of(task, state)});
     }
     report.ended = each.ended;
+    if (report.ended.size() >= max_listed_ends) {
+      report.ended.resize(max_listed_ends);
+      report.complete = false;
+    }
     return report;
   }
 
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -118,6 +118,30 @@
   CHECK(report->running.front().task.index == 17);
   REQUIRE(report->ended.size() == 1);
   CHECK(report->ended.front().outcome == run_outcome::done);
+  CHECK_FALSE(report->complete);
+}
+
+TEST_CASE("renewal_answer_is_complete_only_if_its_lists_can_name_every_run") {
+  // Guards against a run that counts as lost because its row is left out of a full list or cannot be read.
+  const auto complete = [](const std::string& lists) {
+    const auto answer = decode_renew_answer(make_response(200, R"({"clockMs":5,"born":9)" + lists + "}"));
+    return std::get<lease_report>(answer).complete;
+  };
+  const auto ends = [](int count) {
+    std::string rows;
+    for (int number = 1; number <= count; ++number) {
+      rows +=
+          (number == 1 ? "[" : ",[") + std::to_string(number) + R"(,"5c0e7a21d94b36f8.0.1.9",1,"done",""])";
+    }
+    return R"(,"running":[],"finished":[)" + rows + "]";
+  };
+  CHECK(complete(R"(,"running":[],"finished":[])"));
+  CHECK(complete(""));
+  CHECK(complete(ends(499)));
+  CHECK_FALSE(complete(ends(500)));
+  CHECK_FALSE(complete(R"(,"running":7,"finished":[])"));
+  CHECK_FALSE(complete(R"(,"running":[["5c0e7a21d94b36f8.0.1.17","2","",41]],"finished":[])"));
+  CHECK_FALSE(complete(R"(,"running":[],"finished":[[1,"5c0e7a21d94b36f8.0.1.9",1,"unheard-of",""]])"));
 }
 
 TEST_CASE("store_response_distinguishes_refused_from_unknown") {
