Keep state only of the occurrences and tasks that are due, run or failed

Cause: all units of all occurrences were built when a job became known (about 300 bytes each), and every placement pass looked at all their steps. A step with a very large count did the same.

Ruled out: the row of the job (a few hundred bytes), and the decoding.

Occurrences across owners, which passed before too: scheduler_repeating_job_runs_each_occurrence_once_across_owners.

--- a/include/rhubarbpath/coordination/job_scheduler.hpp
+++ b/include/rhubarbpath/coordination/job_scheduler.hpp
@@ -15,12 +15,32 @@
 
 namespace rhubarbpath {
 
-/// Stored progress of one unit (a task or a gang). Fields with their default value are not stored.
+/// The numbers from `first` to `last`.
+struct number_range {
+  std::uint32_t first{0};
+  std::uint32_t last{0};
+
+  friend bool operator==(const number_range&, const number_range&) = default;
+};
+
+/// Units (tasks or gangs) of a step that are done.
+struct done_units {
+  std::uint32_t occurrence{0};
+  std::uint32_t step{0};
+  number_range units;
+
+  friend bool operator==(const done_units&, const done_units&) = default;
+};
+
+/// A progress row names up to this many done units one by one, as earlier versions read them. Above it, the
+/// row names ranges, because a row that grows with the job would become too large for the store.
+constexpr std::uint64_t max_done_units_listed_singly = 512;
+
+/// Stored progress of one unit that is not done. Fields with their default value are not stored.
 struct unit_progress {
   std::uint32_t occurrence{0};
   std::uint32_t step{0};
   std::uint32_t unit{0};
-  bool done{false};
   /// Runs that ended as failed. Each counts once, no matter how often and in which order workers report it.
   std::vector<run_number> failed_runs;
   run_number last_run;
@@ -34,6 +54,9 @@
   job_id job;
   job_phase phase{job_phase::queued};
   std::vector<unit_progress> units;
+  std::vector<done_units> done;
+  /// Occurrences of which all units are done and not in `done`.
+  std::vector<number_range> done_occurrences;
 };
 
 /// Start `task` on a worker. The order is idempotent.
--- a/src/coordination/job_scheduler.cpp
+++ b/src/coordination/job_scheduler.cpp
@@ -8,7 +8,6 @@
 using detail::job_state;
 using detail::member;
 using detail::member_phase;
-using detail::step_state;
 using detail::unit;
 using detail::unit_phase;
 using detail::worker_state;
@@ -42,74 +41,65 @@
 
 unit* job_scheduler::implementation::find_unit(const task_ref& task, std::uint32_t* member_index) {
   auto* job = find_job(task.job);
-  if (job == nullptr) {
+  if (job == nullptr || task.step >= job->job.graph.steps.size()) {
     return nullptr;
   }
-  const auto* step = find_step(*job, task.occurrence, task.step);
-  if (step == nullptr || task.index >= job->job.graph.steps[task.step].count) {
+  const auto& step = job->job.graph.steps[task.step];
+  if (task.index >= step.count) {
     return nullptr;
   }
-  const bool gang = job->job.graph.steps[task.step].gang;
-  *member_index = gang ? task.index : 0;
-  return &job->units[step->begin + (gang ? 0 : task.index)];
+  *member_index = step.gang ? task.index : 0;
+  return job->units.find(task.occurrence, task.step, step.gang ? 0 : task.index);
 }
 
-step_state* job_scheduler::implementation::find_step(job_state& job, std::uint32_t occurrence,
-                                                     std::uint32_t step) {
-  const auto step_count = job.job.graph.steps.size();
-  const auto index = occurrence * step_count + step;
-  return step < step_count && index < job.steps.size() ? &job.steps[index] : nullptr;
+unit* job_scheduler::implementation::find_reported_unit(const task_ref& task, std::uint32_t* member_index,
+                                                        instant now) {
+  if (auto* found = find_unit(task, member_index); found != nullptr) {
+    return found;
+  }
+  auto* job = find_job(task.job);
+  if (job == nullptr || is_terminal(job->phase) || task.step >= job->job.graph.steps.size()) {
+    return nullptr;
+  }
+  const auto& step = job->job.graph.steps[task.step];
+  if (task.index >= step.count) {
+    return nullptr;
+  }
+  return job->units.find_or_create(task.occurrence, task.step, step.gang ? 0 : task.index,
+                                   opens_inherited(*job), now);
 }
 
 void job_scheduler::implementation::mark_waiting(job_state& job, const unit& waiting) {
-  if (auto* step = find_step(job, waiting.occurrence, waiting.step); step != nullptr) {
-    step->first_waiting = std::min(step->first_waiting, step->begin + waiting.number);
-  }
-}
-
-void job_scheduler::implementation::build_units(job_state& job, bool inherited, instant now) const {
-  const auto& graph = job.job.graph;
-  const auto occurrences = std::max<std::uint32_t>(1, graph.occurrences);
-  for (std::uint32_t occurrence = 0; occurrence < occurrences; ++occurrence) {
-    for (std::uint32_t step = 0; step < graph.steps.size(); ++step) {
-      const auto& spec = graph.steps[step];
-      const auto unit_count = spec.gang ? 1U : spec.count;
-      const auto begin = job.units.size();
-      for (std::uint32_t number = 0; number < unit_count; ++number) {
-        unit created_unit;
-        created_unit.occurrence = occurrence;
-        created_unit.step = step;
-        created_unit.number = number;
-        created_unit.first_index = spec.gang ? 0 : number;
-        created_unit.members.resize(spec.gang ? spec.count : 1);
-        created_unit.inherited = inherited;
-        created_unit.waiting_since = now;
-        job.units.push_back(std::move(created_unit));
-      }
-      job.steps.push_back(
-          {.begin = begin, .end = job.units.size(), .units_left = unit_count, .first_waiting = begin});
-    }
+  if (auto* step = job.units.find_step(waiting.occurrence, waiting.step); step != nullptr) {
+    step->first_waiting = std::min(step->first_waiting, waiting.number);
   }
-  job.units_left = job.units.size();
 }
 
-void job_scheduler::implementation::apply_progress(job_state& job, const job_progress& progress) {
+void job_scheduler::implementation::open_due_occurrences(job_state& job, instant now) const {
+  job.units.open_due(due_count(job.job.graph, now), opens_inherited(job), now);
+}
+
+void job_scheduler::implementation::apply_progress(job_state& job, const job_progress& progress,
+                                                   instant now) const {
   job.phase = progress.phase;
   job.stored_phase = progress.phase;
   job.has_started_task = progress.phase != job_phase::queued;
+  if (is_terminal(job.phase)) {
+    return;
+  }
+  for (const auto& range : progress.done_occurrences) {
+    job.units.mark_occurrences_done(range);
+  }
+  for (const auto& done : progress.done) {
+    job.units.mark_done(done, opens_inherited(job), now);
+  }
   for (const auto& row : progress.units) {
-    auto* step = find_step(job, row.occurrence, row.step);
-    if (step == nullptr || step->begin + row.unit >= step->end) {
-      continue;
-    }
-    auto& target = job.units[step->begin + row.unit];
-    target.failed_runs = row.failed_runs;
-    target.run = row.last_run;
-    target.checkpoint = row.checkpoint;
-    if (row.done && target.phase != unit_phase::done) {
-      target.phase = unit_phase::done;
-      --step->units_left;
-      --job.units_left;
+    if (auto* target =
+            job.units.find_or_create(row.occurrence, row.step, row.unit, opens_inherited(job), now);
+        target != nullptr) {
+      target->failed_runs = row.failed_runs;
+      target->run = row.last_run;
+      target->checkpoint = row.checkpoint;
     }
   }
 }
@@ -130,26 +120,53 @@
   return longest;
 }
 
-job_progress job_scheduler::implementation::progress_of(const job_state& job) const {
-  job_progress progress{.job = job.job.id, .phase = job.phase, .units = {}};
-  if (is_terminal(job.phase)) {
-    return progress;
-  }
-  for (const auto& each : job.units) {
-    const bool done = each.phase == unit_phase::done;
-    if (done || !each.failed_runs.empty() || !each.checkpoint.empty()) {
-      progress.units.push_back({.occurrence = each.occurrence,
-                                .step = each.step,
-                                .unit = each.number,
-                                .done = done,
-                                .failed_runs = each.failed_runs,
-                                .last_run = each.run,
-                                .checkpoint = done ? std::string{} : each.checkpoint});
-    }
+job_progress job_scheduler::implementation::progress_of(const job_state& job) {
+  job_progress progress{
+      .job = job.job.id, .phase = job.phase, .units = {}, .done = {}, .done_occurrences = {}};
+  if (!is_terminal(job.phase)) {
+    job.units.describe(progress);
   }
   return progress;
 }
 
+void job_scheduler::implementation::forget_unit(const job_state& job, const unit& forgotten, instant now) {
+  plans.erase(&forgotten);
+  previous_plans.erase(&forgotten);
+  update_health(worker_health::job_removed{detail::health_key(job, forgotten)}, now);
+}
+
+void job_scheduler::implementation::release_units(instant now) {
+  std::vector<std::pair<job_state*, unit*>> done;
+  std::erase_if(active_units, [&](const auto& active) {
+    auto& [job, each] = active;
+    each->tracked = std::any_of(each->members.begin(), each->members.end(),
+                                [](const member& one) { return one.phase != member_phase::none; });
+    if (!each->tracked && each->phase == unit_phase::done) {
+      done.push_back(active);
+    }
+    return !each->tracked;
+  });
+  for (const auto& [job, each] : done) {
+    forget_unit(*job, *each, now);
+    job->units.release(*each);
+  }
+  std::erase_if(open_jobs, [&](const auto& open) {
+    auto& job = *open.second;
+    if (!is_terminal(job.phase) || job.assigned_members > 0) {
+      return false;
+    }
+    for (const auto& [number, occurrence] : job.units.open_occurrences()) {
+      for (const auto& step : occurrence.steps) {
+        for (const auto& [unit_number, each] : step.units) {
+          forget_unit(job, each, now);
+        }
+      }
+    }
+    job.units.clear();
+    return true;
+  });
+}
+
 void job_scheduler::implementation::mark_dirty(job_state& job) {
   job.dirty = true;
   dirty.insert(job.job.id);
@@ -164,9 +181,13 @@
   mark_dirty(job);
   tickets.forget(job.job.id);
   record("job_ended", job.job.id, std::string{phase_name(phase)}, {}, now - job.added_at);
-  for (auto& each : job.units) {
-    update_health(worker_health::job_removed{detail::health_key(job, each)}, now);
-    end_unit(job, each, now);
+  for (auto& [number, occurrence] : job.units.open_occurrences()) {
+    for (auto& step : occurrence.steps) {
+      for (auto& [unit_number, each] : step.units) {
+        update_health(worker_health::job_removed{detail::health_key(job, each)}, now);
+        end_unit(job, each, now);
+      }
+    }
   }
 }
 
@@ -177,12 +198,9 @@
   if (done.phase == unit_phase::reserved) {
     release_reservation(done, occupied(step_of(job, done)));
   }
-  done.phase = unit_phase::done;
+  job.units.complete(done);
   done.checkpoint.clear();
-  --job.units_left;
-  if (auto* step = find_step(job, done.occurrence, done.step); step != nullptr) {
-    --step->units_left;
-  }
+  track(job, done);
   mark_dirty(job);
   placement_due = true;
   for (std::size_t index = 0; index < done.members.size(); ++index) {
@@ -190,7 +208,7 @@
       order_stop(job, done, index);
     }
   }
-  if (job.units_left == 0) {
+  if (job.units.all_done()) {
     end_job(job, job_phase::complete, now);
   }
 }
@@ -409,13 +427,15 @@
   if (self.jobs.contains(job.id)) {
     return;
   }
-  auto& state = self.jobs[job.id];
-  state.job = job;
+  auto& state = self.jobs.try_emplace(job.id, job).first->second;
   state.queue = self.find_queue(job.queue);
   state.added_at = now;
-  self.build_units(state, inherited && (self.recovery || !self.unreported_leaving.empty()), now);
+  state.inherited = inherited;
   if (progress) {
-    implementation::apply_progress(state, *progress);
+    self.apply_progress(state, *progress, now);
+  }
+  if (!is_terminal(state.phase)) {
+    self.open_due_occurrences(state, now);
   }
   const auto waited = self.wall - job.accepted_at + (now - self.wall_at);
   const auto submitted_at = now - std::clamp(std::chrono::duration_cast<duration>(waited), duration::zero(),
@@ -426,13 +446,12 @@
                     (state.queue == nullptr ? duration::zero() : state.queue->target);
   if (is_terminal(state.phase)) {
     state.ended_at = now;
-    state.units_left = 0;
   } else {
     self.open_jobs[job.id] = &state;
     if (!inherited) {
       self.expect_urgent(state, now);
     }
-    if (state.units_left == 0) {
+    if (state.units.all_done()) {
       self.end_job(state, job_phase::complete, now);
     }
   }
@@ -440,7 +459,7 @@
   self.record("job_added", job.id, inherited ? "inherited" : "new",
               {{"queue", job.queue.value()},
                {"team", job.team.value()},
-               {"units", absl::StrCat(state.units.size())},
+               {"units", absl::StrCat(state.units.count())},
                {"phase", std::string{phase_name(state.phase)}}});
 }
 
@@ -557,11 +576,8 @@
   self.next_expiry = now + expiry_interval;
   for (auto found = self.jobs.begin(); found != self.jobs.end();) {
     auto& job = found->second;
-    const bool idle = std::all_of(job.units.begin(), job.units.end(), [](const unit& each) {
-      return !each.tracked && (each.phase == unit_phase::waiting || each.phase == unit_phase::done);
-    });
     if (is_terminal(job.stored_phase) && !job.dirty && now - job.ended_at > self.opts.ended_job_retention &&
-        idle) {
+        job.units.empty()) {
       expired.push_back(found->first);
       self.open_jobs.erase(found->first);
       self.jobs.erase(found++);
--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -14,6 +14,7 @@
 #include "absl/container/node_hash_map.h"
 #include "absl/functional/function_ref.h"
 #include "absl/strings/str_cat.h"
+#include "job_units.hpp"
 #include "rhubarbpath/coordination/free_space_index.hpp"
 #include "rhubarbpath/coordination/job_scheduler.hpp"
 #include "rhubarbpath/coordination/worker_health.hpp"
@@ -40,65 +41,12 @@
 /// Number of consecutive failed renewals after which a worker gets no new work.
 constexpr int unusable_after_failed_renewals = 1;
 
-struct worker_state;
-struct job_state;
-
-enum class member_phase { none, reserved, starting, running, stopping };
-
-/// One task of a unit, with the worker and the state of its current run.
-struct member {
-  member_phase phase{member_phase::none};
-  worker_state* worker{nullptr};  ///< Set in every phase but `none`.
-  run_number run;
-  /// When the last order about this run was answered. A report requested later lists the run if it exists.
-  instant confirmed_at{};
-  int attempts{0};
-  bool answer_pending{false};
-  instant repeat_at{};
-  int percent{0};
-  /// On the worker's clock: when the run was last listed, and when `percent` changed or progress became
-  /// possible. The owner's clock would count the time for which a late owner left reports unread.
-  std::chrono::milliseconds listed_at{0};
-  std::chrono::milliseconds progress_at{0};
-  std::string checkpoint;
-};
-
-enum class unit_phase { waiting, reserved, active, ending, done };
-
-/// The unit of scheduling, whose members start together: a gang, or a single task of a step without gangs.
-struct unit {
-  std::uint32_t occurrence{0};
-  std::uint32_t step{0};
-  std::uint32_t number{0};
-  std::uint32_t first_index{0};
-  std::vector<member> members;
-  unit_phase phase{unit_phase::waiting};
-  bool inherited{false};
-  run_number run;
-  std::vector<run_number> failed_runs;
-  std::string checkpoint;
-  instant not_before{};
-  instant waiting_since{};
-  bool all_running{false};
-  instant reserved_until{};
-  bool tracked{false};  ///< Is in `active_units` of the scheduler.
-};
-
-/// The units of one step of one occurrence: the range [begin, end) of indexes into the job's units.
-struct step_state {
-  std::size_t begin{0};
-  std::size_t end{0};
-  std::size_t units_left{0};
-  /// No unit before this index is waiting. Moves back when a unit is returned to waiting.
-  std::size_t first_waiting{0};
-};
-
 struct job_state {
+  explicit job_state(const accepted_job& accepted) : job{accepted}, units{accepted.graph} {}
+
   accepted_job job;
   const queue_config* queue{nullptr};
-  std::vector<unit> units;
-  /// Ordered by occurrence, then by step.
-  std::vector<step_state> steps;
+  job_units units;
   job_phase phase{job_phase::queued};
   job_phase stored_phase{job_phase::queued};
   bool has_started_task{false};
@@ -106,8 +54,8 @@
   instant added_at{};
   instant objective{};  ///< When the job should be complete.
   instant ended_at{};
-  std::size_t units_left{0};
   std::size_t assigned_members{0};  ///< Members that are starting, running or stopping.
+  bool inherited{false};            ///< A previous owner may have started it.
 };
 
 /// A task that is starting, running or stopping on a worker.
@@ -246,8 +194,9 @@
   [[nodiscard]] const queue_config* find_queue(const queue_id& id) const;
   [[nodiscard]] detail::job_state* find_job(const job_id& id);
   [[nodiscard]] detail::unit* find_unit(const task_ref& task, std::uint32_t* member_index);
-  [[nodiscard]] static detail::step_state* find_step(detail::job_state& job, std::uint32_t occurrence,
-                                                     std::uint32_t step);
+  /// As `find_unit`, for a task that a worker names: creates the unit if the job has not ended.
+  [[nodiscard]] detail::unit* find_reported_unit(const task_ref& task, std::uint32_t* member_index,
+                                                 instant now);
   static void mark_waiting(detail::job_state& job, const detail::unit& unit);
   [[nodiscard]] static const step_spec& step_of(const detail::job_state& job, const detail::unit& unit) {
     return job.job.graph.steps[unit.step];
@@ -259,8 +208,13 @@
             .step = unit.step,
             .index = unit.first_index + static_cast<std::uint32_t>(index)};
   }
-  void build_units(detail::job_state& job, bool inherited, instant now) const;
-  static void apply_progress(detail::job_state& job, const job_progress& progress);
+  /// Whether units that are opened now may have been started by a previous owner.
+  [[nodiscard]] bool opens_inherited(const detail::job_state& job) const {
+    return job.inherited && (recovery || !unreported_leaving.empty());
+  }
+  /// Opens the occurrences that are due.
+  void open_due_occurrences(detail::job_state& job, instant now) const;
+  void apply_progress(detail::job_state& job, const job_progress& progress, instant now) const;
   [[nodiscard]] duration critical_path_length(const job_graph& graph) const;
   void mark_dirty(detail::job_state& job);
   void end_job(detail::job_state& job, job_phase phase, instant now);
@@ -280,7 +234,11 @@
   void flush(instant now);
   /// Lets the workers drop the ended runs whose outcome is stored.
   void acknowledge_stored_ends(instant now);
-  [[nodiscard]] job_progress progress_of(const detail::job_state& job) const;
+  [[nodiscard]] static job_progress progress_of(const detail::job_state& job);
+  /// Deletes units that are done, and all units of jobs that have ended, once nothing of them is left on a
+  /// worker.
+  void release_units(instant now);
+  void forget_unit(const detail::job_state& job, const detail::unit& forgotten, instant now);
   void record(std::string_view event, const job_id& job, std::string reason,
               std::vector<std::pair<std::string_view, std::string>> inputs = {},
               std::optional<duration> took = std::nullopt);
@@ -327,13 +285,16 @@
   /// A step with waiting units, and its sort key for placement.
   struct waiting_step {
     detail::job_state* job{nullptr};
-    detail::step_state* step{nullptr};
+    detail::occurrence_state* occurrence{nullptr};
+    std::uint32_t step{0};
     int rank{0};
     instant objective{};
   };
   using placement = std::vector<detail::worker_state*>;
-  [[nodiscard]] bool step_ready(const detail::job_state& job, std::uint32_t occurrence, std::uint32_t step,
-                                instant now) const;
+  /// Number of occurrences that are due.
+  [[nodiscard]] std::uint64_t due_count(const job_graph& graph, instant now) const;
+  [[nodiscard]] static bool step_ready(const detail::job_state& job,
+                                       const detail::occurrence_state& occurrence, std::uint32_t step);
   [[nodiscard]] std::vector<waiting_step> waiting_steps(instant now);
   [[nodiscard]] int rank_of(const detail::job_state& job, const step_spec& step, instant now) const;
   void run_placement_pass(instant now);
--- a/src/coordination/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler_placement.cpp
@@ -25,20 +25,25 @@
 
 // ---- placement order ----
 
-bool job_scheduler::implementation::step_ready(const job_state& job, std::uint32_t occurrence,
-                                               std::uint32_t step, instant now) const {
-  const auto& graph = job.job.graph;
-  if (graph.occurrences > 0) {
-    const auto due = graph.first_due + graph.interval * occurrence;
-    const auto time_of_day = wall + std::chrono::duration_cast<std::chrono::milliseconds>(now - wall_at);
-    if (time_of_day < due) {
-      return false;
-    }
+std::uint64_t job_scheduler::implementation::due_count(const job_graph& graph, instant now) const {
+  if (graph.occurrences == 0) {
+    return 1;
   }
-  const auto& after = graph.steps[step].after;
-  return std::all_of(after.begin(), after.end(), [&](std::uint32_t before) {
-    return job.steps[occurrence * graph.steps.size() + before].units_left == 0;
-  });
+  const auto late =
+      wall + std::chrono::duration_cast<std::chrono::milliseconds>(now - wall_at) - graph.first_due;
+  if (late.count() < 0) {
+    return 0;
+  }
+  return graph.interval.count() <= 0 ? graph.occurrences
+                                     : static_cast<std::uint64_t>(late / graph.interval) + 1;
+}
+
+bool job_scheduler::implementation::step_ready(const job_state& job,
+                                               const detail::occurrence_state& occurrence,
+                                               std::uint32_t step) {
+  const auto& after = job.job.graph.steps[step].after;
+  return std::all_of(after.begin(), after.end(),
+                     [&](std::uint32_t before) { return occurrence.steps[before].units_left == 0; });
 }
 
 /// Returns the accelerators that each team's urgent work uses, and the team's guarantee.
@@ -91,15 +96,17 @@
     if (is_terminal(job.phase) || job.queue == nullptr) {
       continue;
     }
-    const auto step_count = job.job.graph.steps.size();
-    for (std::size_t index = 0; index < job.steps.size(); ++index) {
-      auto& step = job.steps[index];
-      const auto occurrence = static_cast<std::uint32_t>(index / step_count);
-      const auto number = static_cast<std::uint32_t>(index % step_count);
-      if (step.first_waiting < step.end && step_ready(job, occurrence, number, now)) {
-        const auto& spec = job.job.graph.steps[number];
-        waiting.push_back(
-            {.job = &job, .step = &step, .rank = rank_of(job, spec, now), .objective = job.objective});
+    open_due_occurrences(job, now);
+    for (auto& [number, occurrence] : job.units.open_occurrences()) {
+      for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+        const auto& state = occurrence.steps[step];
+        if (state.first_waiting < state.unit_count && step_ready(job, occurrence, step)) {
+          waiting.push_back({.job = &job,
+                             .occurrence = &occurrence,
+                             .step = step,
+                             .rank = rank_of(job, job.job.graph.steps[step], now),
+                             .objective = job.objective});
+        }
       }
     }
   }
@@ -138,28 +145,34 @@
 /// does not fit ends the loop.
 void job_scheduler::implementation::place_step(const waiting_step& waiting, instant now) {
   auto& job = *waiting.job;
-  auto& step = *waiting.step;
-  const auto& spec = step_of(job, job.units[step.begin]);
+  auto& occurrence = *waiting.occurrence;
+  auto& step = occurrence.steps[waiting.step];
+  if (occurrence.inherited && recovery) {
+    return;
+  }
   bool all_placed = true;
-  for (auto index = step.first_waiting; index < step.end; ++index) {
-    auto& each = job.units[index];
+  const auto skip = [&](std::uint32_t to) { step.first_waiting = all_placed ? to : step.first_waiting; };
+  for (auto number = step.next_open(step.first_waiting); number < step.unit_count;
+       number = step.next_open(number + 1)) {
+    auto& each = job.units.create(occurrence, waiting.step, number);
     if (each.phase != unit_phase::waiting) {
-      step.first_waiting += index == step.first_waiting && all_placed ? 1 : 0;
+      skip(number + 1);
       continue;
     }
-    if (now < each.not_before || (each.inherited && (recovery || blocked(job, each)))) {
+    if (now < each.not_before || (each.inherited && blocked(job, each))) {
       all_placed = false;
       continue;
     }
     if (!place(job, each, now)) {
       ask_adviser(job, each, now);
-      if (spec.gang) {
+      if (job.job.graph.steps[waiting.step].gang) {
         hold_back_space(job, each, now);
       }
       return;
     }
-    step.first_waiting += index == step.first_waiting && all_placed ? 1 : 0;
+    skip(number + 1);
   }
+  skip(step.unit_count);
 }
 
 // ---- choice of workers ----
--- a/src/coordination/job_scheduler_reports.cpp
+++ b/src/coordination/job_scheduler_reports.cpp
@@ -216,7 +216,7 @@
 void job_scheduler::implementation::process_active_run(worker_state& worker, const active_run& run,
                                                        instant now) {
   std::uint32_t index = 0;
-  auto* parent = find_unit(run.task, &index);
+  auto* parent = find_reported_unit(run.task, &index, now);
   const auto& id = worker.entry.id;
   const auto stop_stray = [&] {
     record("stray_run_stopped", run.task.job, parent == nullptr ? "unknown task" : "not the current run",
@@ -274,7 +274,7 @@
 void job_scheduler::implementation::process_ended_run(worker_state& worker, const ended_run& end,
                                                       instant now) {
   std::uint32_t index = 0;
-  auto* parent = find_unit(end.task, &index);
+  auto* parent = find_reported_unit(end.task, &index, now);
   if (parent == nullptr) {
     return;
   }
--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -306,12 +306,7 @@
 }
 
 void job_scheduler::implementation::repeat_orders(instant now) {
-  std::erase_if(active_units, [](const auto& active) {
-    const auto& [job, each] = active;
-    each->tracked = std::any_of(each->members.begin(), each->members.end(),
-                                [](const detail::member& one) { return one.phase != member_phase::none; });
-    return !each->tracked;
-  });
+  release_units(now);
   for (auto& [job, each] : active_units) {
     if (each->phase == unit_phase::reserved) {
       continue;
@@ -328,9 +323,6 @@
       }
     }
   }
-  std::erase_if(open_jobs, [](const auto& open) {
-    return is_terminal(open.second->phase) && open.second->assigned_members == 0;
-  });
 }
 
 void job_scheduler::start_answered(const start_order& order, const start_result& result, instant now) {
--- a/src/protocol/job_rows.cpp
+++ b/src/protocol/job_rows.cpp
@@ -110,10 +110,35 @@
     for (const auto& run : unit.failed_runs) {
       failed.push_back(run.value());
     }
-    units.push_back(json::array({unit.occurrence, unit.step, unit.unit, unit.done, std::move(failed),
+    units.push_back(json::array({unit.occurrence, unit.step, unit.unit, false, std::move(failed),
                                  unit.last_run.value(), unit.checkpoint}));
   }
-  return to_bytes(json::array({progress.job.value(), static_cast<int>(progress.phase), std::move(units)}));
+  std::uint64_t done_count = 0;
+  for (const auto& each : progress.done) {
+    done_count += each.units.last - each.units.first + 1;
+  }
+  json done = json::array();
+  if (done_count <= max_done_units_listed_singly) {
+    for (const auto& each : progress.done) {
+      for (auto number = each.units.first; number <= each.units.last; ++number) {
+        units.push_back(json::array({each.occurrence, each.step, number, true, json::array(), 0, ""}));
+      }
+    }
+  } else {
+    for (const auto& each : progress.done) {
+      done.push_back(json::array({each.occurrence, each.step, each.units.first, each.units.last}));
+    }
+  }
+  json row = json::array({progress.job.value(), static_cast<int>(progress.phase), std::move(units)});
+  if (!done.empty() || !progress.done_occurrences.empty()) {
+    json occurrences = json::array();
+    for (const auto& range : progress.done_occurrences) {
+      occurrences.push_back(json::array({range.first, range.last}));
+    }
+    row.push_back(std::move(done));
+    row.push_back(std::move(occurrences));
+  }
+  return to_bytes(row);
 }
 
 absl::StatusOr<job_progress> decode_job_progress(std::string_view bytes) {
@@ -122,10 +147,16 @@
     progress.job = job_id{row.at(0).get<std::string>()};
     progress.phase = static_cast<job_phase>(row.at(1).get<int>());
     for (const auto& each : row.at(2)) {
+      if (each.at(3).get<bool>()) {
+        const auto number = each.at(2).get<std::uint32_t>();
+        progress.done.push_back({.occurrence = each.at(0).get<std::uint32_t>(),
+                                 .step = each.at(1).get<std::uint32_t>(),
+                                 .units = {.first = number, .last = number}});
+        continue;
+      }
       unit_progress unit{.occurrence = each.at(0).get<std::uint32_t>(),
                          .step = each.at(1).get<std::uint32_t>(),
                          .unit = each.at(2).get<std::uint32_t>(),
-                         .done = each.at(3).get<bool>(),
                          .failed_runs = {},
                          .last_run = run_number{each.at(5).get<std::uint64_t>()},
                          .checkpoint = each.at(6).get<std::string>()};
@@ -134,6 +165,20 @@
       }
       progress.units.push_back(std::move(unit));
     }
+    constexpr std::size_t done_field = 3;
+    constexpr std::size_t occurrences_field = 4;
+    if (row.size() > occurrences_field) {
+      for (const auto& each : row.at(done_field)) {
+        progress.done.push_back(
+            {.occurrence = each.at(0).get<std::uint32_t>(),
+             .step = each.at(1).get<std::uint32_t>(),
+             .units = {.first = each.at(2).get<std::uint32_t>(), .last = each.at(3).get<std::uint32_t>()}});
+      }
+      for (const auto& each : row.at(occurrences_field)) {
+        progress.done_occurrences.push_back(
+            {.first = each.at(0).get<std::uint32_t>(), .last = each.at(1).get<std::uint32_t>()});
+      }
+    }
     return progress;
   });
 }
--- a/tests/coordination/job_scheduler_test.cpp
+++ b/tests/coordination/job_scheduler_test.cpp
@@ -1,3 +1,5 @@
+#include <malloc.h>
+
 #include <catch2/catch.hpp>
 
 #include "simulated_workers.hpp"
@@ -257,6 +259,87 @@
   CHECK_FALSE(fleet.scheduler->start_still_needed(*fleet.last_start));
 }
 
+/// Bytes that the process has allocated.
+std::size_t allocated_bytes() {
+  const auto info = mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
+
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_job_that_repeats_for_years_costs_little_memory") {
+  // Guards against an owner that builds all occurrences of an accepted job at once and is killed for its
+  // memory, again and again, so that no job of anybody is started.
+  auto job = simulated_workers::job("yearly", 1, identical_tasks(3, 1, seconds{1}));
+  job.graph.occurrences = 365 * 24 * 60;
+  job.graph.interval = std::chrono::minutes{1};
+  job.graph.first_due = std::chrono::duration_cast<milliseconds>(fleet.now.time_since_epoch()) + seconds{2};
+  constexpr std::size_t most_bytes = 1'000'000;
+  const auto before = allocated_bytes();
+  fleet.submit(job);
+  fleet.submit(simulated_workers::job("plain", 1, identical_tasks(3, 1, seconds{1})));
+  fleet.advance(milliseconds{1500});
+  CHECK(fleet.phase("plain") == job_phase::complete);
+  CHECK(fleet.phase("yearly") == job_phase::queued);
+  fleet.advance(seconds{2});
+  CHECK(fleet.starts[{.job = job_id{"yearly"}}] == 1);
+  CHECK(fleet.starts[{.job = job_id{"yearly"}, .occurrence = 1}] == 0);
+  CHECK(allocated_bytes() - before < most_bytes);
+}
+
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_step_of_a_million_tasks_costs_little_memory") {
+  // Guards against an owner that builds all tasks of a step at once and is killed for its memory.
+  constexpr std::size_t most_bytes = 1'000'000;
+  const auto before = allocated_bytes();
+  fleet.submit(simulated_workers::job("wide", 1, identical_tasks(1'000'000, 1, milliseconds{500})));
+  fleet.advance(seconds{3});
+  CHECK(fleet.starts.size() > 48);
+  CHECK(allocated_bytes() - before < most_bytes);
+  CHECK(fleet.violations.empty());
+}
+
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_repeating_job_runs_each_occurrence_once_across_owners") {
+  // Guards against an occurrence that is run early, twice or never, also when the owner changes in the middle
+  // and while an earlier occurrence is still running.
+  auto job = simulated_workers::job("hourly", 1, identical_tasks(4, 1, milliseconds{1500}));
+  job.graph.occurrences = 12;
+  job.graph.interval = seconds{1};
+  job.graph.first_due = std::chrono::duration_cast<milliseconds>(fleet.now.time_since_epoch()) + seconds{1};
+  fleet.submit(job);
+  fleet.advance(milliseconds{4200});
+  CHECK(fleet.starts[{.job = job_id{"hourly"}, .occurrence = 3}] == 1);
+  CHECK(fleet.starts[{.job = job_id{"hourly"}, .occurrence = 4}] == 0);
+  fleet.begin_term();
+  fleet.advance(seconds{4});
+  fleet.begin_term();
+  fleet.advance(seconds{10});
+  CHECK(fleet.phase("hourly") == job_phase::complete);
+  CHECK(fleet.starts.size() == 48);
+  for (const auto& [task, count] : fleet.starts) {
+    CHECK(count == 1);
+  }
+  CHECK(fleet.violations.empty());
+}
+
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_occurrences_that_are_all_overdue_run_in_groups") {
+  // Guards against a job whose occurrences were all due long ago and that takes memory for all of them.
+  auto job = simulated_workers::job("overdue", 1, identical_tasks(1, 1, milliseconds{20}));
+  job.graph.occurrences = 100'000;
+  job.graph.interval = milliseconds{1};
+  constexpr std::size_t most_bytes = 2'000'000;
+  const auto before = allocated_bytes();
+  fleet.submit(job);
+  fleet.advance(seconds{2});
+  CHECK(fleet.starts.size() > 400);
+  CHECK(allocated_bytes() - before < most_bytes);
+  const auto started_before = fleet.starts.size();
+  fleet.begin_term();
+  fleet.advance(seconds{2});
+  CHECK(fleet.starts.size() > started_before + 300);
+  for (const auto& [task, count] : fleet.starts) {
+    CHECK(count == 1);
+  }
+  CHECK(fleet.violations.empty());
+}
+
 TEST_CASE_METHOD(scheduler_fixture, "scheduler_cancelled_job_stops_and_is_not_restarted") {
   fleet.submit(simulated_workers::job("a", 1, identical_tasks(6, 2, seconds{20})));
   fleet.advance(seconds{1});
--- a/tests/coordination/simulated_workers.hpp
+++ b/tests/coordination/simulated_workers.hpp
@@ -703,10 +703,10 @@
     }
     for (const auto& row : write.jobs) {
       stored_progress[row.job] = row;
-      for (const auto& unit : row.units) {
-        const auto& spec = stored_jobs.at(row.job).graph.steps[unit.step];
-        if (unit.done && !spec.gang) {
-          tasks_stored_as_done[{row.job, unit.occurrence, unit.step, unit.unit}] = true;
+      for (const auto& done : row.done) {
+        const auto& spec = stored_jobs.at(row.job).graph.steps[done.step];
+        for (auto unit = done.units.first; unit <= done.units.last && !spec.gang; ++unit) {
+          tasks_stored_as_done[{row.job, done.occurrence, done.step, unit}] = true;
         }
       }
     }
--- a/tests/protocol/job_rows_test.cpp
+++ b/tests/protocol/job_rows_test.cpp
@@ -1,6 +1,7 @@
 #include "rhubarbpath/protocol/job_rows.hpp"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 namespace rhubarbpath {
 namespace {
@@ -45,6 +46,41 @@
   CHECK(read->units == progress.units);
 }
 
+TEST_CASE("progress_row_names_few_done_units_one_by_one_as_earlier_versions_read_them") {
+  // Guards against an owner of an earlier version that takes units for not done during an upgrade.
+  const job_progress progress{.job = job_id{"j"},
+                              .phase = job_phase::running,
+                              .units = {{.step = 1, .unit = 9, .checkpoint = "c"}},
+                              .done = {{.occurrence = 0, .step = 0, .units = {.first = 0, .last = 2}}}};
+  const auto bytes = encode_job_progress(progress);
+  const auto row = nlohmann::json::from_cbor(bytes);
+  REQUIRE(row.size() == 3);
+  REQUIRE(row[2].size() == 4);
+  CHECK(row[2][3] == nlohmann::json::array({0, 0, 2, true, nlohmann::json::array(), 0, ""}));
+  const auto read = decode_job_progress(bytes);
+  REQUIRE(read.ok());
+  CHECK(read->units == progress.units);
+  REQUIRE(read->done.size() == 3);
+  CHECK(read->done.back() == done_units{.occurrence = 0, .step = 0, .units = {.first = 2, .last = 2}});
+}
+
+TEST_CASE("progress_row_of_a_large_job_stays_small") {
+  // Guards against a row that grows with the number of finished tasks until the store refuses it, after which
+  // no end of any job is noted any more.
+  job_progress progress{.job = job_id{"j"}, .phase = job_phase::running, .units = {}};
+  for (std::uint32_t index = 0; index < 1000; ++index) {
+    progress.done.push_back(
+        {.occurrence = 7, .step = 1, .units = {.first = index * 200, .last = index * 200 + 198}});
+  }
+  progress.done_occurrences = {{.first = 0, .last = 6}, {.first = 9, .last = 9}};
+  const auto bytes = encode_job_progress(progress);
+  CHECK(bytes.size() < 20'000);
+  const auto read = decode_job_progress(bytes);
+  REQUIRE(read.ok());
+  CHECK(read->done == progress.done);
+  CHECK(read->done_occurrences == progress.done_occurrences);
+}
+
 TEST_CASE("leaving_workers_row_round_trip_keeps_every_task") {
   // Guards against a task that is lost from the row: the next owner would start it while it still runs.
   const std::vector<leaving_worker> workers{
