End a run only by a proof that is passed to one function

Callers could see a task run twice. A run left its worker in six places, each with a judgement of its own, and two of these rested on absence:

- A report of the same incarnation that names a run in neither list counted as its end, although the run's end would have been listed.
- A worker that restarted after a run was stopped there does not know of the stop.
A start of that run that is still on its way would begin on the new incarnation, after its task had been started elsewhere.

Change: end_run takes the proof as a value: the listed end, the lease that has passed on the worker's clock, a later incarnation, another instance at the address, a start that was refused and has no open attempt, or a stop that this incarnation has acknowledged and a later complete report without the run. A member counts its unanswered attempts, and remembers which incarnation it was started on and which one acknowledged its stop; so a stop is ordered again on a new incarnation, and a run that is missing is stopped before its task starts again. The log line run_lost names the proof.

The simulated workers' clocks start anew with each incarnation, leases hold for all that runs on a worker and are cut to the limit, an order that a worker has taken ends with it, and an end that is noted after a later start of its task is a violation.

--- a/src/coordination/job_scheduler.cpp
+++ b/src/coordination/job_scheduler.cpp
@@ -266,15 +266,25 @@
   }
 }
 
-void job_scheduler::implementation::clear_member(job_state& job, unit& parent, std::size_t index) {
-  auto& cleared = parent.members[index];
-  if (cleared.phase != member_phase::none) {
-    cleared.worker->used -= occupied(step_of(job, parent));
-    std::erase(cleared.worker->tasks, detail::assigned_task{.job = &job, .parent = &parent, .index = index});
-    --job.assigned_members;
-    placement_due = true;
-  }
-  cleared = member{};
+void job_scheduler::implementation::end_run(job_state& job, unit& parent, std::size_t index,
+                                            const detail::run_end& end, instant now) {
+  auto& ended = parent.members[index];
+  auto& worker = *ended.worker;
+  const bool listed = std::holds_alternative<detail::end_listed>(end);
+  const bool began = !std::holds_alternative<detail::never_started>(end);
+  if (!listed && began) {
+    record("run_lost", job.job.id, describe(end),
+           {{"worker", worker.entry.id.value()}, {"run", absl::StrCat(ended.run.value())}});
+  }
+  if (ended.open_starts > 0) {
+    worker.late_starts.push_back(
+        {.task = task_of(job, parent, index), .run = ended.run, .expires_at = now + detail::max_order_delay});
+  }
+  worker.used -= occupied(step_of(job, parent));
+  std::erase(worker.tasks, detail::assigned_task{.job = &job, .parent = &parent, .index = index});
+  --job.assigned_members;
+  placement_due = true;
+  ended = member{};
 }
 
 void job_scheduler::implementation::assign_member(job_state& job, unit& parent, std::size_t index) {
@@ -415,9 +425,7 @@
   self.recovery = true;
   // The lease is measured on the worker's clock, which may run slow, and stopping the runs takes time after
   // it expires.
-  const auto lease_with_drift = duration{static_cast<std::int64_t>(
-      static_cast<double>(self.opts.max_lease.count()) * (1.0 + 2.0 * self.opts.clock_drift))};
-  self.recovery_ends = now + lease_with_drift + self.opts.stop_timeout;
+  self.recovery_ends = now + self.on_slow_clock(self.opts.max_lease) + self.stop_grace();
   self.finish_recovery(now);
 }
 
@@ -508,12 +516,7 @@
 void job_scheduler::tick(instant now) {
   auto& self = *implementation_;
   self.finish_recovery(now);
-  if (now >= self.recovery_ends && !self.unreported_leaving.empty()) {
-    // The longest lease that the previous owner may have granted has passed.
-    self.unreported_leaving.clear();
-    self.blocked_tasks.clear();
-    self.placement_due = true;
-  }
+  self.unblock_reported_tasks(now);
   if (now >= self.next_scan) {
     self.next_scan = now + detail::scan_interval;
     self.update_health(worker_health::tick{}, now);
--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -18,6 +18,7 @@
 #include "rhubarbpath/coordination/free_space_index.hpp"
 #include "rhubarbpath/coordination/job_scheduler.hpp"
 #include "rhubarbpath/coordination/worker_health.hpp"
+#include "run_end.hpp"
 
 namespace rhubarbpath {
 
@@ -28,6 +29,8 @@
 /// Number of unanswered attempts after which a start is abandoned. At the transport's timeout of 400 ms per
 /// attempt, this is well before the other members of a gang time out.
 constexpr int max_start_attempts = 4;
+/// How long an order without an answer is taken to be still on its way.
+constexpr duration max_order_delay{std::chrono::seconds{15}};
 /// Delay between renewals while ended runs wait to be stored, or after a failed renewal.
 constexpr duration renew_pause{std::chrono::milliseconds{150}};
 /// Delay before a gang or task that could not be started is placed again.
@@ -67,6 +70,14 @@
   friend bool operator==(const assigned_task&, const assigned_task&) = default;
 };
 
+/// A start that may still be carried out on a worker, although the run was stopped there. A later incarnation
+/// of the worker does not know of the stop.
+struct late_start {
+  task_ref task;
+  run_number run;
+  instant expires_at{};
+};
+
 struct worker_state {
   worker_entry entry;
   bool listed{false};
@@ -101,7 +112,10 @@
   bool renewing{false};
   instant renew_at{};
   int failed_renewals{0};
-  bool replaced{false};  ///< Another instance responds at the worker's address.
+  bool replaced{false};       ///< Another instance responds at the worker's address.
+  instant first_report_at{};  ///< Of this term.
+  bool has_complete_report{false};
+  std::vector<late_start> late_starts;
   int consecutive_failures{0};
   instant suspect_until{};  ///< Used only as a last resort until then, after a failed or stalled run.
   instant full_until{};     ///< Gets no new work until then, after it refused a start.
@@ -227,7 +241,9 @@
   void requeue_if_ended(detail::job_state& job, detail::unit& unit, instant now);
   /// Assigns a task to the worker of its member.
   void assign_member(detail::job_state& job, detail::unit& unit, std::size_t index);
-  void clear_member(detail::job_state& job, detail::unit& unit, std::size_t index);
+  /// Frees a member whose run is over. The only way in which a run leaves its worker.
+  void end_run(detail::job_state& job, detail::unit& unit, std::size_t index, const detail::run_end& end,
+               instant now);
   void track(detail::job_state& job, detail::unit& unit);
   void finish_recovery(instant now);
   /// Stores what has changed, or acknowledges the ended runs that change nothing.
@@ -244,6 +260,12 @@
               std::optional<duration> took = std::nullopt);
 
   // job_scheduler_workers.cpp
+  /// Whether the worker is silent and its runs are over, because their lease has passed.
+  [[nodiscard]] bool lease_has_passed(const detail::worker_state& worker, instant now) const;
+  /// A duration as the owner's clock shows it when a worker's clock, which may run slow, has measured it.
+  [[nodiscard]] duration on_slow_clock(duration span) const;
+  /// Time after the answer to a stop from which the run is not running any more.
+  [[nodiscard]] duration stop_grace() const;
   [[nodiscard]] std::chrono::milliseconds worker_clock(const detail::worker_state& worker, instant now) const;
   [[nodiscard]] std::chrono::milliseconds lease_end(const detail::worker_state& worker, instant now) const;
   void order_start(detail::job_state& job, detail::unit& unit, std::size_t index, instant now);
@@ -260,8 +282,10 @@
   void forget_worker(detail::worker_state& worker);
   /// Reports an outcome or the passing of time to `worker_health` and applies what it decides.
   void update_health(const worker_health::event& event, instant now);
-  /// The worker has reported, or nothing can run there any more.
+  /// The worker has reported all that runs there, or nothing can run there any more.
   void unblock_tasks_of(const worker_id& worker);
+  /// Unblocks the tasks of leaving workers on which no stop of an earlier owner is in progress any more.
+  void unblock_reported_tasks(instant now);
   [[nodiscard]] bool blocked(const detail::job_state& job, const detail::unit& unit) const;
   [[nodiscard]] std::vector<leaving_worker> leaving_workers() const;
   /// Keeps the worker in the index of its service and rack.
@@ -273,12 +297,21 @@
   void note_incarnation(detail::worker_state& worker, const lease_report& report, instant now);
   /// Updates, adopts or stops a run that the worker lists as running.
   void process_active_run(detail::worker_state& worker, const active_run& run, instant now);
+  /// Stops a listed run that cannot be adopted.
+  void stop_stray(const detail::worker_state& worker, const active_run& run, const detail::unit* parent);
   void process_ended_run(detail::worker_state& worker, const ended_run& end, instant now);
-  /// Clears the runs that the worker should be running but does not name in a complete report.
-  void clear_unlisted_runs(detail::worker_state& worker, const lease_report& report, bool restarted,
-                           instant sent, instant now);
-  /// Clears all runs of a worker that is known to run nothing.
-  void clear_all_runs(detail::worker_state& worker, std::string_view reason, instant now);
+  /// Ends or stops the runs that the worker should be running but does not name in a complete report that was
+  /// requested at `sent`.
+  void check_unlisted_runs(detail::worker_state& worker, const lease_report& report, instant sent,
+                           instant now);
+  /// What shows that a run is over which its worker does not name in a complete report. Nothing if a stop
+  /// must be ordered first.
+  [[nodiscard]] static std::optional<detail::run_end> end_of_unlisted_run(const detail::worker_state& worker,
+                                                                          const detail::member& run);
+  /// Ends all runs of a worker that runs nothing any more.
+  void end_all_runs(detail::worker_state& worker, const detail::run_end& end, instant now);
+  /// Prevents that a new incarnation carries out starts of runs that were stopped on an earlier one.
+  void repeat_stops_of_late_starts(detail::worker_state& worker, instant now);
   void detect_stalls(instant now);
 
   // job_scheduler_placement.cpp
--- a/src/coordination/job_scheduler_reports.cpp
+++ b/src/coordination/job_scheduler_reports.cpp
@@ -12,24 +12,6 @@
 
 namespace {
 
-std::string_view outcome_name(run_outcome outcome) {
-  switch (outcome) {
-    case run_outcome::done:
-      return "done";
-    case run_outcome::failed:
-      return "failed";
-    case run_outcome::stopped:
-      return "stopped";
-    case run_outcome::lease_expired:
-      return "lease_expired";
-    case run_outcome::gang_broken:
-      return "gang_broken";
-    case run_outcome::gang_incomplete:
-      return "gang_incomplete";
-  }
-  return "failed";
-}
-
 std::string_view failure_name(renewal_failure failure) {
   switch (failure) {
     case renewal_failure::unanswered:
@@ -125,36 +107,45 @@
   unreported_workers.erase(id);
   unblock_tasks_of(id);
   if (address == worker.answered_at) {
-    clear_all_runs(worker, "another instance responds at the address", now);
+    end_all_runs(worker, detail::address_taken_over{.address = address}, now);
   }
 }
 
 /// Takes over the worker's incarnation and clock. A new incarnation knows nothing of what ran before.
 void job_scheduler::implementation::note_incarnation(worker_state& worker, const lease_report& report,
                                                      instant now) {
-  const bool restarted = worker.reported && worker.born != report.born;
-  if (worker.born != report.born) {
-    if (restarted) {
-      update_health(worker_health::worker_removed{worker.entry.id}, now);
-      worker.set_aside = worker.trial = false;
-      record("worker_restarted", {}, "new incarnation",
-             {{"worker", worker.entry.id.value()}, {"born", absl::StrCat(report.born.value())}});
-    }
-    worker.born = report.born;
-    worker.lease_until = milliseconds{0};
+  const bool first_of_term = !std::exchange(worker.reported, true);
+  const bool new_incarnation = first_of_term || worker.born != report.born;
+  if (new_incarnation) {
     worker.seen_through = worker.flushing_through = 0;
     worker.acknowledged_through = worker.acknowledged_confirmed = 0;
+    // An earlier owner may have granted the longest lease.
+    worker.lease_until = report.clock + duration_cast<milliseconds>(opts.max_lease);
   } else {
     worker.acknowledged_confirmed = std::max(worker.acknowledged_confirmed, worker.acknowledging);
   }
+  worker.born = report.born;
   worker.clock = report.clock;
   worker.clock_at = now;
-  if (!std::exchange(worker.reported, true)) {
-    // The lease that an earlier owner granted is unknown, but it is at most the longest lease.
-    worker.lease_until = report.clock + duration_cast<milliseconds>(opts.max_lease);
+  if (first_of_term) {
+    worker.first_report_at = now;
     // A stop order of the previous owner may still be in progress. Its run is in neither list until it ends.
-    recovery_not_before = now + opts.stop_timeout;
+    recovery_not_before = now + stop_grace();
     placement_due = true;
+  } else if (new_incarnation) {
+    update_health(worker_health::worker_removed{worker.entry.id}, now);
+    worker.set_aside = worker.trial = false;
+    record("worker_restarted", {}, "new incarnation",
+           {{"worker", worker.entry.id.value()}, {"born", absl::StrCat(report.born.value())}});
+    repeat_stops_of_late_starts(worker, now);
+  }
+}
+
+void job_scheduler::implementation::repeat_stops_of_late_starts(worker_state& worker, instant now) {
+  std::erase_if(worker.late_starts, [&](const detail::late_start& late) { return now >= late.expires_at; });
+  for (const auto& late : worker.late_starts) {
+    actions.emplace_back(stop_order{
+        .worker = worker.entry.id, .address = worker.entry.address, .task = late.task, .run = late.run});
   }
 }
 
@@ -174,7 +165,6 @@
     self.record("worker_answers", {}, "renewal answered", {{"worker", id.value()}});
     self.placement_due = true;
   }
-  const bool restarted = worker.reported && worker.born != report.born;
   self.note_incarnation(worker, report, now);
   for (const auto& end : report.ended) {
     if (end.number > worker.seen_through) {
@@ -201,9 +191,10 @@
     }
   }
   if (report.complete) {
-    self.clear_unlisted_runs(worker, report, restarted, sent, now);
+    worker.has_complete_report = true;
+    self.check_unlisted_runs(worker, report, sent, now);
     self.unreported_workers.erase(id);
-    self.unblock_tasks_of(id);
+    self.unblock_reported_tasks(now);
     self.finish_recovery(now);
   }
   self.flush(now);
@@ -217,15 +208,8 @@
                                                        instant now) {
   std::uint32_t index = 0;
   auto* parent = find_reported_unit(run.task, &index, now);
-  const auto& id = worker.entry.id;
-  const auto stop_stray = [&] {
-    record("stray_run_stopped", run.task.job, parent == nullptr ? "unknown task" : "not the current run",
-           {{"worker", id.value()}, {"run", absl::StrCat(run.run.value())}});
-    actions.emplace_back(
-        stop_order{.worker = id, .address = worker.entry.address, .task = run.task, .run = run.run});
-  };
   if (parent == nullptr) {
-    stop_stray();
+    stop_stray(worker, run, nullptr);
     return;
   }
   auto& job = jobs.at(run.task.job);
@@ -243,6 +227,7 @@
     }
     tracked.listed_at = worker.clock;
     tracked.checkpoint = run.checkpoint;
+    tracked.started_on = worker.born;
     return;
   }
   const bool gang = step_of(job, *parent).gang;
@@ -251,7 +236,7 @@
   const bool adoptable = !is_terminal(job.phase) && unit_open && tracked.phase == member_phase::none &&
                          run.run >= parent->run && (!gang || recovery);
   if (!adoptable) {
-    stop_stray();
+    stop_stray(worker, run, parent);
     return;
   }
   parent->phase = unit_phase::active;
@@ -260,6 +245,7 @@
                    .worker = &worker,
                    .run = run.run,
                    .confirmed_at = now,
+                   .started_on = worker.born,
                    .percent = run.percent,
                    .listed_at = worker.clock,
                    .progress_at = worker.clock,
@@ -268,7 +254,16 @@
   job.has_started_task = true;
   job.phase = job.phase == job_phase::queued ? job_phase::running : job.phase;
   record("run_adopted", run.task.job, "listed by its worker",
+         {{"worker", worker.entry.id.value()}, {"run", absl::StrCat(run.run.value())}});
+}
+
+void job_scheduler::implementation::stop_stray(const worker_state& worker, const active_run& run,
+                                               const detail::unit* parent) {
+  const auto& id = worker.entry.id;
+  record("stray_run_stopped", run.task.job, parent == nullptr ? "unknown task" : "not the current run",
          {{"worker", id.value()}, {"run", absl::StrCat(run.run.value())}});
+  actions.emplace_back(
+      stop_order{.worker = id, .address = worker.entry.address, .task = run.task, .run = run.run});
 }
 
 void job_scheduler::implementation::process_ended_run(worker_state& worker, const ended_run& end,
@@ -280,14 +275,15 @@
   }
   auto& job = jobs.at(end.task.job);
   auto& tracked = parent->members[index];
-  record("run_ended", end.task.job, std::string{outcome_name(end.outcome)},
+  const detail::end_listed listed{.outcome = end.outcome};
+  record("run_ended", end.task.job, describe(listed),
          {{"worker", worker.entry.id.value()},
           {"task", absl::StrCat(end.task.occurrence, ".", end.task.step, ".", end.task.index)},
           {"run", absl::StrCat(end.run.value())}});
   const bool current =
       tracked.worker == &worker && tracked.run == end.run && tracked.phase != member_phase::none;
   if (current) {
-    clear_member(job, *parent, index);
+    end_run(job, *parent, index, listed, now);
   }
   if (end.outcome == run_outcome::done) {
     worker.consecutive_failures = 0;
@@ -312,52 +308,54 @@
   requeue_if_ended(job, *parent, now);
 }
 
-void job_scheduler::implementation::clear_unlisted_runs(worker_state& worker, const lease_report& report,
-                                                        bool restarted, instant sent, instant now) {
+std::optional<detail::run_end> job_scheduler::implementation::end_of_unlisted_run(const worker_state& worker,
+                                                                                  const member& run) {
+  if (run.phase == member_phase::stopping && run.stopped_by == worker.born) {
+    return detail::stopped_before_start{.acknowledged_by = worker.born};
+  }
+  if (run.started_on != worker.born && run.open_starts == 0) {
+    return detail::incarnation_over{.successor = worker.born};
+  }
+  return std::nullopt;
+}
+
+void job_scheduler::implementation::check_unlisted_runs(worker_state& worker, const lease_report& report,
+                                                        instant sent, instant now) {
   absl::flat_hash_set<std::pair<task_ref, run_number>> listed;
   for (const auto& run : report.running) {
     listed.emplace(run.task, run.run);
   }
-  // Iterates over a copy, because clearing members changes the list.
+  // Iterates over a copy, because ending runs changes the list.
   const auto tasks = worker.tasks;
-  for (const auto& assigned : tasks) {
-    auto* parent = assigned.parent;
-    const auto index = assigned.index;
+  for (const auto& [job, parent, index] : tasks) {
     const auto& one = parent->members[index];
     const bool past_starting = one.phase == member_phase::running || one.phase == member_phase::stopping;
     if (one.worker != &worker || !past_starting || one.answer_pending || one.confirmed_at == instant{} ||
-        one.confirmed_at >= sent || listed.contains({task_of(*assigned.job, *parent, index), one.run})) {
+        one.confirmed_at >= sent || listed.contains({task_of(*job, *parent, index), one.run})) {
       continue;
     }
-    const auto run = one.run;
-    auto& job = *assigned.job;
-    const bool was_running = one.phase == member_phase::running;
-    if (restarted && was_running && one.attempts > 1) {
-      // An earlier attempt of the start was never answered and may still arrive. The restarted worker does
-      // not know that the run has ended, so a stop order must prevent it from starting the run again.
-      order_stop(job, *parent, index);
-      end_unit(job, *parent, now);
-      continue;
+    if (const auto end = end_of_unlisted_run(worker, one)) {
+      end_run(*job, *parent, index, *end, now);
+    } else {
+      // The worker must refuse attempts of the start that may still arrive.
+      record("run_missing", job->job.id, "not listed by its worker",
+             {{"worker", worker.entry.id.value()}, {"run", absl::StrCat(one.run.value())}});
+      order_stop(*job, *parent, index);
     }
-    clear_member(job, *parent, index);
-    if (was_running && parent->phase == unit_phase::active) {
-      record("run_lost", job.job.id, "not listed by its worker",
-             {{"worker", worker.entry.id.value()}, {"run", absl::StrCat(run.value())}});
-      end_unit(job, *parent, now);
+    if (parent->phase == unit_phase::active) {
+      end_unit(*job, *parent, now);
     }
-    requeue_if_ended(job, *parent, now);
+    requeue_if_ended(*job, *parent, now);
   }
 }
 
-void job_scheduler::implementation::clear_all_runs(worker_state& worker, std::string_view reason,
-                                                   instant now) {
+void job_scheduler::implementation::end_all_runs(worker_state& worker, const detail::run_end& end,
+                                                 instant now) {
   const auto tasks = worker.tasks;
   for (const auto& [job, parent, index] : tasks) {
-    record("run_lost", job->job.id, std::string{reason},
-           {{"worker", worker.entry.id.value()}, {"run", absl::StrCat(parent->members[index].run.value())}});
-    clear_member(*job, *parent, index);
+    end_run(*job, *parent, index, end, now);
   }
-  // Only after all members here are cleared, so that none of them gets a stop order.
+  // Only after all runs here have ended, so that none of them gets a stop order.
   for (const auto& [job, parent, index] : tasks) {
     end_unit(*job, *parent, now);
     requeue_if_ended(*job, *parent, now);
--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -48,14 +48,29 @@
   return worker_clock(worker, now) + duration_cast<milliseconds>(opts.worker_lease);
 }
 
+duration job_scheduler::implementation::on_slow_clock(duration span) const {
+  return duration{
+      static_cast<std::int64_t>(static_cast<double>(span.count()) * (1.0 + 2.0 * opts.clock_drift))};
+}
+
+duration job_scheduler::implementation::stop_grace() const {
+  // The worker's timers fire a little late.
+  constexpr duration timer_lateness{std::chrono::milliseconds{20}};
+  return on_slow_clock(opts.stop_timeout) + timer_lateness;
+}
+
+bool job_scheduler::implementation::lease_has_passed(const worker_state& worker, instant now) const {
+  return worker.reported && worker.failed_renewals > 0 &&
+         worker_clock(worker, now) > worker.lease_until + duration_cast<milliseconds>(stop_grace());
+}
+
 void job_scheduler::implementation::expire_silent_workers(instant now) {
   for (auto found = workers.begin(); found != workers.end();) {
     auto& worker = found->second;
-    const bool expired =
-        worker.reported && !worker.tasks.empty() && worker.failed_renewals > 0 &&
-        worker_clock(worker, now) > worker.lease_until + duration_cast<milliseconds>(opts.stop_timeout);
-    if (expired) {
-      clear_all_runs(worker, "lease expired on a silent worker", now);
+    if (!worker.tasks.empty() && lease_has_passed(worker, now)) {
+      end_all_runs(
+          worker, detail::lease_passed{.lease_until = worker.lease_until, .clock = worker_clock(worker, now)},
+          now);
     }
     const bool removable =
         !worker.listed && worker.tasks.empty() && worker.reserved == resource_amounts{} && !worker.renewing &&
@@ -112,6 +127,23 @@
   }
 }
 
+void job_scheduler::implementation::unblock_reported_tasks(instant now) {
+  std::vector<worker_id> known;
+  for (const auto& [id, tasks] : unreported_leaving) {
+    const auto found = workers.find(id);
+    // The first report of the term ends the orders of earlier owners, but a stop takes time, and its run is
+    // in neither list meanwhile.
+    const bool reported = found != workers.end() && found->second.has_complete_report &&
+                          now >= found->second.first_report_at + stop_grace();
+    if (reported || now >= recovery_ends) {
+      known.push_back(id);
+    }
+  }
+  for (const auto& id : known) {
+    unblock_tasks_of(id);
+  }
+}
+
 void job_scheduler::implementation::unblock_tasks_of(const worker_id& worker) {
   if (unreported_leaving.erase(worker) == 0) {
     return;
@@ -140,7 +172,8 @@
   for (const auto& [id, worker] : workers) {
     // Only after its first report is it known what runs on a worker. A draining one gets nothing new.
     const bool may_run_tasks = worker.listed || !worker.tasks.empty();
-    if (!may_run_tasks || !worker.reported || !worker.was_draining || unreported_leaving.contains(id)) {
+    if (!may_run_tasks || !worker.has_complete_report || !worker.was_draining ||
+        unreported_leaving.contains(id)) {
       continue;
     }
     leaving_worker each{.worker = id, .tasks = {}};
@@ -186,7 +219,8 @@
   const bool ends_unstored = worker.seen_through > worker.acknowledged_through;
   const bool acknowledge = worker.acknowledged_through > worker.acknowledged_confirmed;
   const bool silent = worker.failed_renewals > 0 && worker.listed;
-  if (worker.reported && worker.tasks.empty() && !ends_unstored && !acknowledge && !silent) {
+  const bool idle = worker.tasks.empty() && !ends_unstored && !acknowledge && !silent;
+  if (worker.has_complete_report && idle) {
     return;
   }
   if (!worker.stored) {
@@ -203,7 +237,7 @@
                     .wait = milliseconds{0}};
   // A renewal to an unresponsive worker may be processed late, so it must not extend the lease and with it
   // the time at which the worker is known to run nothing.
-  if (worker.reported && worker.failed_renewals == 0) {
+  if (worker.reported && worker.failed_renewals == 0 && !worker.tasks.empty()) {
     order.lease_until = lease_end(worker, now);
     worker.lease_until = std::max(worker.lease_until, *order.lease_until);
   }
@@ -225,7 +259,7 @@
     if (worker.listed || !worker.tasks.empty()) {
       to_store.insert(id);
       has_missing = has_missing || !worker.stored;
-      const bool leaving = worker.reported && worker.was_draining;
+      const bool leaving = worker.has_complete_report && worker.was_draining;
       leaving_changed = leaving_changed || leaving != worker.stored_as_leaving;
     }
   }
@@ -267,7 +301,9 @@
   const auto lease = worker_clock(worker, now) + first_lease;
   worker.lease_until = std::max(worker.lease_until, lease);
   starting.answer_pending = true;
+  starting.started_on = worker.born;
   ++starting.attempts;
+  ++starting.open_starts;
   actions.emplace_back(start_order{
       .worker = worker.entry.id,
       .address = worker.entry.address,
@@ -340,6 +376,9 @@
       return;
     }
   }
+  if (!std::holds_alternative<order_unanswered>(result)) {
+    --started.open_starts;
+  }
   if (started.phase == member_phase::stopping) {
     // A stop order was sent since; only its response matters.
     return;
@@ -395,15 +434,14 @@
     const bool unhealthy = refused.why == start_refusal::unhealthy;
     worker.full_until = now + (unhealthy ? unhealthy_pause : full_pause);
   }
-  if (started.attempts > 1) {
+  if (started.open_starts > 0) {
     // The refusal covers only this attempt. An earlier attempt may still be processed; a stop order prevents
     // that.
     order_stop(job, parent, index);
     end_unit(job, parent, now);
     return;
   }
-  // The worker has not started the run and never will.
-  clear_member(job, parent, index);
+  end_run(job, parent, index, detail::never_started{}, now);
   end_unit(job, parent, now);
   requeue_if_ended(job, parent, now);
 }
@@ -426,7 +464,8 @@
   stopped.answer_pending = false;
   if (result == stop_result::acknowledged) {
     // Until the stop takes effect the run continues, although the worker may not list it.
-    stopped.confirmed_at = now + self.opts.stop_timeout;
+    stopped.confirmed_at = now + self.stop_grace();
+    stopped.stopped_by = stopped.worker->born;
     return;
   }
   constexpr duration stop_pause{std::chrono::milliseconds{100}};
--- a/src/coordination/job_units.hpp
+++ b/src/coordination/job_units.hpp
@@ -24,7 +24,13 @@
   /// When the last order about this run was answered. A report requested later lists the run if it exists.
   instant confirmed_at{};
   int attempts{0};
+  /// Attempts to start the run to which no answer has come. The worker may still carry them out.
+  int open_starts{0};
   bool answer_pending{false};
+  /// The incarnation of the worker that the run was started on or that listed it last, and the one that
+  /// acknowledged a stop.
+  incarnation started_on;
+  incarnation stopped_by;
   instant repeat_at{};
   int percent{0};
   /// On the worker's clock: when the run was last listed, and when `percent` changed or progress became
--- a/tests/coordination/job_scheduler_test.cpp
+++ b/tests/coordination/job_scheduler_test.cpp
@@ -457,6 +457,111 @@
   }
 }
 
+// ---- a run is over only by proof ----
+
+/// The longest that a stop may take.
+constexpr milliseconds longest_stop{200};
+
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_stopped_run_of_a_restarted_worker_is_stopped_there_again") {
+  // Guards against a task that runs twice: an attempt of its start is still on its way when the run is
+  // stopped, and the worker restarts. The new incarnation does not know of the stop.
+  const task_ref task{.job = job_id{"a"}};
+  fleet.stop_time = longest_stop;
+  fleet.injected_faults.lost_answer = 1.0;
+  fleet.submit(simulated_workers::job("a", 1, identical_tasks(1, 1, seconds{30})));
+  fleet.advance(milliseconds{100});
+  fleet.injected_faults.lost_answer = 0;
+  fleet.advance(milliseconds{1500});
+  const auto holder = busy_worker();
+  auto& worker = fleet.workers.at(holder);
+  worker.stalled = true;
+  for (int step = 0; step < 2000 && !worker.tasks.begin()->second.stops_at; ++step) {
+    fleet.advance(milliseconds{4});
+  }
+  REQUIRE(worker.tasks.begin()->second.stops_at);
+  const auto first_run = worker.tasks.begin()->second.run;
+  fleet.advance(milliseconds{20});
+  fleet.restart(holder);
+  for (int step = 0; step < 2000 && fleet.starts[task] == 1; ++step) {
+    fleet.advance(milliseconds{4});
+  }
+  CHECK(fleet.starts[task] == 2);
+  CHECK(worker.ended_runs[task] >= first_run);
+}
+
+TEST_CASE_METHOD(scheduler_fixture,
+                 "scheduler_run_missing_from_a_report_is_stopped_before_its_task_starts_again") {
+  // Guards against a task that runs twice because a report of the same incarnation, which names the run
+  // nowhere, counts as its end.
+  const task_ref task{.job = job_id{"a"}};
+  fleet.submit(simulated_workers::job("a", 1, identical_tasks(1, 1, seconds{30})));
+  fleet.advance(milliseconds{1500});
+  const auto holder = busy_worker();
+  const auto first_run = fleet.workers.at(holder).tasks.begin()->second.run;
+  fleet.workers.at(holder).tasks.clear();
+  for (int step = 0; step < 2000 && fleet.starts[task] == 1; ++step) {
+    fleet.advance(milliseconds{4});
+  }
+  CHECK(fleet.starts[task] == 2);
+  CHECK(fleet.workers.at(holder).ended_runs[task] >= first_run);
+}
+
+TEST_CASE_METHOD(scheduler_fixture,
+                 "scheduler_task_of_a_leaving_worker_waits_for_a_stop_of_the_previous_owner") {
+  // Guards against a task that runs twice: the new owner's first report of a leaving worker names the run in
+  // neither list, because a stop of the previous owner is still in progress.
+  fleet.stop_time = longest_stop;
+  fleet.submit(simulated_workers::job("a", 1, identical_tasks(1, 1, seconds{30})));
+  fleet.advance(milliseconds{500});
+  const auto holder = busy_worker();
+  auto& worker = fleet.workers.at(holder);
+  worker.entry.draining = true;
+  fleet.advance(milliseconds{1500});
+  REQUIRE(fleet.stored_leaving.size() == 1);
+  worker.stalled = true;
+  for (int step = 0; step < 2000 && !worker.tasks.begin()->second.stops_at; ++step) {
+    fleet.advance(milliseconds{4});
+  }
+  fleet.begin_term();
+  fleet.advance(seconds{2});
+  CHECK(fleet.starts[{.job = job_id{"a"}}] == 2);
+  CHECK(fleet.violations.empty());
+}
+
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_expected_worker_without_an_entry_keeps_its_task") {
+  // Guards against a new owner that starts tasks again although a worker, whose entry lapsed while the store
+  // was away, still runs them.
+  fleet.submit(simulated_workers::job("a", 1, identical_tasks(2, 8, seconds{20})));
+  fleet.advance(milliseconds{1500});
+  const auto holder = busy_worker();
+  fleet.unlisted.insert(holder);
+  fleet.begin_term();
+  fleet.advance(milliseconds{1900});
+  CHECK(fleet.running_tasks() == 2);
+  fleet.unlisted.clear();
+  fleet.advance(seconds{20});
+  CHECK(fleet.phase("a") == job_phase::complete);
+  for (const auto& [task, count] : fleet.starts) {
+    CHECK(count == 1);
+  }
+  CHECK(fleet.violations.empty());
+}
+
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_lease_of_an_earlier_owner_is_waited_for") {
+  // Guards against a new owner that takes only its own orders into account when a worker falls silent.
+  fleet.submit(simulated_workers::job("a", 1, identical_tasks(1, 8, seconds{30})));
+  fleet.advance(milliseconds{1500});
+  const auto holder = busy_worker();
+  fleet.begin_term();
+  // The first report of the term arrives, and nothing after it.
+  fleet.advance(milliseconds{8});
+  fleet.workers.at(holder).disconnected = true;
+  fleet.unlisted.insert(holder);
+  fleet.advance(seconds{15});
+  CHECK(fleet.starts[{.job = job_id{"a"}}] == 2);
+  CHECK(fleet.violations.empty());
+}
+
 class adviser_fixture : public scheduler_fixture {
  protected:
   adviser_fixture() : scheduler_fixture{24} {
--- a/tests/coordination/simulated_workers.hpp
+++ b/tests/coordination/simulated_workers.hpp
@@ -28,7 +28,6 @@
   struct run_state {
     run_number run;
     duration work_left{};
-    milliseconds lease_until{0};
     bool gang{false};
     instant started{};
     /// When a stop takes effect. Until then the run continues but is in neither list.
@@ -43,10 +42,14 @@
     bool fails_every_run{false};      ///< Runs fail as soon as they have begun.
     bool stalled{false};
     std::uint64_t highest_term{0};
+    instant clock_started{};      ///< The clock starts anew in each incarnation.
+    milliseconds lease_until{0};  ///< Of all that runs here; on the worker's clock.
     std::map<task_ref, run_state> tasks;
     std::map<task_ref, run_number> ended_runs;
     std::vector<ended_run> ended;
     std::uint64_t last_end_number{0};
+    std::map<std::uint64_t, instant> ended_at;  ///< By number of the end.
+    instant lapsed_at{};                        ///< When the lease passed last.
   };
   struct faults {
     double lost_answer{0.0};   ///< Probability that an order is processed but its response is lost.
@@ -181,7 +184,10 @@
     each.ended.clear();
     each.ended_runs.clear();
     each.last_end_number = 0;
+    each.ended_at.clear();
     each.highest_term = 0;
+    each.clock_started = now;
+    each.lease_until = milliseconds{0};
     each.entry.born = each.entry.born.next();
   }
   /// The worker leaves and all its runs end.
@@ -218,7 +224,8 @@
   std::set<std::string> addresses_taken_over;
   faults injected_faults;
   bool store_up{true};
-  std::size_t max_listed_ends{500};  ///< Of a report.
+  std::size_t max_listed_ends{500};       ///< Of a report.
+  std::optional<milliseconds> stop_time;  ///< Time that a stop takes; random by default.
   /// Unanswered orders for each worker; later ones wait.
   std::size_t max_orders_in_flight{std::numeric_limits<std::size_t>::max()};
   /// Processor time that the owner needs for each answer. Later answers wait until it is free, but ticks do
@@ -236,6 +243,7 @@
   std::vector<std::string> violations;
   std::map<task_ref, int> starts;
   std::map<worker_id, int> starts_on;
+  std::map<task_ref, instant> last_started;
   std::set<worker_id> workers_allowed_by_adviser;  ///< For queues that have an adviser.
   std::optional<start_order> last_start;
   int advice_calls{0};
@@ -278,7 +286,8 @@
     return std::chrono::duration_cast<milliseconds>(now.time_since_epoch());
   }
   [[nodiscard]] milliseconds clock_of(const worker& each) const {
-    return milliseconds{static_cast<std::int64_t>(static_cast<double>(wall().count()) * each.clock_rate)};
+    const auto uptime = std::chrono::duration_cast<milliseconds>(now - each.clock_started);
+    return milliseconds{static_cast<std::int64_t>(static_cast<double>(uptime.count()) * each.clock_rate)};
   }
   void after(duration delay, std::function<void()> call) {
     messages.insert({now + delay, ++message_count, std::move(call)});
@@ -311,6 +320,7 @@
   void record_start(const task_ref& task, const worker_id& at) {
     ++starts[task];
     ++starts_on[at];
+    last_started[task] = now;
     if (trace) {
       std::printf("%lld starts %s.%u on %s\n", static_cast<long long>(now.time_since_epoch().count() / 1000),
                   task.job.value().c_str(), task.index, at.value().c_str());
@@ -332,6 +342,7 @@
     each.ended_runs[task] = std::max(each.ended_runs[task], run);
     each.ended.push_back(
         {.number = ++each.last_end_number, .task = task, .run = run, .outcome = outcome, .checkpoint = {}});
+    each.ended_at[each.last_end_number] = now;
     run_outcomes[{task, run}] = outcome;
   }
 
@@ -371,6 +382,7 @@
   void advance_workers(duration step) {
     const auto present = gang_members();
     for (auto& [id, each] : workers) {
+      each.lapsed_at = clock_of(each) > each.lease_until ? now : each.lapsed_at;
       const auto tasks = each.tasks;
       for (const auto& [task, unused] : tasks) {
         const auto found = each.tasks.find(task);
@@ -384,7 +396,7 @@
           }
           continue;
         }
-        if (clock_of(each) > state.lease_until) {
+        if (clock_of(each) > each.lease_until) {
           end_run(each, task, run_outcome::lease_expired);
           continue;
         }
@@ -416,6 +428,12 @@
     }
   }
 
+  /// A longer lease than the limit is shortened to it; no lease shortens an earlier one.
+  void extend_lease(worker& each, milliseconds until) const {
+    constexpr milliseconds longest_lease{std::chrono::seconds{10}};
+    each.lease_until = std::max(each.lease_until, std::min(until, clock_of(each) + longest_lease));
+  }
+
   start_result start(worker& each, const start_order& order, std::uint64_t from_term) {
     if (from_term < each.highest_term) {
       return start_refused{start_refusal::fenced};
@@ -423,14 +441,16 @@
     each.highest_term = from_term;
     const auto found = each.tasks.find(order.task);
     if (found != each.tasks.end() && found->second.run == order.run) {
+      extend_lease(each, order.lease_until);
       return start_accepted{};
     }
-    if (found != each.tasks.end() || order.run <= each.ended_runs[order.task]) {
-      return start_refused{start_refusal::superseded};
-    }
     if (order.lease_until <= clock_of(each)) {
       return start_refused{start_refusal::too_late};
     }
+    extend_lease(each, order.lease_until);
+    if (found != each.tasks.end() || order.run <= each.ended_runs[order.task]) {
+      return start_refused{start_refusal::superseded};
+    }
     resource_amounts used;
     for (const auto& [task, state] : each.tasks) {
       if (const auto* spec = step_of(task)) {
@@ -450,14 +470,8 @@
     const auto work = real != real_duration.end() ? real->second
                       : spec == nullptr           ? duration{std::chrono::seconds{1}}
                                                   : spec->estimate;
-    each.tasks[order.task] = {.run = order.run,
-                              .work_left = work,
-                              .lease_until = order.lease_until,
-                              .gang = spec != nullptr && spec->gang,
-                              .started = now};
-    for (auto& [task, state] : each.tasks) {
-      state.lease_until = std::max(state.lease_until, order.lease_until);
-    }
+    each.tasks[order.task] = {
+        .run = order.run, .work_left = work, .gang = spec != nullptr && spec->gang, .started = now};
     return start_accepted{};
   }
 
@@ -468,19 +482,33 @@
     each.highest_term = from_term;
     const auto found = each.tasks.find(order.task);
     if (found != each.tasks.end() && found->second.run == order.run && !found->second.stops_at) {
-      found->second.stops_at = now + milliseconds{random.below(200)};
+      found->second.stops_at = now + stop_time.value_or(milliseconds{random.below(200)});
     }
     each.ended_runs[order.task] = std::max(each.ended_runs[order.task], order.run);
   }
 
+  /// A task must not be started after an end as done that is acknowledged then or later, unless the worker's
+  /// lease passed between the two.
+  void check_acknowledged_end(const worker& each, const ended_run& end) {
+    const auto ended_at = each.ended_at.at(end.number);
+    if (end.outcome == run_outcome::done && each.lapsed_at <= ended_at && last_started[end.task] > ended_at) {
+      violation("task was started after an end as done that is noted: " + end.task.job.value() + "." +
+                std::to_string(end.task.index) + " run " + std::to_string(end.run.value()) + " on " +
+                each.entry.id.value());
+    }
+  }
+
   lease_report renew(worker& each, const renew_order& order, std::uint64_t from_term) {
     each.highest_term = std::max(each.highest_term, from_term);
     if (order.lease_until) {
-      for (auto& [task, state] : each.tasks) {
-        state.lease_until = std::max(state.lease_until, *order.lease_until);
-      }
+      extend_lease(each, *order.lease_until);
     }
-    std::erase_if(each.ended, [&](const ended_run& end) { return end.number <= order.acknowledged_through; });
+    std::erase_if(each.ended, [&](const ended_run& end) {
+      if (end.number <= order.acknowledged_through) {
+        check_acknowledged_end(each, end);
+      }
+      return end.number <= order.acknowledged_through;
+    });
     lease_report report{.born = each.entry.born, .clock = clock_of(each)};
     for (const auto& [task, state] : each.tasks) {
       if (state.stops_at) {
@@ -557,8 +585,9 @@
     }
     if (drawn_delivery == delivery::late) {
       const auto delay = milliseconds{2000 + static_cast<std::int64_t>(random.below(10000))};
-      after(delay, [this, id, process] {
-        if (workers.at(id).running) {
+      // The worker has taken the order, so it is lost with this incarnation.
+      after(delay, [this, id, process, born = each.entry.born] {
+        if (workers.at(id).running && workers.at(id).entry.born == born) {
           process(workers.at(id));
         }
       });
