Hold back the task of a run that is listed and that nobody tracks

Callers could see a task run twice: a run that its worker listed but that could not be adopted (a member of a gang, outside recovery) got one stop order, while its task stayed waiting and could be started elsewhere at once. The order was not repeated if it was lost, and a worker without other tasks was not asked again, so the run went on until its lease ended.

Cause: such runs were outside of the unit's state.

Change: the run takes the place of its member as a run that is being stopped, so the unit waits for its end like for any other and the stop is repeated. If the member is in use, or the task unknown, the worker is asked again until it lists no such run.

Test, failing before (two runs at the same time): scheduler_stray_run_holds_back_its_task_until_it_is_over.

--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -115,6 +115,8 @@
   bool replaced{false};       ///< Another instance responds at the worker's address.
   instant first_report_at{};  ///< Of this term.
   bool has_complete_report{false};
+  /// The last report listed runs that no unit tracks.
+  bool has_strays{false};
   std::vector<late_start> late_starts;
   int consecutive_failures{0};
   instant suspect_until{};  ///< Used only as a last resort until then, after a failed or stalled run.
@@ -297,8 +299,9 @@
   void note_incarnation(detail::worker_state& worker, const lease_report& report, instant now);
   /// Updates, adopts or stops a run that the worker lists as running.
   void process_active_run(detail::worker_state& worker, const active_run& run, instant now);
-  /// Stops a listed run that cannot be adopted.
-  void stop_stray(const detail::worker_state& worker, const active_run& run, const detail::unit* parent);
+  /// Stops a listed run that cannot be adopted. If its task is waiting, it waits until the run is over.
+  void stop_stray(detail::worker_state& worker, const active_run& run, detail::unit* parent,
+                  std::size_t index, instant now);
   void process_ended_run(detail::worker_state& worker, const ended_run& end, instant now);
   /// Ends or stops the runs that the worker should be running but does not name in a complete report that was
   /// requested at `sent`.
--- a/src/coordination/job_scheduler_reports.cpp
+++ b/src/coordination/job_scheduler_reports.cpp
@@ -166,6 +166,7 @@
     self.placement_due = true;
   }
   self.note_incarnation(worker, report, now);
+  worker.has_strays = false;
   for (const auto& end : report.ended) {
     if (end.number > worker.seen_through) {
       self.process_ended_run(worker, end, now);
@@ -200,7 +201,9 @@
   self.flush(now);
   const bool ends_unstored = worker.seen_through > worker.acknowledged_through;
   // `stored` makes the renewal due earlier; until then the lease is renewed at a longer interval.
-  worker.renew_at = ends_unstored ? now + detail::renew_pause * 3 : now;
+  worker.renew_at = ends_unstored       ? now + detail::renew_pause * 3
+                    : worker.has_strays ? now + detail::renew_pause
+                                        : now;
   self.renew_worker(worker, now);
 }
 
@@ -209,7 +212,7 @@
   std::uint32_t index = 0;
   auto* parent = find_reported_unit(run.task, &index, now);
   if (parent == nullptr) {
-    stop_stray(worker, run, nullptr);
+    stop_stray(worker, run, nullptr, 0, now);
     return;
   }
   auto& job = jobs.at(run.task.job);
@@ -236,7 +239,7 @@
   const bool adoptable = !is_terminal(job.phase) && unit_open && tracked.phase == member_phase::none &&
                          run.run >= parent->run && (!gang || recovery);
   if (!adoptable) {
-    stop_stray(worker, run, parent);
+    stop_stray(worker, run, parent, index, now);
     return;
   }
   parent->phase = unit_phase::active;
@@ -257,13 +260,30 @@
          {{"worker", worker.entry.id.value()}, {"run", absl::StrCat(run.run.value())}});
 }
 
-void job_scheduler::implementation::stop_stray(const worker_state& worker, const active_run& run,
-                                               const detail::unit* parent) {
+void job_scheduler::implementation::stop_stray(worker_state& worker, const active_run& run,
+                                               detail::unit* parent, std::size_t index, instant now) {
   const auto& id = worker.entry.id;
   record("stray_run_stopped", run.task.job, parent == nullptr ? "unknown task" : "not the current run",
          {{"worker", id.value()}, {"run", absl::StrCat(run.run.value())}});
-  actions.emplace_back(
-      stop_order{.worker = id, .address = worker.entry.address, .task = run.task, .run = run.run});
+  worker.has_strays = true;
+  if (parent != nullptr && parent->phase == unit_phase::reserved) {
+    end_unit(jobs.at(run.task.job), *parent, now);
+  }
+  if (parent == nullptr || parent->members[index].phase != member_phase::none) {
+    actions.emplace_back(
+        stop_order{.worker = id, .address = worker.entry.address, .task = run.task, .run = run.run});
+    return;
+  }
+  auto& job = jobs.at(run.task.job);
+  parent->phase = parent->phase == unit_phase::waiting ? unit_phase::ending : parent->phase;
+  parent->members[index] = member{.phase = member_phase::running,
+                                  .worker = &worker,
+                                  .run = run.run,
+                                  .started_on = worker.born,
+                                  .percent = run.percent,
+                                  .checkpoint = run.checkpoint};
+  assign_member(job, *parent, index);
+  order_stop(job, *parent, index);
 }
 
 void job_scheduler::implementation::process_ended_run(worker_state& worker, const ended_run& end,
--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -219,7 +219,7 @@
   const bool ends_unstored = worker.seen_through > worker.acknowledged_through;
   const bool acknowledge = worker.acknowledged_through > worker.acknowledged_confirmed;
   const bool silent = worker.failed_renewals > 0 && worker.listed;
-  const bool idle = worker.tasks.empty() && !ends_unstored && !acknowledge && !silent;
+  const bool idle = worker.tasks.empty() && !ends_unstored && !acknowledge && !silent && !worker.has_strays;
   if (worker.has_complete_report && idle) {
     return;
   }
--- a/tests/coordination/job_scheduler_test.cpp
+++ b/tests/coordination/job_scheduler_test.cpp
@@ -562,6 +562,23 @@
   CHECK(fleet.violations.empty());
 }
 
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_stray_run_holds_back_its_task_until_it_is_over") {
+  // Guards against a gang that is started while a member of an earlier run, which nobody tracks, is being
+  // stopped.
+  fleet.stop_time = longest_stop;
+  fleet.submit(simulated_workers::job("a", 2, identical_tasks(6, 1, seconds{30})));
+  fleet.submit(simulated_workers::job("gang", 1, identical_tasks(7, 7, seconds{2}, true)));
+  fleet.advance(milliseconds{1000});
+  const auto holder = busy_worker();
+  const task_ref member{.job = job_id{"gang"}};
+  fleet.workers.at(holder).tasks[member] = {
+      .run = run_number{1}, .work_left = seconds{30}, .gang = true, .started = fleet.now};
+  fleet.add_workers(7);
+  fleet.advance(seconds{6});
+  CHECK(fleet.phase("gang") == job_phase::complete);
+  CHECK(fleet.violations.empty());
+}
+
 class adviser_fixture : public scheduler_fixture {
  protected:
   adviser_fixture() : scheduler_fixture{24} {
