Wait for the longest lease of a silent worker that was started again

Callers could see a task run twice: a worker without tasks restarts under its id, and its clock starts anew. A start with a deadline on the old clock is carried out there and gets the longest lease (10 s), while the owner, which has no answer, takes the lease of 4.5 s that it asked for. If the worker then falls silent, its task is started elsewhere while it runs on.

Cause: what the owner knows of leases is on the clock of an incarnation, and was compared with leases that a later one may have granted.

Change: when the registry shows, or a report brings, a new incarnation, its leases count as unknown for the longest lease, and for 15 s more while starts without an answer may still arrive there.

Ruled out as a way: a shorter first lease (the worker takes any deadline on its new clock), and the clock in the answers to starts (the answer is what is missing).

Test, failing before (two runs at the same time): scheduler_start_on_a_silent_new_incarnation_is_given_the_longest_lease.

--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -117,6 +117,8 @@
   bool has_complete_report{false};
   /// The last report listed runs that no unit tracks.
   bool has_strays{false};
+  /// Leases are not known to have passed before this time, because the worker was started again.
+  instant lease_unknown_until{};
   std::vector<late_start> late_starts;
   int consecutive_failures{0};
   instant suspect_until{};  ///< Used only as a last resort until then, after a failed or stalled run.
@@ -313,6 +315,8 @@
                                                                           const detail::member& run);
   /// Ends all runs of a worker that runs nothing any more.
   void end_all_runs(detail::worker_state& worker, const detail::run_end& end, instant now);
+  /// A new incarnation may have carried out orders with a deadline on its predecessor's clock.
+  void expect_unknown_lease(detail::worker_state& worker, instant now);
   /// Prevents that a new incarnation carries out starts of runs that were stopped on an earlier one.
   void repeat_stops_of_late_starts(detail::worker_state& worker, instant now);
   void detect_stalls(instant now);
--- a/src/coordination/job_scheduler_reports.cpp
+++ b/src/coordination/job_scheduler_reports.cpp
@@ -45,6 +45,9 @@
                    {"born", absl::StrCat(entry.born.value())}});
       self.placement_due = true;
     }
+    if (restarted_or_moved && worker.reported && entry.born != incarnation{} && entry.born != worker.born) {
+      self.expect_unknown_lease(worker, now);
+    }
     self.index_worker(worker, entry);
     worker.stored = worker.stored || self.stored_workers.contains(entry.id);
     worker.stored_as_leaving = self.stored_leaving.contains(entry.id);
@@ -137,10 +140,22 @@
     worker.set_aside = worker.trial = false;
     record("worker_restarted", {}, "new incarnation",
            {{"worker", worker.entry.id.value()}, {"born", absl::StrCat(report.born.value())}});
+    expect_unknown_lease(worker, now);
     repeat_stops_of_late_starts(worker, now);
   }
 }
 
+void job_scheduler::implementation::expect_unknown_lease(worker_state& worker, instant now) {
+  std::erase_if(worker.late_starts, [&](const detail::late_start& late) { return now >= late.expires_at; });
+  const bool open_starts = !worker.late_starts.empty() ||
+                           std::any_of(worker.tasks.begin(), worker.tasks.end(), [](const auto& task) {
+                             return task.parent->members[task.index].open_starts > 0;
+                           });
+  const auto latest_order = open_starts ? now + detail::max_order_delay : now;
+  worker.lease_unknown_until =
+      std::max(worker.lease_unknown_until, latest_order + on_slow_clock(opts.max_lease) + stop_grace());
+}
+
 void job_scheduler::implementation::repeat_stops_of_late_starts(worker_state& worker, instant now) {
   std::erase_if(worker.late_starts, [&](const detail::late_start& late) { return now >= late.expires_at; });
   for (const auto& late : worker.late_starts) {
--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -60,7 +60,7 @@
 }
 
 bool job_scheduler::implementation::lease_has_passed(const worker_state& worker, instant now) const {
-  return worker.reported && worker.failed_renewals > 0 &&
+  return worker.reported && worker.failed_renewals > 0 && now >= worker.lease_unknown_until &&
          worker_clock(worker, now) > worker.lease_until + duration_cast<milliseconds>(stop_grace());
 }
 
--- a/tests/coordination/job_scheduler_test.cpp
+++ b/tests/coordination/job_scheduler_test.cpp
@@ -562,6 +562,31 @@
   CHECK(fleet.violations.empty());
 }
 
+class one_worker_fixture : public scheduler_fixture {
+ protected:
+  one_worker_fixture() : scheduler_fixture{1} {}
+};
+
+TEST_CASE_METHOD(one_worker_fixture,
+                 "scheduler_start_on_a_silent_new_incarnation_is_given_the_longest_lease") {
+  // Guards against a task that runs twice: a worker without tasks restarts, its clock starts anew, and a
+  // start with a deadline on the old clock is carried out there. The worker falls silent before it has
+  // reported.
+  const worker_id w1{"w1"};
+  fleet.advance(seconds{1});
+  fleet.restart(w1);
+  fleet.injected_faults.lost_answer = 1.0;
+  fleet.submit(simulated_workers::job("a", 1, identical_tasks(1, 1, seconds{30})));
+  fleet.advance(milliseconds{40});
+  REQUIRE(fleet.running_tasks() == 1);
+  fleet.workers.at(w1).disconnected = true;
+  fleet.injected_faults.lost_answer = 0;
+  fleet.add_workers(1);
+  fleet.advance(seconds{30});
+  CHECK(fleet.starts[{.job = job_id{"a"}}] == 2);
+  CHECK(fleet.violations.empty());
+}
+
 TEST_CASE_METHOD(scheduler_fixture, "scheduler_stray_run_holds_back_its_task_until_it_is_over") {
   // Guards against a gang that is started while a member of an earlier run, which nobody tracks, is being
   // stopped.
