Go on with recovery while a worker in touch has more ends to list

Callers could see an ended task run again: a new owner finished its recovery when the longest lease had passed since it began, also for workers that had reported, but whose list of ends was full and could not be acknowledged while the store was away. That lease shows that nothing runs any more of a silent worker; it does not show how the runs of one in touch have ended.

Change: after that time recovery waits only for workers that have reported and not yet listed all ends, until they do or fall silent for their lease.

Test, failing before (two starts of a task): scheduler_recovery_goes_on_while_a_worker_has_more_ends_to_list.

--- a/src/coordination/job_scheduler.cpp
+++ b/src/coordination/job_scheduler.cpp
@@ -349,7 +349,13 @@
 }
 
 void job_scheduler::implementation::finish_recovery(instant now) {
-  if (!recovery || now < recovery_not_before || (!unreported_workers.empty() && now < recovery_ends)) {
+  // Once the longest lease has passed, a silent worker runs nothing of the previous owner. One that reports
+  // may still have to name runs that ended.
+  const auto waits_for = [&](const worker_id& id) {
+    return now < recovery_ends || report_incomplete(id, now);
+  };
+  if (!recovery || now < recovery_not_before ||
+      std::any_of(unreported_workers.begin(), unreported_workers.end(), waits_for)) {
     return;
   }
   recovery = false;
--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -266,6 +266,8 @@
   // job_scheduler_workers.cpp
   /// Whether the worker is silent and its runs are over, because their lease has passed.
   [[nodiscard]] bool lease_has_passed(const detail::worker_state& worker, instant now) const;
+  /// Whether the worker has reported in this term, but may still have to name runs of an earlier owner.
+  [[nodiscard]] bool report_incomplete(const worker_id& id, instant now) const;
   /// A duration as the owner's clock shows it when a worker's clock, which may run slow, has measured it.
   [[nodiscard]] duration on_slow_clock(duration span) const;
   /// Time after the answer to a stop from which the run is not running any more.
--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -64,6 +64,12 @@
          worker_clock(worker, now) > worker.lease_until + duration_cast<milliseconds>(stop_grace());
 }
 
+bool job_scheduler::implementation::report_incomplete(const worker_id& id, instant now) const {
+  const auto found = workers.find(id);
+  return found != workers.end() && found->second.reported && !found->second.has_complete_report &&
+         !lease_has_passed(found->second, now);
+}
+
 void job_scheduler::implementation::expire_silent_workers(instant now) {
   for (auto found = workers.begin(); found != workers.end();) {
     auto& worker = found->second;
@@ -135,7 +141,7 @@
     // in neither list meanwhile.
     const bool reported = found != workers.end() && found->second.has_complete_report &&
                           now >= found->second.first_report_at + stop_grace();
-    if (reported || now >= recovery_ends) {
+    if (reported || (now >= recovery_ends && !report_incomplete(id, now))) {
       known.push_back(id);
     }
   }
--- a/tests/coordination/job_scheduler_test.cpp
+++ b/tests/coordination/job_scheduler_test.cpp
@@ -604,6 +604,25 @@
   CHECK(fleet.violations.empty());
 }
 
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_recovery_goes_on_while_a_worker_has_more_ends_to_list") {
+  // Guards against a new owner that runs ended tasks again because the longest lease has passed, although
+  // their worker is in touch and only cannot list all ends at a time.
+  fleet.max_listed_ends = 3;
+  fleet.submit(simulated_workers::job("a", 1, identical_tasks(8, 1, seconds{1})));
+  fleet.advance(milliseconds{800});
+  fleet.store_up = false;
+  fleet.advance(seconds{2});
+  fleet.begin_term();
+  fleet.advance(seconds{13});
+  fleet.store_up = true;
+  fleet.advance(seconds{3});
+  CHECK(fleet.phase("a") == job_phase::complete);
+  for (const auto& [task, count] : fleet.starts) {
+    CHECK(count == 1);
+  }
+  CHECK(fleet.violations.empty());
+}
+
 class adviser_fixture : public scheduler_fixture {
  protected:
   adviser_fixture() : scheduler_fixture{24} {
