Keep workers whose ends are not stored among those that the next owner asks

Callers could see an ended task run again: a worker that was no longer listed and had nothing to run was taken out of the stored set of workers although ends that it had reported were not stored yet. If the owner ended before it had stored them, its successor did not wait for this worker and started the tasks again; the worker, back in the registry, then listed their ends. For a draining worker the stored list of its tasks left them out in the same way.

Change: a worker counts as one that may have work until its ends are stored, and their tasks are among those that the list of leaving workers names.

Test, failing before (two starts), for a draining worker and for another: scheduler_next_owner_asks_for_ends_that_are_not_stored.

--- a/src/coordination/job_scheduler.cpp
+++ b/src/coordination/job_scheduler.cpp
@@ -309,6 +309,8 @@
       acknowledged.push_back(worker);
     }
     worker->has_unacknowledged_ends = worker->seen_through > worker->acknowledged_through;
+    worker->unstored_ends.erase(worker->unstored_ends.begin(),
+                                worker->unstored_ends.upper_bound(worker->acknowledged_through));
     return !worker->has_unacknowledged_ends;
   });
   for (auto* worker : acknowledged) {
--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -109,6 +109,8 @@
   std::uint64_t acknowledged_confirmed{0};
   std::uint64_t acknowledging{0};       ///< What the renewal in flight acknowledges.
   bool has_unacknowledged_ends{false};  ///< Is in `workers_with_ends` of the scheduler.
+  /// Tasks whose ends are not stored yet, by number of the end. The next owner must ask this worker for them.
+  std::map<std::uint64_t, task_ref> unstored_ends;
   bool renewing{false};
   instant renew_at{};
   int failed_renewals{0};
@@ -297,6 +299,10 @@
   /// Keeps the worker in the index of its service and rack.
   void index_worker(detail::worker_state& worker, const worker_entry& entry);
   void repeat_orders(instant now);
+  /// Whether the next owner must wait for what the worker reports.
+  [[nodiscard]] static bool may_have_work(const detail::worker_state& worker) {
+    return worker.listed || !worker.tasks.empty() || !worker.unstored_ends.empty();
+  }
   void store_worker_set();
 
   // job_scheduler_reports.cpp
--- a/src/coordination/job_scheduler_reports.cpp
+++ b/src/coordination/job_scheduler_reports.cpp
@@ -121,6 +121,7 @@
   const bool new_incarnation = first_of_term || worker.born != report.born;
   if (new_incarnation) {
     worker.seen_through = worker.flushing_through = 0;
+    worker.unstored_ends.clear();
     worker.acknowledged_through = worker.acknowledged_confirmed = 0;
     // An earlier owner may have granted the longest lease.
     worker.lease_until = report.clock + duration_cast<milliseconds>(opts.max_lease);
@@ -186,6 +187,7 @@
     if (end.number > worker.seen_through) {
       self.process_ended_run(worker, end, now);
       worker.seen_through = end.number;
+      worker.unstored_ends[end.number] = end.task;
       if (!std::exchange(worker.has_unacknowledged_ends, true)) {
         self.workers_with_ends.push_back(&worker);
       }
--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -79,7 +79,7 @@
           now);
     }
     const bool removable =
-        !worker.listed && worker.tasks.empty() && worker.reserved == resource_amounts{} && !worker.renewing &&
+        !may_have_work(worker) && worker.reserved == resource_amounts{} && !worker.renewing &&
         (worker.failed_renewals > 0 || worker.seen_through == worker.acknowledged_confirmed);
     if (!removable) {
       ++found;
@@ -177,8 +177,7 @@
   }
   for (const auto& [id, worker] : workers) {
     // Only after its first report is it known what runs on a worker. A draining one gets nothing new.
-    const bool may_run_tasks = worker.listed || !worker.tasks.empty();
-    if (!may_run_tasks || !worker.has_complete_report || !worker.was_draining ||
+    if (!may_have_work(worker) || !worker.has_complete_report || !worker.was_draining ||
         unreported_leaving.contains(id)) {
       continue;
     }
@@ -186,6 +185,9 @@
     for (const auto& task : worker.tasks) {
       each.tasks.push_back(task_of(*task.job, *task.parent, task.index));
     }
+    for (const auto& [number, task] : worker.unstored_ends) {
+      each.tasks.push_back(task);
+    }
     leaving.push_back(std::move(each));
   }
   return leaving;
@@ -262,7 +264,7 @@
   bool has_missing = false;
   bool leaving_changed = false;
   for (const auto& [id, worker] : workers) {
-    if (worker.listed || !worker.tasks.empty()) {
+    if (may_have_work(worker)) {
       to_store.insert(id);
       has_missing = has_missing || !worker.stored;
       const bool leaving = worker.has_complete_report && worker.was_draining;
--- a/tests/coordination/job_scheduler_test.cpp
+++ b/tests/coordination/job_scheduler_test.cpp
@@ -623,6 +623,31 @@
   CHECK(fleet.violations.empty());
 }
 
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_next_owner_asks_for_ends_that_are_not_stored") {
+  // Guards against a new owner that runs an ended task again: the end was not stored, and its worker, which
+  // had nothing else to run, was no longer among those to wait for.
+  const bool draining = GENERATE(false, true);
+  fleet.submit(simulated_workers::job("a", 1, identical_tasks(1, 1, seconds{2})));
+  fleet.advance(milliseconds{500});
+  const auto holder = busy_worker();
+  fleet.workers.at(holder).entry.draining = draining;
+  fleet.advance(milliseconds{1000});
+  fleet.store_up = false;
+  fleet.advance(seconds{1});
+  REQUIRE(fleet.running_tasks() == 0);
+  fleet.unlisted.insert(holder);
+  fleet.advance(seconds{2});
+  fleet.begin_term();
+  fleet.store_up = true;
+  fleet.advance(milliseconds{1500});
+  fleet.unlisted.clear();
+  fleet.advance(seconds{4});
+  INFO("draining " << draining);
+  CHECK(fleet.phase("a") == job_phase::complete);
+  CHECK(fleet.starts[{.job = job_id{"a"}}] == 1);
+  CHECK(fleet.violations.empty());
+}
+
 class adviser_fixture : public scheduler_fixture {
  protected:
   adviser_fixture() : scheduler_fixture{24} {
