Test the scheduler against workers that leave, move and come back at random

Workers drain, leave, crash, restart under their id or at another address, are replaced at their address, are cut off with silent or refused connections, and list four ends at a time; two orders are in flight for each; orders are late or get no answer; the owner changes; the store is away. The existing random test has none of these but cuts, restarts and changes of the owner.

24 seeds run with the tests.

--- a/tests/coordination/job_scheduler_test.cpp
+++ b/tests/coordination/job_scheduler_test.cpp
@@ -959,5 +959,105 @@
   }
 }
 
+TEST_CASE("scheduler_runs_nothing_twice_while_workers_leave_move_and_come_back") {
+  // Guards against a task that runs twice because an owner takes a run as over without proof. Workers drain,
+  // leave, crash, restart under their id, are replaced at their address, are cut off with silent or refused
+  // connections, and list few ends at a time; orders are late or get no answer; the owner changes; the store
+  // is away. All generated from the seed.
+  const auto seed =
+      std::getenv("RHUBARBPATH_SEED") ? std::atoi(std::getenv("RHUBARBPATH_SEED")) : GENERATE(range(1, 25));
+  simulated_workers fleet{static_cast<std::uint64_t>(seed)};
+  fleet.add_workers(8);
+  fleet.configuration = simulated_workers::config(50);
+  fleet.max_listed_ends = 4;
+  fleet.max_orders_in_flight = 2;
+  fleet.begin_term();
+  fleet.injected_faults = {.lost_answer = 0.03, .late_order = 0.03, .failing_task = 0.02};
+  auto& random = fleet.random;
+  const auto pick = [&] {
+    auto found = fleet.workers.begin();
+    std::advance(found, random.below(fleet.workers.size()));
+    return found->first;
+  };
+  int jobs = 0;
+  for (int round = 0; round < 60; ++round) {
+    fleet.submit(simulated_workers::job(
+        "j" + std::to_string(jobs++), static_cast<int>(random.below(3)),
+        identical_tasks(1 + static_cast<std::uint32_t>(random.below(8)),
+                        1 + static_cast<std::int64_t>(random.below(3)),
+                        milliseconds{500 + random.below(7000)}, random.below(3) == 0)));
+    const auto id = pick();
+    auto& worker = fleet.workers.at(id);
+    switch (random.below(14)) {
+      case 0:
+      case 1:
+        worker.disconnected = true;
+        worker.refuses_connections = random.below(2) == 0;
+        break;
+      case 2:
+        fleet.unlisted.insert(id);
+        break;
+      case 3:
+        worker.entry.draining = true;
+        break;
+      case 4:
+        worker.entry.draining = true;
+        worker.disconnected = worker.refuses_connections = true;
+        fleet.unlisted.insert(id);
+        break;
+      case 5:
+        if (worker.entry.draining) {
+          fleet.remove(id);
+          fleet.add_workers(1);
+        }
+        break;
+      case 6:
+      case 7:
+        fleet.restart(id);
+        break;
+      case 8:
+        if (worker.running) {
+          fleet.replace(id);
+          fleet.add_workers(1);
+        }
+        break;
+      case 9:
+        fleet.restart(id);
+        worker.entry.address += "1";
+        break;
+      case 10:
+        fleet.begin_term();
+        break;
+      case 11:
+        fleet.store_up = !fleet.store_up;
+        break;
+      default:
+        for (auto& [other, each] : fleet.workers) {
+          each.disconnected = each.refuses_connections = false;
+        }
+        fleet.unlisted.clear();
+        break;
+    }
+    fleet.advance(milliseconds{200 + random.below(1500)});
+  }
+  for (auto& [id, each] : fleet.workers) {
+    each.disconnected = each.refuses_connections = false;
+  }
+  fleet.unlisted.clear();
+  fleet.store_up = true;
+  fleet.injected_faults = {};
+  fleet.add_workers(4);
+  fleet.advance(seconds{90});
+  INFO("seed " << seed);
+  for (const auto& violation : fleet.violations) {
+    UNSCOPED_INFO(violation);
+  }
+  CHECK(fleet.violations.empty());
+  for (int job = 0; job < jobs; ++job) {
+    INFO("job " << job);
+    CHECK(fleet.phase("j" + std::to_string(job)) == job_phase::complete);
+  }
+}
+
 }  // namespace
 }  // namespace rhubarbpath
