Let workers of the soak drain, crash, be replaced and refuse connections

The soak's stand-ins could not show it: they never drained, listed all ends at a time, and a worker that was cut off took connections and kept its row.

Added: workers drain for 2 to 8 s and leave, crash and come back under their id or a new one at the same address, are cut off from the store and from all VMs with refused or silent connections, list 500 ends at a time, and refuse starts as unhealthy; another writer leaves odd rows of workers. Jobs of 4 to 11 s and, now and then, one of 700 short tasks come beside the others.

--- a/tests/platform/soak/callers.cpp
+++ b/tests/platform/soak/callers.cpp
@@ -13,6 +13,7 @@
 using std::chrono::milliseconds;
 
 constexpr duration submit_period{milliseconds{160}};
+constexpr duration long_submit_period{milliseconds{700}};
 constexpr duration query_period{milliseconds{40}};
 constexpr duration caller_timeout{milliseconds{3000}};
 constexpr int max_attempts = 30;
@@ -52,10 +53,18 @@
 }  // namespace
 
 callers::callers(event_loop& loop, worker_fleet& fleet, random_source& random, options opts)
-    : loop_{loop}, fleet_{fleet}, random_{random}, options_{std::move(opts)}, client_{loop, {}} {}
+    : loop_{loop},
+      fleet_{fleet},
+      random_{random},
+      options_{std::move(opts)},
+      client_{loop, {}},
+      long_jobs_random_{options_.seed} {}
 
 void callers::begin() {
-  submit_timer_ = loop_.run_every(submit_period, [this] { submit_new(); });
+  submit_timer_ = loop_.run_every(submit_period, [this] { submit_new(make_random_job()); });
+  if (options_.long_and_wide_jobs) {
+    long_timer_ = loop_.run_every(long_submit_period, [this] { submit_new(make_long_or_wide_job()); });
+  }
   query_timer_ = loop_.run_every(query_period, [this] { query_phase(); });
 }
 
@@ -83,8 +92,22 @@
   }
 }
 
-void callers::submit_new() {
-  auto [id, steps] = make_random_job();
+std::pair<std::string, soak_job> callers::make_long_or_wide_job() {
+  const auto id = fmt::format("{:016x}", next_job_++ * 0x9e3779b97f4a7c15ULL);
+  constexpr std::uint64_t wide_share = 12;
+  if (long_jobs_random_.below(wide_share) == 0) {
+    return {id, {{.count = 700, .cpu = 5, .memory_mb = 1, .run_time = milliseconds{1500}}}};
+  }
+  return {id,
+          {{.count = static_cast<int>(1 + long_jobs_random_.below(4)),
+            .cpu = 400,
+            .memory_mb = 256,
+            .run_time = milliseconds{4000 + long_jobs_random_.below(7000)},
+            .gang = long_jobs_random_.below(4) == 0}}};
+}
+
+void callers::submit_new(std::pair<std::string, soak_job> new_job) {
+  auto [id, steps] = std::move(new_job);
   jobs_[id].body = encode(steps).dump();
   fleet_.register_job(id, std::move(steps));
   submit(id);
--- a/tests/platform/soak/callers.hpp
+++ b/tests/platform/soak/callers.hpp
@@ -21,13 +21,20 @@
     std::string host;
     std::string path_prefix;
     std::string key;
+    /// Also submits jobs that outlast an absence of their workers, and now and then one with so many short
+    /// tasks that a worker cannot list all their ends at a time.
+    bool long_and_wide_jobs{true};
+    std::uint64_t seed{1};  ///< Of these jobs.
   };
 
   callers(event_loop& loop, worker_fleet& fleet, random_source& random, options opts);
 
   void begin();
   /// Stops new submissions; queries continue until every accepted job has ended.
-  void stop_submitting() { submit_timer_.cancel(); }
+  void stop_submitting() {
+    submit_timer_.cancel();
+    long_timer_.cancel();
+  }
   /// Returns true when every accepted job has ended and every other submission was refused or abandoned.
   [[nodiscard]] bool settled() const;
   /// Checks the final answers against the recorded runs; call it once, at the end.
@@ -47,7 +54,8 @@
     std::string phase;
   };
 
-  void submit_new();
+  void submit_new(std::pair<std::string, soak_job> new_job);
+  [[nodiscard]] std::pair<std::string, soak_job> make_long_or_wide_job();
   void submit(const std::string& id);
   void submit_later(const std::string& id, duration pause);
   void cancel(const std::string& id);
@@ -64,7 +72,9 @@
   std::map<std::string, job> jobs_;
   std::uint64_t next_job_{1};
   std::vector<std::string> violations_;
+  random_source long_jobs_random_;
   timer_handle submit_timer_;
+  timer_handle long_timer_;
   timer_handle query_timer_;
 };
 
--- a/tests/platform/soak/edge_soak.cpp
+++ b/tests/platform/soak/edge_soak.cpp
@@ -21,6 +21,7 @@
 #include "fault_proxy.hpp"
 #include "platform_documents.hpp"
 #include "store_stand_in.hpp"
+#include "worker_changes.hpp"
 #include "worker_fleet.hpp"
 
 namespace rhubarbpath::soak {
@@ -51,6 +52,7 @@
   int seconds{20};
   int vms{4};
   int workers{8};
+  bool worker_changes{true};
   std::filesystem::path folder;
 };
 
@@ -73,6 +75,17 @@
       return 2;
     }
     plan_faults();
+    if (options_.worker_changes) {
+      // A random source of its own, so that the faults of a seed stay as they were before these changes.
+      worker_changes_ = std::make_unique<worker_changes>(
+          worker_changes::dependencies{.loop = loop_,
+                                       .fleet = fleet_,
+                                       .store = store_,
+                                       .proxies = worker_proxies_,
+                                       .trace = [this](const std::string& text) { trace(text); }},
+          options_.seed);
+      worker_changes_->plan(seconds{3}, seconds{options_.seconds});
+    }
     timers_.push_back(loop_.run_every(milliseconds{50}, [this] { check_processes(); }));
     timers_.push_back(loop_.run_every(milliseconds{500}, [this] { probe_configs(); }));
     timers_.push_back(loop_.run_every(seconds{2}, [this] { write_config(); }));
@@ -138,7 +151,9 @@
                                          callers::options{.addresses = addresses,
                                                           .host = std::string{caller_host},
                                                           .path_prefix = "/jobs/",
-                                                          .key = "key-a"});
+                                                          .key = "key-a",
+                                                          .long_and_wide_jobs = options_.worker_changes,
+                                                          .seed = options_.seed});
     return absl::OkStatus();
   }
 
@@ -234,7 +249,7 @@
         return set_proxy_fault(*worker_proxies_[worker], fmt::format("worker {}", worker), target, length);
       case 11:
         trace(fmt::format("worker {} restarts", worker));
-        return fleet_.restart(worker);
+        return fleet_.present(worker) ? fleet_.restart(worker) : void();
       case 12:
         trace(fmt::format("worker {} cannot reach the store", worker));
         fleet_.faults(worker).store_unreachable = true;
@@ -415,6 +430,9 @@
       fleet_.faults(i) = {};
       worker_proxies_[i]->set_mode(proxy_mode::pass);
     }
+    if (worker_changes_ != nullptr) {
+      worker_changes_->clear();
+    }
     for (auto& entry_vm : vms_) {
       for (auto* proxy :
            {entry_vm.store_proxy.get(), entry_vm.moved_store_proxy.get(), entry_vm.caller_proxy.get()}) {
@@ -481,6 +499,7 @@
   }();
   http_client probe_client_;
   std::unique_ptr<callers> callers_;
+  std::unique_ptr<worker_changes> worker_changes_;
   std::vector<timer_handle> timers_;
   std::vector<std::string> violations_;
   int config_version_{0};
@@ -503,6 +522,8 @@
     TCLAP::ValueArg<int> length{"", "seconds", "length of the load", false, 20, "s", command};
     TCLAP::ValueArg<int> vms{"", "vms", "number of entry VMs, at most 60", false, 4, "number", command};
     TCLAP::ValueArg<int> workers{"", "workers", "number of workers", false, 8, "number", command};
+    TCLAP::SwitchArg steady_workers{"", "steady-workers", "no worker drains, crashes, is replaced or cut off",
+                                    command};
     TCLAP::ValueArg<std::string> folder{"",     "folder", "folder for logs and settings", true, "",
                                         "path", command};
     command.parse(argc, argv);
@@ -512,6 +533,7 @@
                                        .seconds = length.getValue(),
                                        .vms = vms.getValue(),
                                        .workers = workers.getValue(),
+                                       .worker_changes = !steady_workers.getValue(),
                                        .folder = folder.getValue()}};
     return soak.run();
   } catch (const TCLAP::ArgException& error) {
--- a/tests/platform/soak/fault_proxy.cpp
+++ b/tests/platform/soak/fault_proxy.cpp
@@ -6,6 +6,7 @@
 #include <event2/listener.h>
 
 #include <chrono>
+#include <cstdio>
 #include <list>
 #include <utility>
 
@@ -145,8 +146,9 @@
       [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* context) {
         static_cast<implementation*>(context)->accept(socket);
       },
-      &self, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, backlog, reinterpret_cast<const sockaddr*>(&at),
-      sizeof at);
+      // Processes that are started later must not keep the port open.
+      &self, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, backlog,
+      reinterpret_cast<const sockaddr*>(&at), sizeof at);
   return self.listener != nullptr ? absl::OkStatus()
                                   : absl::UnavailableError("fault proxy: cannot listen on its address");
 }
@@ -154,7 +156,14 @@
 void fault_proxy::set_mode(proxy_mode mode) {
   auto& self = *implementation_;
   self.mode = mode;
-  if (mode == proxy_mode::reset) {
+  if (mode == proxy_mode::refused && self.listener != nullptr) {
+    evconnlistener_free(std::exchange(self.listener, nullptr));
+  } else if (mode != proxy_mode::refused && self.listener == nullptr) {
+    if (!listen().ok()) {
+      std::fprintf(stderr, "fault proxy: cannot listen on %s:%d again\n", self.address.c_str(), self.port);
+    }
+  }
+  if (mode == proxy_mode::reset || mode == proxy_mode::refused) {
     while (!self.connections.empty()) {
       self.drop(*self.connections.front());
     }
--- a/tests/platform/soak/fault_proxy.hpp
+++ b/tests/platform/soak/fault_proxy.hpp
@@ -16,6 +16,7 @@
   silent,   ///< Existing connections stay open but drop all bytes; new ones work.
   blocked,  ///< All bytes are dropped in both directions, on existing and new connections.
   one_way,  ///< Requests are forwarded and answers are dropped.
+  refused,  ///< Existing connections are closed, new ones refused.
 };
 
 /// A loopback TCP proxy for one address. It forwards bytes without parsing the protocol.
--- a/tests/platform/soak/worker_fleet.cpp
+++ b/tests/platform/soak/worker_fleet.cpp
@@ -25,6 +25,7 @@
 /// A gang member ends when the rest of its gang has not arrived within this time.
 constexpr duration gang_timeout{std::chrono::seconds{4}};
 constexpr std::uint64_t percent_range = 100;
+constexpr std::size_t max_ends_per_report = 500;
 constexpr int worker_cpu = 8000;
 constexpr int worker_memory_mb = 16'000;
 constexpr int worker_accelerators = 4;
@@ -53,29 +54,58 @@
   worker_stand_in(worker_fleet& fleet, std::string id, std::string zone, const std::string& address,
                   std::uint16_t port, std::string advertised_address)
       : fleet_{fleet},
-        id_{std::move(id)},
+        name_{std::move(id)},
+        id_{name_},
         zone_{std::move(zone)},
+        address_{address},
+        port_{port},
         advertised_address_{std::move(advertised_address)},
-        clock_rate_{1.0 - 0.02 * fleet.random_.fraction()},
-        server_{
-            fleet.loop_,
-            {.address = address, .port = port},
-            [this](const http_request& request, const http_responder& reply) { handle(request, reply); }} {
+        clock_rate_{1.0 - 0.02 * fleet.random_.fraction()} {
     reset();
   }
 
-  [[nodiscard]] absl::Status listen() { return server_.listen(); }
+  [[nodiscard]] absl::Status listen() {
+    server_ = std::make_unique<http_server>(
+        fleet_.loop_, http_server::options{.address = address_, .port = port_},
+        [this](const http_request& request, const http_responder& reply) { handle(request, reply); });
+    return server_->listen();
+  }
   [[nodiscard]] const std::string& id() const { return id_; }
+  [[nodiscard]] bool present() const { return server_ != nullptr; }
 
   void restart() {
-    while (!running_.empty()) {
-      end_with_gang(running_.begin()->first, "lost with its worker");
+    lose_everything();
+    reset();
+  }
+  void drain() {
+    draining_ = true;
+    next_row_write_ = instant{};
+  }
+  void stop(bool left) {
+    lose_everything();
+    waiting_calls_.clear();
+    unanswered_.clear();
+    server_.reset();
+    const auto expires_at = left ? fleet_.loop_.now() : last_row_write_ + row_lifetime;
+    fleet_.expiring_rows_.push_back({.key = "servers/" + id_, .expires_at = expires_at});
+  }
+  void start(bool same_id) {
+    if (same_id) {
+      std::erase_if(fleet_.expiring_rows_, [&](const auto& row) { return row.key == "servers/" + id_; });
+    } else {
+      id_ = fmt::format("{}-{}", name_, ++generation_);
     }
-    allow_rerun_of_unacknowledged_ends();
+    draining_ = false;
     reset();
+    if (!listen().ok()) {
+      fleet_.violation("the stand-in of " + id_ + " cannot listen again");
+    }
   }
 
   void advance() {
+    if (!present()) {
+      return;
+    }
     const auto now = fleet_.loop_.now();
     write_row(now);
     if (clock_ms() > lease_until_ms_) {
@@ -130,6 +160,12 @@
     instant stop_at{};
     instant fails_at{};
   };
+  void lose_everything() {
+    while (!running_.empty()) {
+      end_with_gang(running_.begin()->first, "lost with its worker");
+    }
+    allow_rerun_of_unacknowledged_ends();
+  }
   struct waiting_call {
     std::uint64_t acknowledged{0};
     instant until{};
@@ -174,7 +210,7 @@
              {"zone", zone_},
              {"version", "v1"},
              {"slots", 8},
-             {"state", "ready"},
+             {"state", draining_ ? "draining" : "ready"},
              {"coldRemainingMs", 0},
              {"seq", ++sequence_},
              {"born", born_},
@@ -195,7 +231,7 @@
       unanswered_.push_back(reply);
       fleet_.loop_.run_detached(milliseconds{300 + fleet_.random_.below(2500)},
                                 [this, request, born = born_] {
-                                  if (born == born_) {
+                                  if (born == born_ && present()) {
                                     static_cast<void>(execute(request));
                                   }
                                 });
@@ -234,7 +270,13 @@
     if (!task || run == 0) {
       return respond(400, {});
     }
-    return request.path == "/api/run-stop" ? stop(*task, run) : start(body, *task, run);
+    if (request.path == "/api/run-stop") {
+      return stop(*task, run);
+    }
+    if (fleet_.random_.below(percent_range) < static_cast<std::uint64_t>(faults.unhealthy_percent)) {
+      return respond(run % 2 == 0 ? 429 : 503, json::object());
+    }
+    return start(body, *task, run);
   }
 
   http_response renew_lease(const json& body) {
@@ -252,7 +294,12 @@
       running.push_back({wire_name(task), active.run, "",
                          std::min<std::int64_t>(100, worked.count() * 100 / active.run_time.count())});
     }
-    return respond(200, {{"running", std::move(running)}, {"finished", json(unacknowledged_ends_)}});
+    // Like on the platform, a full list may not be the whole one.
+    json finished = json::array();
+    for (std::size_t i = 0; i < std::min(max_ends_per_report, unacknowledged_ends_.size()); ++i) {
+      finished.push_back(unacknowledged_ends_[i]);
+    }
+    return respond(200, {{"running", std::move(running)}, {"finished", std::move(finished)}});
   }
   http_response stop(const task_name& task, std::uint64_t run) {
     const auto found = running_.find(task);
@@ -379,8 +426,13 @@
   }
 
   worker_fleet& fleet_;
-  std::string id_;
+  std::string name_;
+  std::string id_;  ///< The name, or the name and a number after it was replaced.
+  int generation_{0};
+  bool draining_{false};
   std::string zone_;
+  std::string address_;
+  std::uint16_t port_{0};
   std::string advertised_address_;
   double clock_rate_;
   std::int64_t born_{0};
@@ -398,7 +450,7 @@
   instant last_row_write_{};
   std::vector<waiting_call> waiting_calls_;
   std::vector<http_responder> unanswered_;
-  http_server server_;
+  std::unique_ptr<http_server> server_;  ///< Empty while the worker is stopped.
 };
 
 worker_fleet::worker_fleet(event_loop& loop, store_stand_in& store, random_source& random)
@@ -425,6 +477,22 @@
   workers_.at(worker)->restart();
 }
 
+void worker_fleet::drain(std::size_t worker) {
+  workers_.at(worker)->drain();
+}
+
+void worker_fleet::stop(std::size_t worker, bool left) {
+  workers_.at(worker)->stop(left);
+}
+
+void worker_fleet::start(std::size_t worker, bool same_id) {
+  workers_.at(worker)->start(same_id);
+}
+
+bool worker_fleet::present(std::size_t worker) const {
+  return workers_.at(worker)->present();
+}
+
 bool worker_fleet::all_done(const std::string& job) const {
   const auto found = jobs_.find(job);
   if (found == jobs_.end()) {
@@ -483,6 +551,13 @@
 }
 
 void worker_fleet::advance() {
+  std::erase_if(expiring_rows_, [this](const expiring_row& row) {
+    const bool expired = loop_.now() >= row.expires_at;
+    if (expired) {
+      store_.erase(row.key);
+    }
+    return expired;
+  });
   for (const auto& worker : workers_) {
     worker->advance();
   }
--- a/tests/platform/soak/worker_fleet.hpp
+++ b/tests/platform/soak/worker_fleet.hpp
@@ -40,6 +40,7 @@
   int late_orders_percent{0};     ///< Executed up to 2.8 s later, never answered.
   int lost_answers_percent{0};    ///< Executed immediately, never answered.
   int failed_starts_percent{0};   ///< The task ends as failed after 100 ms.
+  int unhealthy_percent{0};       ///< Starts are answered with 429 or 503 and not executed.
 };
 
 class worker_stand_in;
@@ -63,6 +64,14 @@
   [[nodiscard]] worker_faults& faults(std::size_t worker);
   /// Restarts a worker: all its state is lost, and it is available immediately under the same id.
   void restart(std::size_t worker);
+  /// The worker reports that it is draining and works on.
+  void drain(std::size_t worker);
+  /// The worker ends, and all that runs on it. If it left as announced, its row is removed at once; after a
+  /// crash it stays until it expires.
+  void stop(std::size_t worker, bool left);
+  /// Starts a worker that was stopped, at the same address, under its former id or a new one.
+  void start(std::size_t worker, bool same_id);
+  [[nodiscard]] bool present(std::size_t worker) const;
 
   /// Tells the fleet the steps of a job before the job is submitted.
   void register_job(const std::string& job, soak_job steps) { jobs_[job] = std::move(steps); }
@@ -76,6 +85,11 @@
  private:
   friend class worker_stand_in;
 
+  /// The row of a worker that crashed.
+  struct expiring_row {
+    std::string key;
+    instant expires_at{};
+  };
   [[nodiscard]] const soak_step* find_step(const task_name& task) const;
   void run_started(const task_name& task, std::uint64_t run, const std::string& worker);
   void run_ended(const task_name& task, std::uint64_t run, const std::string& worker, bool done);
@@ -86,6 +100,7 @@
   store_stand_in& store_;
   random_source& random_;
   std::vector<std::unique_ptr<worker_stand_in>> workers_;
+  std::vector<expiring_row> expiring_rows_;
   std::map<std::string, soak_job> jobs_;
   std::set<std::string> started_;
   std::map<task_name, std::string> running_;  ///< Id of the worker that runs each task.
