Ignore registry entries that have an odd field, and look up no names

Tried here: nested arrays of 500,000 levels and invalid JSON are refused by the parser and end nothing. What could happen: - A name as address was looked up with getaddrinfo, which blocks the event loop, at each renewal. - An address with a port out of range, or an entry without zone, version, slots or seq, became a worker that never answers; it was stored among those that may have work, so each new owner waited 10.6 s for it. - A number out of range was converted to an integer, which is undefined: on x86-64 a capacity of 1e300 becomes negative, on arm64 the largest integer, and sums with it overflow. The same held for numbers in workers' lists.

Change: an entry is used only if every field that the platform always writes is there, of its type and in range, and its address is an IP number and port; others are logged once, with the reason (worker_entry_ignored). parse_address takes only IP numbers, as its messages said, so no client looks up a name. Numbers out of range have no value.

The entry of the existing test malformed_worker_entries_are_ignored was itself incomplete; it is a whole one now, and the test checks the same texts.

Tests: worker_entry_with_one_odd_field_is_ignored and renewal_answer_with_numbers_out_of_range_is_read_without_them; on the code before, entries with such addresses, numbers and missing fields are accepted.

--- a/include/rhubarbpath/transport/address.hpp
+++ b/include/rhubarbpath/transport/address.hpp
@@ -14,7 +14,8 @@
 };
 
 /// Splits "host:port" into its parts, for example "127.0.0.1:8000". Returns `kInvalidArgument` for any other
-/// form or a port outside 1 to 65535. Does not check that the host is an IP address.
+/// form, a host that is not an IPv4 number, or a port outside 1 to 65535. Names are refused because looking
+/// them up would block the event loop.
 [[nodiscard]] absl::StatusOr<host_port> parse_address(const std::string& text);
 
 }  // namespace rhubarbpath
--- a/src/programs/rhubarb-edge/owner_session.cpp
+++ b/src/programs/rhubarb-edge/owner_session.cpp
@@ -267,17 +267,32 @@
            [self = shared_from_this()](const std::vector<kv_item>& items, revision /*as_of*/) {
              std::vector<worker_entry> entries;
              entries.reserve(items.size());
+             std::map<std::string, std::string> ignored;
              for (const auto& item : items) {
-               if (auto entry = platform::decode_worker_entry(item.key, item.value)) {
-                 entries.push_back(std::move(*entry));
+               auto entry = platform::decode_worker_entry(item.key, item.value);
+               if (entry.ok()) {
+                 entries.push_back(*std::move(entry));
+               } else {
+                 ignored[item.key] = std::string{entry.status().message()};
                }
              }
+             self->note_ignored_entries(std::move(ignored));
              self->scheduler_->set_workers(entries, self->deps_.loop.now());
              self->run_tick();
              self->run_later(self->opts_.registry_poll_interval, [self] { self->poll_registry(); });
            });
 }
 
+void owner_session::note_ignored_entries(std::map<std::string, std::string> ignored) {
+  for (const auto& [key, reason] : ignored) {
+    const auto found = ignored_entries_.find(key);
+    if (found == ignored_entries_.end() || found->second != reason) {
+      log(log_level::warning, "worker_entry_ignored", {{"key", key}, {"reason", reason}});
+    }
+  }
+  ignored_entries_ = std::move(ignored);
+}
+
 // ---- scheduler actions ----
 
 void owner_session::run_tick() {
--- a/src/programs/rhubarb-edge/owner_session.hpp
+++ b/src/programs/rhubarb-edge/owner_session.hpp
@@ -84,6 +84,8 @@
   void reload_jobs();
   void apply_job_item(const kv_item& item);
   void poll_registry();
+  /// Logs registry entries that name no worker, with the reason, when they appear.
+  void note_ignored_entries(std::map<std::string, std::string> ignored);
   void run_actions();
   void run_tick();
   void schedule_tick();
@@ -118,6 +120,7 @@
   instant jobs_known_at_{};
   std::map<job_id, revision> progress_revisions_;  ///< Last known revision of each progress row.
   revision workers_revision_;
+  std::map<std::string, std::string> ignored_entries_;  ///< The reason, by key.
   std::deque<job_progress> unsaved_progress_;
   std::size_t rows_in_commit_{0};  ///< Rows at the front of `unsaved_progress_` that are being written.
   store_workers worker_set_;
--- a/src/protocol/log_events.cpp
+++ b/src/protocol/log_events.cpp
@@ -58,6 +58,7 @@
                 "job, reason, term, step, workers"},
       log_event{"worker_listed", "the registry lists a worker for use",
                 "reason, term, worker, address, born"},
+      log_event{"worker_entry_ignored", "an entry of the registry names no worker to use", "key, reason"},
       log_event{"worker_draining", "a worker is about to leave", "reason, term, worker, address, born"},
       log_event{"worker_silent", "a renewal failed", "reason, term, worker, tasks"},
       log_event{"worker_answers", "a silent worker answers again", "reason, term, worker"},
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/config_wire.hpp"
 #include "platform/job_wire.hpp"
+#include "platform/json_reader.hpp"
 #include "platform/settings.hpp"
 #include "platform/store_wire.hpp"
 #include "platform/worker_wire.hpp"
@@ -59,10 +60,11 @@
 
 TEST_CASE("malformed_worker_entries_are_ignored") {
   // Another program may write registry entries whose fields are missing or mistyped, or that are not JSON.
-  const std::string good = R"({"service":"s","address":"10.0.0.1:1","state":"ready","capacity":{"gpu":8},
-    "labels":["a","r1"],"born":5})";
+  const std::string good =
+      R"({"service":"s","address":"10.0.0.1:1","zone":"z","version":"v1","slots":8,"seq":4,
+    "state":"ready","capacity":{"cpu":1,"memMb":1,"gpu":8},"labels":["a","r1"],"born":5})";
   const auto entry = decode_worker_entry("servers/i-1", good);
-  REQUIRE(entry);
+  REQUIRE(entry.ok());
   CHECK(entry->id == worker_id{"i-1"});
   CHECK(entry->rack == rack_id{"r1"});
   CHECK(entry->capacity.accelerators == 8);
@@ -71,10 +73,71 @@
         R"({"service":"s","state":"ready","capacity":{}})",
         R"({"service":"s","address":"10.0.0.1:1","state":"odd","capacity":{}})",
         R"({"service":"s","address":"10.0.0.1:1","state":"ready","capacity":7})", "\xff\xfe", "", "[]"}) {
-    CHECK_FALSE(decode_worker_entry("servers/i-1", malformed_text));
+    CHECK_FALSE(decode_worker_entry("servers/i-1", malformed_text).ok());
   }
 }
 
+TEST_CASE("worker_entry_with_one_odd_field_is_ignored") {
+  // Guards against a process that ends, or stops following the list of workers, because of one entry that
+  // another writer left: deeply nested, with a number too large, a port out of range, or a name as address,
+  // which would be looked up and block the loop.
+  const auto good = parse_json(R"({"service":"s","address":"10.0.0.1:1","zone":"z","version":"v1","slots":8,
+    "seq":4,"state":"ready","coldRemainingMs":0,"capacity":{"cpu":1,"memMb":1,"gpu":8},"labels":["a","r1"],
+    "born":5})");
+  const auto accepted = [](const json& row) { return decode_worker_entry("servers/i-1", row.dump()).ok(); };
+  REQUIRE(accepted(good));
+  for (const auto* name :
+       {"service", "address", "zone", "version", "slots", "state", "capacity", "labels", "seq"}) {
+    INFO(name);
+    auto missing = good;
+    missing.erase(name);
+    CHECK_FALSE(accepted(missing));
+    auto other_type = good;
+    other_type[name] = json::object({{"a", true}});
+    CHECK_FALSE(accepted(other_type));
+  }
+  for (const auto* address : {"10.0.0.1:99999", "10.0.0.1:0", "10.0.0.1:-1", "10.0.0.1", ":1",
+                              "worker.example:80", "10.0.0.300:1"}) {
+    INFO(address);
+    auto odd = good;
+    odd["address"] = address;
+    CHECK_FALSE(accepted(odd));
+  }
+  for (const auto* number :
+       {"1e300", "-1e300", "18446744073709551615", "9223372036854775807", "-1", "1e18"}) {
+    INFO(number);
+    auto odd = good;
+    odd["capacity"]["cpu"] = json::parse(number);
+    CHECK_FALSE(accepted(odd));
+  }
+  for (const auto* number : {"1e300", "-1", "18446744073709551615", "\"5\"", "[]"}) {
+    INFO(number);
+    auto odd = good;
+    odd["born"] = json::parse(number);
+    CHECK_FALSE(accepted(odd));
+  }
+  constexpr std::size_t nesting = 500'000;
+  const auto nested = std::string(nesting, '[') + std::string(nesting, ']');
+  CHECK_FALSE(decode_worker_entry("servers/i-1", nested).ok());
+  CHECK_FALSE(decode_worker_entry("servers/i-1", R"({"service":)" + nested + "}").ok());
+  CHECK_FALSE(decode_worker_entry("servers/i-1", std::string(nesting, '[')).ok());
+  CHECK_FALSE(decode_worker_entry("servers/i-1", R"({"capacity":{"cpu":1e400}})").ok());
+}
+
+TEST_CASE("renewal_answer_with_numbers_out_of_range_is_read_without_them") {
+  // Guards against undefined conversions of a number that a worker lists.
+  const auto answer = decode_renew_answer(make_response(200, R"({"clockMs":5,"born":9,
+    "running":[["5c0e7a21d94b36f8.0.1.17",1e300,"",41],["5c0e7a21d94b36f8.0.1.18",2,"",1e300],
+               ["5c0e7a21d94b36f8.0.1.19",2,"",400]],
+    "finished":[[-1,"5c0e7a21d94b36f8.0.1.9",1,"done",""],[18446744073709551615,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})"));
+  const auto* report = std::get_if<lease_report>(&answer);
+  REQUIRE(report != nullptr);
+  CHECK_FALSE(report->complete);
+  CHECK(report->ended.empty());
+  REQUIRE(report->running.size() == 1);
+  CHECK(report->running.front().percent == 100);
+}
+
 TEST_CASE("config_guarantee_is_decoded_from_its_object") {
   const auto config = decode_config(R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/",
     "priority":0,"service":"s","maxAttempts":3,"stretch":1.5}],"services":[],
