Reclaim guaranteed accelerators from tasks that last

Cause: preemption never considered a unit of a lasting step.

Change: such a unit may be stopped for an urgent unit that fits entirely within its own team's guarantee, after all others (its lost work counts tenfold). Of a step that says how many of its tasks may be unavailable, only so many are stopped that no more are away than that. Urgent work above its guarantee stops no lasting task.

--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -426,6 +426,9 @@
   [[nodiscard]] std::optional<preemption> plan_preemption(const std::vector<const preemptible_space*>& spaces,
                                                           const detail::job_state& job,
                                                           const detail::unit& unit);
+  /// Number of tasks of a lasting step that may be stopped, so that no more are unavailable than it permits.
+  [[nodiscard]] static std::uint32_t stoppable_lasting_tasks(const detail::job_state& job,
+                                                             std::uint32_t occurrence, std::uint32_t step);
   /// Invalidates what is cached for the placement pass about these workers and about urgent work.
   void invalidate_caches(const std::vector<detail::worker_state*>& changed);
   [[nodiscard]] bool preempt(detail::job_state& job, detail::unit& unit, bool spread, instant now);
--- a/src/coordination/job_scheduler_preemption.cpp
+++ b/src/coordination/job_scheduler_preemption.cpp
@@ -1,3 +1,5 @@
+#include <limits>
+
 #include "absl/strings/str_cat.h"
 #include "job_scheduler_impl.hpp"
 
@@ -16,6 +18,8 @@
 constexpr double cores_per_accelerator = 8.0;
 /// Share of its work that a checkpointing task loses when it is stopped.
 constexpr double lost_share_with_checkpoint = 0.3;
+/// Factor on the lost work of tasks that last until they are cancelled: others are stopped first.
+constexpr double lasting_loss_factor = 10.0;
 /// Factor on the lost work of urgent units, so that urgent work of another team is preempted only as a last
 /// resort.
 constexpr double urgent_loss_factor = 100.0;
@@ -55,10 +59,11 @@
       continue;
     }
     const bool urgent = victim_job->queue->priority == 0;
-    if (target->phase != unit_phase::active || step.long_running) {
+    if (target->phase != unit_phase::active) {
       continue;
     }
-    const double loss_factor = urgent ? urgent_loss_factor : 1.0;
+    const double loss_factor =
+        (urgent ? urgent_loss_factor : 1.0) * (step.long_running ? lasting_loss_factor : 1.0);
     result.victims.push_back(
         {.job = victim_job,
          .target = target,
@@ -98,6 +103,26 @@
   return best;
 }
 
+std::uint32_t job_scheduler::implementation::stoppable_lasting_tasks(const job_state& job,
+                                                                     std::uint32_t occurrence,
+                                                                     std::uint32_t step) {
+  const auto& spec = job.job.graph.steps[step];
+  if (spec.max_unavailable == 0) {
+    return std::numeric_limits<std::uint32_t>::max();
+  }
+  const auto* state = job.units.find_occurrence(occurrence);
+  std::uint32_t available = 0;
+  for (const auto& [number, each] : state->steps[step].units) {
+    // A task is at work once it has started up completely.
+    constexpr int whole = 100;
+    available += static_cast<std::uint32_t>(std::count_if(
+        each.members.begin(), each.members.end(),
+        [](const member& one) { return one.phase == member_phase::running && one.percent == whole; }));
+  }
+  const auto unavailable = spec.count - std::min(spec.count, available);
+  return spec.max_unavailable - std::min(spec.max_unavailable, unavailable);
+}
+
 /// Greedily finds a worker for every member with little lost work. Returns nothing if not all fit.
 std::optional<job_scheduler::implementation::preemption> job_scheduler::implementation::plan_preemption(
     const std::vector<const preemptible_space*>& spaces, const job_state& job, const unit& placed) {
@@ -113,10 +138,22 @@
   // Urgent work of a team above its guarantee uses capacity that is guaranteed to other teams. It is
   // preempted only for a unit that fits entirely within its own team's guarantee.
   const bool within_guarantee = own.used + accelerators_of(job, placed) <= own.guaranteed;
+  // Of a lasting step, the tasks that may still be kept from running.
+  std::map<std::pair<const job_state*, std::uint32_t>, std::uint32_t> stoppable;
+  const auto may_stop_lasting = [&](const victim& one) {
+    const auto [left, inserted] = stoppable.try_emplace({one.job, one.target->step});
+    if (inserted) {
+      left->second = stoppable_lasting_tasks(*one.job, one.target->occurrence, one.target->step);
+    }
+    return within_guarantee && left->second >= one.target->members.size();
+  };
   const auto may_stop = [&](const victim& one) {
     if (plan.victims.contains(one.target)) {
       return false;
     }
+    if (step_of(*one.job, *one.target).long_running && !may_stop_lasting(one)) {
+      return false;
+    }
     if (one.job->queue->priority > 0) {
       return true;
     }
@@ -142,6 +179,9 @@
       if (one.job->queue->priority == 0) {
         shares[one.job->job.team].used -= accelerators_of(*one.job, *one.target);
       }
+      if (const auto left = stoppable.find({one.job, one.target->step}); left != stoppable.end()) {
+        left->second -= static_cast<std::uint32_t>(one.target->members.size());
+      }
       // Preempting a unit frees the space of all its members, also on other workers.
       for (const auto& left : one.target->members) {
         if (const auto found = free_by_worker.find(left.worker); found != free_by_worker.end()) {
--- a/tests/coordination/job_scheduler_test.cpp
+++ b/tests/coordination/job_scheduler_test.cpp
@@ -381,6 +381,67 @@
   CHECK(fleet.phase("claim") == job_phase::complete);
 }
 
+class lent_fleet_fixture : public scheduler_fixture {
+ protected:
+  /// Fills the fleet with tasks of another team that last until they are cancelled.
+  void lend(std::uint32_t max_unavailable) {
+    auto step = identical_tasks(48, 1, seconds{600});
+    step.long_running = true;
+    step.max_unavailable = max_unavailable;
+    auto job = simulated_workers::job("lent", 2, step);
+    job.team = team_id{"other"};
+    fleet.submit(job);
+    fleet.advance(seconds{6});
+    REQUIRE(fleet.running_tasks() == 48);
+  }
+  [[nodiscard]] std::size_t running_of(const std::string& job) const {
+    std::size_t count = 0;
+    for (const auto& [id, worker] : fleet.workers) {
+      for (const auto& [task, state] : worker.tasks) {
+        count += task.job == job_id{job} ? 1 : 0;
+      }
+    }
+    return count;
+  }
+};
+
+TEST_CASE_METHOD(lent_fleet_fixture, "scheduler_urgent_job_within_guarantee_stops_lasting_tasks_of_others") {
+  // Guards against guaranteed accelerators that a team does not get back as long as another team keeps a job
+  // whose tasks last until they are cancelled.
+  lend(0);
+  fleet.submit(simulated_workers::job("urgent", 0, identical_tasks(3, 1, seconds{4})));
+  fleet.advance(milliseconds{2700});
+  CHECK(running_of("urgent") == 3);
+  CHECK(running_of("lent") == 45);
+  fleet.advance(seconds{6});
+  CHECK(fleet.phase("urgent") == job_phase::complete);
+  CHECK(running_of("lent") == 48);
+  CHECK(fleet.violations.empty());
+}
+
+TEST_CASE_METHOD(lent_fleet_fixture, "scheduler_urgent_job_above_its_guarantee_stops_no_lasting_tasks") {
+  // Guards against lasting tasks that are stopped for work that has no claim to their accelerators.
+  lend(0);
+  fleet.submit(simulated_workers::job("urgent", 0, identical_tasks(17, 1, seconds{4}, true)));
+  fleet.advance(seconds{3});
+  CHECK(running_of("urgent") == 0);
+  CHECK(running_of("lent") == 48);
+}
+
+TEST_CASE_METHOD(lent_fleet_fixture,
+                 "scheduler_urgent_job_stops_no_more_lasting_tasks_of_a_step_than_may_be_unavailable") {
+  // Guards against a step of which more tasks are kept from running at a time than it permits.
+  lend(2);
+  fleet.submit(simulated_workers::job("urgent", 0, identical_tasks(3, 1, seconds{4})));
+  std::size_t fewest = 48;
+  for (int step = 0; step < 500; ++step) {
+    fleet.advance(milliseconds{4});
+    fewest = std::min(fewest, running_of("lent"));
+  }
+  CHECK(running_of("urgent") == 2);
+  CHECK(fewest == 46);
+}
+
 TEST_CASE_METHOD(scheduler_fixture, "scheduler_new_owner_adopts_running_tasks") {
   // Guards against tasks that are lost or started twice after a failover to another VM.
   fleet.submit(simulated_workers::job("gang", 1, identical_tasks(3, 8, seconds{4}, true)));
--- a/tests/coordination/simulated_workers.hpp
+++ b/tests/coordination/simulated_workers.hpp
@@ -224,8 +224,9 @@
   std::set<std::string> addresses_taken_over;
   faults injected_faults;
   bool store_up{true};
-  std::size_t max_listed_ends{500};       ///< Of a report.
-  std::optional<milliseconds> stop_time;  ///< Time that a stop takes; random by default.
+  duration startup_time{milliseconds{500}};  ///< Of tasks that last until they are cancelled.
+  std::size_t max_listed_ends{500};          ///< Of a report.
+  std::optional<milliseconds> stop_time;     ///< Time that a stop takes; random by default.
   /// Unanswered orders for each worker; later ones wait.
   std::size_t max_orders_in_flight{std::numeric_limits<std::size_t>::max()};
   /// Processor time that the owner needs for each answer. Later answers wait until it is free, but ticks do
@@ -530,6 +531,9 @@
     const auto whole = real != real_duration.end() ? real->second
                        : spec == nullptr           ? duration{1}
                                                    : spec->estimate;
+    if (spec != nullptr && spec->long_running) {
+      return now - state.started >= startup_time ? 100 : 0;
+    }
     const auto share =
         1.0 - static_cast<double>(state.work_left.count()) / static_cast<double>(whole.count());
     return static_cast<int>(99.0 * share);
