Reject jobs whose numbers are out of range, also when they are read back

Cause: indices were cut to 32 bits, and the check added one before it compared, so the index wrapped around. Counts were cut in the same way: 2^32 + 3 tasks became 3. Negative numbers and wrong types became defaults.

Gangs of more than 4096 members are refused.

Tests, failing before: job_with_a_number_out_of_range_is_rejected_with_the _field_name, job_row_with_a_step_that_depends_on_itself_or_a_later_step_gives _an_error.

--- a/include/rhubarbpath/state/job_graph.hpp
+++ b/include/rhubarbpath/state/job_graph.hpp
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "absl/status/status.h"
 #include "rhubarbpath/state/ids.hpp"
 #include "rhubarbpath/state/units.hpp"
 
@@ -70,6 +71,13 @@
   std::chrono::milliseconds interval{0};
 };
 
+/// Members of a gang, at most. All of them must start at the same time.
+constexpr std::uint32_t max_gang_members = 4096;
+
+/// Returns `kInvalidArgument` unless the job can be scheduled: steps depend on earlier steps only, and
+/// counts, resources and times are in range.
+[[nodiscard]] absl::Status check(const job_graph& graph);
+
 using queue_id = string_id<struct queue_id_tag>;
 /// Strictly increasing number of the process that owns scheduling; workers reject orders with a lower one.
 using owner_term = number_id<struct owner_term_tag>;
--- a/src/protocol/job_rows.cpp
+++ b/src/protocol/job_rows.cpp
@@ -84,7 +84,7 @@
 }
 
 absl::StatusOr<accepted_job> decode_accepted_job(std::string_view bytes) {
-  return decode_row<accepted_job>(bytes, "job row", [](const json& row) {
+  auto job = decode_row<accepted_job>(bytes, "job row", [](const json& row) {
     accepted_job job;
     job.id = job_id{row.at(0).get<std::string>()};
     job.queue = queue_id{row.at(1).get<std::string>()};
@@ -101,6 +101,13 @@
     job.graph.interval = std::chrono::milliseconds{row.at(8).get<std::int64_t>()};
     return job;
   });
+  if (job.ok()) {
+    // A version without this check may have stored the row.
+    if (auto status = check(job->graph); !status.ok()) {
+      return status;
+    }
+  }
+  return job;
 }
 
 std::string encode_job_progress(const job_progress& progress) {
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -155,6 +155,31 @@
   CHECK_FALSE(decode_job("nonsense").ok());
 }
 
+TEST_CASE("job_with_a_number_out_of_range_is_rejected_with_the_field_name") {
+  // Guards against an owner that reads far outside of its data, or takes all memory, because of one accepted
+  // number: an index of a step that wraps around, or a count that is cut to 32 bits.
+  for (const auto* after : {"4294967295", "4294967296", "-1", "1e300", "\"0\"", "1"}) {
+    INFO(after);
+    const auto job =
+        decode_job(std::string{R"({"steps":[{"count":1},{"count":1,"after":[)"} + after + "]}]}");
+    REQUIRE_FALSE(job.ok());
+    CHECK(job.status().message() == "steps[1].after must contain only indices of earlier steps");
+  }
+  for (const auto* count : {"4294967296", "-1", "1e300", "18446744073709551615", "\"3\""}) {
+    INFO(count);
+    const auto job = decode_job(std::string{R"({"steps":[{"count":)"} + count + "}]}");
+    REQUIRE_FALSE(job.ok());
+    CHECK(job.status().message() == "steps[0].count must be a whole number in range");
+    CHECK_FALSE(decode_job(std::string{R"({"steps":[{"count":1}],"repeatCount":)"} + count + "}").ok());
+  }
+  CHECK_FALSE(decode_job(R"({"steps":[{"count":1,"cpu":-1}]})").ok());
+  CHECK_FALSE(decode_job(R"({"steps":[{"count":1,"gpu":9223372036854775807}]})").ok());
+  CHECK_FALSE(decode_job(R"({"steps":[{"count":1,"estimateMs":9223372036854775807}]})").ok());
+  CHECK_FALSE(decode_job(R"({"steps":[{"count":1}],"repeatCount":2,"intervalMs":-1})").ok());
+  CHECK_FALSE(decode_job(R"({"steps":[{"count":100000,"gang":true}]})").ok());
+  CHECK(decode_job(R"({"steps":[{"count":4294967295}],"repeatCount":525600,"intervalMs":60000})").ok());
+}
+
 TEST_CASE("start_answer_is_definite_only_when_the_order_was_refused_or_never_sent") {
   // A start order that may still be executed must not count as refused; otherwise the task is started a
   // second time elsewhere.
--- a/tests/protocol/job_rows_test.cpp
+++ b/tests/protocol/job_rows_test.cpp
@@ -32,6 +32,14 @@
   CHECK(read->graph.steps.front().each == resource_amounts{1, 2, 3});
 }
 
+TEST_CASE("job_row_with_a_step_that_depends_on_itself_or_a_later_step_gives_an_error") {
+  // Guards against an owner that ends whenever it reads a row that an earlier version accepted.
+  accepted_job job{.id = job_id{"5c0e7a21d94b36f8"}, .graph = {.payload = "", .steps = {{}, {}}}};
+  CHECK(decode_accepted_job(encode_accepted_job(job)).ok());
+  job.graph.steps[1].after = {4294967295U};
+  CHECK_FALSE(decode_accepted_job(encode_accepted_job(job)).ok());
+}
+
 TEST_CASE("progress_row_round_trip_keeps_failed_runs") {
   const job_progress progress{.job = job_id{"j"},
                               .phase = job_phase::running,
