Finish accepted jobs whose queue was removed

Cause: a job without a queue in the configuration was left out of placement; what it needs of the queue (service, priority, attempts, objective) was only in the configuration.

Change: the VM that accepts a job stores these terms with it, and the job is finished by them if the configuration has no such queue. An owner that loses the queue while it holds a job of an earlier version keeps the last terms. Earlier versions ignore the added field.

Test, failing before, with and without a change of the owner: scheduler_accepted_job_of_a_removed_queue_is_finished.

--- a/include/rhubarbpath/state/fleet.hpp
+++ b/include/rhubarbpath/state/fleet.hpp
@@ -33,6 +33,18 @@
   std::optional<adviser_config> adviser;
 };
 
+/// A job as it is stored when it is accepted.
+struct accepted_job {
+  job_id id;
+  queue_id queue;
+  team_id team;
+  std::chrono::milliseconds accepted_at{0};  ///< Wall clock of the accepting VM.
+  job_graph graph;
+  /// The queue at that time. The job is finished by it if a later configuration has no such queue. Not set by
+  /// earlier versions.
+  std::optional<queue_config> terms;
+};
+
 struct service_config {
   service_id id;
   bool admission_control{true};  ///< Workers reject tasks that exceed their free capacity.
--- a/include/rhubarbpath/state/job_graph.hpp
+++ b/include/rhubarbpath/state/job_graph.hpp
@@ -84,15 +84,6 @@
 /// Number of the start of a task or gang; a higher one supersedes a lower one.
 using run_number = number_id<struct run_number_tag>;
 
-/// A job as it is stored when it is accepted.
-struct accepted_job {
-  job_id id;
-  queue_id queue;
-  team_id team;
-  std::chrono::milliseconds accepted_at{0};  ///< Wall clock of the accepting VM.
-  job_graph graph;
-};
-
 /// One task of one occurrence of a step.
 struct task_ref {
   job_id job;
--- a/src/coordination/job_scheduler.cpp
+++ b/src/coordination/job_scheduler.cpp
@@ -34,6 +34,14 @@
   return found == config->queues.end() ? nullptr : &*found;
 }
 
+void job_scheduler::implementation::attach_queue(job_state& job) const {
+  const auto* found = find_queue(job.job.queue);
+  if (found == nullptr && job.queue != nullptr && !job.job.terms) {
+    job.job.terms = *job.queue;
+  }
+  job.queue = found != nullptr ? found : job.job.terms ? &*job.job.terms : nullptr;
+}
+
 job_state* job_scheduler::implementation::find_job(const job_id& id) {
   const auto found = jobs.find(id);
   return found == jobs.end() ? nullptr : &found->second;
@@ -397,7 +405,7 @@
   // Jobs point to queues of the previous configuration, so it must outlive this loop.
   const auto previous = std::exchange(self.config, std::move(config));
   for (auto& [id, job] : self.jobs) {
-    job.queue = self.find_queue(job.job.queue);
+    self.attach_queue(job);
   }
   self.placement_due = true;
 }
@@ -444,7 +452,7 @@
     return;
   }
   auto& state = self.jobs.try_emplace(job.id, job).first->second;
-  state.queue = self.find_queue(job.queue);
+  self.attach_queue(state);
   state.added_at = now;
   state.inherited = inherited;
   if (progress) {
--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -212,6 +212,8 @@
 
   // job_scheduler.cpp
   [[nodiscard]] const queue_config* find_queue(const queue_id& id) const;
+  /// Points the job to its queue in the configuration, or to its terms if the queue was removed.
+  void attach_queue(detail::job_state& job) const;
   [[nodiscard]] detail::job_state* find_job(const job_id& id);
   [[nodiscard]] detail::unit* find_unit(const task_ref& task, std::uint32_t* member_index);
   /// As `find_unit`, for a task that a worker names: creates the unit if the job has not ended.
--- a/src/programs/rhubarb-edge/caller_api.cpp
+++ b/src/programs/rhubarb-edge/caller_api.cpp
@@ -39,6 +39,7 @@
   http_responder responder;
   job_id job;
   queue_id queue;
+  queue_config terms;  ///< Of the queue, when the call was routed.
   team_id team;
   std::string method;
   instant received_at{};
@@ -145,6 +146,7 @@
       break;
   }
   call->queue = queue->id;
+  call->terms = *queue;
   call->team = team == nullptr ? team_id{} : team->id;
   call->job = job_id{request.path.substr(queue->path_prefix.size())};
   start(call, request);
@@ -196,7 +198,8 @@
               .queue = call->queue,
               .team = call->team,
               .accepted_at = wall_clock(),
-              .graph = *std::move(graph)};
+              .graph = *std::move(graph),
+              .terms = call->terms};
   try_submit(job);
 }
 
--- a/src/protocol/job_rows.cpp
+++ b/src/protocol/job_rows.cpp
@@ -57,6 +57,32 @@
   return step;
 }
 
+/// What scheduling needs of a queue. How callers reach it and who may use it is not stored.
+json encode_terms(const queue_config& queue) {
+  json adviser = json::array();
+  if (queue.adviser) {
+    adviser = {queue.adviser->decision.count(), queue.adviser->per_worker.count(),
+               queue.adviser->validity.count()};
+  }
+  return json::array({queue.service.value(), queue.priority, queue.max_attempts, queue.stretch,
+                      queue.target.count(), std::move(adviser)});
+}
+
+queue_config decode_terms(const queue_id& id, const json& row) {
+  queue_config queue{.id = id,
+                     .service = service_id{row.at(0).get<std::string>()},
+                     .priority = row.at(1).get<std::int64_t>(),
+                     .max_attempts = row.at(2).get<std::uint32_t>(),
+                     .stretch = row.at(3).get<double>(),
+                     .target = duration{row.at(4).get<std::int64_t>()}};
+  if (const auto& adviser = row.at(5); !adviser.empty()) {
+    queue.adviser = adviser_config{.decision = duration{adviser.at(0).get<std::int64_t>()},
+                                   .per_worker = duration{adviser.at(1).get<std::int64_t>()},
+                                   .validity = duration{adviser.at(2).get<std::int64_t>()}};
+  }
+  return queue;
+}
+
 /// Calls `decode` with the parsed row and converts exceptions of the JSON library to a status.
 template <class Value, class Decode>
 absl::StatusOr<Value> decode_row(std::string_view bytes, std::string_view what, Decode decode) {
@@ -78,13 +104,17 @@
   for (const auto& step : job.graph.steps) {
     steps.push_back(encode_step(step));
   }
-  return to_bytes(json::array({job.id.value(), job.queue.value(), job.team.value(), job.accepted_at.count(),
-                               job.graph.payload, std::move(steps), job.graph.occurrences,
-                               job.graph.first_due.count(), job.graph.interval.count()}));
+  json row = json::array({job.id.value(), job.queue.value(), job.team.value(), job.accepted_at.count(),
+                          job.graph.payload, std::move(steps), job.graph.occurrences,
+                          job.graph.first_due.count(), job.graph.interval.count()});
+  if (job.terms) {
+    row.push_back(encode_terms(*job.terms));
+  }
+  return to_bytes(row);
 }
 
 absl::StatusOr<accepted_job> decode_accepted_job(std::string_view bytes) {
-  auto job = decode_row<accepted_job>(bytes, "job row", [](const json& row) {
+  auto decoded = decode_row<accepted_job>(bytes, "job row", [](const json& row) {
     accepted_job job;
     job.id = job_id{row.at(0).get<std::string>()};
     job.queue = queue_id{row.at(1).get<std::string>()};
@@ -99,15 +129,19 @@
     job.graph.occurrences = row.at(6).get<std::uint32_t>();
     job.graph.first_due = std::chrono::milliseconds{row.at(7).get<std::int64_t>()};
     job.graph.interval = std::chrono::milliseconds{row.at(8).get<std::int64_t>()};
+    constexpr std::size_t terms_field = 9;
+    if (row.size() > terms_field) {
+      job.terms = decode_terms(job.queue, row.at(terms_field));
+    }
     return job;
   });
-  if (job.ok()) {
+  if (decoded.ok()) {
     // A version without this check may have stored the row.
-    if (auto status = check(job->graph); !status.ok()) {
+    if (auto status = check(decoded->graph); !status.ok()) {
       return status;
     }
   }
-  return job;
+  return decoded;
 }
 
 std::string encode_job_progress(const job_progress& progress) {
--- a/tests/coordination/job_scheduler_test.cpp
+++ b/tests/coordination/job_scheduler_test.cpp
@@ -340,6 +340,28 @@
   CHECK(fleet.violations.empty());
 }
 
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_accepted_job_of_a_removed_queue_is_finished") {
+  // Guards against an accepted job that stops for good because the operator removes its queue while its first
+  // step runs, also when the owner changes afterwards.
+  const bool owner_changes = GENERATE(false, true);
+  auto job = simulated_workers::job("a", 1, identical_tasks(2, 1, seconds{2}));
+  job.graph.steps.push_back(identical_tasks(3, 1, seconds{1}));
+  job.graph.steps.back().after = {0};
+  fleet.submit(job);
+  fleet.advance(seconds{1});
+  auto without = std::make_shared<fleet_config>(*fleet.configuration);
+  std::erase_if(without->queues, [](const queue_config& queue) { return queue.id == queue_id{"q1"}; });
+  fleet.configuration = without;
+  if (owner_changes) {
+    fleet.begin_term();
+  } else {
+    fleet.scheduler->set_config(without, fleet.now);
+  }
+  fleet.advance(seconds{5});
+  CHECK(fleet.phase("a") == job_phase::complete);
+  CHECK(fleet.violations.empty());
+}
+
 TEST_CASE_METHOD(scheduler_fixture, "scheduler_cancelled_job_stops_and_is_not_restarted") {
   fleet.submit(simulated_workers::job("a", 1, identical_tasks(6, 2, seconds{20})));
   fleet.advance(seconds{1});
--- a/tests/coordination/simulated_workers.hpp
+++ b/tests/coordination/simulated_workers.hpp
@@ -122,9 +122,12 @@
   }
 
   void submit(const accepted_job& submitted) {
-    stored_jobs[submitted.id] = submitted;
+    auto& stored = stored_jobs[submitted.id] = submitted;
+    for (const auto& queue : configuration->queues) {
+      stored.terms = queue.id == submitted.queue ? std::optional{queue} : stored.terms;
+    }
     if (scheduler != nullptr) {
-      scheduler->add_job(submitted, std::nullopt, false, now);
+      scheduler->add_job(stored, std::nullopt, false, now);
     }
   }
   void cancel(const job_id& id) {
--- a/tests/protocol/job_rows_test.cpp
+++ b/tests/protocol/job_rows_test.cpp
@@ -24,9 +24,20 @@
                              .data_rack = "r1",
                              .max_per_worker = 2,
                              .image = "i"});
+  job.terms = queue_config{.id = job.queue,
+                           .service = service_id{"s"},
+                           .priority = 2,
+                           .max_attempts = 3,
+                           .stretch = 1.5,
+                           .target = std::chrono::seconds{1},
+                           .adviser = adviser_config{.validity = std::chrono::seconds{3}}};
   const auto bytes = encode_accepted_job(job);
   const auto read = decode_accepted_job(bytes);
   REQUIRE(read.ok());
+  REQUIRE(read->terms);
+  CHECK(read->terms->service == service_id{"s"});
+  CHECK(read->terms->max_attempts == 3);
+  CHECK(read->terms->adviser->validity == std::chrono::seconds{3});
   CHECK(encode_accepted_job(*read) == bytes);
   CHECK(read->graph.steps.front().data_rack == "r1");
   CHECK(read->graph.steps.front().each == resource_amounts{1, 2, 3});
