Limit what is held back for waiting gangs in every resource

Cause: the limit of a quarter counted accelerators only, so such a gang held back all processor time. The space kept for urgent work was limited in the same way.

Change: both limits hold for processor time, memory and accelerators.

Test, failing before (queued after 3 s): scheduler_waiting_gang_without_accelerators_holds_back_little.

--- a/src/coordination/job_scheduler_held_space.cpp
+++ b/src/coordination/job_scheduler_held_space.cpp
@@ -14,13 +14,29 @@
 
 /// How long the plan of a waiting gang is used before it is made again.
 constexpr duration plan_lifetime{std::chrono::milliseconds{120}};
-/// How long an urgent arrival stands for the next one, and the share of all accelerators that is kept free
-/// for them at most.
+/// How long an urgent arrival stands for the next one, and the share of all resources that is kept free for
+/// them at most.
 constexpr duration urgent_window{std::chrono::milliseconds{1000}};
 constexpr double max_urgent_share = 0.15;
-/// Maximum share of all accelerators that is held back for waiting gangs.
+/// Maximum share of all resources that is held back for waiting gangs.
 constexpr double max_held_back_share = 0.25;
 
+resource_amounts share_of(const resource_amounts& total, double share) {
+  const auto part = [share](std::int64_t amount) {
+    return static_cast<std::int64_t>(static_cast<double>(amount) * share);
+  };
+  return {.cpu_millicores = part(total.cpu_millicores),
+          .memory_mb = part(total.memory_mb),
+          .accelerators = part(total.accelerators)};
+}
+
+resource_amounts needed_by_all(const resource_amounts& each, std::size_t members) {
+  const auto count = static_cast<std::int64_t>(members);
+  return {.cpu_millicores = each.cpu_millicores * count,
+          .memory_mb = each.memory_mb * count,
+          .accelerators = each.accelerators * count};
+}
+
 }  // namespace
 
 void job_scheduler::implementation::refresh_space(worker_state& worker) {
@@ -38,10 +54,10 @@
 }
 
 void job_scheduler::implementation::refresh_spaces(instant now) {
-  usable_accelerators = 0;
+  usable_total = {};
   for (auto& [id, worker] : workers) {
     refresh_space(worker);
-    usable_accelerators += usable(worker, now) ? worker.entry.capacity.accelerators : 0;
+    usable_total += usable(worker, now) ? worker.entry.capacity : resource_amounts{};
   }
 }
 
@@ -93,13 +109,13 @@
 
 void job_scheduler::implementation::hold_back_for_urgent(instant now) {
   drop_old_arrivals(now);
-  const auto limit = static_cast<std::int64_t>(static_cast<double>(usable_accelerators) * max_urgent_share);
-  std::int64_t held = 0;
+  const auto limit = share_of(usable_total, max_urgent_share);
+  resource_amounts held;
   for (auto& expected : urgent_arrivals) {
     const auto& wanted = expected.wanted;
-    const auto needed = wanted.each.accelerators * static_cast<std::int64_t>(wanted.members);
+    const auto needed = needed_by_all(wanted.each, wanted.members);
     const auto space = services.find(expected.service);
-    if (held + needed > limit || space == services.end()) {
+    if (!(limit - held).covers(needed) || space == services.end()) {
       continue;
     }
     if (expected.plan.where.empty() || now - expected.plan.planned_at >= plan_lifetime) {
@@ -123,16 +139,15 @@
 /// Holds back space for a gang that does not fit now, so that work behind it in the order cannot use it.
 /// Without this, small units take space as it becomes free, and large gangs starve.
 void job_scheduler::implementation::hold_back_space(const job_state& job, const unit& waiting, instant now) {
-  const auto limit =
-      static_cast<std::int64_t>(static_cast<double>(usable_accelerators) * max_held_back_share);
-  if (held_back_accelerators + accelerators_of(job, waiting) > limit) {
+  const auto need = occupied(step_of(job, waiting));
+  if (!(share_of(usable_total, max_held_back_share) - held_back_total)
+           .covers(needed_by_all(need, waiting.members.size()))) {
     return;
   }
-  const auto need = occupied(step_of(job, waiting));
   const auto& plan = plans[&waiting] = plan_gang(job, waiting, now);
   for (auto* worker : plan.where) {
     held_back[worker] += need;
-    held_back_accelerators += need.accelerators;
+    held_back_total += need;
     refresh_space(*worker);
   }
 }
--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -461,8 +461,8 @@
   std::vector<unplaceable_request> unplaceable;
   /// Space that is held back for waiting gangs during one placement pass.
   absl::flat_hash_map<const detail::worker_state*, resource_amounts> held_back;
-  std::int64_t held_back_accelerators{0};
-  std::int64_t usable_accelerators{0};
+  resource_amounts held_back_total;
+  resource_amounts usable_total;
   std::deque<urgent_arrival> urgent_arrivals;                 ///< Oldest first.
   absl::flat_hash_map<const detail::unit*, kept_plan> plans;  ///< Of the current pass.
   absl::flat_hash_map<const detail::unit*, kept_plan> previous_plans;
--- a/src/coordination/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler_placement.cpp
@@ -126,7 +126,7 @@
     return;
   }
   held_back.clear();
-  held_back_accelerators = 0;
+  held_back_total = {};
   unplaceable.clear();
   previous_plans = std::exchange(plans, {});
   refresh_spaces(now);
--- a/tests/coordination/job_scheduler_test.cpp
+++ b/tests/coordination/job_scheduler_test.cpp
@@ -540,6 +540,24 @@
   }
 }
 
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_waiting_gang_without_accelerators_holds_back_little") {
+  // Guards against a gang that needs whole workers and waits because each runs a small task that lasts: all
+  // processor time was held back for it, and later jobs never started on nearly empty workers.
+  auto lasting = identical_tasks(6, 0, seconds{600});
+  lasting.long_running = true;
+  lasting.max_per_worker = 1;
+  fleet.submit(simulated_workers::job("lasting", 1, lasting));
+  fleet.advance(seconds{1});
+  REQUIRE(fleet.running_tasks() == 6);
+  auto gang = identical_tasks(6, 0, seconds{60}, true);
+  gang.each.cpu_millicores = 32'000;
+  fleet.submit(simulated_workers::job("gang", 1, gang));
+  fleet.advance(seconds{1});
+  fleet.submit(simulated_workers::job("plain", 2, identical_tasks(3, 0, seconds{1})));
+  fleet.advance(seconds{3});
+  CHECK(fleet.phase("plain") == job_phase::complete);
+}
+
 // ---- a run is over only by proof ----
 
 /// The longest that a stop may take.
