Keep a job from being stored after its cancellation was answered

Cause: a cancellation of a job that is not stored left no trace, and the write of the job, which may be repeated or executed seconds late, was conditional only on the job's own key.

Change: such a cancellation is stored before it is answered with 410, and the write of a job is conditional on its cancellation's key as well, also when it is executed late. A submission that finds only a cancellation is answered with 410 and never runs. The owner erases cancellations without a job after the retention of ended jobs.

--- a/src/programs/rhubarb-edge/caller_api.cpp
+++ b/src/programs/rhubarb-edge/caller_api.cpp
@@ -33,6 +33,10 @@
 constexpr int retry_after_seconds = 1;
 constexpr std::int64_t default_timeout_ms = 3000;
 
+bool contains(const std::vector<kv_item>& items, const std::string& key) {
+  return std::any_of(items.begin(), items.end(), [&](const kv_item& item) { return item.key == key; });
+}
+
 }  // namespace
 
 struct caller_api::pending_call {
@@ -215,15 +219,19 @@
     return;
   }
   const auto key = keys::job(job->job.id);
-  kv_commit commit{.expected = {{.key = key, .changed = revision{}}},
+  // A cancellation may have overtaken this write, or an attempt of it that the store executes late.
+  kv_commit commit{.expected = {{.key = key, .changed = revision{}},
+                                {.key = keys::cancel(job->job.id), .changed = revision{}}},
                    .puts = {{.key = key, .value = encode_accepted_job(job->job)}},
                    .erases = {}};
   deps_.store.call(std::move(commit), [this, job](const kv_result& result) {
     const auto& call = job->call;
     if (std::holds_alternative<kv_committed>(result)) {
       answer(call, http_status::ok, {}, "stored");
-    } else if (std::holds_alternative<kv_conflict>(result)) {
-      answer(call, http_status::ok, {}, "stored before");
+    } else if (const auto* conflict = std::get_if<kv_conflict>(&result)) {
+      contains(conflict->items, keys::job(job->job.id))
+          ? answer(call, http_status::ok, {}, "stored before")
+          : answer(call, http_status::gone, {}, "cancelled before it was stored");
     } else {
       call->may_be_stored = call->may_be_stored || !std::holds_alternative<kv_refused>(result);
       retry_or_fail(call, [this, job] { try_submit(job); });
@@ -242,32 +250,39 @@
       retry_or_fail(call, [this, call] { cancel(call); });
       return;
     }
-    const auto stored = [&](const std::string& key) {
-      return std::any_of(items->items.begin(), items->items.end(),
-                         [&](const kv_item& item) { return item.key == key; });
-    };
-    if (!stored(keys::job(call->job))) {
-      answer(call, http_status::gone, {}, "no such job");
-    } else if (stored(keys::cancel(call->job))) {
-      answer(call, http_status::ok, {}, "cancelled before");
+    const bool known = contains(items->items, keys::job(call->job));
+    if (contains(items->items, keys::cancel(call->job))) {
+      known ? answer(call, http_status::ok, {}, "cancelled before")
+            : answer(call, http_status::gone, {}, "no such job; it will not be accepted");
     } else {
-      try_cancel(call);
+      try_cancel(call, known);
     }
   });
 }
 
-void caller_api::try_cancel(const pending_call_ptr& call) {
+void caller_api::try_cancel(const pending_call_ptr& call, bool known) {
   const auto key = keys::cancel(call->job);
   kv_commit commit{.expected = {{.key = key, .changed = revision{}}},
                    .puts = {{.key = key, .value = call->team.value()}},
                    .erases = {}};
-  deps_.store.call(std::move(commit), [this, call](const kv_result& result) {
-    if (std::holds_alternative<kv_committed>(result) || std::holds_alternative<kv_conflict>(result)) {
-      answer(call, http_status::ok, {}, "cancellation stored");
+  if (!known) {
+    // The write of the job may still be on its way. With the cancellation stored it cannot be executed any
+    // more.
+    commit.expected.push_back({.key = keys::job(call->job), .changed = revision{}});
+  }
+  deps_.store.call(std::move(commit), [this, call, known](const kv_result& result) {
+    if (std::holds_alternative<kv_committed>(result)) {
+      known ? answer(call, http_status::ok, {}, "cancellation stored")
+            : answer(call, http_status::gone, {}, "no such job; it will not be accepted");
+      return;
+    }
+    if (std::holds_alternative<kv_conflict>(result)) {
+      // The rows have changed since they were read.
+      cancel(call);
       return;
     }
     call->may_be_stored = true;
-    retry_or_fail(call, [this, call] { try_cancel(call); });
+    retry_or_fail(call, [this, call, known] { try_cancel(call, known); });
   });
 }
 
--- a/src/programs/rhubarb-edge/caller_api.hpp
+++ b/src/programs/rhubarb-edge/caller_api.hpp
@@ -52,7 +52,8 @@
   void submit(const pending_call_ptr& call, const http_request& request);
   void try_submit(const std::shared_ptr<submission>& job);
   void cancel(const pending_call_ptr& call);
-  void try_cancel(const pending_call_ptr& call);
+  /// Stores the cancellation. `known` says whether the job is stored; if not, it never will be.
+  void try_cancel(const pending_call_ptr& call, bool known);
   void answer_phase(const pending_call_ptr& call);
   void answer_phase_from_store(const pending_call_ptr& call);
   void answer_phase_from_job_row(const pending_call_ptr& call);
--- a/src/programs/rhubarb-edge/owner_session.cpp
+++ b/src/programs/rhubarb-edge/owner_session.cpp
@@ -209,7 +209,11 @@
   if (item.key.ends_with(keys::cancel_suffix)) {
     const auto id = item.key.substr(keys::job_prefix.size(),
                                     item.key.size() - keys::job_prefix.size() - keys::cancel_suffix.size());
-    scheduler_->cancel_job(job_id{id}, now);
+    if (scheduler_->phase(job_id{id})) {
+      scheduler_->cancel_job(job_id{id}, now);
+    } else {
+      lone_cancellations_.try_emplace(job_id{id}, now);
+    }
     return;
   }
   auto job = decode_accepted_job(item.value);
@@ -219,6 +223,10 @@
     return;
   }
   scheduler_->add_job(*job, std::nullopt, false, now);
+  if (lone_cancellations_.erase(job->id) > 0) {
+    // A VM of an earlier version stores jobs without regard to their cancellation.
+    scheduler_->cancel_job(job->id, now);
+  }
 }
 
 void owner_session::watch_jobs() {
@@ -596,7 +604,15 @@
 }
 
 void owner_session::erase_expired() {
-  const auto expired = scheduler_->take_expired(deps_.loop.now());
+  const auto now = deps_.loop.now();
+  auto expired = scheduler_->take_expired(now);
+  std::erase_if(lone_cancellations_, [&](const auto& cancellation) {
+    const bool old = now - cancellation.second > opts_.scheduler.ended_job_retention;
+    if (old) {
+      expired.push_back(cancellation.first);
+    }
+    return old;
+  });
   constexpr std::size_t rows_per_job = 3;
   constexpr std::size_t jobs_per_commit = (max_commit_entries - 1) / rows_per_job;
   for (std::size_t begin = 0; begin < expired.size(); begin += jobs_per_commit) {
--- a/src/programs/rhubarb-edge/owner_session.hpp
+++ b/src/programs/rhubarb-edge/owner_session.hpp
@@ -120,6 +120,9 @@
   instant jobs_known_at_{};
   std::map<job_id, revision> progress_revisions_;  ///< Last known revision of each progress row.
   revision workers_revision_;
+  /// Cancellations of jobs that were never stored, with the time at which they were read. They keep a write
+  /// of the job that is executed late from taking effect.
+  std::map<job_id, instant> lone_cancellations_;
   std::map<std::string, std::string> ignored_entries_;  ///< The reason, by key.
   std::deque<job_progress> unsaved_progress_;
   std::size_t rows_in_commit_{0};  ///< Rows at the front of `unsaved_progress_` that are being written.
--- a/tests/platform/edge/edge_processes.cpp
+++ b/tests/platform/edge/edge_processes.cpp
@@ -99,9 +99,9 @@
   loop_.run();
 }
 
-http_result edge_processes::call(const std::string& address, const http_request& request) {
+http_result edge_processes::call(const std::string& address, const http_request& request, duration patience) {
   std::optional<http_result> answer;
-  client_.call(address, request, call_timeout, [&](http_result result) {
+  client_.call(address, request, patience, [&](http_result result) {
     answer = std::move(result);
     loop_.stop();
   });
@@ -117,7 +117,23 @@
                .path = fmt::format("/probe-{}/no-id", number),
                .query = {},
                .headers = {{"Host", std::string{caller_host}}},
-               .body = {}});
+               .body = {}},
+              call_timeout);
+}
+
+int edge_processes::call_job(std::size_t vm, const std::string& method, const std::string& job,
+                             const std::string& body, duration patience) {
+  const auto result = call(fmt::format("{}:{}", vms_.at(vm).address, caller_port),
+                           {.method = method,
+                            .path = "/jobs/" + job,
+                            .query = {},
+                            .headers = {{"Host", std::string{caller_host}},
+                                        {"Key", "key-a"},
+                                        {"Content-Type", "application/json"}},
+                            .body = body},
+                           patience);
+  const auto* response = std::get_if<http_response>(&result);
+  return response == nullptr ? 0 : response->status;
 }
 
 int edge_processes::query_status(std::size_t vm, int number) {
@@ -149,8 +165,9 @@
 
 int edge_processes::relayed_calls(std::size_t vm) {
   const std::string counter = "rhubarb_relayed_calls_total ";
-  const auto result = call(fmt::format("{}:{}", vms_.at(vm).address, metrics_port),
-                           {.method = "GET", .path = "/metrics", .query = {}, .headers = {}, .body = {}});
+  const auto result =
+      call(fmt::format("{}:{}", vms_.at(vm).address, metrics_port),
+           {.method = "GET", .path = "/metrics", .query = {}, .headers = {}, .body = {}}, call_timeout);
   const auto* response = std::get_if<http_response>(&result);
   if (response == nullptr) {
     return 0;
--- a/tests/platform/edge/edge_processes.hpp
+++ b/tests/platform/edge/edge_processes.hpp
@@ -40,6 +40,10 @@
   [[nodiscard]] bool uses(std::size_t vm, int number, duration limit);
   /// Waits until every VM uses version `number`; false after `limit`.
   [[nodiscard]] bool all_use(int number, duration limit);
+  /// Sends a caller's request for a job and waits for the answer, at most for `patience`. Returns its status;
+  /// 0 without one.
+  [[nodiscard]] int call_job(std::size_t vm, const std::string& method, const std::string& job,
+                             const std::string& body, duration patience);
   /// Number of store calls that the VM has relayed for others.
   [[nodiscard]] int relayed_calls(std::size_t vm);
 
@@ -49,7 +53,7 @@
     std::unique_ptr<fault_proxy> store_proxy;
     std::unique_ptr<edge_process> process;
   };
-  [[nodiscard]] http_result call(const std::string& address, const http_request& request);
+  [[nodiscard]] http_result call(const std::string& address, const http_request& request, duration patience);
 
   std::filesystem::path folder_;
   std::string network_prefix_;
