Read the progress of jobs again after the store dropped its history

A job that had ended 150 s before, and whose rows could not be erased (an outage, logged as expired_rows_kept), would run again (TWICE).

Change: the rows of progress are read after those of the jobs, as at the begin of a term.

--- a/src/programs/rhubarb-edge/owner_session.cpp
+++ b/src/programs/rhubarb-edge/owner_session.cpp
@@ -264,9 +264,13 @@
                                  const std::vector<kv_item>& jobs, revision as_of) {
     self->jobs_known_at_ = std::max(self->jobs_known_at_, sent_at);
     self->jobs_revision_ = as_of;
-    self->apply_rows(jobs, {}, false);
-    self->watch_jobs();
-    self->run_tick();
+    // A job that this owner has forgotten may have ended long ago, and its rows may have been kept.
+    self->list_all(keys::progress_prefix,
+                   [self, jobs](const std::vector<kv_item>& progress, revision /*as_of*/) {
+                     self->apply_rows(jobs, progress, false);
+                     self->watch_jobs();
+                     self->run_tick();
+                   });
   });
 }
 
--- a/tests/platform/edge/edge_processes.cpp
+++ b/tests/platform/edge/edge_processes.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdlib>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <stdexcept>
 
@@ -121,21 +122,36 @@
               call_timeout);
 }
 
+http_result edge_processes::call_for_job(std::size_t vm, const std::string& method, const std::string& job,
+                                         const std::string& body, duration patience) {
+  return call(fmt::format("{}:{}", vms_.at(vm).address, caller_port),
+              {.method = method,
+               .path = "/jobs/" + job,
+               .query = {},
+               .headers = {{"Host", std::string{caller_host}},
+                           {"Key", "key-a"},
+                           {"Content-Type", "application/json"}},
+               .body = body},
+              patience);
+}
+
 int edge_processes::call_job(std::size_t vm, const std::string& method, const std::string& job,
                              const std::string& body, duration patience) {
-  const auto result = call(fmt::format("{}:{}", vms_.at(vm).address, caller_port),
-                           {.method = method,
-                            .path = "/jobs/" + job,
-                            .query = {},
-                            .headers = {{"Host", std::string{caller_host}},
-                                        {"Key", "key-a"},
-                                        {"Content-Type", "application/json"}},
-                            .body = body},
-                           patience);
+  const auto result = call_for_job(vm, method, job, body, patience);
   const auto* response = std::get_if<http_response>(&result);
   return response == nullptr ? 0 : response->status;
 }
 
+std::string edge_processes::job_state(std::size_t vm, const std::string& job) {
+  const auto result = call_for_job(vm, "GET", job, {}, call_timeout);
+  const auto* response = std::get_if<http_response>(&result);
+  if (response == nullptr || response->status != http_status::ok) {
+    return {};
+  }
+  const auto body = nlohmann::json::parse(response->body, nullptr, false);
+  return body.is_object() ? body.value("state", "") : std::string{};
+}
+
 int edge_processes::query_status(std::size_t vm, int number) {
   const auto result = query_version(vm, number);
   const auto* response = std::get_if<http_response>(&result);
--- a/tests/platform/edge/edge_processes.hpp
+++ b/tests/platform/edge/edge_processes.hpp
@@ -40,6 +40,8 @@
   [[nodiscard]] bool uses(std::size_t vm, int number, duration limit);
   /// Waits until every VM uses version `number`; false after `limit`.
   [[nodiscard]] bool all_use(int number, duration limit);
+  /// The state of a job as a caller reads it; empty without an answer of success.
+  [[nodiscard]] std::string job_state(std::size_t vm, const std::string& job);
   /// Sends a caller's request for a job and waits for the answer, at most for `patience`. Returns its status;
   /// 0 without one.
   [[nodiscard]] int call_job(std::size_t vm, const std::string& method, const std::string& job,
@@ -54,6 +56,8 @@
     std::unique_ptr<edge_process> process;
   };
   [[nodiscard]] http_result call(const std::string& address, const http_request& request, duration patience);
+  [[nodiscard]] http_result call_for_job(std::size_t vm, const std::string& method, const std::string& job,
+                                         const std::string& body, duration patience);
 
   std::filesystem::path folder_;
   std::string network_prefix_;
