Count the tasks that one placement stops on a worker against the limit at once

Callers could see more tasks of a lasting step stopped than it says may be unavailable (AVAIL): two on one worker where one was allowed. The counter then wrapped around, and the step had no limit any more for that placement.

Cause: the limit was reduced only after all stops on a worker had been chosen, so each of them was compared with the same number. The guarantee of another team, whose urgent work may be stopped, was counted in the same way.

Change: stop_limits says what may be stopped and counts what the current worker's plan stops already.

--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -420,10 +420,11 @@
     std::vector<victim> victims;
     std::pair<double, std::int64_t> cost;  ///< Lost work, then the accelerators that remain free.
   };
+  class stop_limits;
   using free_map = absl::flat_hash_map<const detail::worker_state*, resource_amounts>;
   [[nodiscard]] static member_plan plan_member(const std::vector<const preemptible_space*>& spaces,
                                                const free_map& free_by_worker, const resource_amounts& need,
-                                               absl::FunctionRef<bool(const victim&)> may_stop,
+                                               stop_limits& limits,
                                                absl::FunctionRef<bool(const preemptible_space&)> may_use);
   [[nodiscard]] std::optional<preemption> plan_preemption(const std::vector<const preemptible_space*>& spaces,
                                                           const detail::job_state& job,
--- a/src/coordination/job_scheduler_preemption.cpp
+++ b/src/coordination/job_scheduler_preemption.cpp
@@ -74,9 +74,85 @@
   return result;
 }
 
+/// Which units may be stopped for one urgent unit. Follows those that have been chosen.
+class job_scheduler::implementation::stop_limits {
+ public:
+  using planned_stops = std::map<const unit*, const job_state*>;
+
+  stop_limits(std::map<team_id, team_share> shares, const job_state& job, const unit& placed)
+      : shares_{std::move(shares)}, team_{job.job.team} {
+    const auto own = shares_[team_];
+    within_guarantee_ = own.used + accelerators_of(job, placed) <= own.guaranteed;
+  }
+
+  /// `planned` are the units that would be stopped as well, and are not chosen yet.
+  [[nodiscard]] bool allows(const victim& one, const planned_stops& planned) {
+    if (chosen_.contains(one.target)) {
+      return false;
+    }
+    if (planned.contains(one.target)) {
+      return true;
+    }
+    if (step_of(*one.job, *one.target).long_running && !allows_lasting(one, planned)) {
+      return false;
+    }
+    return one.job->queue->priority > 0 || allows_urgent(one, planned);
+  }
+
+  /// Returns whether the unit was not chosen before.
+  bool choose(const victim& one) {
+    if (!chosen_.emplace(one.target, one.job).second) {
+      return false;
+    }
+    if (one.job->queue->priority == 0) {
+      shares_[one.job->job.team].used -= accelerators_of(*one.job, *one.target);
+    }
+    if (const auto left = stoppable_.find({one.job, one.target->step}); left != stoppable_.end()) {
+      left->second -= one.target->members.size();
+    }
+    return true;
+  }
+
+  [[nodiscard]] std::map<unit*, job_state*> take_chosen() { return std::move(chosen_); }
+
+ private:
+  bool allows_lasting(const victim& one, const planned_stops& planned) {
+    const auto [left, inserted] = stoppable_.try_emplace({one.job, one.target->step});
+    if (inserted) {
+      left->second = stoppable_lasting_tasks(*one.job, one.target->occurrence, one.target->step);
+    }
+    auto stopped = one.target->members.size();
+    for (const auto& [target, job] : planned) {
+      const bool same_step = job == one.job && target->step == one.target->step;
+      stopped += same_step ? target->members.size() : 0;
+    }
+    return within_guarantee_ && stopped <= left->second;
+  }
+
+  /// Urgent work of a team above its guarantee uses capacity that is guaranteed to other teams. It is
+  /// stopped only for a unit that fits entirely within its own team's guarantee.
+  bool allows_urgent(const victim& one, const planned_stops& planned) {
+    const auto& team = one.job->job.team;
+    const auto& share = shares_[team];
+    auto used = share.used - accelerators_of(*one.job, *one.target);
+    for (const auto& [target, job] : planned) {
+      const bool same_share = job->queue->priority == 0 && job->job.team == team;
+      used -= same_share ? accelerators_of(*job, *target) : 0;
+    }
+    return within_guarantee_ && team != team_ && used >= share.guaranteed;
+  }
+
+  std::map<team_id, team_share> shares_;
+  team_id team_;
+  bool within_guarantee_{false};
+  /// Number of tasks of a lasting step that may still be kept from running.
+  std::map<std::pair<const job_state*, std::uint32_t>, std::size_t> stoppable_;
+  std::map<unit*, job_state*> chosen_;
+};
+
 job_scheduler::implementation::member_plan job_scheduler::implementation::plan_member(
     const std::vector<const preemptible_space*>& spaces, const free_map& free_by_worker,
-    const resource_amounts& need, absl::FunctionRef<bool(const victim&)> may_stop,
+    const resource_amounts& need, stop_limits& limits,
     absl::FunctionRef<bool(const preemptible_space&)> may_use) {
   member_plan best;
   for (const auto* each : spaces) {
@@ -85,14 +161,16 @@
     }
     auto free = free_by_worker.at(each->worker);
     member_plan plan{.where = each, .victims = {}, .cost = {}};
+    stop_limits::planned_stops planned;
     for (const auto& one : each->victims) {
       if (free.covers(need)) {
         break;
       }
-      if (may_stop(one)) {
+      if (limits.allows(one, planned)) {
         free += occupied(step_of(*one.job, *one.target));
         plan.cost.first += one.lost_work;
         plan.victims.push_back(one);
+        planned.emplace(one.target, one.job);
       }
     }
     plan.cost.second = free.accelerators;
@@ -128,63 +206,30 @@
     const std::vector<const preemptible_space*>& spaces, const job_state& job, const unit& placed) {
   const auto& step = step_of(job, placed);
   const auto need = occupied(step);
-  auto shares = urgent_shares();
-  const auto own = shares[job.job.team];
   free_map free_by_worker;
   for (const auto* each : spaces) {
     free_by_worker[each->worker] = each->free;
   }
   preemption plan;
-  // Urgent work of a team above its guarantee uses capacity that is guaranteed to other teams. It is
-  // preempted only for a unit that fits entirely within its own team's guarantee.
-  const bool within_guarantee = own.used + accelerators_of(job, placed) <= own.guaranteed;
-  // Of a lasting step, the tasks that may still be kept from running.
-  std::map<std::pair<const job_state*, std::uint32_t>, std::uint32_t> stoppable;
-  const auto may_stop_lasting = [&](const victim& one) {
-    const auto [left, inserted] = stoppable.try_emplace({one.job, one.target->step});
-    if (inserted) {
-      left->second = stoppable_lasting_tasks(*one.job, one.target->occurrence, one.target->step);
-    }
-    return within_guarantee && left->second >= one.target->members.size();
-  };
-  const auto may_stop = [&](const victim& one) {
-    if (plan.victims.contains(one.target)) {
-      return false;
-    }
-    if (step_of(*one.job, *one.target).long_running && !may_stop_lasting(one)) {
-      return false;
-    }
-    if (one.job->queue->priority > 0) {
-      return true;
-    }
-    const auto& share = shares[one.job->job.team];
-    return within_guarantee && one.job->job.team != job.job.team &&
-           share.used - accelerators_of(*one.job, *one.target) >= share.guaranteed;
-  };
+  stop_limits limits{urgent_shares(), job, placed};
   std::map<const worker_state*, std::uint32_t> planned_tasks;
   const auto may_use = [&](const preemptible_space& each) {
     return step.max_per_worker == 0 ||
            tasks_of_step(*each.worker, job, placed) + planned_tasks[each.worker] < step.max_per_worker;
   };
   for (std::size_t index = 0; index < placed.members.size(); ++index) {
-    const auto chosen = plan_member(spaces, free_by_worker, need, may_stop, may_use);
+    const auto chosen = plan_member(spaces, free_by_worker, need, limits, may_use);
     if (chosen.where == nullptr) {
       return std::nullopt;
     }
     plan.lost_work += chosen.cost.first;
     for (const auto& one : chosen.victims) {
-      if (!plan.victims.emplace(one.target, one.job).second) {
+      if (!limits.choose(one)) {
         continue;
       }
-      if (one.job->queue->priority == 0) {
-        shares[one.job->job.team].used -= accelerators_of(*one.job, *one.target);
-      }
-      if (const auto left = stoppable.find({one.job, one.target->step}); left != stoppable.end()) {
-        left->second -= static_cast<std::uint32_t>(one.target->members.size());
-      }
       // Preempting a unit frees the space of all its members, also on other workers.
-      for (const auto& left : one.target->members) {
-        if (const auto found = free_by_worker.find(left.worker); found != free_by_worker.end()) {
+      for (const auto& stopped : one.target->members) {
+        if (const auto found = free_by_worker.find(stopped.worker); found != free_by_worker.end()) {
           found->second += occupied(step_of(*one.job, *one.target));
         }
       }
@@ -193,6 +238,7 @@
     ++planned_tasks[chosen.where->worker];
     plan.where.push_back(chosen.where->worker);
   }
+  plan.victims = limits.take_chosen();
   return plan;
 }
 
--- a/tests/coordination/job_scheduler_test.cpp
+++ b/tests/coordination/job_scheduler_test.cpp
@@ -464,6 +464,20 @@
   CHECK(fewest == 46);
 }
 
+TEST_CASE_METHOD(lent_fleet_fixture,
+                 "scheduler_urgent_task_stops_no_more_lasting_tasks_on_one_worker_than_may_be_unavailable") {
+  // Guards against a limit that counts the stops for one task only after they have been chosen.
+  lend(1);
+  fleet.submit(simulated_workers::job("urgent", 0, identical_tasks(1, 2, seconds{4})));
+  std::size_t fewest = 48;
+  for (int step = 0; step < 500; ++step) {
+    fleet.advance(milliseconds{4});
+    fewest = std::min(fewest, running_of("lent"));
+  }
+  CHECK(running_of("urgent") == 0);
+  CHECK(fewest == 48);
+}
+
 TEST_CASE_METHOD(scheduler_fixture, "scheduler_new_owner_adopts_running_tasks") {
   // Guards against tasks that are lost or started twice after a failover to another VM.
   fleet.submit(simulated_workers::job("gang", 1, identical_tasks(3, 8, seconds{4}, true)));
