Move what cannot end on a leaving worker before the worker leaves

A task of a worker that had drained and left waited for its lease.

Cause: the registry entry of a draining worker announces how long it stays at least, and that was not read. What ran there was left to its fate: the owner's logs show that workers leave 6.2 to 7.0 s after it saw them drain, with 7 s announced.

Change: what cannot end before the worker may leave, by its progress between reports, is stopped there and placed elsewhere, while the end can still be listed; gangs whole and by their slowest member, checkpointing runs as late as possible, tasks that last within what their step permits. The time counts from the request of the last list that did not have the entry.

--- a/include/rhubarbpath/coordination/job_scheduler.hpp
+++ b/include/rhubarbpath/coordination/job_scheduler.hpp
@@ -153,6 +153,10 @@
     duration renew_wait{std::chrono::milliseconds{1000}};
     /// Maximum time that a worker takes to stop a run.
     duration stop_timeout{std::chrono::milliseconds{200}};
+    /// A draining worker stays for at least this long if its entry names no time.
+    duration drain_time{std::chrono::milliseconds{2000}};
+    /// Workers write their entries in the registry about this often.
+    duration heartbeat_interval{std::chrono::milliseconds{1500}};
     /// Slowdown of a task that runs outside the rack of its data, or of a gang spread over racks.
     double remote_factor{3.0};
     /// A run without progress for this long is considered stalled.
@@ -179,8 +183,9 @@
   /// only the tasks listed there wait.
   void expect_workers(const std::vector<worker_id>& workers, const std::vector<leaving_worker>& leaving,
                       instant now);
-  /// Updates the workers from the registry. Workers that are no longer listed are kept while they have work.
-  void set_workers(const std::vector<worker_entry>& entries, instant now);
+  /// Updates the workers from a list of the registry that was requested at `requested`. Workers that are no
+  /// longer listed are kept while they have work.
+  void set_workers(const std::vector<worker_entry>& entries, instant requested, instant now);
   /// Adds an accepted job. `inherited` is true if a previous owner may have started it. Repeated calls for
   /// the same job are ignored.
   void add_job(const accepted_job& job, const std::optional<job_progress>& progress, bool inherited,
--- a/include/rhubarbpath/state/fleet.hpp
+++ b/include/rhubarbpath/state/fleet.hpp
@@ -75,6 +75,8 @@
   std::vector<std::string> labels;
   resource_amounts capacity;
   bool draining{false};
+  /// While it drains: it stays for at least this long after it wrote the entry. Nothing if it does not say.
+  std::optional<std::chrono::milliseconds> stays_for{};
   incarnation born;  ///< Start time of the worker process, Unix milliseconds; 0 when unknown.
 };
 
--- a/include/rhubarbpath/state/vm_settings.hpp
+++ b/include/rhubarbpath/state/vm_settings.hpp
@@ -24,6 +24,8 @@
   duration longest_worker_lease{std::chrono::seconds{10}};
   duration stop_grace{std::chrono::seconds{6}};  ///< Time between SIGTERM and SIGKILL.
   duration task_stop_timeout{std::chrono::milliseconds{200}};
+  duration worker_drain_time{std::chrono::milliseconds{2000}};  ///< Least time that a draining worker stays.
+  duration worker_heartbeat_interval{std::chrono::milliseconds{1500}};
   /// A configuration must be in force this long after it was acknowledged.
   duration config_apply_limit{std::chrono::seconds{2}};
   double remote_factor{3.0};  ///< Slowdown of a task away from its data or from its gang's rack.
--- a/src/coordination/job_scheduler.cpp
+++ b/src/coordination/job_scheduler.cpp
@@ -538,6 +538,7 @@
     self.update_health(worker_health::tick{}, now);
     self.expire_silent_workers(now);
     self.detect_stalls(now);
+    self.evacuate_leaving_workers(now);
     self.repeat_orders(now);
     self.renew_workers(now);
   }
--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -100,6 +100,8 @@
   bool trial{false};      ///< One run may show whether a worker that is set aside works again.
   /// The worker announced that it is draining, so it is expected to leave.
   bool was_draining{false};
+  /// While it drains: it does not leave before this time.
+  instant leaves_at{};
   /// Highest number of the worker's ended runs that was processed, is being stored, and is stored and thus
   /// may be acknowledged.
   std::uint64_t seen_through{0};
@@ -198,6 +200,7 @@
   bool storing_workers{false};
   bool placement_due{true};
   bool starts_held{false};
+  std::optional<instant> registry_requested;  ///< When the last list of the registry was requested.
   instant next_placement{};
   instant next_recheck{};
   instant next_scan{};
@@ -331,6 +334,18 @@
   void repeat_stops_of_late_starts(detail::worker_state& worker, instant now);
   void detect_stalls(instant now);
 
+  // job_scheduler_evacuation.cpp
+  /// Takes over whether the worker drains, and when it may leave at the earliest.
+  void note_drain(detail::worker_state& worker, const worker_entry& entry, instant now) const;
+  /// Stops what runs on leaving workers and cannot end before they leave, so that it can start elsewhere. A
+  /// task of a worker that has left waits until its lease has expired.
+  void evacuate_leaving_workers(instant now);
+  [[nodiscard]] bool must_move(const detail::worker_state& worker, const detail::job_state& job,
+                               const detail::unit& unit, instant now) const;
+  /// When all members of a unit will have ended, by their progress so far. The fast members of a gang wait
+  /// for the slow ones. Nothing if a member has made too little progress to tell.
+  [[nodiscard]] std::optional<instant> expected_end(const detail::unit& unit, instant now) const;
+
   // job_scheduler_placement.cpp
   /// A step with waiting units, and its sort key for placement.
   struct waiting_step {
--- a/src/coordination/job_scheduler_reports.cpp
+++ b/src/coordination/job_scheduler_reports.cpp
@@ -26,7 +26,7 @@
 
 }  // namespace
 
-void job_scheduler::set_workers(const std::vector<worker_entry>& entries, instant now) {
+void job_scheduler::set_workers(const std::vector<worker_entry>& entries, instant requested, instant now) {
   auto& self = *implementation_;
   for (auto& [id, worker] : self.workers) {
     worker.listed = false;
@@ -48,17 +48,18 @@
     if (restarted_or_moved && worker.reported && entry.born != incarnation{} && entry.born != worker.born) {
       self.expect_unknown_lease(worker, now);
     }
+    self.note_drain(worker, entry, now);
     self.index_worker(worker, entry);
     worker.stored = worker.stored || self.stored_workers.contains(entry.id);
     worker.stored_as_leaving = self.stored_leaving.contains(entry.id);
     worker.listed = true;
-    worker.was_draining = entry.draining;
   }
   // A fifth of the workers at most, because the judgement may be wrong.
   constexpr double set_aside_share = 0.2;
   self.update_health(worker_health::fleet_changed{.workers = static_cast<int>(entries.size()),
                                                   .set_aside_share = set_aside_share},
                      now);
+  self.registry_requested = requested;
   self.store_worker_set();
   self.renew_workers(now);
 }
@@ -245,6 +246,10 @@
       tracked.percent = run.percent;
       tracked.progress_at = worker.clock;
     }
+    if (tracked.listed_at == milliseconds{0}) {
+      tracked.first_percent = run.percent;
+      tracked.first_listed_at = worker.clock;
+    }
     tracked.listed_at = worker.clock;
     tracked.checkpoint = run.checkpoint;
     tracked.started_on = worker.born;
@@ -267,6 +272,8 @@
                    .confirmed_at = now,
                    .started_on = worker.born,
                    .percent = run.percent,
+                   .first_percent = run.percent,
+                   .first_listed_at = worker.clock,
                    .listed_at = worker.clock,
                    .progress_at = worker.clock,
                    .checkpoint = run.checkpoint};
--- a/src/coordination/job_units.hpp
+++ b/src/coordination/job_units.hpp
@@ -33,6 +33,9 @@
   incarnation stopped_by;
   instant repeat_at{};
   int percent{0};
+  /// Progress in the first report that listed the run, and the worker's clock then.
+  int first_percent{0};
+  std::chrono::milliseconds first_listed_at{0};
   /// On the worker's clock: when the run was last listed, and when `percent` changed or progress became
   /// possible. The owner's clock would count the time for which a late owner left reports unread.
   std::chrono::milliseconds listed_at{0};
--- a/src/programs/rhubarb-edge/edge_daemon.cpp
+++ b/src/programs/rhubarb-edge/edge_daemon.cpp
@@ -432,6 +432,8 @@
   scheduler.max_lease = settings_.longest_worker_lease;
   scheduler.worker_lease = std::min(scheduler.worker_lease, settings_.longest_worker_lease);
   scheduler.stop_timeout = settings_.task_stop_timeout;
+  scheduler.heartbeat_interval = settings_.worker_heartbeat_interval;
+  scheduler.drain_time = settings_.worker_drain_time;
   scheduler.remote_factor = settings_.remote_factor;
   const auto term = action.term;
   session_ = std::make_shared<owner_session>(
--- a/src/programs/rhubarb-edge/owner_session.cpp
+++ b/src/programs/rhubarb-edge/owner_session.cpp
@@ -275,24 +275,24 @@
 }
 
 void owner_session::poll_registry() {
-  list_all(platform::worker_prefix(),
-           [self = shared_from_this()](const std::vector<kv_item>& items, revision /*as_of*/) {
-             std::vector<worker_entry> entries;
-             entries.reserve(items.size());
-             std::map<std::string, std::string> ignored;
-             for (const auto& item : items) {
-               auto entry = platform::decode_worker_entry(item.key, item.value);
-               if (entry.ok()) {
-                 entries.push_back(*std::move(entry));
-               } else {
-                 ignored[item.key] = std::string{entry.status().message()};
-               }
-             }
-             self->note_ignored_entries(std::move(ignored));
-             self->scheduler_->set_workers(entries, self->deps_.loop.now());
-             self->run_tick();
-             self->run_later(self->opts_.registry_poll_interval, [self] { self->poll_registry(); });
-           });
+  list_all(platform::worker_prefix(), [self = shared_from_this(), requested = deps_.loop.now()](
+                                          const std::vector<kv_item>& items, revision /*as_of*/) {
+    std::vector<worker_entry> entries;
+    entries.reserve(items.size());
+    std::map<std::string, std::string> ignored;
+    for (const auto& item : items) {
+      auto entry = platform::decode_worker_entry(item.key, item.value);
+      if (entry.ok()) {
+        entries.push_back(*std::move(entry));
+      } else {
+        ignored[item.key] = std::string{entry.status().message()};
+      }
+    }
+    self->note_ignored_entries(std::move(ignored));
+    self->scheduler_->set_workers(entries, requested, self->deps_.loop.now());
+    self->run_tick();
+    self->run_later(self->opts_.registry_poll_interval, [self] { self->poll_registry(); });
+  });
 }
 
 void owner_session::note_ignored_entries(std::map<std::string, std::string> ignored) {
--- a/src/protocol/log_events.cpp
+++ b/src/protocol/log_events.cpp
@@ -41,6 +41,8 @@
     log_event{"job_ended", "a job is complete, failed or cancelled", "job, reason, term, waited_ms"},
     log_event{"unit_started", "a task or gang is placed", "job, reason, term, step, run, workers, waited_ms"},
     log_event{"unit_preempted", "a task or gang is stopped for urgent work", "job, reason, term, step"},
+    log_event{"unit_evacuated", "a task or gang is stopped because one of its workers leaves before it ends",
+              "job, reason, term, worker, step, percent, leaves_in_ms"},
     log_event{"run_ended", "a worker lists a run as ended", "job, reason, term, worker, task, run"},
     log_event{"run_lost", "a run ended without a listed end", "job, reason, term, worker, run"},
     log_event{"run_missing", "a worker names a run nowhere; the run is stopped before its task starts again",
--- a/tests/coordination/job_scheduler_test.cpp
+++ b/tests/coordination/job_scheduler_test.cpp
@@ -746,6 +746,7 @@
   fleet.advance(milliseconds{500});
   const auto holder = busy_worker();
   fleet.workers.at(holder).entry.draining = draining;
+  fleet.workers.at(holder).entry.stays_for = seconds{10};
   fleet.advance(milliseconds{1000});
   fleet.store_up = false;
   fleet.advance(seconds{1});
--- a/tests/coordination/simulated_workers.hpp
+++ b/tests/coordination/simulated_workers.hpp
@@ -36,6 +36,7 @@
   struct worker {
     worker_entry entry;
     double clock_rate{1.0};
+    double speed{1.0};  ///< Of its tasks.
     bool running{true};
     bool disconnected{false};
     bool refuses_connections{false};  ///< While it is disconnected; otherwise orders vanish.
@@ -176,7 +177,7 @@
         }
       }
     }
-    scheduler->set_workers(entries, now);
+    scheduler->set_workers(entries, now, now);
     take_actions();
   }
 
@@ -370,6 +371,20 @@
     return present;
   }
 
+  /// Of the members of a gang. They end together.
+  [[nodiscard]] duration slowest_work_left(const task_ref& task, run_number run) const {
+    duration slowest{0};
+    for (const auto& [id, each] : workers) {
+      for (const auto& [other, state] : each.tasks) {
+        if (other.job == task.job && other.step == task.step && other.occurrence == task.occurrence &&
+            state.run == run) {
+          slowest = std::max(slowest, state.work_left);
+        }
+      }
+    }
+    return slowest;
+  }
+
   void end_gang(const task_ref& task, run_number run, run_outcome outcome_of_task,
                 run_outcome outcome_of_others) {
     for (auto& [id, each] : workers) {
@@ -415,8 +430,11 @@
         if (!together || each.stalled) {
           continue;
         }
-        state.work_left -= step;
-        if (state.work_left > duration::zero() && !each.fails_every_run) {
+        state.work_left -=
+            duration{static_cast<std::int64_t>(static_cast<double>(step.count()) * each.speed)};
+        const bool finished = state.work_left <= duration::zero() &&
+                              (!state.gang || slowest_work_left(task, state.run) <= duration::zero());
+        if (!finished && !each.fails_every_run) {
           continue;
         }
         const auto outcome = each.fails_every_run || random.fraction() < injected_faults.failing_task
@@ -539,7 +557,7 @@
     }
     const auto share =
         1.0 - static_cast<double>(state.work_left.count()) / static_cast<double>(whole.count());
-    return static_cast<int>(99.0 * share);
+    return static_cast<int>(99.0 * std::min(share, 1.0));
   }
 
   /// What happens to an order and its response on the network.
--- a/tests/platform/soak/platform_documents.cpp
+++ b/tests/platform/soak/platform_documents.cpp
@@ -22,6 +22,7 @@
                       {"bounds",
                        {{"maxHoldMs", 10000},
                         {"stopTimeoutMs", 200},
+                        {"drainMs", 2000},
                         {"remoteFactor", 3},
                         {"graceS", 6},
                         {"configApplyMs", 2000}}},
--- a/tests/platform/soak/worker_changes.cpp
+++ b/tests/platform/soak/worker_changes.cpp
@@ -99,7 +99,7 @@
     return;
   }
   deps_.trace(fmt::format("worker {} drains for {} ms", worker, (drain_time + length).count() / 1000));
-  deps_.fleet.drain(worker);
+  deps_.fleet.drain(worker, drain_time);
   schedule(drain_time + length, [this, worker] {
     if (deps_.fleet.present(worker)) {
       deps_.trace(fmt::format("worker {} leaves", worker));
--- a/tests/platform/soak/worker_fleet.cpp
+++ b/tests/platform/soak/worker_fleet.cpp
@@ -77,8 +77,9 @@
     lose_everything();
     reset();
   }
-  void drain() {
+  void drain(duration stays) {
     draining_ = true;
+    stays_until_ = fleet_.loop_.now() + stays;
     next_row_write_ = instant{};
   }
   void stop(bool left) {
@@ -203,9 +204,7 @@
     }
     next_row_write_ = now + heartbeat_period;
     last_row_write_ = now;
-    fleet_.store_.put(
-        key,
-        json{{"service", "render"},
+    json row{{"service", "render"},
              {"address", advertised_address_},
              {"zone", zone_},
              {"version", "v1"},
@@ -215,8 +214,12 @@
              {"seq", ++sequence_},
              {"born", born_},
              {"labels", {"kind-a", zone_ + "-r1"}},
-             {"capacity", {{"cpu", worker_cpu}, {"memMb", worker_memory_mb}, {"gpu", worker_accelerators}}}}
-            .dump());
+             {"capacity", {{"cpu", worker_cpu}, {"memMb", worker_memory_mb}, {"gpu", worker_accelerators}}}};
+    if (draining_) {
+      const auto stays = std::max(duration::zero(), stays_until_ - now);
+      row["drainRemainingMs"] = std::chrono::duration_cast<milliseconds>(stays).count();
+    }
+    fleet_.store_.put(key, row.dump());
   }
 
   void handle(const http_request& request, const http_responder& reply) {
@@ -430,6 +433,7 @@
   std::string id_;  ///< The name, or the name and a number after it was replaced.
   int generation_{0};
   bool draining_{false};
+  instant stays_until_{};  ///< While it drains.
   std::string zone_;
   std::string address_;
   std::uint16_t port_{0};
@@ -477,8 +481,8 @@
   workers_.at(worker)->restart();
 }
 
-void worker_fleet::drain(std::size_t worker) {
-  workers_.at(worker)->drain();
+void worker_fleet::drain(std::size_t worker, duration stays) {
+  workers_.at(worker)->drain(stays);
 }
 
 void worker_fleet::stop(std::size_t worker, bool left) {
--- a/tests/platform/soak/worker_fleet.hpp
+++ b/tests/platform/soak/worker_fleet.hpp
@@ -64,8 +64,8 @@
   [[nodiscard]] worker_faults& faults(std::size_t worker);
   /// Restarts a worker: all its state is lost, and it is available immediately under the same id.
   void restart(std::size_t worker);
-  /// The worker reports that it is draining and works on.
-  void drain(std::size_t worker);
+  /// The worker reports that it is draining and that it stays for that long at least. It works on.
+  void drain(std::size_t worker, duration stays);
   /// The worker ends, and all that runs on it. If it left as announced, its row is removed at once; after a
   /// crash it stays until it expires.
   void stop(std::size_t worker, bool left);
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -77,6 +77,26 @@
   }
 }
 
+TEST_CASE("worker_entry_of_a_draining_worker_says_how_long_it_stays") {
+  // Guards against a worker that leaves earlier or later than the scheduler counts on.
+  auto row = parse_json(R"({"service":"s","address":"10.0.0.1:1","zone":"z","version":"v1","slots":8,"seq":4,
+    "state":"draining","drainRemainingMs":2500,"capacity":{"cpu":1,"memMb":1,"gpu":8},"labels":["a","r1"]})");
+  const auto decode = [&] { return decode_worker_entry("servers/i-1", row.dump()); };
+  REQUIRE(decode().ok());
+  CHECK(decode()->draining);
+  CHECK(decode()->stays_for == std::chrono::milliseconds{2500});
+  row["drainRemainingMs"] = 0;
+  CHECK(decode()->stays_for == std::chrono::milliseconds{0});
+  row.erase("drainRemainingMs");
+  REQUIRE(decode().ok());
+  CHECK_FALSE(decode()->stays_for);
+  for (const auto* odd : {"-1", "1e300", "9223372036854775807", "\"2500\"", "[]"}) {
+    INFO(odd);
+    row["drainRemainingMs"] = json::parse(odd);
+    CHECK_FALSE(decode().ok());
+  }
+}
+
 TEST_CASE("worker_entry_with_one_odd_field_is_ignored") {
   // Guards against a process that ends, or stops following the list of workers, because of one entry that
   // another writer left: deeply nested, with a number too large, a port out of range, or a name as address,
