Grant shorter leases to workers with lasting tasks

Suspected by the review, shown here: a lasting task of a worker that dies silently ran again only after 9.9 s, because its task waits for a lease of 9.5 s on a clock that may be 2% slow, and for the time of a stop. The users accept about 9 s (LOST: 3 s without a run, from 6 s after the last one).

Change: a worker with lasting tasks is granted 8 s. That is 8.5 s with a slow clock and a stop, and outlasts a failover of the owner (about 4 s) and a cut of 5.5 s with a renewal a second before it. Other workers keep 9.5 s. Sites with a lower limit are below this already.

Test, failing before in each of 8 crashes: scheduler_lasting_task_of_a_worker_that_died_runs_again_within_9_s.

--- a/include/rhubarbpath/coordination/job_scheduler.hpp
+++ b/include/rhubarbpath/coordination/job_scheduler.hpp
@@ -145,6 +145,8 @@
     /// Lease that each renewal grants. It outlasts a failover to another owner (about 4 s) and a typical
     /// network partition of a worker (6 s). The platform's upper limit is 10 s.
     duration worker_lease{std::chrono::milliseconds{9500}};
+    /// The same for a worker with tasks that last, which must run again 9 s after their worker has died.
+    duration lasting_task_lease{std::chrono::milliseconds{8000}};
     /// Longest lease that any owner may have granted. An unreachable worker runs nothing once it has passed.
     duration max_lease{std::chrono::seconds{10}};
     /// Maximum rate at which a worker's clock runs slow, as a share of real time.
--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -45,7 +45,11 @@
 }
 
 milliseconds job_scheduler::implementation::lease_end(const worker_state& worker, instant now) const {
-  return worker_clock(worker, now) + duration_cast<milliseconds>(opts.worker_lease);
+  const bool lasting = std::any_of(worker.tasks.begin(), worker.tasks.end(), [](const auto& task) {
+    return step_of(*task.job, *task.parent).long_running;
+  });
+  const auto lease = lasting ? std::min(opts.worker_lease, opts.lasting_task_lease) : opts.worker_lease;
+  return worker_clock(worker, now) + duration_cast<milliseconds>(lease);
 }
 
 duration job_scheduler::implementation::on_slow_clock(duration span) const {
--- a/tests/coordination/job_scheduler_test.cpp
+++ b/tests/coordination/job_scheduler_test.cpp
@@ -464,6 +464,23 @@
   CHECK(fewest == 46);
 }
 
+TEST_CASE_METHOD(scheduler_fixture, "scheduler_lasting_task_of_a_worker_that_died_runs_again_within_9_s") {
+  // Guards against a lease that keeps a lasting task from its users for longer than they accept.
+  auto step = identical_tasks(1, 1, seconds{600});
+  step.long_running = true;
+  fleet.submit(simulated_workers::job("a", 1, step));
+  fleet.advance(milliseconds{200});
+  for (int crash = 0; crash < 8; ++crash) {
+    fleet.advance(seconds{6} + milliseconds{130 * crash});
+    const auto died = busy_worker();
+    fleet.remove(died);
+    fleet.advance(seconds{9});
+    CHECK(fleet.running_tasks() == 1);
+    fleet.workers.at(died).running = true;
+  }
+  CHECK(fleet.violations.empty());
+}
+
 TEST_CASE_METHOD(lent_fleet_fixture,
                  "scheduler_urgent_task_stops_no_more_lasting_tasks_on_one_worker_than_may_be_unavailable") {
   // Guards against a limit that counts the stops for one task only after they have been chosen.
