Hold starts while the configuration may be outdated

Cause: starts were held only by the age of the watch of jobs.

Change: they are held as well while the version is unconfirmed and checks have failed for 0.6 s, which is the rule for callers' requests. Queued starts are checked once more before they are sent. Renewals and stops go on. Where the whole store is out of reach, starts were held before this.

The log field age_ms of starts_held and starts_resumed is jobs_age_ms now, because the reason may be another.

--- a/src/programs/rhubarb-edge/edge_daemon.cpp
+++ b/src/programs/rhubarb-edge/edge_daemon.cpp
@@ -441,19 +441,22 @@
                              .owner_row = action.owner_row,
                              .scheduler = scheduler,
                              .adviser_address = settings_.adviser_address},
-      owner_session::dependencies{.loop = loop_,
-                                  .store = store_,
-                                  .workers = worker_client_,
-                                  .counters = counters_,
-                                  .config = config_.current(),
-                                  .may_send_orders = [this] { return election_.owns(boot_clock_now()); },
-                                  .superseded =
-                                      [this, term] {
-                                        if (session_ != nullptr && session_->term() == term) {
-                                          election_.superseded(boot_clock_now());
-                                          run_election();
-                                        }
-                                      }});
+      owner_session::dependencies{
+          .loop = loop_,
+          .store = store_,
+          .workers = worker_client_,
+          .counters = counters_,
+          .config = config_.current(),
+          .may_send_orders = [this] { return election_.owns(boot_clock_now()); },
+          .config_may_be_outdated =
+              [this] { return config_.standing() == version_tracker::standing::unconfirmed; },
+          .superseded =
+              [this, term] {
+                if (session_ != nullptr && session_->term() == term) {
+                  election_.superseded(boot_clock_now());
+                  run_election();
+                }
+              }});
   session_->start();
 }
 
--- a/src/programs/rhubarb-edge/owner_session.cpp
+++ b/src/programs/rhubarb-edge/owner_session.cpp
@@ -313,24 +313,28 @@
   }
   const auto now = deps_.loop.now();
   scheduler_->set_wall_clock(wall_clock(), now);
-  check_job_age();
+  hold_or_resume_starts();
   scheduler_->tick(now);
   run_actions();
   erase_expired();
   schedule_tick();
 }
 
-bool owner_session::jobs_outdated() const {
-  return boot_clock_now() - jobs_known_at_ > max_job_age;
+std::string_view owner_session::reason_to_hold_starts() const {
+  if (boot_clock_now() - jobs_known_at_ > max_job_age) {
+    return "the watch of jobs has not answered";
+  }
+  return deps_.config_may_be_outdated() ? "the configuration may be outdated" : std::string_view{};
 }
 
-void owner_session::check_job_age() {
-  const auto age = boot_clock_now() - jobs_known_at_;
-  const bool hold = jobs_outdated();
+void owner_session::hold_or_resume_starts() {
+  const auto jobs_age = boot_clock_now() - jobs_known_at_;
+  const auto reason = reason_to_hold_starts();
+  const bool hold = !reason.empty();
   if (scheduler_->hold_starts(hold)) {
     log(hold ? log_level::warning : log_level::info, hold ? "starts_held" : "starts_resumed",
-        {{"reason", hold ? "the watch of jobs has not answered" : "the watch of jobs answers"},
-         {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(age).count()}});
+        {{"reason", std::string{hold ? reason : "jobs and configuration are known again"}},
+         {"jobs_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(jobs_age).count()}});
   }
 }
 
@@ -378,10 +382,9 @@
       done(http_call_failed{.bytes_sent = false, .timed_out = false, .reason = "the term has ended"});
       continue;
     }
-    if (starts_task && jobs_outdated()) {
+    if (const auto reason = starts_task ? reason_to_hold_starts() : std::string_view{}; !reason.empty()) {
       // The order may have been queued before this process was paused.
-      done(http_call_failed{
-          .bytes_sent = false, .timed_out = false, .reason = "cancellations may be unknown"});
+      done(http_call_failed{.bytes_sent = false, .timed_out = false, .reason = std::string{reason}});
       continue;
     }
     ++channel.in_flight;
--- a/src/programs/rhubarb-edge/owner_session.hpp
+++ b/src/programs/rhubarb-edge/owner_session.hpp
@@ -41,6 +41,8 @@
     config_feed::pointer config;
     /// Returns false once the term has expired by this VM's clock; no more orders are sent then.
     std::function<bool()> may_send_orders;
+    /// Whether a newer version of the configuration may be in force, and checks have not told.
+    std::function<bool()> config_may_be_outdated;
     /// Called when a worker or the store shows that another VM has become the owner.
     std::function<void()> superseded;
   };
@@ -102,10 +104,10 @@
   void write_progress();
   void write_workers();
   void erase_expired();
-  /// Whether cancellations may have gone unread for too long to start tasks.
-  [[nodiscard]] bool jobs_outdated() const;
-  /// Holds starts while that is so.
-  void check_job_age();
+  /// Nothing may be started while cancellations or a newer configuration may be unknown. Empty otherwise.
+  [[nodiscard]] std::string_view reason_to_hold_starts() const;
+  /// Holds starts while there is such a reason.
+  void hold_or_resume_starts();
   [[nodiscard]] std::function<void()> unless_stopped(std::function<void()> call);
   void run_later(duration delay, std::function<void()> call);
 
--- a/tests/platform/edge/edge_processes.cpp
+++ b/tests/platform/edge/edge_processes.cpp
@@ -25,6 +25,7 @@
 constexpr std::uint16_t store_port = 8524;
 constexpr std::uint16_t metrics_port = 7001;
 constexpr std::uint16_t proxy_port = 9000;
+constexpr std::uint16_t worker_port = 9100;
 constexpr duration poll_interval{milliseconds{10}};
 constexpr duration call_timeout{seconds{3}};
 
@@ -54,6 +55,7 @@
       // Test programs that run at the same time use different loopback networks.
       network_prefix_{fmt::format("127.{}.{}", 16 + getpid() % 200, 1 + getpid() / 200 % 250)},
       store_{loop_, network_prefix_ + ".1", store_port, random_},
+      workers_{loop_, store_, random_},
       client_{loop_, {}} {
   put_config(1);
   require(store_.listen());
@@ -91,6 +93,12 @@
   }
 }
 
+void edge_processes::add_worker() {
+  const auto address = network_prefix_ + ".3";
+  const auto port = static_cast<std::uint16_t>(worker_port + workers_.size());
+  require(workers_.add(address, port, fmt::format("{}:{}", address, port)));
+}
+
 void edge_processes::put_config(int number) {
   store_.put("op/config", config_text(number));
 }
--- a/tests/platform/edge/edge_processes.hpp
+++ b/tests/platform/edge/edge_processes.hpp
@@ -8,6 +8,7 @@
 #include "../soak/edge_process.hpp"
 #include "../soak/fault_proxy.hpp"
 #include "../soak/store_stand_in.hpp"
+#include "../soak/worker_fleet.hpp"
 #include "rhubarbpath/transport/http_client.hpp"
 
 namespace rhubarbpath::soak {
@@ -23,6 +24,9 @@
   ~edge_processes();
 
   [[nodiscard]] store_stand_in& store() noexcept { return store_; }
+  /// Adds a worker without a proxy.
+  void add_worker();
+  [[nodiscard]] worker_fleet& workers() noexcept { return workers_; }
   [[nodiscard]] fault_proxy& store_proxy(std::size_t vm) { return *vms_.at(vm).store_proxy; }
   [[nodiscard]] std::size_t size() const noexcept { return vms_.size(); }
   void send(std::size_t vm, int signal_number) const { vms_.at(vm).process->send(signal_number); }
@@ -64,6 +68,7 @@
   event_loop loop_;
   random_source random_{1};
   store_stand_in store_;
+  worker_fleet workers_;
   http_client client_;
   std::vector<entry_vm> vms_;
 };
--- a/tests/platform/soak/store_stand_in.cpp
+++ b/tests/platform/soak/store_stand_in.cpp
@@ -84,6 +84,10 @@
     reply.send({.status = draw_fault(50) ? 503 : 429, .headers = {}, .body = {}});
     return;
   }
+  if (faults.config_unanswered && request.query.find("config") != std::string::npos) {
+    unanswered_.push_back(reply);
+    return;
+  }
   const bool is_write = request.method != "GET";
   if (is_write && draw_fault(faults.late_writes_percent)) {
     unanswered_.push_back(reply);
