Tell a team that an id belongs to a job of another team

Suspected by the review, shown here: a team that hands in a job with the id of another team's job is told 200, although its job is not stored and never runs, and its DELETE cancels the other team's job.

Cause: the row under the id was taken for the caller's own.

Change: a submission is answered with 409, a cancellation with 410, and nothing is written. Only teams are compared, so that a queue may be renamed or moved. Calls of queues that are open to all have no team and go on as before.

Test with real processes, failing before (200, 200 and a stored cancellation): job_of_another_team_is_neither_taken_for_the_callers_own_nor_cancelled.

--- a/src/programs/rhubarb-edge/caller_api.cpp
+++ b/src/programs/rhubarb-edge/caller_api.cpp
@@ -33,8 +33,16 @@
 constexpr int retry_after_seconds = 1;
 constexpr std::int64_t default_timeout_ms = 3000;
 
-bool contains(const std::vector<kv_item>& items, const std::string& key) {
-  return std::any_of(items.begin(), items.end(), [&](const kv_item& item) { return item.key == key; });
+const kv_item* find_item(const std::vector<kv_item>& items, const std::string& key) {
+  const auto found =
+      std::find_if(items.begin(), items.end(), [&](const kv_item& item) { return item.key == key; });
+  return found == items.end() ? nullptr : &*found;
+}
+
+/// Whether the row is a job of another team. Calls of queues that are open to all have no team.
+bool belongs_to_another_team(const kv_item& row, const team_id& team) {
+  const auto job = decode_accepted_job(row.value);
+  return job.ok() && !team.empty() && !job->team.empty() && job->team != team;
 }
 
 }  // namespace
@@ -229,9 +237,14 @@
     if (std::holds_alternative<kv_committed>(result)) {
       answer(call, http_status::ok, {}, "stored");
     } else if (const auto* conflict = std::get_if<kv_conflict>(&result)) {
-      contains(conflict->items, keys::job(job->job.id))
-          ? answer(call, http_status::ok, {}, "stored before")
-          : answer(call, http_status::gone, {}, "cancelled before it was stored");
+      const auto* stored = find_item(conflict->items, keys::job(job->job.id));
+      if (stored == nullptr) {
+        answer(call, http_status::gone, {}, "cancelled before it was stored");
+      } else if (belongs_to_another_team(*stored, call->team)) {
+        answer(call, http_status::conflict, {}, "another team has a job with this id");
+      } else {
+        answer(call, http_status::ok, {}, "stored before");
+      }
     } else {
       call->may_be_stored = call->may_be_stored || !std::holds_alternative<kv_refused>(result);
       retry_or_fail(call, [this, job] { try_submit(job); });
@@ -250,8 +263,11 @@
       retry_or_fail(call, [this, call] { cancel(call); });
       return;
     }
-    const bool known = contains(items->items, keys::job(call->job));
-    if (contains(items->items, keys::cancel(call->job))) {
+    const auto* stored = find_item(items->items, keys::job(call->job));
+    const bool known = stored != nullptr;
+    if (known && belongs_to_another_team(*stored, call->team)) {
+      answer(call, http_status::gone, {}, "the job is another team's");
+    } else if (find_item(items->items, keys::cancel(call->job)) != nullptr) {
       known ? answer(call, http_status::ok, {}, "cancelled before")
             : answer(call, http_status::gone, {}, "no such job; it will not be accepted");
     } else {
--- a/tests/platform/edge/cancellation_test.cpp
+++ b/tests/platform/edge/cancellation_test.cpp
@@ -44,5 +44,17 @@
   CHECK(vms.call_job(1, "POST", job, std::string{job_body}, seconds{3}) == http_status::ok);
 }
 
+TEST_CASE_METHOD(two_vms_fixture, "job_of_another_team_is_neither_taken_for_the_callers_own_nor_cancelled") {
+  // Guards against a caller who is told that its job is stored while another team's is, and against a team
+  // that cancels a job of another.
+  const std::string job = "5c0e7a21d94b0005";
+  CHECK(vms.call_job(0, "POST", job, std::string{job_body}, seconds{3}) == http_status::ok);
+  CHECK(vms.call_job(1, "POST", job, std::string{job_body}, seconds{3}, "key-b") == http_status::conflict);
+  CHECK(vms.call_job(1, "DELETE", job, {}, seconds{3}, "key-b") == http_status::gone);
+  CHECK_FALSE(vms.store().contains("rhubarb/job/" + job + "/cancel"));
+  CHECK(vms.call_job(1, "POST", job, std::string{job_body}, seconds{3}) == http_status::ok);
+  CHECK(vms.call_job(1, "DELETE", job, {}, seconds{3}) == http_status::ok);
+}
+
 }  // namespace
 }  // namespace rhubarbpath::soak
--- a/tests/platform/edge/edge_processes.hpp
+++ b/tests/platform/edge/edge_processes.hpp
@@ -49,7 +49,7 @@
   /// Sends a caller's request for a job and waits for the answer, at most for `patience`. Returns its status;
   /// 0 without one.
   [[nodiscard]] int call_job(std::size_t vm, const std::string& method, const std::string& job,
-                             const std::string& body, duration patience);
+                             const std::string& body, duration patience, const std::string& key = "key-a");
   /// Number of store calls that the VM has relayed for others.
   [[nodiscard]] int relayed_calls(std::size_t vm);
 
@@ -61,7 +61,7 @@
   };
   [[nodiscard]] http_result call(const std::string& address, const http_request& request, duration patience);
   [[nodiscard]] http_result call_for_job(std::size_t vm, const std::string& method, const std::string& job,
-                                         const std::string& body, duration patience);
+                                         const std::string& body, duration patience, const std::string& key);
 
   std::filesystem::path folder_;
   std::string network_prefix_;
--- a/tests/platform/soak/platform_documents.cpp
+++ b/tests/platform/soak/platform_documents.cpp
@@ -57,7 +57,9 @@
   return json{{"version", number * 3},
               {"routes", std::move(routes)},
               {"services", {{{"name", "render"}, {"admissionControl", true}}}},
-              {"tenants", {{{"name", "team-a"}, {"apiKeys", {"key-a"}}, {"guaranteedGpus", {{"gpu", 4}}}}}},
+              {"tenants",
+               {{{"name", "team-a"}, {"apiKeys", {"key-a"}}, {"guaranteedGpus", {{"gpu", 4}}}},
+                {{"name", "team-b"}, {"apiKeys", {"key-b"}}, {"guaranteedGpus", {{"gpu", 0}}}}}},
               {"limits", {{"maxBodyBytes", 1'000'000}}}}
       .dump();
 }
