Let callers of the soak send odd jobs and cancellations that overtake their job

Added, with a random source of their own: malformed jobs (a VM may not accept them), jobs that repeat for a year or have 4,294,967,295 tasks (these may not be refused as malformed), and jobs whose DELETE goes to another VM up to 120 ms after the POST; a DELETE that is answered with 410 means that no task may ever start.

--- a/tests/platform/soak/edge_soak.cpp
+++ b/tests/platform/soak/edge_soak.cpp
@@ -19,6 +19,7 @@
 #include "callers.hpp"
 #include "edge_process.hpp"
 #include "fault_proxy.hpp"
+#include "odd_callers.hpp"
 #include "platform_documents.hpp"
 #include "store_stand_in.hpp"
 #include "worker_changes.hpp"
@@ -89,7 +90,10 @@
     timers_.push_back(loop_.run_every(milliseconds{50}, [this] { check_processes(); }));
     timers_.push_back(loop_.run_every(milliseconds{500}, [this] { probe_configs(); }));
     timers_.push_back(loop_.run_every(seconds{2}, [this] { write_config(); }));
-    schedule(seconds{3}, [this] { callers_->begin(); });
+    schedule(seconds{3}, [this] {
+      callers_->begin();
+      odd_callers_->begin();
+    });
     schedule(seconds{3 + options_.seconds}, [this] { clear_faults(); });
     loop_.run();
     return report();
@@ -147,13 +151,14 @@
       }
       addresses.push_back(fmt::format("{}.5:{}", network_prefix_, proxy_port + i));
     }
-    callers_ = std::make_unique<callers>(loop_, fleet_, random_,
-                                         callers::options{.addresses = addresses,
-                                                          .host = std::string{caller_host},
-                                                          .path_prefix = "/jobs/",
-                                                          .key = "key-a",
-                                                          .long_and_wide_jobs = options_.worker_changes,
-                                                          .seed = options_.seed});
+    const callers::options caller_options{.addresses = addresses,
+                                          .host = std::string{caller_host},
+                                          .path_prefix = "/jobs/",
+                                          .key = "key-a",
+                                          .long_and_wide_jobs = options_.worker_changes,
+                                          .seed = options_.seed};
+    callers_ = std::make_unique<callers>(loop_, fleet_, random_, caller_options);
+    odd_callers_ = std::make_unique<odd_callers>(loop_, fleet_, caller_options);
     return absl::OkStatus();
   }
 
@@ -425,6 +430,7 @@
     trace("all faults cleared");
     faults_cleared_ = true;
     callers_->stop_submitting();
+    odd_callers_->stop_submitting();
     store_.faults = {};
     for (std::size_t i = 0; i < fleet_.size(); ++i) {
       fleet_.faults(i) = {};
@@ -464,6 +470,7 @@
   void shut_down() {
     shutting_down_ = true;
     callers_->check();
+    odd_callers_->check();
     trace("stopping all processes");
     for (auto& entry_vm : vms_) {
       stop_process(entry_vm);
@@ -471,7 +478,7 @@
   }
 
   int report() {
-    for (const auto* found : {&callers_->violations(), &fleet_.violations()}) {
+    for (const auto* found : {&callers_->violations(), &odd_callers_->violations(), &fleet_.violations()}) {
       violations_.insert(violations_.end(), found->begin(), found->end());
     }
     for (const auto& each : violations_) {
@@ -499,6 +506,7 @@
   }();
   http_client probe_client_;
   std::unique_ptr<callers> callers_;
+  std::unique_ptr<odd_callers> odd_callers_;
   std::unique_ptr<worker_changes> worker_changes_;
   std::vector<timer_handle> timers_;
   std::vector<std::string> violations_;
