Store only workers that have answered among those that may have work

Cause: every listed worker was stored among those that may have work before it was asked anything, so the next owner had to wait for it.

Change: a worker is asked first (the first renewal grants nothing), and stored when it has answered in this term. It still starts nothing before that row is written, so the next owner knows every worker that may have work; the number of calls before a worker is used is the same. Within recovery the workers of the previous row stay in it until they have answered or the longest lease has passed.

Test, failing before (recovering after 1 s, job not complete after 5 s): scheduler_next_owner_does_not_wait_for_a_listed_worker_that_never_answered.

--- a/include/rhubarbpath/coordination/job_scheduler.hpp
+++ b/include/rhubarbpath/coordination/job_scheduler.hpp
@@ -95,9 +95,9 @@
   std::vector<task_ref> tasks;
   friend bool operator==(const leaving_worker&, const leaving_worker&) = default;
 };
-/// Store the ids of all workers that may have work. No worker gets an order before its id is stored, so that
-/// the next owner knows which workers to wait for. Of a worker in `leaving`, only the tasks listed there must
-/// wait for it.
+/// Store the ids of all workers that may have work. No worker starts anything before its id is stored, so
+/// that the next owner knows which workers to wait for. Of a worker in `leaving`, only the tasks listed there
+/// must wait for it.
 struct store_workers {
   std::vector<worker_id> workers;
   std::vector<leaving_worker> leaving;
--- a/src/coordination/job_scheduler.cpp
+++ b/src/coordination/job_scheduler.cpp
@@ -540,6 +540,9 @@
     self.detect_stalls(now);
     self.evacuate_leaving_workers(now);
     self.repeat_orders(now);
+    if (self.worker_set_due) {
+      self.store_worker_set();
+    }
     self.renew_workers(now);
   }
   if (self.reserved_units > 0 && !self.starts_held) {
--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -200,6 +200,7 @@
   std::set<worker_id> stored_leaving;
   std::set<worker_id> leaving_being_stored;
   bool storing_workers{false};
+  bool worker_set_due{false};  ///< A worker has reported for the first time, so it may get work once stored.
   bool placement_due{true};
   bool starts_held{false};
   std::optional<instant> registry_requested;  ///< When the last list of the registry was requested.
@@ -306,9 +307,10 @@
   /// Keeps the worker in the index of its service and rack.
   void index_worker(detail::worker_state& worker, const worker_entry& entry);
   void repeat_orders(instant now);
-  /// Whether the next owner must wait for what the worker reports.
+  /// Whether the next owner must wait for what the worker reports. A worker that has never answered in this
+  /// term got no work, and may not exist: another writer may have left its entry.
   [[nodiscard]] static bool may_have_work(const detail::worker_state& worker) {
-    return worker.listed || !worker.tasks.empty() || !worker.unstored_ends.empty();
+    return (worker.listed && worker.reported) || !worker.tasks.empty() || !worker.unstored_ends.empty();
   }
   void store_worker_set();
 
--- a/src/coordination/job_scheduler_reports.cpp
+++ b/src/coordination/job_scheduler_reports.cpp
@@ -137,6 +137,7 @@
   worker.clock_at = now;
   if (first_of_term) {
     worker.first_report_at = now;
+    worker_set_due = true;
     // A stop order of the previous owner may still be in progress. Its run is in neither list until it ends.
     recovery_not_before = now + stop_grace();
     placement_due = true;
--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -83,7 +83,8 @@
           now);
     }
     const bool removable =
-        !may_have_work(worker) && worker.reserved == resource_amounts{} && !worker.renewing &&
+        !worker.listed && !may_have_work(worker) && worker.reserved == resource_amounts{} &&
+        !worker.renewing &&
         (worker.failed_renewals > 0 || worker.seen_through == worker.acknowledged_confirmed);
     if (!removable) {
       ++found;
@@ -235,7 +236,8 @@
   if (worker.has_complete_report && idle) {
     return;
   }
-  if (!worker.stored) {
+  // The first renewal grants nothing and asks whether the worker exists.
+  if (!worker.stored && worker.reported) {
     return;
   }
   // A worker restarts the numbering of its ended runs when it restarts, so an acknowledgement that reaches a
@@ -264,6 +266,7 @@
   if (storing_workers) {
     return;
   }
+  worker_set_due = false;
   std::set<worker_id> to_store;
   bool has_missing = false;
   bool leaving_changed = false;
--- a/tests/coordination/job_scheduler_test.cpp
+++ b/tests/coordination/job_scheduler_test.cpp
@@ -785,6 +785,24 @@
   }
 }
 
+TEST_CASE_METHOD(scheduler_fixture,
+                 "scheduler_next_owner_does_not_wait_for_a_listed_worker_that_never_answered") {
+  // Guards against an entry that another writer left for a worker that does not exist: each new owner would
+  // wait for the longest lease before it places the jobs that it has inherited.
+  fleet.add_workers(1);
+  fleet.workers.at(worker_id{"w7"}).disconnected = true;
+  fleet.submit(simulated_workers::job("a", 1, identical_tasks(3, 8, seconds{2})));
+  fleet.advance(seconds{3});
+  fleet.submit(simulated_workers::job("b", 1, identical_tasks(12, 8, seconds{2})));
+  fleet.advance(seconds{1});
+  fleet.begin_term();
+  fleet.advance(seconds{1});
+  CHECK_FALSE(fleet.scheduler->recovering());
+  fleet.advance(seconds{4});
+  CHECK(fleet.phase("b") == job_phase::complete);
+  CHECK(fleet.violations.empty());
+}
+
 TEST_CASE_METHOD(scheduler_fixture, "scheduler_next_owner_asks_for_ends_that_are_not_stored") {
   // Guards against a new owner that runs an ended task again: the end was not stored, and its worker, which
   // had nothing else to run, was no longer among those to wait for.
