Log why a job stands, with the inputs that decide it

A unit that waits wrote no line, so the owner's log could not tell a wait for a rack from a start on a silent worker or from space that is kept for others.

job_stands names the step, the reason from the place that said no (unit_wait, a std::variant returned by place or derived from the unit's state) and the inputs: share in use, workers listed, usable, with room, held back, set aside, and those of the preferred rack. No decision changes.

--- a/src/coordination/job_scheduler.cpp
+++ b/src/coordination/job_scheduler.cpp
@@ -554,6 +554,7 @@
   if (due && now >= self.next_placement && !self.starts_held) {
     self.run_placement_pass(now);
   }
+  self.report_standing_jobs(now);
   self.flush(now);
 }
 
--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -59,6 +59,9 @@
   instant ended_at{};
   std::size_t assigned_members{0};  ///< Members that are starting, running or stopping.
   bool inherited{false};            ///< A previous owner may have started it.
+  /// Since when it has had nothing running although a task's turn has come.
+  std::optional<instant> stands_since;
+  instant next_stand_report{};
 };
 
 /// A task that is starting, running or stopping on a worker.
@@ -208,6 +211,7 @@
   instant next_recheck{};
   instant next_scan{};
   instant next_expiry{};
+  instant next_stand_check{};
   std::size_t reserved_units{0};
   ticket_book tickets{{}};
   worker_health health{{.failures_to_set_aside = 3,
@@ -350,6 +354,20 @@
   /// for the slow ones. Nothing if a member has made too little progress to tell.
   [[nodiscard]] std::optional<instant> expected_end(const detail::unit& unit, instant now) const;
 
+  // job_scheduler_standing.cpp
+  /// The first unit that should be running of a job that stands.
+  struct standing_unit {
+    detail::occurrence_state* occurrence{nullptr};
+    std::uint32_t step{0};
+    std::uint32_t number{0};
+  };
+  /// Logs why jobs stand: they have nothing running although a task's turn has come.
+  void report_standing_jobs(instant now);
+  [[nodiscard]] static std::optional<standing_unit> find_standing_unit(detail::job_state& job,
+                                                                       bool has_running_task);
+  [[nodiscard]] detail::unit_wait wait_of(const detail::job_state& job, const standing_unit& standing) const;
+  void report_standing(detail::job_state& job, const standing_unit& standing, instant now);
+
   // job_scheduler_placement.cpp
   /// A step with waiting units, and its sort key for placement.
   struct waiting_step {
@@ -368,7 +386,9 @@
   [[nodiscard]] int rank_of(const detail::job_state& job, const step_spec& step, instant now) const;
   void run_placement_pass(instant now);
   void place_step(const waiting_step& waiting, instant now);
-  [[nodiscard]] bool place(detail::job_state& job, detail::unit& unit, instant now);
+  /// Starts the unit or reserves space for it. Returns why not if neither is possible.
+  [[nodiscard]] std::optional<detail::unit_wait> place(detail::job_state& job, detail::unit& unit,
+                                                       instant now);
   /// Whether the worker may get new work.
   [[nodiscard]] bool usable(const detail::worker_state& worker, instant now) const;
   /// Number of members of the unit's step that the worker may take, apart from its free space.
--- a/src/coordination/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler_placement.cpp
@@ -159,11 +159,17 @@
       skip(number + 1);
       continue;
     }
-    if (now < each.not_before || (each.inherited && blocked(job, each))) {
+    if (now < each.not_before) {
       all_placed = false;
       continue;
     }
-    if (!place(job, each, now)) {
+    if (each.inherited && blocked(job, each)) {
+      each.wait = detail::run_of_previous_owner{};
+      all_placed = false;
+      continue;
+    }
+    if (const auto wait = place(job, each, now)) {
+      each.wait = *wait;
       ask_adviser(job, each, now);
       if (job.job.graph.steps[waiting.step].gang) {
         hold_back_space(job, each, now);
@@ -325,6 +331,7 @@
   starting.run = run_number{std::max(starting.run.value() + 1, first_of_term)};
   starting.phase = unit_phase::active;
   starting.all_running = false;
+  starting.wait = {};
   std::string worker_names;
   for (std::size_t index = 0; index < starting.members.size(); ++index) {
     auto& worker = *where[index];
@@ -342,33 +349,38 @@
          now - starting.waiting_since);
 }
 
-bool job_scheduler::implementation::place(job_state& job, unit& placed, instant now) {
+std::optional<detail::unit_wait> job_scheduler::implementation::place(job_state& job, unit& placed,
+                                                                      instant now) {
   const auto& step = step_of(job, placed);
   const bool urgent = job.queue->priority == 0;
   if (const auto where = choose_workers(job, placed, false); !where.empty()) {
     start_unit(job, placed, where, now);
-    return true;
+    return std::nullopt;
   }
   if (urgent && preempt(job, placed, false, now)) {
-    return true;
+    return std::nullopt;
   }
   // Outside its rack a task takes `remote_factor` times as long, so waiting for the rack up to that extra
   // time is no slower.
   const auto max_rack_wait = duration{
       static_cast<std::int64_t>(static_cast<double>(step.estimate.count()) * (opts.remote_factor - 1.0))};
-  if (prefers_rack(step) && (urgent || now - placed.waiting_since >= max_rack_wait)) {
+  const bool may_spread = urgent || now - placed.waiting_since >= max_rack_wait;
+  if (prefers_rack(step) && may_spread) {
     if (const auto where = choose_workers(job, placed, true); !where.empty()) {
       start_unit(job, placed, where, now);
-      return true;
+      return std::nullopt;
     }
     if (urgent && preempt(job, placed, true, now)) {
-      return true;
+      return std::nullopt;
     }
   }
   if (urgent) {
     placed.not_before = now + detail::placement_pause;
   }
-  return false;
+  if (prefers_rack(step) && !may_spread) {
+    return detail::rack_is_full{.rack = step.data_rack};
+  }
+  return detail::no_free_space{};
 }
 
 void job_scheduler::implementation::release_reservation(unit& placed, const resource_amounts& each) {
--- a/src/coordination/job_units.hpp
+++ b/src/coordination/job_units.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "rhubarbpath/coordination/job_scheduler.hpp"
+#include "unit_wait.hpp"
 
 // The state that the job scheduler keeps of a job's tasks. It follows what runs, has failed or is next, not
 // what the job consists of: a job may have millions of tasks, or repeat for years.
@@ -59,6 +60,7 @@
   std::string checkpoint;
   instant not_before{};
   instant waiting_since{};
+  unit_wait wait;  ///< While it waits: why the last placement pass did not place it.
   bool all_running{false};
   instant reserved_until{};
   bool tracked{false};  ///< Is in `active_units` of the scheduler.
--- /dev/null
+++ b/src/coordination/unit_wait.cpp
@@ -0,0 +1,41 @@
+#include "unit_wait.hpp"
+
+#include "absl/strings/str_cat.h"
+
+namespace rhubarbpath::detail {
+
+namespace {
+
+struct description {
+  std::string operator()(const not_considered& /*wait*/) const { return "not considered for placement"; }
+  std::string operator()(const starts_are_held& /*wait*/) const { return "all starts are held"; }
+  std::string operator()(const unknown_queue& /*wait*/) const { return "the queue is unknown"; }
+  std::string operator()(const recovery_unfinished& wait) const {
+    return absl::StrCat("recovery waits for ", wait.silent_workers, " workers");
+  }
+  std::string operator()(const run_of_previous_owner& /*wait*/) const {
+    return "a leaving worker may run it for the previous owner";
+  }
+  std::string operator()(const rack_is_full& wait) const {
+    return wait.rack.empty() ? "no rack has space for the whole gang"
+                             : absl::StrCat("rack ", wait.rack, " of its data has no space");
+  }
+  std::string operator()(const no_free_space& /*wait*/) const { return "no allowed worker has space"; }
+  std::string operator()(const stops_unfinished& wait) const {
+    return absl::StrCat("preempted runs on ", wait.worker.value(), " have not ended");
+  }
+  std::string operator()(const start_unconfirmed& wait) const {
+    return absl::StrCat("the start on ", wait.worker.value(), " is not confirmed");
+  }
+  std::string operator()(const earlier_run_unfinished& wait) const {
+    return absl::StrCat("an earlier run on ", wait.worker.value(), " may not be over");
+  }
+};
+
+}  // namespace
+
+std::string describe(const unit_wait& wait) {
+  return std::visit(description{}, wait);
+}
+
+}  // namespace rhubarbpath::detail
--- /dev/null
+++ b/src/coordination/unit_wait.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <variant>
+
+#include "rhubarbpath/state/fleet.hpp"
+
+// Why a unit that could run is not running. The scheduler logs it for jobs that stand.
+namespace rhubarbpath::detail {
+
+/// The owner starts nothing, because cancellations or a configuration may be unknown.
+struct starts_are_held {};
+/// The configuration does not have the job's queue, and the job was stored without its terms.
+struct unknown_queue {};
+/// The previous owner may have started the unit, and not all of its workers have reported.
+struct recovery_unfinished {
+  std::size_t silent_workers{0};
+};
+/// The previous owner may have started the task on a leaving worker that has not reported.
+struct run_of_previous_owner {};
+/// Not considered by a placement pass yet, or in the pause after an attempt.
+struct not_considered {};
+/// The preferred rack has no free space, and the time to wait for it is not over.
+struct rack_is_full {
+  std::string rack;  ///< Of the data; empty for a gang that may use any one rack.
+};
+/// No allowed worker has free space that is not held back.
+struct no_free_space {};
+/// Space is reserved on this worker, where preempted runs have not ended yet.
+struct stops_unfinished {
+  worker_id worker;
+};
+/// A start was ordered, and the worker has not confirmed it.
+struct start_unconfirmed {
+  worker_id worker;
+};
+/// An earlier run on this worker is not known to be over.
+struct earlier_run_unfinished {
+  worker_id worker;
+};
+
+using unit_wait =
+    std::variant<not_considered, starts_are_held, unknown_queue, recovery_unfinished, run_of_previous_owner,
+                 rack_is_full, no_free_space, stops_unfinished, start_unconfirmed, earlier_run_unfinished>;
+
+/// The reason for the log.
+[[nodiscard]] std::string describe(const unit_wait& wait);
+
+}  // namespace rhubarbpath::detail
--- a/src/protocol/log_events.cpp
+++ b/src/protocol/log_events.cpp
@@ -40,6 +40,9 @@
     log_event{"job_added", "the owner learns of a job", "job, reason, term, queue, team, units, phase"},
     log_event{"job_ended", "a job is complete, failed or cancelled", "job, reason, term, waited_ms"},
     log_event{"unit_started", "a task or gang is placed", "job, reason, term, step, run, workers, waited_ms"},
+    log_event{"job_stands", "nothing of a job has run for 3 s or more although the turn of a task has come",
+              "job, reason, term, step, runs, stands_ms, in_use_percent, workers, usable, with_room, "
+              "held_back, set_aside, rack, rack_usable, rack_with_room"},
     log_event{"unit_preempted", "a task or gang is stopped for urgent work", "job, reason, term, step"},
     log_event{"unit_evacuated", "a task or gang is stopped because one of its workers leaves before it ends",
               "job, reason, term, worker, step, percent, leaves_in_ms"},
--- a/tests/coordination/simulated_workers.hpp
+++ b/tests/coordination/simulated_workers.hpp
@@ -41,6 +41,7 @@
     bool disconnected{false};
     bool refuses_connections{false};  ///< While it is disconnected; otherwise orders vanish.
     bool fails_every_run{false};      ///< Runs fail as soon as they have begun.
+    bool refuses_starts{false};       ///< Unhealthy: refuses every start, and has then done nothing.
     bool stalled{false};
     std::uint64_t highest_term{0};
     instant clock_started{};      ///< The clock starts anew in each incarnation.
@@ -248,6 +249,7 @@
   std::vector<leaving_worker> stored_leaving;
   std::set<job_id> cancelled;
   std::vector<std::string> violations;
+  std::vector<decision_record> standing_jobs;  ///< What the scheduler has logged about jobs that stand.
   std::map<task_ref, int> starts;
   std::map<worker_id, int> starts_on;
   std::map<task_ref, instant> last_started;
@@ -462,6 +464,9 @@
     if (from_term < each.highest_term) {
       return start_refused{start_refusal::fenced};
     }
+    if (each.refuses_starts) {
+      return start_refused{start_refusal::unhealthy};
+    }
     each.highest_term = from_term;
     const auto found = each.tasks.find(order.task);
     if (found != each.tasks.end() && found->second.run == order.run) {
@@ -814,6 +819,9 @@
     violations.emplace_back("order of the current term was fenced");
   }
   void perform(const decision_record& decision) {
+    if (decision.event == "job_stands") {
+      standing_jobs.push_back(decision);
+    }
     if (trace) {
       std::string line = std::to_string(now.time_since_epoch().count() / 1000) + " " +
                          std::string{decision.event} + " " + decision.job.value() + " " + decision.reason;
