--- a/src/protocol/job_log_history.cpp
+++ b/src/protocol/job_log_history.cpp
@@ -55,6 +55,7 @@
   std::vector<std::string> build() {
     add_rejected_submissions();
     add_start_wait();
+    add_stands();
     add_interruptions();
     add_failed_runs();
     add_job_end();
@@ -100,6 +101,17 @@
       findings_.emplace_back("nothing of it was ever started");
     }
   }
+  void add_stands() {
+    for (const auto* each : entries_of("job_stands")) {
+      findings_.push_back(
+          fmt::format("nothing of it had run for {} ms at {}: {} (step {}; {}% of the service in use, {} of "
+                      "{} workers with "
+                      "space)",
+                      field_text(each->fields, "stands_ms"), each->time, field_text(each->fields, "reason"),
+                      field_text(each->fields, "step"), field_text(each->fields, "in_use_percent"),
+                      field_text(each->fields, "with_room"), field_text(each->fields, "workers")));
+    }
+  }
   void add_interruptions() {
     std::map<std::string, int> preemptions;
     for (const auto* each : entries_of("unit_preempted")) {
--- a/tests/protocol/job_log_history_test.cpp
+++ b/tests/protocol/job_log_history_test.cpp
@@ -49,6 +49,17 @@
         "(configuration 7, 900 ms after it was confirmed; took 612 ms)");
 }
 
+// Guards against a history that shows a long gap without its reason.
+TEST_CASE("job_log_of_standing_job_names_what_it_waits_for") {
+  const auto history = collect_job_log(
+      {R"({"time":"2026-12-05T13:39:12.500Z","vm":"a","message":"job_stands","job":"j4","reason":"rack r2 of its data has no space","term":1,"step":"0.0.0","runs":"1","stands_ms":"3000","in_use_percent":"4","workers":"48","usable":"42","with_room":"41","held_back":"0","set_aside":"0","rack":"r2","rack_usable":"0","rack_with_room":"0"})"},
+      "j4");
+  REQUIRE(history.findings.size() == 1);
+  CHECK(history.findings[0] ==
+        "nothing of it had run for 3000 ms at 2026-12-05T13:39:12.500Z: rack r2 of its data has no space "
+        "(step 0.0.0; 4% of the service in use, 41 of 48 workers with space)");
+}
+
 // Guards against attributing the failures of one bad worker to the job, and the reverse.
 TEST_CASE("job_log_of_failed_runs_names_worker_or_job") {
   const std::string one =
