Let units that wait for their rack anew not hold up the units behind them

Cause: the first unit of a step that does not fit ended the step's pass, because all units of a step were taken to be alike. One that has run before, and begins to wait for its rack anew, is not like those behind it.

Change: only a unit that has never run stands for those behind it.

--- a/src/coordination/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler_placement.cpp
@@ -145,8 +145,8 @@
   }
 }
 
-/// Places the waiting units of a step. All units of a step have the same requirements, so the first one that
-/// does not fit ends the loop.
+/// Places the waiting units of a step. All units that have not run yet are alike, so the first of them that
+/// does not fit ends the loop. Those that have run may wait for reasons of their own.
 void job_scheduler::implementation::place_step(const waiting_step& waiting, instant now) {
   auto& job = *waiting.job;
   auto& occurrence = *waiting.occurrence;
@@ -174,11 +174,17 @@
     }
     if (const auto wait = place(job, each, now)) {
       each.wait = *wait;
-      ask_adviser(job, each, now);
+      if (all_placed) {
+        ask_adviser(job, each, now);
+      }
       if (job.job.graph.steps[waiting.step].gang) {
         hold_back_space(job, each, now);
       }
-      return;
+      if (each.run == run_number{} || job.queue->priority == 0) {
+        return;
+      }
+      all_placed = false;
+      continue;
     }
     skip(number + 1);
   }
