Let no job stand for space that is held back in an idle fleet

Cause: space held back for a gang that waits, or for urgent work to come, is kept for as long as the gang waits, also while half of the fleet is free. Where a label leaves few workers, that is all of them.

--- a/src/coordination/job_scheduler_held_space.cpp
+++ b/src/coordination/job_scheduler_held_space.cpp
@@ -144,6 +144,15 @@
   }
 }
 
+void job_scheduler::implementation::release_held_back() {
+  const auto released = std::exchange(held_back, {});
+  held_back_total = {};
+  unplaceable.clear();
+  for (const auto& [worker, amounts] : released) {
+    refresh_space(workers.at(worker->entry.id));
+  }
+}
+
 /// Holds back space for a gang that does not fit now, so that work behind it in the order cannot use it.
 /// Without this, small units take space as it becomes free, and large gangs starve.
 void job_scheduler::implementation::hold_back_space(const job_state& job, const unit& waiting, instant now) {
--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -430,6 +430,8 @@
   };
   [[nodiscard]] kept_plan plan_gang(const detail::job_state& job, const detail::unit& unit, instant now);
   void hold_back_space(const detail::job_state& job, const detail::unit& unit, instant now);
+  /// Offers all space that is held back to the rest of the pass.
+  void release_held_back();
   /// Keeps space free for urgent work, which is expected to arrive as it did during the last second. Urgent
   /// jobs then start at once; otherwise each must wait until preempted runs have stopped, and their work is
   /// lost.
--- a/src/coordination/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler_placement.cpp
@@ -380,6 +380,13 @@
       return std::nullopt;
     }
   }
+  if (!held_back.empty() && overdue(job, now)) {
+    release_held_back();
+    if (const auto where = choose_workers(job, placed, true); !where.empty()) {
+      start_unit(job, placed, where, now);
+      return std::nullopt;
+    }
+  }
   if (urgent) {
     placed.not_before = now + detail::placement_pause;
   }
--- a/tests/coordination/job_scheduler_standing_test.cpp
+++ b/tests/coordination/job_scheduler_standing_test.cpp
@@ -188,5 +188,18 @@
   CHECK(time_until_it_runs("a", seconds{60}) <= longest_rack_wait + seconds{1});
 }
 
+TEST_CASE_METHOD(rack_fixture, "scheduler_task_does_not_stand_for_space_that_is_held_back_for_a_gang") {
+  // Guards against idle workers that are kept for a gang whose other places are in use for long.
+  const auto labelled = workers_of("r2");
+  fill({labelled.front()}, seconds{40});
+  auto gang = gang_in_one_rack(6);
+  gang.required_label = "r2";
+  fleet.submit(simulated_workers::job("gang", 1, gang));
+  fleet.advance(milliseconds{200});
+  fleet.submit(simulated_workers::job(
+      "a", 2, {.count = 1, .each = {1000, 1000, 1}, .estimate = seconds{2}, .required_label = "r2"}));
+  CHECK(time_until_it_runs("a", seconds{30}) <= longest_stand);
+}
+
 }  // namespace
 }  // namespace rhubarbpath
