--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -462,7 +462,7 @@
   };
   struct preemption {
     std::vector<detail::worker_state*> where;
-    std::map<detail::unit*, detail::job_state*> victims;
+    std::vector<std::pair<detail::unit*, detail::job_state*>> victims;  ///< In the order of their choice.
     double lost_work{0};
   };
   [[nodiscard]] const preemptible_space& preemptible_space_on(detail::worker_state& worker);
--- a/src/coordination/job_scheduler_preemption.cpp
+++ b/src/coordination/job_scheduler_preemption.cpp
@@ -87,7 +87,7 @@
 
   /// `planned` are the units that would be stopped as well, and are not chosen yet.
   [[nodiscard]] bool allows(const victim& one, const planned_stops& planned) {
-    if (chosen_.contains(one.target)) {
+    if (is_chosen(one)) {
       return false;
     }
     if (planned.contains(one.target)) {
@@ -101,9 +101,10 @@
 
   /// Returns whether the unit was not chosen before.
   bool choose(const victim& one) {
-    if (!chosen_.emplace(one.target, one.job).second) {
+    if (is_chosen(one)) {
       return false;
     }
+    chosen_.emplace_back(one.target, one.job);
     if (one.job->queue->priority == 0) {
       shares_[one.job->job.team].used -= accelerators_of(*one.job, *one.target);
     }
@@ -113,9 +114,13 @@
     return true;
   }
 
-  [[nodiscard]] std::map<unit*, job_state*> take_chosen() { return std::move(chosen_); }
+  [[nodiscard]] std::vector<std::pair<unit*, job_state*>> take_chosen() { return std::move(chosen_); }
 
  private:
+  [[nodiscard]] bool is_chosen(const victim& one) const {
+    return std::any_of(chosen_.begin(), chosen_.end(),
+                       [&](const auto& chosen) { return chosen.first == one.target; });
+  }
   bool allows_lasting(const victim& one, const planned_stops& planned) {
     const auto [left, inserted] = stoppable_.try_emplace({one.job, one.target->step});
     if (inserted) {
@@ -147,7 +152,8 @@
   bool within_guarantee_{false};
   /// Number of tasks of a lasting step that may still be kept from running.
   std::map<std::pair<const job_state*, std::uint32_t>, std::size_t> stoppable_;
-  std::map<unit*, job_state*> chosen_;
+  /// Ordered by choice, not by address, so that a seeded run repeats.
+  std::vector<std::pair<unit*, job_state*>> chosen_;
 };
 
 job_scheduler::implementation::member_plan job_scheduler::implementation::plan_member(
