Count what a pass has started when it judges whether half of the fleet is free

Cause: use of the service was read at the begin of a placement pass. When many tasks end at once, a full fleet looks half free there, and later units of the same pass took the space that is held back for urgent work.

Change: a unit that starts adds to the use at once.

--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -160,7 +160,7 @@
 struct service_space {
   free_space_index index;
   std::vector<worker_state*> workers;
-  /// Of all listed workers, when the last placement pass began.
+  /// Of all listed workers. Ends of runs count from the next placement pass on.
   resource_amounts capacity;
   resource_amounts used;
   /// Whether at most half of every resource is in use.
--- a/src/coordination/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler_placement.cpp
@@ -343,8 +343,10 @@
   starting.all_running = false;
   starting.wait = {};
   std::string worker_names;
+  auto& used_of_service = services[job.queue->service].used;
   for (std::size_t index = 0; index < starting.members.size(); ++index) {
     auto& worker = *where[index];
+    used_of_service += occupied(step_of(job, starting));
     starting.members[index] =
         member{.phase = member_phase::starting, .worker = &worker, .run = starting.run, .checkpoint = {}};
     assign_member(job, starting, index);
