--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -412,6 +412,8 @@
   [[nodiscard]] bool may_spread(const detail::job_state& job, const detail::unit& unit, instant now);
   /// Whether a listed rack could hold the whole unit if all of the rack were free.
   [[nodiscard]] bool fits_an_empty_rack(const detail::job_state& job, const detail::unit& unit);
+  [[nodiscard]] static bool fits_an_empty_rack(const detail::service_space& space, const step_spec& step,
+                                               std::size_t members);
   /// Whether the job has stood for as long as it may in a fleet with room.
   [[nodiscard]] bool overdue(const detail::job_state& job, instant now);
   void start_unit(detail::job_state& job, detail::unit& unit, const placement& where, instant now);
@@ -510,6 +512,26 @@
   };
   [[nodiscard]] bool known_unplaceable(const unplaceable_request& request) const;
 
+  /// Which units need the same of a rack.
+  struct rack_need {
+    service_id service;
+    std::string required_label;
+    std::string data_rack;
+    std::uint32_t max_per_worker{0};
+    resource_amounts each;
+    std::size_t members{0};
+
+    friend bool operator==(const rack_need&, const rack_need&) = default;
+    template <typename H>
+    friend H AbslHashValue(H state, const rack_need& need) {
+      return H::combine(std::move(state), need.service.value(), need.required_label, need.data_rack,
+                        need.max_per_worker, need.each.cpu_millicores, need.each.memory_mb,
+                        need.each.accelerators, need.members);
+    }
+  };
+  /// Results of `fits_an_empty_rack`, until the next list of workers.
+  absl::flat_hash_map<rack_need, bool> empty_rack_fits;
+
   instant pass_time{};  ///< When the last placement pass began. Tickets must be valid at this time.
   std::vector<unplaceable_request> unplaceable;
   /// Space that is held back for waiting gangs during one placement pass.
--- a/src/coordination/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler_placement.cpp
@@ -410,9 +410,23 @@
     return false;
   }
   const auto& step = step_of(job, placed);
+  const auto [known, inserted] = empty_rack_fits.try_emplace({.service = job.queue->service,
+                                                              .required_label = step.required_label,
+                                                              .data_rack = step.data_rack,
+                                                              .max_per_worker = step.max_per_worker,
+                                                              .each = occupied(step),
+                                                              .members = placed.members.size()});
+  if (inserted) {
+    known->second = fits_an_empty_rack(*space, step, placed.members.size());
+  }
+  return known->second;
+}
+
+bool job_scheduler::implementation::fits_an_empty_rack(const detail::service_space& space,
+                                                       const step_spec& step, std::size_t members) {
   const auto need = occupied(step);
   absl::flat_hash_map<std::string_view, std::size_t> room_by_rack;
-  for (const auto* worker : space->workers) {
+  for (const auto* worker : space.workers) {
     if (worker == nullptr || !worker->listed || worker->replaced || worker->entry.draining ||
         !detail::has_required_label(*worker, step)) {
       continue;
@@ -423,13 +437,13 @@
     }
     auto& room = room_by_rack[rack];
     auto free = worker->entry.capacity;
-    for (std::uint32_t taken = 0; room < placed.members.size() && free.covers(need) &&
-                                  (step.max_per_worker == 0 || taken < step.max_per_worker);
+    for (std::uint32_t taken = 0;
+         room < members && free.covers(need) && (step.max_per_worker == 0 || taken < step.max_per_worker);
          ++taken) {
       free -= need;
       ++room;
     }
-    if (room >= placed.members.size()) {
+    if (room >= members) {
       return true;
     }
   }
--- a/src/coordination/job_scheduler_reports.cpp
+++ b/src/coordination/job_scheduler_reports.cpp
@@ -60,6 +60,7 @@
                                                   .set_aside_share = set_aside_share},
                      now);
   self.registry_requested = requested;
+  self.empty_rack_fits.clear();
   self.store_worker_set();
   self.renew_workers(now);
 }
