Judge the use of a service by its workers that are in reach

Cause: workers that were cut off counted as full of what they ran when the owner judged whether half of the service is free, so the wait for a full rack stayed twice the estimate although the rest was idle. Change: only workers in reach count.

--- a/src/coordination/job_scheduler_held_space.cpp
+++ b/src/coordination/job_scheduler_held_space.cpp
@@ -60,7 +60,7 @@
   }
   for (auto& [id, worker] : workers) {
     refresh_space(worker);
-    if (worker.listed) {
+    if (detail::in_reach(worker)) {
       auto& space = services[worker.entry.service];
       space.capacity += worker.entry.capacity;
       space.used += worker.used;
--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -150,6 +150,12 @@
   return job_id{absl::StrCat(job.job.id.value(), "/", each.occurrence, ".", each.step, ".", each.number)};
 }
 
+/// Whether the worker's capacity, and what is used of it, counts when the use of its service is judged. What
+/// an unreachable worker runs is out of use for everyone else.
+inline bool in_reach(const worker_state& worker) {
+  return worker.listed && !worker.replaced && worker.failed_renewals < unusable_after_failed_renewals;
+}
+
 inline bool has_required_label(const worker_state& worker, const step_spec& step) {
   const auto& labels = worker.entry.labels;
   return step.required_label.empty() ||
@@ -160,7 +166,7 @@
 struct service_space {
   free_space_index index;
   std::vector<worker_state*> workers;
-  /// Of all listed workers. Ends of runs count from the next placement pass on.
+  /// Of all workers that are in reach. Ends of runs count from the next placement pass on.
   resource_amounts capacity;
   resource_amounts used;
   /// Whether at most half of every resource is in use.
--- a/src/coordination/job_scheduler_standing.cpp
+++ b/src/coordination/job_scheduler_standing.cpp
@@ -146,8 +146,10 @@
       continue;
     }
     ++listed;
-    capacity += worker.entry.capacity;
-    used += worker.used;
+    if (detail::in_reach(worker)) {
+      capacity += worker.entry.capacity;
+      used += worker.used;
+    }
     aside += worker.set_aside ? 1 : 0;
     if (!usable(worker, now) || !detail::has_required_label(worker, step)) {
       continue;
--- a/tests/coordination/job_scheduler_standing_test.cpp
+++ b/tests/coordination/job_scheduler_standing_test.cpp
@@ -125,6 +125,25 @@
   CHECK(fleet.violations.empty());
 }
 
+TEST_CASE_METHOD(rack_fixture,
+                 "scheduler_task_of_a_full_rack_does_not_stand_while_the_reachable_fleet_is_idle") {
+  // Guards against a fleet that looks full because of what unreachable workers run.
+  std::vector<worker_id> in_use;
+  for (const auto* rack : {"r0", "r1", "r2", "r3", "r5"}) {
+    const auto more = workers_of(rack);
+    in_use.insert(in_use.end(), more.begin(), more.end());
+  }
+  fill(in_use, seconds{60});
+  for (const auto* rack : {"r0", "r1", "r2", "r3"}) {
+    for (const auto& id : workers_of(rack)) {
+      fleet.workers.at(id).disconnected = true;
+    }
+  }
+  fleet.advance(seconds{2});
+  fleet.submit(simulated_workers::job("a", 1, task_with_data_in("r5")));
+  CHECK(time_until_it_runs("a", seconds{30}) <= longest_stand);
+}
+
 TEST_CASE_METHOD(rack_fixture, "scheduler_task_refused_by_all_of_its_data_rack_does_not_stand") {
   // Guards against a wait for the rack that begins anew after each refused start.
   for (const auto& id : workers_of("r2")) {
