Count reserved tasks against the limit of their step on a worker

Cause: on a full fleet each task stops other work and reserves its space until the stops are done. The tasks that a worker has of a step were counted without those that have reserved space there, so all of them chose the worker with the least work to lose.

Change: tasks_of_step counts reserved tasks too. Test: scheduler_urgent_tasks_that_preempt_keep_the_limit_of_their_step_on_a_worker (three on one worker before).

--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -410,6 +410,7 @@
   /// Asks the adviser about more workers when a unit does not fit on those with a valid ticket.
   void ask_adviser(const detail::job_state& job, const detail::unit& unit, instant now);
   [[nodiscard]] detail::service_space* space_for(const detail::job_state& job);
+  /// Number of tasks of the unit's step that the worker has or that have reserved space there.
   [[nodiscard]] std::uint32_t tasks_of_step(const detail::worker_state& worker, const detail::job_state& job,
                                             const detail::unit& unit) const;
   /// `spread` allows several racks, or a rack without the data.
--- a/src/coordination/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler_placement.cpp
@@ -282,11 +282,18 @@
 
 std::uint32_t job_scheduler::implementation::tasks_of_step(const worker_state& worker, const job_state& job,
                                                            const unit& placed) const {
-  return static_cast<std::uint32_t>(
+  auto count =
       std::count_if(worker.tasks.begin(), worker.tasks.end(), [&](const detail::assigned_task& task) {
         return task.job == &job && task.parent->occurrence == placed.occurrence &&
                task.parent->step == placed.step;
-      }));
+      });
+  const auto* occurrence = job.units.find_occurrence(placed.occurrence);
+  for (const auto& [number, each] : occurrence->steps[placed.step].units) {
+    count += std::count_if(each.members.begin(), each.members.end(), [&](const member& one) {
+      return one.phase == member_phase::reserved && one.worker == &worker;
+    });
+  }
+  return static_cast<std::uint32_t>(count);
 }
 
 bool job_scheduler::implementation::known_unplaceable(const unplaceable_request& request) const {
--- a/tests/coordination/job_scheduler_test.cpp
+++ b/tests/coordination/job_scheduler_test.cpp
@@ -974,6 +974,23 @@
   CHECK(fleet.violations.empty());
 }
 
+TEST_CASE_METHOD(scheduler_fixture,
+                 "scheduler_urgent_tasks_that_preempt_keep_the_limit_of_their_step_on_a_worker") {
+  // Guards against tasks of one step that all reserve space on the worker with the least work to lose.
+  fleet.submit(
+      simulated_workers::job("filler", 1, {.count = 6, .each = {32000, 1, 8}, .estimate = seconds{30}}));
+  fleet.advance(milliseconds{500});
+  auto step = identical_tasks(3, 1, seconds{5});
+  step.max_per_worker = 1;
+  fleet.submit(simulated_workers::job("urgent", 0, step));
+  fleet.advance(seconds{2});
+  for (const auto& [id, worker] : fleet.workers) {
+    CHECK(std::count_if(worker.tasks.begin(), worker.tasks.end(),
+                        [](const auto& task) { return task.first.job == job_id{"urgent"}; }) <= 1);
+  }
+  CHECK(fleet.phase("urgent") == job_phase::running);
+}
+
 TEST_CASE_METHOD(scheduler_fixture, "scheduler_steady_urgent_load_on_a_full_fleet_preempts_little") {
   // Guards against a full fleet on which each urgent gang must stop other work first: the urgent caller waits
   // for the stops, and what was stopped is done again.
