Let only workers of the previous owner delay the recovery after a change of the owner

What callers saw: jobs with nothing running after a change of the owner while workers join or flap (LOST).

Cause: the first report of any worker moved recovery_not_before by the time of a stop, because a stop order of the previous owner might be in progress there. That also held for workers that the previous owner never had among its stored workers, so they cannot run anything of it, and for one that was forgotten and came back. One such report each 0.2 s delayed the recovery without end.

Change: only the first report in a term of a worker in the stored set counts. Leaving workers are not among them, because only their listed tasks wait, and those wait for the report and a stop already.

Test: scheduler_recovery_is_not_delayed_by_workers_that_join_or_flap; it failed before.

--- a/src/coordination/job_scheduler.cpp
+++ b/src/coordination/job_scheduler.cpp
@@ -437,6 +437,10 @@
     const auto found = self.workers.find(id);
     if (found == self.workers.end() || !found->second.reported) {
       self.unreported_workers.insert(id);
+      self.expected_workers.insert(id);
+    } else {
+      self.recovery_not_before =
+          std::max(self.recovery_not_before, found->second.first_report_at + self.stop_grace());
     }
     self.stored_workers.insert(id);
     if (found != self.workers.end()) {
@@ -444,6 +448,7 @@
     }
   }
   for (const auto& each : leaving) {
+    self.expected_workers.erase(each.worker);
     if (self.unreported_workers.erase(each.worker) > 0) {
       self.unreported_leaving[each.worker] = each.tasks;
       self.blocked_tasks.insert(each.tasks.begin(), each.tasks.end());
--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -197,6 +197,9 @@
   std::map<worker_id, std::vector<task_ref>> unreported_leaving;
   /// All tasks in `unreported_leaving`. They are not placed.
   absl::flat_hash_set<task_ref> blocked_tasks;
+  /// Workers that may have runs of the previous owner and have not reported in this term, without leaving
+  /// ones.
+  std::set<worker_id> expected_workers;
   bool recovery{false};
   instant recovery_ends;
   instant recovery_not_before{};
--- a/src/coordination/job_scheduler_reports.cpp
+++ b/src/coordination/job_scheduler_reports.cpp
@@ -138,8 +138,11 @@
   if (first_of_term) {
     worker.first_report_at = now;
     worker_set_due = true;
-    // A stop order of the previous owner may still be in progress. Its run is in neither list until it ends.
-    recovery_not_before = now + stop_grace();
+    if (expected_workers.erase(worker.entry.id) > 0) {
+      // A stop order of the previous owner may still be in progress. Its run is in neither list until it
+      // ends.
+      recovery_not_before = now + stop_grace();
+    }
     placement_due = true;
   } else if (new_incarnation) {
     update_health(worker_health::worker_removed{worker.entry.id}, now);
--- /dev/null
+++ b/tests/coordination/job_scheduler_waits_test.cpp
@@ -0,0 +1,83 @@
+#include <catch2/catch.hpp>
+
+#include "simulated_workers.hpp"
+
+namespace rhubarbpath {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::simulated_workers;
+
+/// Nothing of a job may run for at most this long while the fleet has room for it.
+constexpr duration longest_stand{seconds{3}};
+/// The longest lease on a clock that is 2% slow, and the time of a stop.
+constexpr duration longest_lease{milliseconds{10'400 + 250}};
+
+/// 48 workers in 8 racks, "r0" to "r7".
+class wait_fixture {
+ protected:
+  wait_fixture() {
+    fleet.add_workers(48);
+    fleet.begin_term();
+    fleet.advance(milliseconds{200});
+  }
+
+  static step_spec one_task(duration estimate = seconds{4}) {
+    return {.count = 1, .each = {1000, 1000, 1}, .estimate = estimate};
+  }
+  static step_spec one_task_on(const std::string& label, duration estimate = seconds{4}) {
+    auto step = one_task(estimate);
+    step.required_label = label;
+    return step;
+  }
+  [[nodiscard]] std::vector<worker_id> workers_of(const std::string& rack) const {
+    std::vector<worker_id> found;
+    for (const auto& [id, worker] : fleet.workers) {
+      if (worker.entry.rack.value() == rack) {
+        found.push_back(id);
+      }
+    }
+    return found;
+  }
+  [[nodiscard]] std::optional<worker_id> worker_that_runs(const std::string& job) const {
+    for (const auto& [id, worker] : fleet.workers) {
+      for (const auto& [task, state] : worker.tasks) {
+        if (task.job.value() == job) {
+          return id;
+        }
+      }
+    }
+    return std::nullopt;
+  }
+  /// Runs the simulation until something of the job runs, at most for `limit`; returns how long that took.
+  template <class Meanwhile>
+  duration time_until_it_runs(const std::string& job, duration limit, Meanwhile meanwhile) {
+    const auto begin = fleet.now;
+    while (!worker_that_runs(job) && fleet.now - begin < limit) {
+      fleet.advance(milliseconds{20});
+      meanwhile();
+    }
+    return fleet.now - begin;
+  }
+  duration time_until_it_runs(const std::string& job, duration limit) {
+    return time_until_it_runs(job, limit, [] {});
+  }
+
+  simulated_workers fleet{20261205};
+};
+
+TEST_CASE_METHOD(wait_fixture, "scheduler_recovery_is_not_delayed_by_workers_that_join_or_flap") {
+  // Guards against a recovery that each first report of a worker prolongs, also of one without earlier work.
+  fleet.scheduler.reset();
+  fleet.submit(simulated_workers::job("a", 1, one_task()));
+  fleet.begin_term();
+  CHECK(time_until_it_runs("a", seconds{20}, [&] {
+          fleet.add_workers(1);
+          fleet.list_workers();
+        }) <= longest_stand);
+  CHECK(fleet.violations.empty());
+}
+
+}  // namespace
+}  // namespace rhubarbpath
