Wait one lease for a worker that has reported since it was started again

What callers saw: a job with nothing running for up to 25 s after its worker restarted and fell silent (LOST).

Cause: an incarnation of a worker that does not know the term of the owner may carry out orders of the previous owner, up to 15 s after the term has begun, with a lease of 10 s more. This was also assumed of an incarnation that had reported in this term. Its report shows that it has processed an order of the term, and from then on it rejects those of earlier terms.

Change: after the report, late orders of the previous owner count up to the report only, and a bound that was set before the report is replaced, because all orders that may still extend the lease are known by then: open starts, late starts and renewals of this owner. Ruled out as a further reduction: a complete report shows that nothing runs, but not that no order of this owner is still on its way.

Test: scheduler_worker_that_restarted_and_fell_silent_is_waited_for_one_lease; it failed before.

--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -344,8 +344,9 @@
                                                                           const detail::member& run);
   /// Ends all runs of a worker that runs nothing any more.
   void end_all_runs(detail::worker_state& worker, const detail::run_end& end, instant now);
-  /// A new incarnation may have carried out orders with a deadline on its predecessor's clock.
-  void expect_unknown_lease(detail::worker_state& worker, instant now);
+  /// A new incarnation may have carried out orders with a deadline on its predecessor's clock, and those of
+  /// an earlier owner until it has reported in this term.
+  void expect_unknown_lease(detail::worker_state& worker, bool has_reported, instant now);
   /// Prevents that a new incarnation carries out starts of runs that were stopped on an earlier one.
   void repeat_stops_of_late_starts(detail::worker_state& worker, instant now);
   void detect_stalls(instant now);
--- a/src/coordination/job_scheduler_reports.cpp
+++ b/src/coordination/job_scheduler_reports.cpp
@@ -46,7 +46,7 @@
       self.placement_due = true;
     }
     if (restarted_or_moved && worker.reported && entry.born != incarnation{} && entry.born != worker.born) {
-      self.expect_unknown_lease(worker, now);
+      self.expect_unknown_lease(worker, false, now);
     }
     self.note_drain(worker, entry, now);
     self.index_worker(worker, entry);
@@ -149,23 +149,25 @@
     worker.set_aside = worker.trial = false;
     record("worker_restarted", {}, "new incarnation",
            {{"worker", worker.entry.id.value()}, {"born", absl::StrCat(report.born.value())}});
-    expect_unknown_lease(worker, now);
+    expect_unknown_lease(worker, true, now);
     repeat_stops_of_late_starts(worker, now);
   }
 }
 
-void job_scheduler::implementation::expect_unknown_lease(worker_state& worker, instant now) {
+void job_scheduler::implementation::expect_unknown_lease(worker_state& worker, bool has_reported,
+                                                         instant now) {
   std::erase_if(worker.late_starts, [&](const detail::late_start& late) { return now >= late.expires_at; });
   const bool open_starts = !worker.late_starts.empty() ||
                            std::any_of(worker.tasks.begin(), worker.tasks.end(), [](const auto& task) {
                              return task.parent->members[task.index].open_starts > 0;
                            });
   const auto latest_start = open_starts || worker.renewing ? now + detail::max_order_delay : now;
-  // The worker does not know the term of this owner yet, so it may carry out an order of the previous one.
-  const auto latest_of_previous_owner = started_at + detail::max_order_delay;
+  // Until the incarnation knows the term of this owner, it may carry out an order of the previous one.
+  const auto latest_of_previous_owner = has_reported ? now : started_at + detail::max_order_delay;
   const auto latest_order = std::max({latest_start, worker.lease_order_open_until, latest_of_previous_owner});
-  worker.lease_unknown_until =
-      std::max(worker.lease_unknown_until, latest_order + on_slow_clock(opts.max_lease) + stop_grace());
+  const auto lease_over = latest_order + on_slow_clock(opts.max_lease) + stop_grace();
+  // All orders that may extend the lease after the report are known, so an earlier bound is obsolete.
+  worker.lease_unknown_until = has_reported ? lease_over : std::max(worker.lease_unknown_until, lease_over);
 }
 
 void job_scheduler::implementation::repeat_stops_of_late_starts(worker_state& worker, instant now) {
--- a/tests/coordination/job_scheduler_waits_test.cpp
+++ b/tests/coordination/job_scheduler_waits_test.cpp
@@ -79,5 +79,29 @@
   CHECK(fleet.violations.empty());
 }
 
+TEST_CASE_METHOD(wait_fixture, "scheduler_worker_that_restarted_and_fell_silent_is_waited_for_one_lease") {
+  // Guards against a wait for late orders of the previous owner, which an incarnation that has reported in
+  // this term rejects.
+  fleet.begin_term();
+  fleet.advance(milliseconds{500});
+  auto& first = fleet.workers.at(worker_id{"w7"});
+  auto& second = fleet.workers.at(worker_id{"w8"});
+  first.entry.labels.emplace_back("one of two");
+  fleet.submit(simulated_workers::job("a", 1, one_task_on("one of two", seconds{60})));
+  fleet.advance(milliseconds{1500});
+  REQUIRE(worker_that_runs("a") == first.entry.id);
+  fleet.restart(first.entry.id);
+  fleet.advance(milliseconds{1500});
+  REQUIRE(worker_that_runs("a") == first.entry.id);
+  second.entry.labels.emplace_back("one of two");
+  first.disconnected = true;
+  const auto silent_since = fleet.now;
+  while (second.tasks.empty() && fleet.now - silent_since < seconds{60}) {
+    fleet.advance(milliseconds{20});
+  }
+  CHECK(fleet.now - silent_since <= longest_lease + milliseconds{500});
+  CHECK(fleet.violations.empty());
+}
+
 }  // namespace
 }  // namespace rhubarbpath
