Ask workers that are not stored yet for the end of what runs there

What callers saw: a job whose run is over, with nothing running for as long as the store is down (LOST).

Cause: a worker that is not in the stored set is not renewed, because the next owner would not wait for it. If it listed a run in its first report, the run was adopted, and was then neither renewed nor asked about, and the worker never counted as silent. When its lease had passed, or the worker had left, nobody noticed until the store answered.

Change: a worker with tasks is asked also if it is not stored, without a lease. The run ends with the lease that it has, as before, but the worker then lists the end, or counts as silent until its lease has passed. No lease is granted that the next owner does not know of.

Test: scheduler_run_of_a_worker_that_is_not_stored_ends_while_the_store_is_down; it failed before.

--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -237,7 +237,7 @@
     return;
   }
   // The first renewal grants nothing and asks whether the worker exists.
-  if (!worker.stored && worker.reported) {
+  if (!worker.stored && worker.reported && worker.tasks.empty()) {
     return;
   }
   // A worker restarts the numbering of its ended runs when it restarts, so an acknowledgement that reaches a
@@ -251,7 +251,9 @@
                     .wait = milliseconds{0}};
   // A renewal to an unresponsive worker may be processed late, so it must not extend the lease and with it
   // the time at which the worker is known to run nothing.
-  if (worker.reported && worker.failed_renewals == 0 && !worker.tasks.empty()) {
+  // Nor may that of a worker that is not stored, because the next owner would not wait for it; it is only
+  // asked for runs that have ended.
+  if (worker.reported && worker.stored && worker.failed_renewals == 0 && !worker.tasks.empty()) {
     order.lease_until = lease_end(worker, now);
     worker.lease_until = std::max(worker.lease_until, *order.lease_until);
   }
--- a/tests/coordination/job_scheduler_waits_test.cpp
+++ b/tests/coordination/job_scheduler_waits_test.cpp
@@ -79,6 +79,30 @@
   CHECK(fleet.violations.empty());
 }
 
+TEST_CASE_METHOD(wait_fixture, "scheduler_run_of_a_worker_that_is_not_stored_ends_while_the_store_is_down") {
+  // Guards against an adopted run that is neither renewed nor taken to be over, because its worker is not
+  // among the stored ones and the store does not answer.
+  fleet.submit(simulated_workers::job("a", 1, one_task(seconds{60})));
+  fleet.advance(seconds{1});
+  const auto first = worker_that_runs("a");
+  REQUIRE(first);
+  std::erase(fleet.stored_workers, *first);
+  fleet.worker_set_writable = false;
+  fleet.begin_term();
+  fleet.advance(seconds{1});
+  SECTION("worker_answers") {}
+  SECTION("worker_has_left") {
+    fleet.remove(*first);
+  }
+  SECTION("worker_is_cut_off") {
+    fleet.workers.at(*first).disconnected = true;
+  }
+  // The lease is 9.5 s.
+  fleet.advance(longest_lease);
+  CHECK(time_until_it_runs("a", seconds{60}) <= longest_stand);
+  CHECK(fleet.violations.empty());
+}
+
 TEST_CASE_METHOD(wait_fixture, "scheduler_worker_that_restarted_and_fell_silent_is_waited_for_one_lease") {
   // Guards against a wait for late orders of the previous owner, which an incarnation that has reported in
   // this term rejects.
--- a/tests/coordination/simulated_workers.hpp
+++ b/tests/coordination/simulated_workers.hpp
@@ -231,6 +231,7 @@
   /// Whether a late order may reach a later incarnation than the one that it was sent to.
   bool late_orders_outlive_workers{false};
   bool store_up{true};
+  bool worker_set_writable{true};            ///< Otherwise writes of the set of workers wait.
   duration startup_time{milliseconds{500}};  ///< Of tasks that last until they are cancelled.
   std::size_t max_listed_ends{500};          ///< Of a report.
   std::optional<milliseconds> stop_time;     ///< Time that a stop takes; random by default.
@@ -780,6 +781,10 @@
   }
   void perform(const store_workers& write) {
     after(milliseconds{4}, [this, write, of_term = term] {
+      if (!worker_set_writable) {
+        return after(milliseconds{100},
+                     [this, write, of_term] { of_term == term ? perform(write) : void(); });
+      }
       if (of_term == term) {
         stored_workers = write.workers;
         stored_leaving = write.leaving;
