Let no urgent task stand for stops without an answer beside idle workers

What callers saw: an urgent job with nothing running while other racks are idle (LOST).

Cause: a reservation whose space does not become free is dropped after 1.2 s. The runs that were being stopped still counted as space that becomes free, so the same plan, which loses nothing more, was made again at once, and other racks were never considered.

Change: a run whose stop had to be repeated does not count as space that becomes free. A unit whose reservation failed looks for free space outside its rack before it stops runs in the rack again.

Test: scheduler_urgent_task_does_not_stand_for_stops_without_answer; it failed before. The simulated workers can lose stops for it.

--- a/src/coordination/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler_placement.cpp
@@ -341,6 +341,7 @@
   starting.run = run_number{std::max(starting.run.value() + 1, first_of_term)};
   starting.phase = unit_phase::active;
   starting.all_running = false;
+  starting.reservation_failed = false;
   starting.wait = {};
   std::string worker_names;
   auto& used_of_service = services[job.queue->service].used;
@@ -369,10 +370,12 @@
     start_unit(job, placed, where, now);
     return std::nullopt;
   }
-  if (urgent && preempt(job, placed, false, now)) {
+  const bool spread = prefers_rack(step) && may_spread(job, placed, now);
+  // After a failed reservation, idle workers elsewhere are better than more stops in the rack.
+  const bool elsewhere_first = spread && placed.reservation_failed;
+  if (urgent && !elsewhere_first && preempt(job, placed, false, now)) {
     return std::nullopt;
   }
-  const bool spread = prefers_rack(step) && may_spread(job, placed, now);
   if (spread) {
     if (const auto where = choose_workers(job, placed, true); !where.empty()) {
       start_unit(job, placed, where, now);
@@ -481,6 +484,7 @@
     if (lost || free) {
       release_reservation(*each, need);
       each->phase = unit_phase::waiting;
+      each->reservation_failed = lost;
       mark_waiting(*job, *each);
     }
     if (!lost && free) {
--- a/src/coordination/job_scheduler_preemption.cpp
+++ b/src/coordination/job_scheduler_preemption.cpp
@@ -55,7 +55,10 @@
     }
     const auto& step = step_of(*victim_job, *target);
     if (target->phase == unit_phase::ending || target->phase == unit_phase::done) {
-      result.free += occupied(step);
+      // A stop that had to be repeated may take long.
+      const auto& ending = target->members[index];
+      const bool ends_soon = ending.phase != member_phase::stopping || ending.attempts <= 1;
+      result.free += ends_soon ? occupied(step) : resource_amounts{};
       continue;
     }
     const bool urgent = victim_job->queue->priority == 0;
--- a/src/coordination/job_units.hpp
+++ b/src/coordination/job_units.hpp
@@ -65,6 +65,8 @@
   unit_wait wait;  ///< While it waits: why the last placement pass did not place it.
   bool all_running{false};
   instant reserved_until{};
+  bool reservation_failed{
+      false};           ///< Reserved space did not become free in time, and it has not started since.
   bool tracked{false};  ///< Is in `active_units` of the scheduler.
 };
 
--- a/tests/coordination/job_scheduler_waits_test.cpp
+++ b/tests/coordination/job_scheduler_waits_test.cpp
@@ -127,5 +127,29 @@
   CHECK(fleet.violations.empty());
 }
 
+TEST_CASE_METHOD(wait_fixture, "scheduler_urgent_task_does_not_stand_for_stops_without_answer") {
+  // Guards against a reservation that is made at the same place again after it has failed, beside idle
+  // workers in other racks.
+  const auto rack = workers_of("r2");
+  fleet.submit(simulated_workers::job(
+      "filler", 2, {.count = 6, .each = {32000, 1000, 8}, .estimate = seconds{90}, .required_label = "r2"}));
+  fleet.advance(seconds{1});
+  REQUIRE(fleet.running_tasks() == rack.size());
+  for (const auto& id : rack) {
+    fleet.workers.at(id).loses_stops = true;
+  }
+  auto step = one_task();
+  step.data_rack = "r2";
+  SECTION("task") {}
+  SECTION("gang") {
+    step.count = 2;
+    step.gang = true;
+    step.same_rack = true;
+  }
+  fleet.submit(simulated_workers::job("a", 0, step));
+  CHECK(time_until_it_runs("a", seconds{60}) <= longest_stand);
+  CHECK(fleet.violations.empty());
+}
+
 }  // namespace
 }  // namespace rhubarbpath
--- a/tests/coordination/simulated_workers.hpp
+++ b/tests/coordination/simulated_workers.hpp
@@ -42,6 +42,7 @@
     bool refuses_connections{false};  ///< While it is disconnected; otherwise orders vanish.
     bool fails_every_run{false};      ///< Runs fail as soon as they have begun.
     bool refuses_starts{false};       ///< Unhealthy: refuses every start, and has then done nothing.
+    bool loses_stops{false};          ///< Stop orders never arrive.
     bool stalled{false};
     std::uint64_t highest_term{0};
     instant clock_started{};      ///< The clock starts anew in each incarnation.
@@ -708,6 +709,10 @@
             scheduler->stop_answered(order, result, now);
             order_answered(order.worker);
           };
+          if (workers.at(order.worker).loses_stops) {
+            answer_later(milliseconds{400}, [answered] { answered(stop_result::unanswered); });
+            return;
+          }
           send_order(
               order.worker, order.address,
               [this, order, from = term](worker& at) {
