Try workers that are set aside at once for a job that stands without them

What callers saw: a job with nothing running while the fleet is idle, because only workers that failed runs before may run its task (LOST).

Cause: such workers are set aside for 3 to 12 s. A task that had failed before was not used for their trial, so it waited for another 3 to 12 s until they were restored without a trial.

Change: a job that has stood for 2 s in a fleet that is half free ends the pause of workers that have no task and that it may use, one for each member of the unit, and a task that failed before may be tried there. The last attempt is not: a job that can be done must not be given up because of a worker that fails all runs. It waits for a restored worker as before, 24 s at most (pause of 12 s, and 12 s without a trial). Attempts are at least 2 s apart, because runs that fail at once would use up all attempts before the job is seen to run.

Tests: scheduler_task_does_not_stand_for_workers_that_are_set_aside and scheduler_task_that_failed_does_not_stand_for_workers_that_are_set_aside; both failed before. scheduler_last_attempt_of_a_task_waits_until_a_worker_is_restored passed before and after.

--- a/include/rhubarbpath/coordination/worker_health.hpp
+++ b/include/rhubarbpath/coordination/worker_health.hpp
@@ -57,9 +57,13 @@
   struct was_set_aside {
     worker_id worker;
   };
+  /// A task stands that only workers that are set aside may run, so the backoff of this one ends now.
+  struct trial_needed {
+    worker_id worker;
+  };
   struct tick {};
   using event = std::variant<fleet_changed, task_finished, task_failed, worker_removed, job_removed,
-                             was_set_aside, tick>;
+                             was_set_aside, trial_needed, tick>;
 
   struct set_aside {
     worker_id worker;
@@ -108,6 +112,7 @@
   void on(const worker_removed& input, instant now, std::vector<action>& out);
   void on(const job_removed& input, instant now, std::vector<action>& out);
   void on(const was_set_aside& input, instant now, std::vector<action>& out);
+  void on(const trial_needed& input, instant now, std::vector<action>& out);
   void on(const tick& input, instant now, std::vector<action>& out);
   [[nodiscard]] bool worker_at_fault(const worker_history& history) const;
   void set_worker_aside(const worker_id& worker, instant now, std::vector<action>& out);
--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -417,7 +417,11 @@
   /// Whether a listed rack could hold the whole unit if all of the rack were free.
   [[nodiscard]] bool fits_an_empty_rack(const detail::job_state& job, const detail::unit& unit);
   /// Whether the job has stood for as long as it may in a fleet with room.
-  [[nodiscard]] bool overdue(const detail::job_state& job, instant now);
+  [[nodiscard]] bool overdue(const detail::job_state& job, instant now) const;
+  /// Whether the unit stands and may be tried on a worker that is set aside, although it has failed before.
+  [[nodiscard]] bool may_risk_trial(const detail::job_state& job, const detail::unit& unit) const;
+  /// Lets workers that are set aside try the unit, which has no other place.
+  void begin_trials(const detail::job_state& job, const detail::unit& unit, instant now);
   void start_unit(detail::job_state& job, detail::unit& unit, const placement& where, instant now);
   void start_reserved(instant now);
   void release_reservation(detail::unit& unit, const resource_amounts& each);
--- a/src/coordination/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler_placement.cpp
@@ -217,8 +217,8 @@
 std::uint32_t job_scheduler::implementation::allowance_on(const worker_state& worker, const job_state& job,
                                                           const unit& placed) const {
   const auto& step = step_of(job, placed);
-  // The attempts of a unit are limited, so one that failed before is not used for a trial.
-  const bool no_trial = worker.set_aside && !placed.failed_runs.empty();
+  // The attempts of a unit are limited, so one that failed before is used for a trial only if it stands.
+  const bool no_trial = worker.set_aside && !placed.failed_runs.empty() && !may_risk_trial(job, placed);
   if (!detail::has_required_label(worker, step) || no_trial ||
       (job.queue->adviser && ticket_for(worker, job, placed).empty())) {
     return 0;
@@ -392,6 +392,9 @@
       return std::nullopt;
     }
   }
+  if (may_risk_trial(job, placed)) {
+    begin_trials(job, placed, now);
+  }
   if (urgent) {
     placed.not_before = now + detail::placement_pause;
   }
@@ -401,12 +404,36 @@
   return detail::no_free_space{};
 }
 
-bool job_scheduler::implementation::overdue(const job_state& job, instant now) {
-  const auto* space = space_for(job);
-  return space != nullptr && space->half_free() && job.stands_since &&
+bool job_scheduler::implementation::overdue(const job_state& job, instant now) const {
+  const auto space = services.find(job.queue->service);
+  return space != services.end() && space->second.half_free() && job.stands_since &&
          now - *job.stands_since >= max_stand_with_room;
 }
 
+bool job_scheduler::implementation::may_risk_trial(const job_state& job, const unit& placed) const {
+  const auto limit = job.queue->max_attempts;
+  const bool last_attempt =
+      limit > 0 && placed.failed_runs.size() + 1 >= limit && !step_of(job, placed).long_running;
+  // Runs that fail at once would use up all attempts before the job is seen to run.
+  return !last_attempt && overdue(job, pass_time) && pass_time - placed.waiting_since >= max_stand_with_room;
+}
+
+void job_scheduler::implementation::begin_trials(const job_state& job, const unit& placed, instant now) {
+  const auto* space = space_for(job);
+  const auto& step = step_of(job, placed);
+  auto left = placed.members.size();
+  for (const auto* worker : space->workers) {
+    const bool suited = worker != nullptr && worker->listed && worker->set_aside && !worker->trial &&
+                        worker->tasks.empty() && !worker->entry.draining && worker->failed_renewals == 0 &&
+                        detail::has_required_label(*worker, step) &&
+                        worker->entry.capacity.covers(occupied(step));
+    if (suited && left > 0) {
+      --left;
+      update_health(worker_health::trial_needed{worker->entry.id}, now);
+    }
+  }
+}
+
 bool job_scheduler::implementation::fits_an_empty_rack(const job_state& job, const unit& placed) {
   const auto* space = space_for(job);
   if (space == nullptr) {
--- a/src/coordination/worker_health.cpp
+++ b/src/coordination/worker_health.cpp
@@ -112,6 +112,16 @@
   set_aside_workers_.try_emplace(input.worker, now, options_.initial_backoff, options_);
 }
 
+void worker_health::on(const trial_needed& input, instant now, std::vector<action>& out) {
+  const auto aside = set_aside_workers_.find(input.worker);
+  if (aside == set_aside_workers_.end() || aside->second.trial) {
+    return;
+  }
+  aside->second.trial = true;
+  aside->second.until = now + aside->second.backoff;
+  out.emplace_back(begin_trial{input.worker});
+}
+
 void worker_health::on(const tick& /*input*/, instant now, std::vector<action>& out) {
   for (auto each = set_aside_workers_.begin(); each != set_aside_workers_.end();) {
     auto& [worker, state] = *each;
--- a/tests/coordination/job_scheduler_waits_test.cpp
+++ b/tests/coordination/job_scheduler_waits_test.cpp
@@ -151,5 +151,70 @@
   CHECK(fleet.violations.empty());
 }
 
+class set_aside_fixture : public wait_fixture {
+ protected:
+  /// Lets all workers of a rack fail what they run until each has been set aside several times.
+  set_aside_fixture() {
+    fails(true);
+    // At other times, other workers of the rack are on trial.
+    const int jobs = GENERATE(range(30, 46));
+    for (int job = 0; job < jobs; ++job) {
+      fleet.submit(simulated_workers::job("f" + std::to_string(job), 1, one_task_on("r2", seconds{1})));
+      fleet.advance(milliseconds{300});
+    }
+    for (int job = 0; job < jobs; ++job) {
+      fleet.cancel(job_id{"f" + std::to_string(job)});
+    }
+    fleet.advance(milliseconds{300});
+  }
+  void fails(bool every_run) {
+    for (const auto& id : workers_of("r2")) {
+      fleet.workers.at(id).fails_every_run = every_run;
+    }
+  }
+  /// Submits a task that must run in the rack, and lets it fail a number of times there.
+  void submit_and_fail(const std::string& name, std::size_t times) {
+    fleet.submit(simulated_workers::job(name, 1, one_task_on("r2")));
+    const auto failed = [&] {
+      return static_cast<std::size_t>(
+          std::count_if(fleet.run_outcomes.begin(), fleet.run_outcomes.end(), [&](const auto& each) {
+            return each.first.first.job.value() == name && each.second == run_outcome::failed;
+          }));
+    };
+    const auto limit = fleet.now + seconds{60};
+    while (failed() < times && fleet.now < limit) {
+      fleet.advance(milliseconds{4});
+    }
+    REQUIRE(failed() == times);
+    fails(false);
+  }
+};
+
+TEST_CASE_METHOD(set_aside_fixture, "scheduler_task_does_not_stand_for_workers_that_are_set_aside") {
+  // Guards against a pause of workers that failed runs for as long as no other worker may run a task.
+  submit_and_fail("a", 0);
+  CHECK(time_until_it_runs("a", seconds{60}) <= longest_stand);
+  CHECK(fleet.violations.empty());
+}
+
+TEST_CASE_METHOD(set_aside_fixture,
+                 "scheduler_task_that_failed_does_not_stand_for_workers_that_are_set_aside") {
+  // Guards against a task that waits until all workers that may run it are restored, because it has failed.
+  submit_and_fail("a", 1);
+  CHECK(time_until_it_runs("a", seconds{60}) <= longest_stand);
+  fleet.advance(seconds{6});
+  CHECK(fleet.phase("a") == job_phase::complete);
+}
+
+TEST_CASE_METHOD(set_aside_fixture, "scheduler_last_attempt_of_a_task_waits_until_a_worker_is_restored") {
+  // Guards against a job that is given up because its last attempt was made on a worker that fails all runs.
+  submit_and_fail("a", 2);
+  // The longest pause, and as long again without a trial.
+  constexpr duration longest_pause{seconds{12}};
+  CHECK(time_until_it_runs("a", seconds{60}) <= 2 * longest_pause + milliseconds{100});
+  fleet.advance(seconds{6});
+  CHECK(fleet.phase("a") == job_phase::complete);
+}
+
 }  // namespace
 }  // namespace rhubarbpath
