Ask the adviser for the first task of a step that could be placed

What callers saw: tasks of a step with nothing running for up to 10.7 s after a change of the owner (LOST).

Cause: the adviser was asked for a step only if all units before the one without a place had been placed. One that waits for a run of the previous owner, or in the pause after an attempt, kept the others from getting tickets.

Change: it is asked for the first unit of a pass that cannot be placed.

Test: scheduler_task_behind_one_that_waits_for_the_previous_owner_gets_a_ticket; it failed before.

--- a/src/coordination/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler_placement.cpp
@@ -155,6 +155,7 @@
     return;
   }
   bool all_placed = true;
+  bool asked = false;
   const auto skip = [&](std::uint32_t to) { step.first_waiting = all_placed ? to : step.first_waiting; };
   for (auto number = step.next_open(step.first_waiting); number < step.unit_count;
        number = step.next_open(number + 1)) {
@@ -174,7 +175,7 @@
     }
     if (const auto wait = place(job, each, now)) {
       each.wait = *wait;
-      if (all_placed) {
+      if (!std::exchange(asked, true)) {
         ask_adviser(job, each, now);
       }
       if (job.job.graph.steps[waiting.step].gang) {
--- a/tests/coordination/job_scheduler_waits_test.cpp
+++ b/tests/coordination/job_scheduler_waits_test.cpp
@@ -216,5 +216,49 @@
   CHECK(fleet.phase("a") == job_phase::complete);
 }
 
+class advised_fixture : public wait_fixture {
+ protected:
+  advised_fixture() { use_adviser(seconds{3}); }
+
+  void use_adviser(duration validity) {
+    auto changed = std::make_shared<fleet_config>(*fleet.configuration);
+    for (auto& queue : changed->queues) {
+      queue.adviser =
+          adviser_config{.decision = milliseconds{20}, .per_worker = milliseconds{5}, .validity = validity};
+    }
+    fleet.configuration = changed;
+    fleet.scheduler->set_config(changed, fleet.now);
+  }
+};
+
+TEST_CASE_METHOD(advised_fixture,
+                 "scheduler_task_behind_one_that_waits_for_the_previous_owner_gets_a_ticket") {
+  // Guards against a step whose first task waits for a run of the previous owner, and for which the adviser
+  // is not asked meanwhile.
+  auto& leaving = fleet.workers.at(worker_id{"w7"});
+  auto& other = fleet.workers.at(worker_id{"w8"});
+  fleet.workers_allowed_by_adviser = {leaving.entry.id, other.entry.id};
+  leaving.entry.labels.emplace_back("one of two");
+  auto step = one_task_on("one of two", seconds{40});
+  step.count = 2;
+  step.max_per_worker = 1;
+  fleet.submit(simulated_workers::job("a", 1, step));
+  fleet.advance(seconds{2});
+  REQUIRE(leaving.tasks.size() == 1);
+  leaving.entry.draining = true;
+  leaving.entry.stays_for = seconds{60};
+  fleet.advance(milliseconds{1500});
+  leaving.disconnected = true;
+  other.entry.labels.emplace_back("one of two");
+  fleet.scheduler.reset();
+  fleet.begin_term();
+  const auto begin = fleet.now;
+  while (other.tasks.empty() && fleet.now - begin < seconds{60}) {
+    fleet.advance(milliseconds{20});
+  }
+  CHECK(fleet.now - begin <= longest_stand);
+  CHECK(fleet.violations.empty());
+}
+
 }  // namespace
 }  // namespace rhubarbpath
