Let no job stand for tickets that cannot come

What callers saw: a job with an adviser that never starts (LOST).

Causes: a worker that was refused once was never asked about again, also not when it had been started again; an idle worker that was started again does not report, so its entry must tell. And a ticket was not used in the last 500 ms of its validity, counted from the call: where the validity is shorter than that and the time of the call, each ticket was taken to be over when it arrived, and the next call was alike.

Change: each incarnation is asked about. The margin is a quarter of a short validity, and a call names no more workers than the adviser answers about in half of the time that is left.

Ruled out: calls of jobs that ended count as open until their answer or time limit (test passes before and after, 0.1 s), and a call without an answer ends with its time limit.

Tests: scheduler_asks_again_about_a_worker_that_was_refused_and_restarted and scheduler_task_does_not_stand_for_tickets_that_are_valid_for_a_short_time; both failed before.

--- a/include/rhubarbpath/coordination/ticket_book.hpp
+++ b/include/rhubarbpath/coordination/ticket_book.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -37,8 +38,8 @@
   friend bool operator==(const granted_ticket&, const granted_ticket&) = default;
 };
 
-/// Caches the adviser's answers by step and worker. Whether a worker may run a step never changes, but
-/// tickets expire, and a worker needs a new ticket after a restart.
+/// Caches the adviser's answers by step and worker. Whether a worker may run a step changes only with its
+/// incarnation, but tickets expire.
 ///
 /// The adviser handles one call of this VM at a time, and a call takes longer the more workers it names.
 /// Calls therefore name few workers, and few calls are open at once. The caller asks for its most urgent
@@ -97,6 +98,11 @@
     duration validity{};
     instant not_before{};
   };
+  /// A quarter of a short validity, so that its tickets can be used at all.
+  [[nodiscard]] duration margin_of(duration validity) const {
+    return std::min(opts_.validity_margin, validity / 4);
+  }
+  [[nodiscard]] std::size_t most_workers_in_time(const adviser_config& adviser) const;
   [[nodiscard]] bool needs_call(const advice_state& advice, const candidate& about, instant now) const;
 
   options opts_;
--- a/src/coordination/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler_placement.cpp
@@ -203,6 +203,11 @@
 
 namespace {
 
+/// An idle worker that was started again has not reported since, but its entry tells.
+ticket_book::candidate candidate_of(const worker_state& worker) {
+  return {.worker = worker.entry.id, .born = std::max(worker.born, worker.entry.born)};
+}
+
 step_ref step_ref_of(const job_state& job, const unit& step_unit) {
   return {.job = job.job.id, .occurrence = step_unit.occurrence, .step = step_unit.step};
 }
@@ -211,8 +216,7 @@
 
 std::string job_scheduler::implementation::ticket_for(const worker_state& worker, const job_state& job,
                                                       const unit& placed) const {
-  return tickets.ticket(step_ref_of(job, placed), {.worker = worker.entry.id, .born = worker.born}, pass_time)
-      .value_or("");
+  return tickets.ticket(step_ref_of(job, placed), candidate_of(worker), pass_time).value_or("");
 }
 
 std::uint32_t job_scheduler::implementation::allowance_on(const worker_state& worker, const job_state& job,
@@ -254,7 +258,7 @@
       continue;
     }
     const auto free = worker->entry.capacity - worker->used - worker->reserved;
-    (free.covers(need) ? with_room : full).push_back({.worker = worker->entry.id, .born = worker->born});
+    (free.covers(need) ? with_room : full).push_back(candidate_of(*worker));
   }
   with_room.insert(with_room.end(), full.begin(), full.end());
   if (auto request = tickets.ask(step_ref_of(job, waiting), *job.queue->adviser, with_room,
--- a/src/coordination/ticket_book.cpp
+++ b/src/coordination/ticket_book.cpp
@@ -15,19 +15,29 @@
   }
   const auto& entry = found->second;
   const bool valid =
-      entry.may_run && entry.born == on.born && now + opts_.validity_margin < entry.valid_until;
+      entry.may_run && entry.born == on.born && now + margin_of(advice->second.validity) < entry.valid_until;
   return valid ? std::optional{entry.ticket} : std::nullopt;
 }
 
-/// Whether the worker is unknown, or may run the step but its ticket has expired or is for an earlier
-/// incarnation.
+/// Whether the worker or its incarnation is unknown, or it may run the step but its ticket has expired.
 bool ticket_book::needs_call(const advice_state& advice, const candidate& about, instant now) const {
   const auto found = advice.workers.find(about.worker);
   if (found == advice.workers.end()) {
     return true;
   }
   const auto& entry = found->second;
-  return entry.may_run && (entry.born != about.born || now + opts_.validity_margin >= entry.valid_until);
+  return entry.born != about.born || (entry.may_run && now + margin_of(advice.validity) >= entry.valid_until);
+}
+
+/// The largest call whose tickets are still valid for a start when the adviser has answered all open calls.
+std::size_t ticket_book::most_workers_in_time(const adviser_config& adviser) const {
+  if (adviser.per_worker <= duration::zero()) {
+    return opts_.max_workers_per_call;
+  }
+  const auto usable = adviser.validity - margin_of(adviser.validity);
+  const auto time_of_call = usable / static_cast<duration::rep>(opts_.open_calls) - adviser.decision;
+  // Half of it, so that something is left of the validity.
+  return static_cast<std::size_t>(std::max<duration::rep>(time_of_call / adviser.per_worker / 2, 1));
 }
 
 std::optional<advice_request> ticket_book::ask(const step_ref& step, const adviser_config& adviser,
@@ -38,9 +48,13 @@
     return std::nullopt;
   }
   const auto call_size =
-      std::clamp(2 * workers_needed, opts_.min_workers_per_call, opts_.max_workers_per_call);
+      std::min(std::clamp(2 * workers_needed, opts_.min_workers_per_call, opts_.max_workers_per_call),
+               most_workers_in_time(adviser));
   // Workers that were allowed before come first, because they will be granted a new ticket.
-  const auto is_known = [&](const candidate& each) { return advice.workers.contains(each.worker); };
+  const auto is_known = [&](const candidate& each) {
+    const auto found = advice.workers.find(each.worker);
+    return found != advice.workers.end() && found->second.may_run;
+  };
   for (const bool known_first : {true, false}) {
     for (const auto& each : candidates) {
       if (advice.asked.size() < call_size && is_known(each) == known_first && needs_call(advice, each, now)) {
--- a/tests/coordination/job_scheduler_waits_test.cpp
+++ b/tests/coordination/job_scheduler_waits_test.cpp
@@ -231,6 +231,42 @@
   }
 };
 
+TEST_CASE_METHOD(advised_fixture, "scheduler_asks_again_about_a_worker_that_was_refused_and_restarted") {
+  // Guards against a job that stands for good because its workers were refused in an earlier incarnation.
+  fleet.submit(simulated_workers::job("a", 1, one_task_on("r2")));
+  fleet.advance(seconds{2});
+  for (const auto& id : workers_of("r2")) {
+    fleet.restart(id);
+    fleet.workers_allowed_by_adviser.insert(id);
+  }
+  CHECK(time_until_it_runs("a", seconds{60}) <= longest_stand);
+}
+
+TEST_CASE_METHOD(advised_fixture,
+                 "scheduler_task_does_not_stand_for_tickets_that_are_valid_for_a_short_time") {
+  // Guards against tickets that are always taken to have expired when they arrive.
+  for (const auto& [id, worker] : fleet.workers) {
+    fleet.workers_allowed_by_adviser.insert(id);
+  }
+  use_adviser(milliseconds{540});
+  fleet.submit(simulated_workers::job("a", 1, one_task()));
+  CHECK(time_until_it_runs("a", seconds{60}) <= longest_stand);
+}
+
+TEST_CASE_METHOD(advised_fixture, "scheduler_jobs_that_ended_during_their_call_do_not_block_the_adviser") {
+  for (const auto& id : workers_of("r2")) {
+    fleet.workers_allowed_by_adviser.insert(id);
+  }
+  for (int job = 0; job < 8; ++job) {
+    const auto name = "c" + std::to_string(job);
+    fleet.submit(simulated_workers::job(name, 0, one_task_on("r3")));
+    fleet.advance(milliseconds{16});
+    fleet.cancel(job_id{name});
+  }
+  fleet.submit(simulated_workers::job("a", 1, one_task_on("r2")));
+  CHECK(time_until_it_runs("a", seconds{60}) <= longest_stand);
+}
+
 TEST_CASE_METHOD(advised_fixture,
                  "scheduler_task_behind_one_that_waits_for_the_previous_owner_gets_a_ticket") {
   // Guards against a step whose first task waits for a run of the previous owner, and for which the adviser
