--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -203,6 +203,9 @@
   std::map<worker_id, std::vector<task_ref>> unreported_leaving;
   /// All tasks in `unreported_leaving`. They are not placed.
   absl::flat_hash_set<task_ref> blocked_tasks;
+  /// Workers that may have runs of the previous owner and have not reported in this term, without leaving
+  /// ones.
+  std::set<worker_id> expected_workers;
   bool recovery{false};
   instant recovery_ends;
   instant recovery_not_before{};
@@ -347,8 +350,9 @@
                                                                           const detail::member& run);
   /// Ends all runs of a worker that runs nothing any more.
   void end_all_runs(detail::worker_state& worker, const detail::run_end& end, instant now);
-  /// A new incarnation may have carried out orders with a deadline on its predecessor's clock.
-  void expect_unknown_lease(detail::worker_state& worker, instant now);
+  /// A new incarnation may have carried out orders with a deadline on its predecessor's clock, and those of
+  /// an earlier owner until it has reported in this term.
+  void expect_unknown_lease(detail::worker_state& worker, bool has_reported, instant now);
   /// Prevents that a new incarnation carries out starts of runs that were stopped on an earlier one.
   void repeat_stops_of_late_starts(detail::worker_state& worker, instant now);
   void detect_stalls(instant now);
@@ -422,7 +426,11 @@
   [[nodiscard]] static bool fits_an_empty_rack(const detail::service_space& space, const step_spec& step,
                                                std::size_t members);
   /// Whether the job has stood for as long as it may in a fleet with room.
-  [[nodiscard]] bool overdue(const detail::job_state& job, instant now);
+  [[nodiscard]] bool overdue(const detail::job_state& job, instant now) const;
+  /// Whether the unit stands and may be tried on a worker that is set aside, although it has failed before.
+  [[nodiscard]] bool may_risk_trial(const detail::job_state& job, const detail::unit& unit) const;
+  /// Lets workers that are set aside try the unit, which has no other place.
+  void begin_trials(const detail::job_state& job, const detail::unit& unit, instant now);
   void start_unit(detail::job_state& job, detail::unit& unit, const placement& where, instant now);
   void start_reserved(instant now);
   void release_reservation(detail::unit& unit, const resource_amounts& each);
--- a/src/coordination/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler_placement.cpp
@@ -155,6 +155,7 @@
     return;
   }
   bool all_placed = true;
+  bool asked = false;
   const auto skip = [&](std::uint32_t to) { step.first_waiting = all_placed ? to : step.first_waiting; };
   for (auto number = step.next_open(step.first_waiting); number < step.unit_count;
        number = step.next_open(number + 1)) {
@@ -174,7 +175,7 @@
     }
     if (const auto wait = place(job, each, now)) {
       each.wait = *wait;
-      if (all_placed) {
+      if (!std::exchange(asked, true)) {
         ask_adviser(job, each, now);
       }
       if (job.job.graph.steps[waiting.step].gang) {
@@ -202,6 +203,11 @@
 
 namespace {
 
+/// An idle worker that was started again has not reported since, but its entry tells.
+ticket_book::candidate candidate_of(const worker_state& worker) {
+  return {.worker = worker.entry.id, .born = std::max(worker.born, worker.entry.born)};
+}
+
 step_ref step_ref_of(const job_state& job, const unit& step_unit) {
   return {.job = job.job.id, .occurrence = step_unit.occurrence, .step = step_unit.step};
 }
@@ -210,15 +216,14 @@
 
 std::string job_scheduler::implementation::ticket_for(const worker_state& worker, const job_state& job,
                                                       const unit& placed) const {
-  return tickets.ticket(step_ref_of(job, placed), {.worker = worker.entry.id, .born = worker.born}, pass_time)
-      .value_or("");
+  return tickets.ticket(step_ref_of(job, placed), candidate_of(worker), pass_time).value_or("");
 }
 
 std::uint32_t job_scheduler::implementation::allowance_on(const worker_state& worker, const job_state& job,
                                                           const unit& placed) const {
   const auto& step = step_of(job, placed);
-  // The attempts of a unit are limited, so one that failed before is not used for a trial.
-  const bool no_trial = worker.set_aside && !placed.failed_runs.empty();
+  // The attempts of a unit are limited, so one that failed before is used for a trial only if it stands.
+  const bool no_trial = worker.set_aside && !placed.failed_runs.empty() && !may_risk_trial(job, placed);
   if (!detail::has_required_label(worker, step) || no_trial ||
       (job.queue->adviser && ticket_for(worker, job, placed).empty())) {
     return 0;
@@ -253,7 +258,7 @@
       continue;
     }
     const auto free = worker->entry.capacity - worker->used - worker->reserved;
-    (free.covers(need) ? with_room : full).push_back({.worker = worker->entry.id, .born = worker->born});
+    (free.covers(need) ? with_room : full).push_back(candidate_of(*worker));
   }
   with_room.insert(with_room.end(), full.begin(), full.end());
   if (auto request = tickets.ask(step_ref_of(job, waiting), *job.queue->adviser, with_room,
@@ -348,6 +353,7 @@
   starting.run = run_number{std::max(starting.run.value() + 1, first_of_term)};
   starting.phase = unit_phase::active;
   starting.all_running = false;
+  starting.reservation_failed = false;
   starting.wait = {};
   std::string worker_names;
   auto& used_of_service = services[job.queue->service].used;
@@ -376,10 +382,12 @@
     start_unit(job, placed, where, now);
     return std::nullopt;
   }
-  if (urgent && preempt(job, placed, false, now)) {
+  const bool spread = prefers_rack(step) && may_spread(job, placed, now);
+  // After a failed reservation, idle workers elsewhere are better than more stops in the rack.
+  const bool elsewhere_first = spread && placed.reservation_failed;
+  if (urgent && !elsewhere_first && preempt(job, placed, false, now)) {
     return std::nullopt;
   }
-  const bool spread = prefers_rack(step) && may_spread(job, placed, now);
   if (spread) {
     if (const auto where = choose_workers(job, placed, true); !where.empty()) {
       start_unit(job, placed, where, now);
@@ -396,6 +404,9 @@
       return std::nullopt;
     }
   }
+  if (may_risk_trial(job, placed)) {
+    begin_trials(job, placed, now);
+  }
   if (urgent) {
     placed.not_before = now + detail::placement_pause;
   }
@@ -405,12 +416,36 @@
   return detail::no_free_space{};
 }
 
-bool job_scheduler::implementation::overdue(const job_state& job, instant now) {
-  const auto* space = space_for(job);
-  return space != nullptr && space->half_free() && job.stands_since &&
+bool job_scheduler::implementation::overdue(const job_state& job, instant now) const {
+  const auto space = services.find(job.queue->service);
+  return space != services.end() && space->second.half_free() && job.stands_since &&
          now - *job.stands_since >= max_stand_with_room;
 }
 
+bool job_scheduler::implementation::may_risk_trial(const job_state& job, const unit& placed) const {
+  const auto limit = job.queue->max_attempts;
+  const bool last_attempt =
+      limit > 0 && placed.failed_runs.size() + 1 >= limit && !step_of(job, placed).long_running;
+  // Runs that fail at once would use up all attempts before the job is seen to run.
+  return !last_attempt && overdue(job, pass_time) && pass_time - placed.waiting_since >= max_stand_with_room;
+}
+
+void job_scheduler::implementation::begin_trials(const job_state& job, const unit& placed, instant now) {
+  const auto* space = space_for(job);
+  const auto& step = step_of(job, placed);
+  auto left = placed.members.size();
+  for (const auto* worker : space->workers) {
+    const bool suited = worker != nullptr && worker->listed && worker->set_aside && !worker->trial &&
+                        worker->tasks.empty() && !worker->entry.draining && worker->failed_renewals == 0 &&
+                        detail::has_required_label(*worker, step) &&
+                        worker->entry.capacity.covers(occupied(step));
+    if (suited && left > 0) {
+      --left;
+      update_health(worker_health::trial_needed{worker->entry.id}, now);
+    }
+  }
+}
+
 bool job_scheduler::implementation::fits_an_empty_rack(const job_state& job, const unit& placed) {
   const auto* space = space_for(job);
   if (space == nullptr) {
@@ -502,6 +537,7 @@
     if (lost || free) {
       release_reservation(*each, need);
       each->phase = unit_phase::waiting;
+      each->reservation_failed = lost;
       mark_waiting(*job, *each);
     }
     if (!lost && free) {
--- a/tests/coordination/simulated_workers.hpp
+++ b/tests/coordination/simulated_workers.hpp
@@ -42,6 +42,7 @@
     bool refuses_connections{false};  ///< While it is disconnected; otherwise orders vanish.
     bool fails_every_run{false};      ///< Runs fail as soon as they have begun.
     bool refuses_starts{false};       ///< Unhealthy: refuses every start, and has then done nothing.
+    bool loses_stops{false};          ///< Stop orders never arrive.
     bool stalled{false};
     std::uint64_t highest_term{0};
     instant clock_started{};      ///< The clock starts anew in each incarnation.
@@ -231,6 +232,7 @@
   /// Whether a late order may reach a later incarnation than the one that it was sent to.
   bool late_orders_outlive_workers{false};
   bool store_up{true};
+  bool worker_set_writable{true};            ///< Otherwise writes of the set of workers wait.
   duration startup_time{milliseconds{500}};  ///< Of tasks that last until they are cancelled.
   std::size_t max_listed_ends{500};          ///< Of a report.
   std::optional<milliseconds> stop_time;     ///< Time that a stop takes; random by default.
@@ -707,6 +709,10 @@
             scheduler->stop_answered(order, result, now);
             order_answered(order.worker);
           };
+          if (workers.at(order.worker).loses_stops) {
+            answer_later(milliseconds{400}, [answered] { answered(stop_result::unanswered); });
+            return;
+          }
           send_order(
               order.worker, order.address,
               [this, order, from = term](worker& at) {
@@ -780,6 +786,10 @@
   }
   void perform(const store_workers& write) {
     after(milliseconds{4}, [this, write, of_term = term] {
+      if (!worker_set_writable) {
+        return after(milliseconds{100},
+                     [this, write, of_term] { of_term == term ? perform(write) : void(); });
+      }
       if (of_term == term) {
         stored_workers = write.workers;
         stored_leaving = write.leaving;
