Let the soak see jobs that stand: racks, labels, steps that last, and a check of LOST while it runs

Workers now have kinds and racks of two (four more workers, which only disturbances of whole racks meet, so that older faults of a seed hit the same workers). A quarter of the jobs cares where it runs, and whole racks refuse starts, are cut off and stay listed, crash or leave, each from random sources of their own. The stand-ins check labels, tasks per worker, and that a checkpoint is the task's own, and work three times as long away from the data. standing_check judges by what the workers run and by the injected faults; each exemption names its reason. The stand-in of a worker and the probes of the configuration moved to files of their own.

--- a/tests/platform/soak/callers.cpp
+++ b/tests/platform/soak/callers.cpp
@@ -14,6 +14,7 @@
 
 constexpr duration submit_period{milliseconds{160}};
 constexpr duration long_submit_period{milliseconds{700}};
+constexpr duration placed_submit_period{milliseconds{400}};
 constexpr duration query_period{milliseconds{40}};
 constexpr duration caller_timeout{milliseconds{3000}};
 constexpr int max_attempts = 30;
@@ -45,6 +46,23 @@
     if (!step.after.empty()) {
       row["after"] = step.after;
     }
+    const std::pair<const char*, bool> flags[] = {{"sameRack", step.same_rack},
+                                                  {"checkpointing", step.checkpointing},
+                                                  {"longRunning", step.long_running}};
+    for (const auto& [name, set] : flags) {
+      if (set) {
+        row[name] = true;
+      }
+    }
+    if (!step.data_rack.empty()) {
+      row["dataRack"] = step.data_rack;
+    }
+    if (!step.required_label.empty()) {
+      row["requiredLabel"] = step.required_label;
+    }
+    if (step.max_per_server > 0) {
+      row["maxPerServer"] = step.max_per_server;
+    }
     rows.push_back(std::move(row));
   }
   return {{"spec", "soak"}, {"steps", std::move(rows)}};
@@ -58,13 +76,17 @@
       random_{random},
       options_{std::move(opts)},
       client_{loop, {}},
-      long_jobs_random_{options_.seed} {}
+      long_jobs_random_{options_.seed},
+      placed_jobs_{options_.seed, fleet_.racks()} {}
 
 void callers::begin() {
   submit_timer_ = loop_.run_every(submit_period, [this] { submit_new(make_random_job()); });
   if (options_.long_and_wide_jobs) {
     long_timer_ = loop_.run_every(long_submit_period, [this] { submit_new(make_long_or_wide_job()); });
   }
+  if (options_.placed_jobs) {
+    placed_timer_ = loop_.run_every(placed_submit_period, [this] { submit_new(placed_jobs_.next()); });
+  }
   query_timer_ = loop_.run_every(query_period, [this] { query_phase(); });
 }
 
@@ -108,15 +130,43 @@
 
 void callers::submit_new(std::pair<std::string, soak_job> new_job) {
   auto [id, steps] = std::move(new_job);
-  jobs_[id].body = encode(steps).dump();
-  fleet_.register_job(id, std::move(steps));
-  submit(id);
+  submit_new({.id = std::move(id),
+              .queue = options_.path_prefix,
+              .steps = std::move(steps),
+              .cancelled_at_end = false});
+}
+
+void callers::submit_new(placed_job new_job) {
+  auto& added = jobs_[new_job.id];
+  added.body = encode(new_job.steps).dump();
+  added.queue = new_job.queue;
+  added.endless = new_job.cancelled_at_end;
+  fleet_.register_job(new_job.id, std::move(new_job.steps));
+  submit(new_job.id);
+}
+
+void callers::cancel_endless_jobs() {
+  endless_cancelled_ = true;
+  for (const auto& [id, record] : jobs_) {
+    if (record.endless && record.outcome == submit_outcome::accepted && !record.cancel_sent) {
+      cancel(id);
+    }
+  }
+}
+
+void callers::for_each_owed(const std::function<void(const std::string&)>& call) const {
+  for (const auto& [id, record] : jobs_) {
+    const bool ended = record.phase == "complete" || record.phase == "cancelled" || record.phase == "failed";
+    if (record.outcome == submit_outcome::accepted && !record.cancel_sent && !ended) {
+      call(id);
+    }
+  }
 }
 
 void callers::call(const std::string& method, const std::string& id, http_client::callback done) {
   const auto& address = options_.addresses[random_.below(options_.addresses.size())];
   http_request request{.method = method,
-                       .path = options_.path_prefix + id,
+                       .path = jobs_.at(id).queue + id,
                        .query = {},
                        .headers = {{"Host", options_.host},
                                    {"Key", options_.key},
@@ -143,6 +193,9 @@
       if (newly_accepted && random_.below(percent_range) < 15) {
         submit_later(id, milliseconds{500 + random_.below(2000)});  // A late duplicate.
       }
+      if (newly_accepted && record.endless && endless_cancelled_) {
+        return cancel(id);
+      }
       if (newly_accepted && random_.below(percent_range) < 15) {
         loop_.run_detached(milliseconds{random_.below(1500)}, [this, id] { cancel(id); });
       }
--- a/tests/platform/soak/callers.hpp
+++ b/tests/platform/soak/callers.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "placed_jobs.hpp"
 #include "rhubarbpath/state/random.hpp"
 #include "rhubarbpath/transport/http_client.hpp"
 #include "worker_fleet.hpp"
@@ -24,6 +26,8 @@
     /// Also submits jobs that outlast an absence of their workers, and now and then one with so many short
     /// tasks that a worker cannot list all their ends at a time.
     bool long_and_wide_jobs{true};
+    /// Also submits jobs that care where they run.
+    bool placed_jobs{true};
     std::uint64_t seed{1};  ///< Of these jobs.
   };
 
@@ -34,7 +38,12 @@
   void stop_submitting() {
     submit_timer_.cancel();
     long_timer_.cancel();
+    placed_timer_.cancel();
   }
+  /// Cancels the jobs that never complete by themselves.
+  void cancel_endless_jobs();
+  /// Calls `call` for each accepted job that nobody has cancelled and that was not reported as ended.
+  void for_each_owed(const std::function<void(const std::string&)>& call) const;
   /// Returns true when every accepted job has ended and every other submission was refused or abandoned.
   [[nodiscard]] bool settled() const;
   /// Checks the final answers against the recorded runs; call it once, at the end.
@@ -46,6 +55,8 @@
   enum class submit_outcome { unsettled, accepted, refused };
   struct job {
     std::string body;
+    std::string queue;  ///< Prefix of its path.
+    bool endless{false};
     submit_outcome outcome{submit_outcome::unsettled};
     int attempts{0};
     bool uncertain{false};  ///< At least one attempt got no definite answer.
@@ -55,6 +66,7 @@
   };
 
   void submit_new(std::pair<std::string, soak_job> new_job);
+  void submit_new(placed_job new_job);
   [[nodiscard]] std::pair<std::string, soak_job> make_long_or_wide_job();
   void submit(const std::string& id);
   void submit_later(const std::string& id, duration pause);
@@ -74,7 +86,10 @@
   std::vector<std::string> violations_;
   random_source long_jobs_random_;
   timer_handle submit_timer_;
+  placed_jobs placed_jobs_;
+  bool endless_cancelled_{false};
   timer_handle long_timer_;
+  timer_handle placed_timer_;
   timer_handle query_timer_;
 };
 
--- a/tests/platform/soak/edge_soak.cpp
+++ b/tests/platform/soak/edge_soak.cpp
@@ -6,6 +6,7 @@
 #include <tclap/CmdLine.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <csignal>
@@ -17,10 +18,13 @@
 #include <memory>
 
 #include "callers.hpp"
+#include "config_checks.hpp"
 #include "edge_process.hpp"
 #include "fault_proxy.hpp"
 #include "odd_callers.hpp"
 #include "platform_documents.hpp"
+#include "rack_changes.hpp"
+#include "standing_check.hpp"
 #include "store_stand_in.hpp"
 #include "worker_changes.hpp"
 #include "worker_fleet.hpp"
@@ -41,19 +45,21 @@
 /// Every accepted job must end within this time after the last fault, which allows for a takeover with the
 /// longest lease and for the work itself.
 constexpr duration settle_limit{seconds{45}};
+/// Jobs that never complete are cancelled this long after the last fault; the check that each of their tasks
+/// runs needs the time until then.
+constexpr duration endless_limit{seconds{14}};
 /// The configuration must be in force on every VM within this time after the last fault.
 constexpr duration config_limit{seconds{9}};
-/// No VM may refuse by a version that was replaced longer ago, whatever faults it suffers; see
-/// `configApplyMs` in the settings.
-constexpr duration config_apply_limit{seconds{2}};
 
 struct soak_options {
   std::string program;
   std::uint64_t seed{1};
   int seconds{20};
   int vms{4};
-  int workers{8};
+  int workers{12};
   bool worker_changes{true};
+  bool service_faults{true};
+  bool rack_changes{true};
   std::filesystem::path folder;
 };
 
@@ -67,15 +73,17 @@
         // Concurrent soak runs use different loopback networks.
         network_prefix_{fmt::format("127.{}.{}", 16 + getpid() % 200, 1 + getpid() / 200 % 250)},
         store_{loop_, network_prefix_ + ".1", store_port, random_},
-        fleet_{loop_, store_, random_},
-        probe_client_{loop_, {}} {}
+        fleet_{loop_, store_, random_, options_.seed},
+        configs_{loop_, store_, [this](const std::string& text) { violation(text); }} {}
 
   int run() {
     if (const auto status = set_up(); !status.ok()) {
       std::cerr << "edge_soak: " << status.message() << "\n";
       return 2;
     }
-    plan_faults();
+    if (options_.service_faults) {
+      plan_faults();
+    }
     if (options_.worker_changes) {
       // A random source of its own, so that the faults of a seed stay as they were before these changes.
       worker_changes_ = std::make_unique<worker_changes>(
@@ -83,16 +91,28 @@
                                        .fleet = fleet_,
                                        .store = store_,
                                        .proxies = worker_proxies_,
-                                       .trace = [this](const std::string& text) { trace(text); }},
+                                       .trace = [this](const std::string& text) { trace(text); },
+                                       .disturbed = worker_disturbed()},
           options_.seed);
       worker_changes_->plan(seconds{3}, seconds{options_.seconds});
     }
+    if (options_.rack_changes) {
+      rack_changes_ = std::make_unique<rack_changes>(
+          rack_changes::dependencies{.loop = loop_,
+                                     .fleet = fleet_,
+                                     .proxies = worker_proxies_,
+                                     .trace = [this](const std::string& text) { trace(text); },
+                                     .disturbed = worker_disturbed()},
+          options_.seed);
+      rack_changes_->plan(seconds{4}, seconds{options_.seconds});
+    }
     timers_.push_back(loop_.run_every(milliseconds{50}, [this] { check_processes(); }));
     timers_.push_back(loop_.run_every(milliseconds{500}, [this] { probe_configs(); }));
-    timers_.push_back(loop_.run_every(seconds{2}, [this] { write_config(); }));
+    timers_.push_back(loop_.run_every(seconds{2}, [this] { configs_.write(); }));
     schedule(seconds{3}, [this] {
       callers_->begin();
       odd_callers_->begin();
+      standing_check_->begin();
     });
     schedule(seconds{3 + options_.seconds}, [this] { clear_faults(); });
     loop_.run();
@@ -126,11 +146,15 @@
   }
   void schedule(duration delay, std::function<void()> call) { loop_.run_detached(delay, std::move(call)); }
 
+  [[nodiscard]] std::function<void(std::size_t, duration)> worker_disturbed() {
+    return [this](std::size_t worker, duration length) { standing_check_->worker_disturbed(worker, length); };
+  }
+
   absl::Status set_up() {
     std::filesystem::create_directories(options_.folder);
     trace_.open(options_.folder / "soak.txt");
     started_at_ = loop_.now();
-    write_config();
+    configs_.write();
     if (auto status = store_.listen(); !status.ok()) {
       return status;
     }
@@ -139,6 +163,8 @@
       auto status = fleet_.add(network_prefix_ + ".3", port, fmt::format("{}.4:{}", network_prefix_, port));
       worker_proxies_.push_back(
           std::make_unique<fault_proxy>(loop_, network_prefix_ + ".4", port, network_prefix_ + ".3", port));
+      worker_proxies_.back()->on_disturbed_bytes(
+          [this](std::string_view bytes) { standing_check_->bytes_lost(bytes); });
       status.Update(worker_proxies_.back()->listen());
       if (!status.ok()) {
         return status;
@@ -156,9 +182,17 @@
                                           .path_prefix = "/jobs/",
                                           .key = "key-a",
                                           .long_and_wide_jobs = options_.worker_changes,
+                                          .placed_jobs = options_.rack_changes,
                                           .seed = options_.seed};
     callers_ = std::make_unique<callers>(loop_, fleet_, random_, caller_options);
     odd_callers_ = std::make_unique<odd_callers>(loop_, fleet_, caller_options);
+    standing_check_ = std::make_unique<standing_check>(
+        standing_check::dependencies{.loop = loop_,
+                                     .fleet = fleet_,
+                                     .clients = *callers_,
+                                     .trace = [this](const std::string& text) { trace(text); },
+                                     .violation = [this](const std::string& text) { violation(text); }});
+    fleet_.on_unanswered_order([this](const std::string& job) { standing_check_->order_lost(job); });
     return absl::OkStatus();
   }
 
@@ -205,13 +239,6 @@
                                       (entry_vm.moved ? moved_store_port : proxy_port) + index)});
   }
 
-  /// Writes the next configuration. Each version adds one route named after it and keeps all earlier ones.
-  void write_config() {
-    ++config_version_;
-    config_written_at_[config_version_] = loop_.now();
-    store_.put("op/config", config_text(config_version_));
-  }
-
   // ---- faults ----
 
   void plan_faults() {
@@ -231,7 +258,7 @@
 
   void inject(std::uint64_t kind, std::uint64_t target, duration length) {
     auto& entry_vm = vms_[target % vms_.size()];
-    const auto worker = target % fleet_.size();
+    const auto worker = target % std::min(max_single_disturbed, fleet_.size());
     switch (kind) {
       case 0:
       case 1:
@@ -251,12 +278,15 @@
                                entry_vm.name + " store", target, length);
       case 9:
       case 10:
+        standing_check_->worker_disturbed(worker, length);
         return set_proxy_fault(*worker_proxies_[worker], fmt::format("worker {}", worker), target, length);
       case 11:
         trace(fmt::format("worker {} restarts", worker));
+        standing_check_->worker_disturbed(worker, duration::zero());
         return fleet_.present(worker) ? fleet_.restart(worker) : void();
       case 12:
         trace(fmt::format("worker {} cannot reach the store", worker));
+        standing_check_->worker_disturbed(worker, length);
         fleet_.faults(worker).store_unreachable = true;
         return schedule(length, [this, worker] { fleet_.faults(worker).store_unreachable = false; });
       case 13:
@@ -273,6 +303,7 @@
   void inject_store_fault(std::uint64_t kind, duration length) {
     auto& faults = store_.faults;
     trace(fmt::format("store fault {} for {} ms", kind, length.count() / 1000));
+    standing_check_->service_disturbed(length);
     if (kind == 16) {
       faults.down = true;
       faults.leases_paused = random_.below(2) == 0;
@@ -290,6 +321,9 @@
 
   void set_worker_faults(const std::string& name, duration length, int worker_faults::*field, int percent) {
     trace(fmt::format("{} at all workers for {} ms", name, length.count() / 1000));
+    if (field != &worker_faults::failed_starts_percent) {
+      standing_check_->service_disturbed(length);
+    }
     for (std::size_t i = 0; i < fleet_.size(); ++i) {
       fleet_.faults(i).*field = percent;
     }
@@ -305,12 +339,14 @@
                                proxy_mode::blocked, proxy_mode::one_way};
     const auto index = target / 7 % modes.size();
     trace(fmt::format("{}: proxy mode {} for {} ms", name, index + 1, length.count() / 1000));
+    standing_check_->service_disturbed(length);
     proxy.set_mode(modes[index]);
     schedule(length, [&proxy] { proxy.set_mode(proxy_mode::pass); });
   }
 
   void change_store_address(vm& entry_vm, bool send_sighup) {
     entry_vm.moved = !entry_vm.moved;
+    standing_check_->service_disturbed(duration::zero());
     trace(fmt::format("{}: settings changed to another store address{}", entry_vm.name,
                       send_sighup ? ", SIGHUP" : ""));
     write_settings(entry_vm);
@@ -351,6 +387,7 @@
   void restart(vm& entry_vm) {
     if (!entry_vm.process->alive() && !shutting_down_) {
       trace(entry_vm.name + ": started");
+      standing_check_->service_disturbed(duration::zero());
       entry_vm.killed = entry_vm.stopping = entry_vm.paused_while_stopping = false;
       entry_vm.highest_config_seen = 0;
       if (!entry_vm.process->start()) {
@@ -363,6 +400,9 @@
 
   void check_processes() {
     for (auto& entry_vm : vms_) {
+      if (!entry_vm.process->alive() || entry_vm.paused || entry_vm.stopping) {
+        standing_check_->service_disturbed(duration::zero());
+      }
       if (const auto status = entry_vm.process->reap()) {
         handle_process_end(entry_vm, *status);
       } else if (entry_vm.stopping && !entry_vm.killed && loop_.now() - entry_vm.stop_sent_at > stop_grace) {
@@ -389,42 +429,13 @@
     }
   }
 
-  /// Probes each process for the route of the newest configuration that it has been seen to serve and for
-  /// those of the latest two configurations.
   void probe_configs() {
     for (auto& entry_vm : vms_) {
       if (entry_vm.process->alive() && !entry_vm.paused && !entry_vm.stopping) {
-        probe(entry_vm, std::max(1, entry_vm.highest_config_seen));
-        probe(entry_vm, config_version_);
-        probe(entry_vm, std::max(1, config_version_ - 1));
+        configs_.probe(entry_vm.name, entry_vm.address, entry_vm.highest_config_seen);
       }
     }
   }
-  void probe(vm& entry_vm, int version) {
-    const http_request request{.method = "GET",
-                               .path = fmt::format("/probe-{}/no-id", version),
-                               .query = {},
-                               .headers = {{"Host", std::string{caller_host}}},
-                               .body = {}};
-    const bool seen_before = version <= entry_vm.highest_config_seen;
-    const auto written_before = loop_.now() - config_written_at_.at(version);
-    probe_client_.call(
-        fmt::format("{}:{}", entry_vm.address, caller_port), request, seconds{2},
-        [this, &entry_vm, version, seen_before, written_before](const http_result& result) {
-          const auto* response = std::get_if<http_response>(&result);
-          // A known route answers with 410 because the job id is malformed.
-          if (response != nullptr && response->status == 410) {
-            entry_vm.highest_config_seen = std::max(entry_vm.highest_config_seen, version);
-          } else if (response != nullptr && response->status == 404 && seen_before &&
-                     entry_vm.highest_config_seen >= version) {
-            violation(fmt::format("CONFIG: {} reverted to a configuration older than version {}",
-                                  entry_vm.name, version));
-          } else if (response != nullptr && response->status == 404 && written_before > config_apply_limit) {
-            violation(fmt::format("CONFIG: {} refuses the route of version {}, written {} ms before",
-                                  entry_vm.name, version, written_before.count() / 1000));
-          }
-        });
-  }
 
   void clear_faults() {
     trace("all faults cleared");
@@ -439,6 +450,11 @@
     if (worker_changes_ != nullptr) {
       worker_changes_->clear();
     }
+    if (rack_changes_ != nullptr) {
+      rack_changes_->clear();
+    }
+    standing_check_->faults_cleared();
+    schedule(endless_limit, [this] { callers_->cancel_endless_jobs(); });
     for (auto& entry_vm : vms_) {
       for (auto* proxy :
            {entry_vm.store_proxy.get(), entry_vm.moved_store_proxy.get(), entry_vm.caller_proxy.get()}) {
@@ -448,7 +464,7 @@
       entry_vm.paused = false;
     }
     faults_cleared_at_ = loop_.now();
-    config_version_at_clear_ = config_version_;
+    config_version_at_clear_ = configs_.version();
     // A process that was killed or stopped just before is running again within 5 s; its limit starts then.
     schedule(seconds{5} + config_limit, [this] { check_configs(); });
     timers_.push_back(loop_.run_every(milliseconds{200}, [this] {
@@ -469,6 +485,7 @@
   }
   void shut_down() {
     shutting_down_ = true;
+    standing_check_->stop();
     callers_->check();
     odd_callers_->check();
     trace("stopping all processes");
@@ -484,8 +501,8 @@
     for (const auto& each : violations_) {
       std::cout << "VIOLATION " << each << "\n";
     }
-    std::cout << fmt::format("seed {}: {}, {} runs, {} violations\n", options_.seed, callers_->summary(),
-                             fleet_.runs(), violations_.size());
+    std::cout << fmt::format("seed {}: {}, {} runs, {}, {} violations\n", options_.seed, callers_->summary(),
+                             fleet_.runs(), standing_check_->summary(), violations_.size());
     return violations_.empty() ? 0 : 1;
   }
 
@@ -504,14 +521,14 @@
     reserved.reserve(64);  // Timers hold references to the elements, so the vector must not reallocate.
     return reserved;
   }();
-  http_client probe_client_;
+  config_checks configs_;
   std::unique_ptr<callers> callers_;
   std::unique_ptr<odd_callers> odd_callers_;
+  std::unique_ptr<standing_check> standing_check_;
   std::unique_ptr<worker_changes> worker_changes_;
+  std::unique_ptr<rack_changes> rack_changes_;
   std::vector<timer_handle> timers_;
   std::vector<std::string> violations_;
-  int config_version_{0};
-  std::map<int, instant> config_written_at_;
   int config_version_at_clear_{0};
   bool faults_cleared_{false};
   bool shutting_down_{false};
@@ -529,9 +546,12 @@
                                         "number", command};
     TCLAP::ValueArg<int> length{"", "seconds", "length of the load", false, 20, "s", command};
     TCLAP::ValueArg<int> vms{"", "vms", "number of entry VMs, at most 60", false, 4, "number", command};
-    TCLAP::ValueArg<int> workers{"", "workers", "number of workers", false, 8, "number", command};
+    TCLAP::ValueArg<int> workers{"", "workers", "number of workers", false, 12, "number", command};
     TCLAP::SwitchArg steady_workers{"", "steady-workers", "no worker drains, crashes, is replaced or cut off",
                                     command};
+    TCLAP::SwitchArg steady_service{"", "steady-service", "no VM, store or call is disturbed", command};
+    TCLAP::SwitchArg steady_racks{"", "steady-racks", "no rack is disturbed, and no job cares where it runs",
+                                  command};
     TCLAP::ValueArg<std::string> folder{"",     "folder", "folder for logs and settings", true, "",
                                         "path", command};
     command.parse(argc, argv);
@@ -542,6 +562,8 @@
                                        .vms = vms.getValue(),
                                        .workers = workers.getValue(),
                                        .worker_changes = !steady_workers.getValue(),
+                                       .service_faults = !steady_service.getValue(),
+                                       .rack_changes = !steady_racks.getValue(),
                                        .folder = folder.getValue()}};
     return soak.run();
   } catch (const TCLAP::ArgException& error) {
--- a/tests/platform/soak/fault_proxy.cpp
+++ b/tests/platform/soak/fault_proxy.cpp
@@ -50,6 +50,7 @@
   std::string target_address;
   std::uint16_t target_port;
   proxy_mode mode{proxy_mode::pass};
+  std::function<void(std::string_view)> disturbed_bytes;
   evconnlistener* listener{nullptr};
   std::list<std::shared_ptr<connection>> connections;
 
@@ -82,6 +83,11 @@
     const bool from_target = from == at.target;
     auto* input = bufferevent_get_input(from);
     const auto mode = at.owner->mode;
+    if (!from_target && at.owner->disturbed_bytes && (at.silent || mode != proxy_mode::pass)) {
+      const auto length = evbuffer_get_length(input);
+      const auto* bytes = evbuffer_pullup(input, -1);
+      at.owner->disturbed_bytes({reinterpret_cast<const char*>(bytes), length});
+    }
     if (at.silent || mode == proxy_mode::blocked || (mode == proxy_mode::one_way && from_target)) {
       // A stream with missing bytes must not be resumed, so the connection stays silent until it closes.
       at.silent = true;
@@ -126,6 +132,7 @@
                                          .port = port,
                                          .target_address = std::move(target_address),
                                          .target_port = target_port,
+                                         .disturbed_bytes = {},
                                          .connections = {}}} {}
 
 fault_proxy::~fault_proxy() {
@@ -153,6 +160,10 @@
                                   : absl::UnavailableError("fault proxy: cannot listen on its address");
 }
 
+void fault_proxy::on_disturbed_bytes(std::function<void(std::string_view)> call) {
+  implementation_->disturbed_bytes = std::move(call);
+}
+
 void fault_proxy::set_mode(proxy_mode mode) {
   auto& self = *implementation_;
   self.mode = mode;
--- a/tests/platform/soak/fault_proxy.hpp
+++ b/tests/platform/soak/fault_proxy.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "absl/status/status.h"
 #include "rhubarbpath/transport/event_loop.hpp"
@@ -32,6 +34,8 @@
 
   [[nodiscard]] absl::Status listen();
   void set_mode(proxy_mode mode);
+  /// Calls `call` with the bytes that clients send while the mode, or their connection, disturbs them.
+  void on_disturbed_bytes(std::function<void(std::string_view)> call);
 
  private:
   struct implementation;
--- a/tests/platform/soak/platform_documents.cpp
+++ b/tests/platform/soak/platform_documents.cpp
@@ -35,14 +35,13 @@
 }
 
 std::string config_text(int number) {
-  json routes = json::array({{{"name", "jobs"},
-                              {"host", caller_host},
-                              {"prefix", "/jobs/"},
-                              {"service", "render"},
-                              {"priority", 1},
-                              {"maxAttempts", 20},
-                              {"stretch", 3.0},
-                              {"targetDurationMs", 20'000}}});
+  const auto job_queue = [](std::string_view name, std::string_view prefix, int priority) {
+    return json{{"name", name},        {"host", caller_host},       {"prefix", prefix},
+                {"service", "render"}, {"priority", priority},      {"maxAttempts", 20},
+                {"stretch", 3.0},      {"targetDurationMs", 20'000}};
+  };
+  json routes = json::array({job_queue("jobs", normal_queue, 1), job_queue("urgent", urgent_queue, 0),
+                             job_queue("spare", spare_queue, 2)});
   for (int i = 1; i <= number; ++i) {
     routes.push_back({{"name", fmt::format("probe-{}", i)},
                       {"host", caller_host},
--- a/tests/platform/soak/platform_documents.hpp
+++ b/tests/platform/soak/platform_documents.hpp
@@ -13,6 +13,9 @@
 constexpr std::uint16_t ready_port = 8523;
 constexpr std::uint16_t peer_port = 8526;
 constexpr std::string_view caller_host = "soak.example";
+constexpr std::string_view normal_queue = "/jobs/";    ///< Priority 1.
+constexpr std::string_view urgent_queue = "/urgent/";  ///< Priority 0.
+constexpr std::string_view spare_queue = "/spare/";    ///< Priority 2.
 
 struct vm_document {
   std::string name;
@@ -25,7 +28,7 @@
 /// Replaces the settings file at `path` in one step, so that no process reads a partial file.
 void write_settings(const std::filesystem::path& path, const vm_document& vm);
 
-/// Returns version `number` of the configuration. It has the queue "/jobs/" and one queue for each version
+/// Returns version `number` of the configuration. It has three queues for jobs and one queue for each version
 /// so far, "/probe-1/" to "/probe-NUMBER/", which shows callers the version that a VM uses.
 [[nodiscard]] std::string config_text(int number);
 
--- a/tests/platform/soak/worker_changes.cpp
+++ b/tests/platform/soak/worker_changes.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -66,7 +67,7 @@
   const auto count = span / 1500;
   for (std::uint64_t i = 0; i < count; ++i) {
     const auto kind = random_.below(8);
-    const auto worker = random_.below(deps_.fleet.size());
+    const auto worker = random_.below(std::min(max_single_disturbed, deps_.fleet.size()));
     const auto lasts = milliseconds{300 + random_.below(5500)};
     schedule(begin + milliseconds{random_.below(span)},
              [this, kind, worker, lasts] { change(kind, worker, lasts); });
@@ -103,6 +104,7 @@
   schedule(drain_time + length, [this, worker] {
     if (deps_.fleet.present(worker)) {
       deps_.trace(fmt::format("worker {} leaves", worker));
+      deps_.disturbed(worker, duration::zero());
       deps_.fleet.stop(worker, true);
       deps_.proxies[worker]->set_mode(proxy_mode::refused);
       schedule(milliseconds{200 + random_.below(3000)}, [this, worker] { come_back(worker, false); });
@@ -115,6 +117,7 @@
     return;
   }
   deps_.trace(fmt::format("worker {} crashes for {} ms", worker, length.count() / 1000));
+  deps_.disturbed(worker, length);
   deps_.fleet.stop(worker, false);
   deps_.proxies[worker]->set_mode(proxy_mode::refused);
   const bool same_id = random_.below(2) == 0;
@@ -136,6 +139,7 @@
   const bool refused = random_.below(3) != 0;
   deps_.trace(fmt::format("worker {} is cut off for {} ms, connections {}", worker, length.count() / 1000,
                           refused ? "refused" : "silent"));
+  deps_.disturbed(worker, length);
   deps_.fleet.faults(worker).store_unreachable = true;
   deps_.proxies[worker]->set_mode(refused ? proxy_mode::refused : proxy_mode::blocked);
   schedule(length, [this, worker] {
--- a/tests/platform/soak/worker_changes.hpp
+++ b/tests/platform/soak/worker_changes.hpp
@@ -23,6 +23,8 @@
     store_stand_in& store;
     std::vector<std::unique_ptr<fault_proxy>>& proxies;  ///< One for each worker.
     std::function<void(const std::string&)> trace;
+    /// Called before a worker is lost or out of reach for that long.
+    std::function<void(std::size_t, duration)> disturbed;
   };
 
   worker_changes(dependencies deps, std::uint64_t seed);
