--- a/tests/platform/edge/edge_processes.cpp
+++ b/tests/platform/edge/edge_processes.cpp
@@ -10,7 +10,6 @@
 #include <optional>
 #include <stdexcept>
 
-#include "../soak/platform_documents.hpp"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_split.h"
 #include "rhubarbpath/transport/http_status.hpp"
@@ -131,11 +130,12 @@
 }
 
 http_result edge_processes::call_for_job(std::size_t vm, const std::string& method, const std::string& job,
-                                         const std::string& body, duration patience, const std::string& key) {
+                                         const std::string& body, duration patience, const std::string& key,
+                                         std::string_view queue) {
   return call(
       fmt::format("{}:{}", vms_.at(vm).address, caller_port),
       {.method = method,
-       .path = "/jobs/" + job,
+       .path = std::string{queue} + job,
        .query = {},
        .headers = {{"Host", std::string{caller_host}}, {"Key", key}, {"Content-Type", "application/json"}},
        .body = body},
@@ -143,14 +143,15 @@
 }
 
 int edge_processes::call_job(std::size_t vm, const std::string& method, const std::string& job,
-                             const std::string& body, duration patience, const std::string& key) {
-  const auto result = call_for_job(vm, method, job, body, patience, key);
+                             const std::string& body, duration patience, const std::string& key,
+                             std::string_view queue) {
+  const auto result = call_for_job(vm, method, job, body, patience, key, queue);
   const auto* response = std::get_if<http_response>(&result);
   return response == nullptr ? 0 : response->status;
 }
 
 std::string edge_processes::job_state(std::size_t vm, const std::string& job) {
-  const auto result = call_for_job(vm, "GET", job, {}, call_timeout, "key-a");
+  const auto result = call_for_job(vm, "GET", job, {}, call_timeout, "key-a", normal_queue);
   const auto* response = std::get_if<http_response>(&result);
   if (response == nullptr || response->status != http_status::ok) {
     return {};
--- a/tests/platform/edge/edge_processes.hpp
+++ b/tests/platform/edge/edge_processes.hpp
@@ -3,10 +3,12 @@
 #include <filesystem>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "../soak/edge_process.hpp"
 #include "../soak/fault_proxy.hpp"
+#include "../soak/platform_documents.hpp"
 #include "../soak/store_stand_in.hpp"
 #include "../soak/worker_fleet.hpp"
 #include "rhubarbpath/transport/http_client.hpp"
@@ -49,7 +51,8 @@
   /// Sends a caller's request for a job and waits for the answer, at most for `patience`. Returns its status;
   /// 0 without one.
   [[nodiscard]] int call_job(std::size_t vm, const std::string& method, const std::string& job,
-                             const std::string& body, duration patience, const std::string& key = "key-a");
+                             const std::string& body, duration patience, const std::string& key = "key-a",
+                             std::string_view queue = normal_queue);
   /// Number of store calls that the VM has relayed for others.
   [[nodiscard]] int relayed_calls(std::size_t vm);
 
@@ -61,7 +64,8 @@
   };
   [[nodiscard]] http_result call(const std::string& address, const http_request& request, duration patience);
   [[nodiscard]] http_result call_for_job(std::size_t vm, const std::string& method, const std::string& job,
-                                         const std::string& body, duration patience, const std::string& key);
+                                         const std::string& body, duration patience, const std::string& key,
+                                         std::string_view queue);
 
   std::filesystem::path folder_;
   std::string network_prefix_;
