Let a new owner wait only for the tasks of a worker that had fallen silent before

What callers saw: all jobs of the previous owner with nothing running for 10.7 s after a change of the owner, because one worker was out of reach (LOST).

Cause: only ids of workers are stored, so any inherited job may run on a worker that does not report, and recovery waits for its longest lease. For draining workers the row names the tasks that may run there, and only these wait.

Change: a worker that has left three renewals unanswered is stored like a draining one, with the tasks that may run on it, late starts among them. It gets no work anyway, and none after it answers until the row has been written again. Not done where the owner cannot name all that may run there: before late orders of the previous owner are over (26 s into the term), after a restart whose lease is unknown, without a complete report, or with runs that are being stopped and have no unit.

A worker that is stored as leaving now also gets no work while that write is in flight. Until now one that drained and then did not could get a task that the row does not name.

What remains: an idle worker is not called, so one that was cut off while idle holds up all inherited jobs for the longest lease (10.6 s), and a second change of the owner in this time begins the wait anew (15.6 s after a second change at 5 s). Nothing stored proves more. A gang with a member on such a worker is stopped after the change, where it might have been adopted if the worker had come back within its lease.

Tests: scheduler_jobs_do_not_stand_for_a_worker_that_was_silent_before_the_owner_changed (failed before), scheduler_worker_being_stored_as_silent_gets_no_work_that_the_row_leaves_out (fails without the guard), and three that measure what remains.

--- a/src/coordination/job_scheduler.cpp
+++ b/src/coordination/job_scheduler.cpp
@@ -546,7 +546,7 @@
   }
   self.placement_due = true;
   self.renew_workers(now);
-  self.store_worker_set();
+  self.store_worker_set(now);
 }
 
 void job_scheduler::tick(instant now) {
@@ -561,7 +561,7 @@
     self.evacuate_leaving_workers(now);
     self.repeat_orders(now);
     if (self.worker_set_due) {
-      self.store_worker_set();
+      self.store_worker_set(now);
     }
     self.renew_workers(now);
   }
--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -43,6 +43,9 @@
 constexpr duration scan_interval{std::chrono::milliseconds{25}};
 /// Number of consecutive failed renewals after which a worker gets no new work.
 constexpr int unusable_after_failed_renewals = 1;
+/// Number after which it is stored as out of use. Until that is revoked in the store it gets no work, so a
+/// single lost answer does not count.
+constexpr int out_of_use_after_failed_renewals = 3;
 
 struct job_state {
   explicit job_state(const accepted_job& accepted) : job{accepted}, units{accepted.graph} {}
@@ -211,7 +214,9 @@
   std::set<worker_id> stored_leaving;
   std::set<worker_id> leaving_being_stored;
   bool storing_workers{false};
-  bool worker_set_due{false};  ///< A worker has reported for the first time, so it may get work once stored.
+  /// A worker has reported for the first time, so it may get work once stored, or was found to be silent, or
+  /// answers again.
+  bool worker_set_due{false};
   bool placement_due{true};
   bool starts_held{false};
   std::optional<instant> registry_requested;  ///< When the last list of the registry was requested.
@@ -315,7 +320,7 @@
   /// Unblocks the tasks of leaving workers on which no stop of an earlier owner is in progress any more.
   void unblock_reported_tasks(instant now);
   [[nodiscard]] bool blocked(const detail::job_state& job, const detail::unit& unit) const;
-  [[nodiscard]] std::vector<leaving_worker> leaving_workers() const;
+  [[nodiscard]] std::vector<leaving_worker> leaving_workers(instant now) const;
   /// Keeps the worker in the index of its service and rack.
   void index_worker(detail::worker_state& worker, const worker_entry& entry);
   void repeat_orders(instant now);
@@ -324,7 +329,10 @@
   [[nodiscard]] static bool may_have_work(const detail::worker_state& worker) {
     return (worker.listed && worker.reported) || !worker.tasks.empty() || !worker.unstored_ends.empty();
   }
-  void store_worker_set();
+  /// Whether the worker gets no new work and all that may run there is known, so that the next owner needs to
+  /// let only this wait. That holds for a draining worker, and for one that has not answered for a while.
+  [[nodiscard]] bool is_out_of_use(const detail::worker_state& worker, instant now) const;
+  void store_worker_set(instant now);
 
   // job_scheduler_reports.cpp
   void note_incarnation(detail::worker_state& worker, const lease_report& report, instant now);
--- a/src/coordination/job_scheduler_reports.cpp
+++ b/src/coordination/job_scheduler_reports.cpp
@@ -51,7 +51,8 @@
     self.note_drain(worker, entry, now);
     self.index_worker(worker, entry);
     worker.stored = worker.stored || self.stored_workers.contains(entry.id);
-    worker.stored_as_leaving = self.stored_leaving.contains(entry.id);
+    worker.stored_as_leaving =
+        self.stored_leaving.contains(entry.id) || self.leaving_being_stored.contains(entry.id);
     worker.listed = true;
   }
   // A fifth of the workers at most, because the judgement may be wrong.
@@ -60,7 +61,7 @@
                                                   .set_aside_share = set_aside_share},
                      now);
   self.registry_requested = requested;
-  self.store_worker_set();
+  self.store_worker_set(now);
   self.renew_workers(now);
 }
 
@@ -85,6 +86,8 @@
   ++worker.failed_renewals;
   constexpr duration longest_pause{std::chrono::milliseconds{600}};
   worker.renew_at = now + std::min(longest_pause, detail::renew_pause * worker.failed_renewals);
+  self.worker_set_due =
+      self.worker_set_due || worker.failed_renewals == detail::out_of_use_after_failed_renewals;
   if (worker.failed_renewals == 1) {
     self.record("worker_silent", {}, std::string{failure_name(failure)},
                 {{"worker", id.value()}, {"tasks", absl::StrCat(worker.tasks.size())}});
@@ -193,6 +196,7 @@
   if (std::exchange(worker.failed_renewals, 0) > 0) {
     self.record("worker_answers", {}, "renewal answered", {{"worker", id.value()}});
     self.placement_due = true;
+    self.worker_set_due = self.worker_set_due || worker.stored_as_leaving;
   }
   self.note_incarnation(worker, report, now);
   worker.has_strays = false;
--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -175,15 +175,29 @@
   return false;
 }
 
-std::vector<leaving_worker> job_scheduler::implementation::leaving_workers() const {
+bool job_scheduler::implementation::is_out_of_use(const worker_state& worker, instant now) const {
+  // Only after its first report is it known what runs on a worker.
+  if (!may_have_work(worker) || !worker.has_complete_report) {
+    return false;
+  }
+  if (worker.was_draining) {
+    return true;
+  }
+  // A silent worker may have been started again unnoticed, and the new incarnation may carry out late orders
+  // of the previous owner, which are not known here.
+  const auto orders_of_previous_owner_end =
+      started_at + detail::max_order_delay + on_slow_clock(opts.max_lease) + stop_grace();
+  return worker.failed_renewals >= detail::out_of_use_after_failed_renewals && !worker.has_strays &&
+         now >= std::max(worker.lease_unknown_until, orders_of_previous_owner_end);
+}
+
+std::vector<leaving_worker> job_scheduler::implementation::leaving_workers(instant now) const {
   std::vector<leaving_worker> leaving;
   for (const auto& [id, tasks] : unreported_leaving) {
     leaving.push_back({.worker = id, .tasks = tasks});
   }
   for (const auto& [id, worker] : workers) {
-    // Only after its first report is it known what runs on a worker. A draining one gets nothing new.
-    if (!may_have_work(worker) || !worker.has_complete_report || !worker.was_draining ||
-        unreported_leaving.contains(id)) {
+    if (!is_out_of_use(worker, now) || unreported_leaving.contains(id)) {
       continue;
     }
     leaving_worker each{.worker = id, .tasks = {}};
@@ -193,6 +207,9 @@
     for (const auto& [number, task] : worker.unstored_ends) {
       each.tasks.push_back(task);
     }
+    for (const auto& late : worker.late_starts) {
+      each.tasks.push_back(late.task);
+    }
     leaving.push_back(std::move(each));
   }
   return leaving;
@@ -264,7 +281,7 @@
   actions.emplace_back(std::move(order));
 }
 
-void job_scheduler::implementation::store_worker_set() {
+void job_scheduler::implementation::store_worker_set(instant now) {
   if (storing_workers) {
     return;
   }
@@ -276,8 +293,7 @@
     if (may_have_work(worker)) {
       to_store.insert(id);
       has_missing = has_missing || !worker.stored;
-      const bool leaving = worker.has_complete_report && worker.was_draining;
-      leaving_changed = leaving_changed || leaving != worker.stored_as_leaving;
+      leaving_changed = leaving_changed || is_out_of_use(worker, now) != worker.stored_as_leaving;
     }
   }
   const bool has_extra =
@@ -289,11 +305,15 @@
   if (recovery) {
     to_store.insert(unreported_workers.begin(), unreported_workers.end());
   }
-  auto leaving = leaving_workers();
+  auto leaving = leaving_workers(now);
   leaving_being_stored.clear();
   for (const auto& each : leaving) {
     to_store.insert(each.worker);
     leaving_being_stored.insert(each.worker);
+    // It gets no work while the write is in flight, which does not name that work.
+    if (const auto found = workers.find(each.worker); found != workers.end()) {
+      found->second.stored_as_leaving = true;
+    }
   }
   // Ids that will be removed become unusable before the write, so that none gets work while it is in flight.
   std::erase_if(stored_workers, [&](const worker_id& id) { return !to_store.contains(id); });
--- a/tests/coordination/job_scheduler_waits_test.cpp
+++ b/tests/coordination/job_scheduler_waits_test.cpp
@@ -67,6 +67,8 @@
   simulated_workers fleet{20261205};
 };
 
+// ---- a change of the owner ----
+
 TEST_CASE_METHOD(wait_fixture, "scheduler_recovery_is_not_delayed_by_workers_that_join_or_flap") {
   // Guards against a recovery that each first report of a worker prolongs, also of one without earlier work.
   fleet.scheduler.reset();
@@ -79,6 +81,85 @@
   CHECK(fleet.violations.empty());
 }
 
+TEST_CASE_METHOD(wait_fixture,
+                 "scheduler_recovery_waits_for_an_idle_silent_worker_for_its_longest_lease_only") {
+  fleet.workers.at(worker_id{"w7"}).disconnected = true;
+  fleet.scheduler.reset();
+  fleet.submit(simulated_workers::job("a", 1, one_task()));
+  fleet.begin_term();
+  CHECK(time_until_it_runs("a", seconds{60}) <= longest_lease + milliseconds{500});
+  CHECK(fleet.violations.empty());
+}
+
+TEST_CASE_METHOD(wait_fixture,
+                 "scheduler_jobs_do_not_stand_for_a_worker_that_was_silent_before_the_owner_changed") {
+  // Guards against a new owner that lets all jobs wait for a worker of which it is known what it may run.
+  // Before, late orders of the owner before that may still run there.
+  fleet.advance(seconds{26});
+  fleet.submit(simulated_workers::job("b", 1, one_task(seconds{30})));
+  fleet.advance(seconds{2});
+  const auto silent = worker_that_runs("b");
+  REQUIRE(silent);
+  fleet.workers.at(*silent).disconnected = true;
+  fleet.advance(seconds{3});
+  fleet.scheduler.reset();
+  fleet.submit(simulated_workers::job("a", 1, one_task()));
+  fleet.begin_term();
+  CHECK(time_until_it_runs("a", seconds{60}) <= longest_stand);
+  fleet.advance(longest_lease + seconds{1});
+  CHECK(fleet.starts[{.job = job_id{"b"}}] == 2);
+  CHECK(fleet.violations.empty());
+}
+
+TEST_CASE_METHOD(wait_fixture,
+                 "scheduler_worker_being_stored_as_silent_gets_no_work_that_the_row_leaves_out") {
+  // Guards against a task that runs twice, because the next owner does not wait for a worker that answered
+  // and got work while it was being stored as silent.
+  fleet.advance(seconds{26});
+  auto& silent = fleet.workers.at(worker_id{"w7"});
+  silent.entry.labels.emplace_back("only one");
+  fleet.submit(simulated_workers::job("b", 1, one_task_on("only one", seconds{30})));
+  fleet.advance(seconds{2});
+  REQUIRE(silent.tasks.size() == 1);
+  silent.disconnected = true;
+  fleet.worker_set_writable = false;
+  fleet.advance(seconds{4});
+  silent.disconnected = false;
+  fleet.submit(simulated_workers::job("a", 1, one_task_on("only one", seconds{30})));
+  fleet.advance(seconds{1});
+  // A write that names only the first task is in flight.
+  CHECK(silent.tasks.size() == 1);
+  fleet.worker_set_writable = true;
+  fleet.advance(milliseconds{200});
+  CHECK(silent.tasks.size() == 2);
+}
+
+TEST_CASE_METHOD(wait_fixture, "scheduler_restarted_worker_that_answers_ends_the_wait_of_a_recovery") {
+  fleet.workers.at(worker_id{"w7"}).disconnected = true;
+  fleet.scheduler.reset();
+  fleet.submit(simulated_workers::job("a", 1, one_task()));
+  fleet.begin_term();
+  fleet.advance(seconds{1});
+  REQUIRE(fleet.scheduler->recovering());
+  fleet.restart(worker_id{"w7"});
+  fleet.workers.at(worker_id{"w7"}).disconnected = false;
+  CHECK(time_until_it_runs("a", seconds{60}) <= seconds{2});
+  CHECK(fleet.violations.empty());
+}
+
+TEST_CASE_METHOD(wait_fixture, "scheduler_second_change_of_the_owner_waits_for_a_silent_worker") {
+  fleet.workers.at(worker_id{"w7"}).disconnected = true;
+  fleet.scheduler.reset();
+  fleet.submit(simulated_workers::job("a", 1, one_task()));
+  fleet.begin_term();
+  const auto first_change = fleet.now;
+  fleet.advance(seconds{5});
+  fleet.begin_term();
+  time_until_it_runs("a", seconds{60});
+  CHECK(fleet.now - first_change <= seconds{5} + longest_lease + milliseconds{500});
+  CHECK(fleet.violations.empty());
+}
+
 TEST_CASE_METHOD(wait_fixture, "scheduler_run_of_a_worker_that_is_not_stored_ends_while_the_store_is_down") {
   // Guards against an adopted run that is neither renewed nor taken to be over, because its worker is not
   // among the stored ones and the store does not answer.
@@ -127,6 +208,8 @@
   CHECK(fleet.violations.empty());
 }
 
+// ---- reservations ----
+
 TEST_CASE_METHOD(wait_fixture, "scheduler_urgent_task_does_not_stand_for_stops_without_answer") {
   // Guards against a reservation that is made at the same place again after it has failed, beside idle
   // workers in other racks.
@@ -151,6 +234,8 @@
   CHECK(fleet.violations.empty());
 }
 
+// ---- workers that are set aside ----
+
 class set_aside_fixture : public wait_fixture {
  protected:
   /// Lets all workers of a rack fail what they run until each has been set aside several times.
@@ -216,6 +301,8 @@
   CHECK(fleet.phase("a") == job_phase::complete);
 }
 
+// ---- the adviser ----
+
 class advised_fixture : public wait_fixture {
  protected:
   advised_fixture() { use_adviser(seconds{3}); }
