--- a/tests/platform/soak/rack_changes.cpp
+++ b/tests/platform/soak/rack_changes.cpp
@@ -110,6 +110,11 @@
 void rack_changes::clear() {
   cleared_ = true;
   for (std::size_t worker = 0; worker < deps_.fleet.size(); ++worker) {
+    if (deps_.fleet.draining(worker)) {
+      // A worker that drains leaves; it does not stay without work.
+      deps_.disturbed(worker, duration::zero());
+      deps_.fleet.stop(worker, true);
+    }
     come_back(worker, false);
     deps_.proxies[worker]->set_mode(proxy_mode::pass);
     deps_.fleet.faults(worker).unhealthy_percent = 0;
--- a/tests/platform/soak/worker_changes.cpp
+++ b/tests/platform/soak/worker_changes.cpp
@@ -167,6 +167,11 @@
 void worker_changes::clear() {
   cleared_ = true;
   for (std::size_t worker = 0; worker < deps_.fleet.size(); ++worker) {
+    if (deps_.fleet.draining(worker)) {
+      // A worker that drains leaves; it does not stay without work.
+      deps_.disturbed(worker, duration::zero());
+      deps_.fleet.stop(worker, true);
+    }
     come_back(worker, false);
     deps_.proxies[worker]->set_mode(proxy_mode::pass);
   }
--- a/tests/platform/soak/worker_fleet.cpp
+++ b/tests/platform/soak/worker_fleet.cpp
@@ -67,6 +67,10 @@
   return workers_.at(worker)->present();
 }
 
+bool worker_fleet::draining(std::size_t worker) const {
+  return workers_.at(worker)->present() && workers_.at(worker)->draining();
+}
+
 bool worker_fleet::all_done(const std::string& job) const {
   const auto found = jobs_.find(job);
   if (found == jobs_.end()) {
--- a/tests/platform/soak/worker_fleet.hpp
+++ b/tests/platform/soak/worker_fleet.hpp
@@ -137,6 +137,7 @@
   /// Starts a worker that was stopped, at the same address, under its former id or a new one.
   void start(std::size_t worker, bool same_id);
   [[nodiscard]] bool present(std::size_t worker) const;
+  [[nodiscard]] bool draining(std::size_t worker) const;
 
   /// Tells the fleet the steps of a job before the job is submitted.
   void register_job(const std::string& job, soak_job steps) { jobs_[job] = std::move(steps); }
