Read CBOR of peers and rows within limits of depth and length

One message could end every VM that it reached, and one row every owner that read it: the library's CBOR parser is recursive, so a million nested arrays overflow the stack, and it throws for a declared length that no memory holds, also where exceptions are turned off.

Cause: the lists of peers that VMs exchange and the rows of jobs were parsed without the limits that the messages of rhubarb-entry and rhubarb-scheduler already had.

Ruled out, by tests that pass on the code before: odd entries of workers (hundreds, nested 100,000 deep, a megabyte, bytes that are no UTF-8, numbers and ports out of range) present at the start of an owner and written later, and malformed bodies of jobs, both with real processes.

Change: the bounded parser of the peer messages is used for all three. The lists of peers are encoded in the protocol layer, where tests reach them. The stand-in of the store ends a page at 1 MB like the store does, because a page of several large entries exceeds what a client accepts.

Tests, failing before: vm_survives_malformed_messages_of_peers (the process ended at the first message), rows_that_cannot_be_read_give_an_error (an exception, and SIGSEGV). New: peer_sightings_that_cannot_be_read_are_empty, owner_starts_jobs_beside_hundreds_of_odd_worker_entries, vm_refuses_malformed_jobs_and_goes_on.

--- a/src/programs/rhubarb-edge/edge_daemon.cpp
+++ b/src/programs/rhubarb-edge/edge_daemon.cpp
@@ -3,13 +3,13 @@
 #include <algorithm>
 #include <csignal>
 #include <fstream>
-#include <nlohmann/json.hpp>
 #include <sstream>
 #include <utility>
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "platform/settings.hpp"
+#include "rhubarbpath/protocol/peer_sightings.hpp"
 #include "rhubarbpath/transport/address.hpp"
 #include "rhubarbpath/transport/http_status.hpp"
 #include "rhubarbpath/transport/log.hpp"
@@ -45,34 +45,6 @@
 /// A configuration of 1,600 queues takes 0.4 s over a link of 10 Mbit/s that carries nothing else.
 constexpr duration max_transfer_extension{std::chrono::seconds{4}};
 
-std::string encode_sightings(const std::vector<peer_directory::peer_record>& sightings) {
-  nlohmann::json rows = nlohmann::json::array();
-  for (const auto& each : sightings) {
-    rows.push_back({each.address, each.age.count(), each.processor_cores});
-  }
-  const auto bytes = nlohmann::json::to_cbor(rows);
-  return {bytes.begin(), bytes.end()};
-}
-
-/// Skips rows that cannot be parsed, which come from other versions of this program.
-std::vector<peer_directory::peer_record> decode_sightings(const std::string& body) {
-  const auto rows = nlohmann::json::from_cbor(body.begin(), body.end(), true, false);
-  std::vector<peer_directory::peer_record> sightings;
-  if (!rows.is_array()) {
-    return sightings;
-  }
-  constexpr std::size_t min_fields = 3;
-  for (const auto& row : rows) {
-    if (row.is_array() && row.size() >= min_fields && row[0].is_string() && row[1].is_number_integer() &&
-        row[2].is_number()) {
-      sightings.push_back({.address = row[0].get<std::string>(),
-                           .age = duration{row[1].get<std::int64_t>()},
-                           .processor_cores = row[2].get<double>()});
-    }
-  }
-  return sightings;
-}
-
 http_client::options client_options(int connections, duration transfer_extension) {
   return {.max_connections_per_address = connections,
           .max_idle_connections_per_address = connections,
--- a/src/protocol/job_rows.cpp
+++ b/src/protocol/job_rows.cpp
@@ -2,12 +2,17 @@
 
 #include <nlohmann/json.hpp>
 
+#include "bounded_cbor.hpp"
+
 namespace rhubarbpath {
 
 namespace {
 
 using json = nlohmann::json;
 
+/// The deepest row is that of a job: the indices in a step in the list of steps. Later versions may nest
+/// deeper.
+constexpr std::size_t max_row_depth = 8;
 /// Number of fields in a step row. New fields are appended.
 constexpr std::size_t step_field_count = 18;
 
@@ -16,10 +21,6 @@
   return {bytes.begin(), bytes.end()};
 }
 
-json from_bytes(std::string_view bytes) {
-  return json::from_cbor(bytes.begin(), bytes.end(), true, false);
-}
-
 json encode_step(const step_spec& step) {
   return json::array({step.count, step.each.cpu_millicores, step.each.memory_mb, step.each.accelerators,
                       step.estimate.count(), step.after, step.checkpointing, step.gang, step.same_rack,
@@ -86,12 +87,12 @@
 /// Calls `decode` with the parsed row and converts exceptions of the JSON library to a status.
 template <class Value, class Decode>
 absl::StatusOr<Value> decode_row(std::string_view bytes, std::string_view what, Decode decode) {
-  const auto row = from_bytes(bytes);
-  if (row.is_discarded()) {
-    return absl::DataLossError(std::string{what} + " is not CBOR");
+  const auto row = detail::parse_cbor(bytes, max_row_depth);
+  if (!row) {
+    return absl::DataLossError(std::string{what} + " is not CBOR or is nested too deeply");
   }
   try {
-    return decode(row);
+    return decode(*row);
   } catch (const json::exception& error) {
     return absl::DataLossError(std::string{what} + ": " + error.what());
   }
--- a/src/protocol/peer_messages.cpp
+++ b/src/protocol/peer_messages.cpp
@@ -8,6 +8,8 @@
 #include <type_traits>
 #include <utility>
 
+#include "bounded_cbor.hpp"
+
 namespace rhubarbpath::peer {
 
 namespace {
@@ -626,69 +628,6 @@
   return status_.ok();
 }
 
-/// SAX handler that builds a value and stops at input that is nested too deeply, because the parser is
-/// recursive.
-class bounded_builder final : public nlohmann::json_sax<json> {
- public:
-  explicit bounded_builder(std::size_t input_size) : input_size_{input_size} {}
-
-  bool null() override { return add(nullptr); }
-  bool boolean(bool value) override { return add(value); }
-  bool number_integer(json::number_integer_t value) override { return add(value); }
-  bool number_unsigned(json::number_unsigned_t value) override { return add(value); }
-  bool number_float(json::number_float_t value, const json::string_t&) override { return add(value); }
-  bool string(json::string_t& value) override { return add(std::move(value)); }
-  bool binary(json::binary_t& value) override { return add(json::binary(std::move(value))); }
-  bool start_object(std::size_t size) override { return open(json::object(), size); }
-  bool start_array(std::size_t size) override { return open(json::array(), size); }
-  bool end_object() override { return close(); }
-  bool end_array() override { return close(); }
-  bool key(json::string_t& value) override {
-    key_ = std::move(value);
-    return true;
-  }
-  bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception&) override {
-    return false;
-  }
-
-  [[nodiscard]] const json& result() const noexcept { return root_; }
-
- private:
-  bool open(json container, std::size_t size) {
-    const bool definite_length = size != std::numeric_limits<std::size_t>::max();
-    if (open_.size() >= max_depth || (definite_length && size > input_size_)) {
-      return false;
-    }
-    open_.push_back(insert(std::move(container)));
-    return true;
-  }
-  bool close() {
-    open_.pop_back();
-    return true;
-  }
-  bool add(json value) {
-    insert(std::move(value));
-    return true;
-  }
-  json* insert(json value) {
-    if (open_.empty()) {
-      root_ = std::move(value);
-      return &root_;
-    }
-    auto& parent = *open_.back();
-    if (parent.is_array()) {
-      parent.push_back(std::move(value));
-      return &parent.back();
-    }
-    return &(parent[key_] = std::move(value));
-  }
-
-  std::size_t input_size_;
-  json root_;
-  std::vector<json*> open_;
-  std::string key_;
-};
-
 template <std::size_t Index = 0>
 absl::StatusOr<message> decode_type(std::string_view type, const json& object) {
   if constexpr (Index == std::variant_size_v<message>) {
@@ -728,11 +667,11 @@
   if (bytes.size() > max_message_bytes) {
     return absl::InvalidArgumentError("the message is larger than its bound");
   }
-  bounded_builder builder{bytes.size()};
-  if (!json::sax_parse(bytes.begin(), bytes.end(), &builder, json::input_format_t::cbor)) {
+  const auto parsed = detail::parse_cbor(bytes, max_depth);
+  if (!parsed) {
     return absl::InvalidArgumentError("the message is not valid CBOR or is nested too deeply");
   }
-  const auto& object = builder.result();
+  const auto& object = *parsed;
   if (!object.is_object()) {
     return absl::InvalidArgumentError("the message is not a CBOR map");
   }
--- a/tests/platform/edge/edge_processes.cpp
+++ b/tests/platform/edge/edge_processes.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <csignal>
 #include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -120,6 +121,35 @@
   return *answer;
 }
 
+void edge_processes::kill(std::size_t vm) {
+  auto& process = *vms_.at(vm).process;
+  process.send(SIGKILL);
+  while (process.alive()) {
+    static_cast<void>(process.reap());
+    run_for(poll_interval);
+  }
+}
+
+void edge_processes::start(std::size_t vm) {
+  if (!vms_.at(vm).process->start()) {
+    throw std::runtime_error{"cannot start a rhubarb-edge process"};
+  }
+}
+
+bool edge_processes::alive(std::size_t vm) {
+  auto& process = *vms_.at(vm).process;
+  static_cast<void>(process.reap());
+  return process.alive();
+}
+
+int edge_processes::send_as_peer(std::size_t vm, const std::string& path, const std::string& body) {
+  const auto result =
+      call(fmt::format("{}:{}", vms_.at(vm).address, peer_port),
+           {.method = "POST", .path = path, .query = {}, .headers = {}, .body = body}, call_timeout);
+  const auto* response = std::get_if<http_response>(&result);
+  return response == nullptr ? 0 : response->status;
+}
+
 http_result edge_processes::query_version(std::size_t vm, int number) {
   return call(fmt::format("{}:{}", vms_.at(vm).address, caller_port),
               {.method = "GET",
--- a/tests/platform/edge/edge_processes.hpp
+++ b/tests/platform/edge/edge_processes.hpp
@@ -30,6 +30,12 @@
   [[nodiscard]] fault_proxy& store_proxy(std::size_t vm) { return *vms_.at(vm).store_proxy; }
   [[nodiscard]] std::size_t size() const noexcept { return vms_.size(); }
   void send(std::size_t vm, int signal_number) const { vms_.at(vm).process->send(signal_number); }
+  /// Kills the VM's process and waits for its end.
+  void kill(std::size_t vm);
+  /// Starts the VM's process again after `kill`.
+  void start(std::size_t vm);
+  /// Whether the process runs that was started last.
+  [[nodiscard]] bool alive(std::size_t vm);
 
   /// Writes version `number` of the configuration.
   void put_config(int number);
@@ -50,6 +56,8 @@
   /// 0 without one.
   [[nodiscard]] int call_job(std::size_t vm, const std::string& method, const std::string& job,
                              const std::string& body, duration patience, const std::string& key = "key-a");
+  /// Sends a request as another VM would. Returns the status of the answer; 0 without one.
+  int send_as_peer(std::size_t vm, const std::string& path, const std::string& body);
   /// Number of store calls that the VM has relayed for others.
   [[nodiscard]] int relayed_calls(std::size_t vm);
 
--- a/tests/platform/soak/store_stand_in.cpp
+++ b/tests/platform/soak/store_stand_in.cpp
@@ -16,6 +16,7 @@
 constexpr duration tick_period{std::chrono::milliseconds{25}};
 constexpr std::uint64_t percent_range = 100;
 constexpr std::size_t page_size = 500;
+constexpr std::size_t page_bytes = 1U << 20U;
 
 /// Returns the percent-decoded value of one query parameter, or an empty string when it is absent.
 std::string query_value(const std::string& query, const std::string& name) {
@@ -160,6 +161,7 @@
   const auto after = query_value(request.query, "after");
   json items = json::array();
   bool has_more = false;
+  std::size_t bytes = 0;
   for (auto at = rows_.lower_bound(std::max(prefix, after)); at != rows_.end(); ++at) {
     if (!at->first.starts_with(prefix)) {
       break;
@@ -167,10 +169,11 @@
     if (at->first == after) {
       continue;
     }
-    if (items.size() == page_size) {
+    if (items.size() == page_size || bytes >= page_bytes) {
       has_more = true;
       break;
     }
+    bytes += at->second.value.size();
     items.push_back(encode_item(at->first, at->second));
   }
   return json_response(200, {{"items", std::move(items)}, {"hasMore", has_more}, {"asOf", revision_}});
--- a/tests/protocol/job_rows_test.cpp
+++ b/tests/protocol/job_rows_test.cpp
@@ -111,7 +111,21 @@
 }
 
 TEST_CASE("rows_that_cannot_be_read_give_an_error") {
-  for (const std::string_view bad : {"", "\xff", "\x01", "\x81\x01"}) {
+  // Guards against a row that ends each owner that reads it: the parser of the library throws for lengths
+  // that no memory holds, and is recursive.
+  const std::vector<std::string> bad_rows{"",
+                                          "\xff",
+                                          "\x01",
+                                          "\x81\x01",
+                                          "\x9b" + std::string(8, '\xff'),
+                                          "\xbb" + std::string(8, '\xff'),
+                                          "\x9b\x0f" + std::string(7, '\xff'),
+                                          "\x7b" + std::string(8, '\xff'),
+                                          std::string(1'000'000, '\x81'),
+                                          std::string(1'000'000, '\x9f')};
+  for (const auto& bad : bad_rows) {
+    INFO(bad.size() << " bytes, the first is " << (bad.empty() ? 0 : static_cast<unsigned char>(bad[0])));
+    CHECK_FALSE(decode_worker_ids(bad).ok());
     CHECK_FALSE(decode_accepted_job(bad).ok());
     CHECK_FALSE(decode_job_progress(bad).ok());
     CHECK_FALSE(decode_owner(bad).ok());
