--- a/tests/platform/edge/odd_input_test.cpp
+++ b/tests/platform/edge/odd_input_test.cpp
@@ -15,6 +15,8 @@
 constexpr duration start_limit{seconds{20}};
 /// A job must not stand longer while a worker has room for it.
 constexpr duration standing_limit{seconds{3}};
+/// The site's bound, as in the settings of the processes.
+constexpr duration apply_limit{seconds{2}};
 constexpr std::string_view job_body =
     R"({"spec":"x","steps":[{"count":1,"cpu":100,"memMb":1,"estimateMs":1000}]})";
 
@@ -77,6 +79,26 @@
   }
 }
 
+TEST_CASE("vm_uses_the_next_version_after_an_odd_configuration") {
+  // Guards against a process that ends, or takes no later version, because of a configuration that is deeply
+  // nested or has a version out of range.
+  edge_processes vms{1};
+  REQUIRE(vms.all_use(1, start_limit));
+  int number = 1;
+  for (const auto& odd :
+       {nested(100'000), R"({"version":)" + nested(100'000) + "}",
+        R"({"version":9,"routes":)" + nested(100'000) + "}", std::string{R"({"version":-1,"routes":[]})"},
+        std::string{R"({"version":1e18,"routes":7})"}, std::string{R"({"version":1e400})"},
+        std::string{R"({"version":9223372036854775808})"}, std::string{"\xff\xfe"}}) {
+    INFO(odd.substr(0, 60));
+    vms.store().put("op/config", odd);
+    vms.run_for(milliseconds{300});
+    vms.put_config(++number);
+    CHECK(vms.uses(0, number, apply_limit));
+    CHECK(vms.alive(0));
+  }
+}
+
 TEST_CASE("vm_survives_malformed_messages_of_peers") {
   // Guards against one message that ends a process: nested so deeply that the parser's stack overflows, or
   // with a length that makes it throw.
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <limits>
 
 #include "platform/config_wire.hpp"
 #include "platform/job_wire.hpp"
@@ -158,6 +159,39 @@
   CHECK(report->running.front().percent == 100);
 }
 
+TEST_CASE("config_with_an_odd_version_or_list_is_rejected") {
+  // Guards against a version that no later one can follow, and against a route that is made of no object.
+  CHECK(decode_config(R"({"version":0})").ok());
+  CHECK(decode_config(R"({"version":7,"routes":[{"name":"r"}],"services":[],"tenants":[]})").ok());
+  const auto nested = std::string(100'000, '[') + std::string(100'000, ']');
+  for (const std::string& odd :
+       {std::string{"-1"}, std::string{"1e300"}, std::string{"1e400"}, std::string{"9223372036854775808"},
+        std::string{"18446744073709551615"}, std::string{"\"7\""}, std::string{"null"}, nested}) {
+    INFO(odd.substr(0, 30));
+    CHECK_FALSE(decode_config(R"({"version":)" + odd + "}").ok());
+  }
+  for (const auto* name : {"routes", "services", "tenants"}) {
+    for (const std::string& odd :
+         {std::string{"7"}, std::string{"\"r\""}, std::string{"[7]"}, std::string{"{\"a\":1}"}, nested}) {
+      INFO(name << ' ' << odd.substr(0, 30));
+      CHECK_FALSE(decode_config(R"({"version":7,")" + std::string{name} + R"(":)" + odd + "}").ok());
+    }
+  }
+  CHECK_FALSE(decode_config(nested).ok());
+}
+
+TEST_CASE("config_numbers_out_of_range_count_as_the_nearest_in_range") {
+  // Guards against times that overflow when they are added to those of a job.
+  const auto queue = [](const std::string& fields) {
+    return decode_config(R"({"version":7,"routes":[{"name":"r",)" + fields + "}]}")->queues.front();
+  };
+  CHECK(queue(R"("targetDurationMs":9223372036854775807)").target > std::chrono::hours{24});
+  CHECK(queue(R"("targetDurationMs":9223372036854775807)").target < duration::max() / 4);
+  CHECK(queue(R"("targetDurationMs":-9223372036854775807)").target == duration::zero());
+  CHECK(queue(R"("maxAttempts":-1)").max_attempts == 0);
+  CHECK(queue(R"("maxAttempts":4294967297)").max_attempts == std::numeric_limits<std::uint32_t>::max());
+}
+
 TEST_CASE("config_guarantee_is_decoded_from_its_object") {
   const auto config = decode_config(R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/",
     "priority":0,"service":"s","maxAttempts":3,"stretch":1.5}],"services":[],
