--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -159,6 +159,31 @@
   CHECK(report->running.front().percent == 100);
 }
 
+TEST_CASE("renewal_answer_with_a_clock_or_incarnation_out_of_range_is_no_report") {
+  // Guards against leases that are counted from a clock that overflows, and against an incarnation that no
+  // later one can follow.
+  const auto readable = [](const std::string& text) {
+    return std::holds_alternative<lease_report>(decode_renew_answer(make_response(200, text)));
+  };
+  REQUIRE(readable(R"({"clockMs":5,"born":9,"running":[],"finished":[]})"));
+  REQUIRE(readable(R"({"clockMs":0,"running":[],"finished":[]})"));
+  const auto nested = std::string(100'000, '[') + std::string(100'000, ']');
+  for (const std::string& odd :
+       {std::string{"-1"}, std::string{"1e300"}, std::string{"1e400"}, std::string{"9223372036854775807"},
+        std::string{"9223372036854775808"}, std::string{"\"5\""}, nested}) {
+    INFO(odd.substr(0, 30));
+    CHECK_FALSE(readable(R"({"clockMs":)" + odd + R"(,"born":9})"));
+    if (odd != "9223372036854775807") {
+      CHECK_FALSE(readable(R"({"clockMs":5,"born":)" + odd + "}"));
+    }
+  }
+  CHECK_FALSE(readable(nested));
+  const auto answer = decode_renew_answer(
+      make_response(200, R"({"clockMs":5,"running":)" + nested + R"(,"finished":[[1,)" + nested + "]]}"));
+  REQUIRE(std::holds_alternative<lease_report>(answer));
+  CHECK_FALSE(std::get<lease_report>(answer).complete);
+}
+
 TEST_CASE("config_with_an_odd_version_or_list_is_rejected") {
   // Guards against a version that no later one can follow, and against a route that is made of no object.
   CHECK(decode_config(R"({"version":0})").ok());
