Ignore worker entries whose id no header can carry

An order names its worker in a header, and a worker refuses an order for another. For an entry of another writer whose id is empty or has a line break the header was left out, and space at an end is not part of a header's value, so a worker at the same address took orders for that id as its own.

Test, failing before: worker_entry_whose_id_no_header_can_carry_is_ignored.

--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -184,6 +184,20 @@
   CHECK_FALSE(std::get<lease_report>(answer).complete);
 }
 
+TEST_CASE("worker_entry_whose_id_no_header_can_carry_is_ignored") {
+  // Guards against orders that another worker at the same address takes for its own: a header with a line
+  // break is left out of the order, and space around a value is not part of it.
+  const std::string good =
+      R"({"service":"s","address":"10.0.0.1:1","zone":"z","version":"v1","slots":8,"seq":4,
+    "state":"ready","capacity":{"cpu":1,"memMb":1,"gpu":8},"labels":["a","r1"],"born":5})";
+  REQUIRE(decode_worker_entry("servers/i-885cfb2f", good).ok());
+  for (const std::string_view id :
+       {"", " ", "i-1 ", " i-1", "i-1\r\nA: b", "i-1\n", "i\t1", "i-\x7f", "i-\xff"}) {
+    INFO(id);
+    CHECK_FALSE(decode_worker_entry("servers/" + std::string{id}, good).ok());
+  }
+}
+
 TEST_CASE("config_with_an_odd_version_or_list_is_rejected") {
   // Guards against a version that no later one can follow, and against a route that is made of no object.
   CHECK(decode_config(R"({"version":0})").ok());
