Read jobs by pages when a watch's answer is too large

Callers could see all new jobs stand for good: jobs whose rows together exceed 4 MB and that are stored between two watches of the owner come in one answer, which the client gives up. The watch was repeated from the same revision, so the same answer came again until the store dropped its history. A row may have 1 MB.

Ruled out: the path to the store (other calls are answered), the time limit (an answer that is arriving is not cut).

Change: after two answers in a row that ended early, the owner reads all jobs by pages and watches from there.

The stand-ins write to connections that a process has closed, which no longer ends the test program.

--- a/src/programs/rhubarb-edge/owner_session.cpp
+++ b/src/programs/rhubarb-edge/owner_session.cpp
@@ -18,6 +18,8 @@
 /// Bounds the delay until a new job is noticed when the watch's connection has gone silent, and with it the
 /// age of what the owner knows of cancellations.
 constexpr std::chrono::milliseconds job_watch_wait{700};
+/// After as many answers in a row that ended early, they are likely to be larger than one may be.
+constexpr int max_cut_job_watches = 2;
 /// No task is started on older knowledge of jobs. A cancelled job must start no task 3 s after the
 /// acknowledgement, and an order takes up to 0.4 s.
 constexpr duration max_job_age{std::chrono::milliseconds{2500}};
@@ -237,6 +239,9 @@
                      if (self == nullptr || self->stopped_) {
                        return;
                      }
+                     const auto* unknown = std::get_if<kv_unknown>(&result);
+                     const bool cut = unknown != nullptr && !unknown->timed_out;
+                     self->cut_job_watches_ = cut ? self->cut_job_watches_ + 1 : 0;
                      if (const auto* events = std::get_if<kv_events>(&result)) {
                        self->jobs_known_at_ = std::max(self->jobs_known_at_, sent_at);
                        self->jobs_revision_ = std::max(self->jobs_revision_, events->as_of);
@@ -251,7 +256,10 @@
                        }
                        return;
                      }
-                     if (std::holds_alternative<kv_compacted>(result)) {
+                     // The same watch again would be answered by the same events. Rows come in pages.
+                     const bool too_large = self->cut_job_watches_ >= max_cut_job_watches;
+                     if (std::holds_alternative<kv_compacted>(result) || too_large) {
+                       self->cut_job_watches_ = 0;
                        self->reload_jobs();
                        return;
                      }
--- a/src/programs/rhubarb-edge/owner_session.hpp
+++ b/src/programs/rhubarb-edge/owner_session.hpp
@@ -118,6 +118,7 @@
   bool loaded_{false};
   bool running_actions_{false};
   revision jobs_revision_;
+  int cut_job_watches_{0};  ///< In a row, the watches of jobs whose answer ended early.
   /// All changes of jobs before this time are known, on the boot clock.
   instant jobs_known_at_{};
   std::map<job_id, revision> progress_revisions_;  ///< Last known revision of each progress row.
--- a/tests/platform/edge/edge_processes.cpp
+++ b/tests/platform/edge/edge_processes.cpp
@@ -58,6 +58,8 @@
       store_{loop_, network_prefix_ + ".1", store_port, random_},
       workers_{loop_, store_, random_},
       client_{loop_, {}} {
+  // A process that is killed or that gives up an answer closes its connection while a stand-in writes to it.
+  std::signal(SIGPIPE, SIG_IGN);
   put_config(1);
   require(store_.listen());
   std::vector<std::string> seeds;
