Refuse, start and stop nothing by a document that may be outdated

Callers of rhubarb-entry were refused with 404 or 422 by a document of any age, so a service, a team or a guarantee that had been added was refused by a VM that had not heard of it. An owner in rhubarb-scheduler with such a document ended a waiting job of an added team as refused, for good, and one that took a domain over stopped a running gang with a member on an added worker.

Versions come from peers, which may all be cut off from the store, and a VM that does not watch the row reads it about every 5 s times the number of VMs.

Ruled out by reading: job_gateway (it refuses only after it has read the claim, which never changes; a former owner answers that it is none), the view (rows are replaced only at the revision that was read, lower numbers are ignored, and a paused VM reads again).

Change: config_distributor keeps a version_tracker, confirmed by the store's answers only. rhubarb-entry decides each refusal with config_decision: it asks the store, waits at most 0.6 s, and else answers 503 with Retry-After. rhubarb-scheduler keeps the document confirmed while it owns a domain, and uses its placement only then; what was decided and not carried out is decided anew. The bound is that of the design, 9 s. Calls that the document allows do not wait.

Tests, failing with the handler of the new event left empty, as before the change: domain_owner_refuses_no_job_by_a_document_that_may_be_outdated, domain_owner_takeover_with_an_outdated_document_stops_no_gang.

--- a/include/rhubarbpath/coordination/config_distributor.hpp
+++ b/include/rhubarbpath/coordination/config_distributor.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "rhubarbpath/coordination/peer_types.hpp"
+#include "rhubarbpath/coordination/version_tracker.hpp"
 #include "rhubarbpath/coordination/view_keeper.hpp"
 #include "rhubarbpath/state/random.hpp"
 #include "rhubarbpath/state/store.hpp"
@@ -30,11 +31,13 @@
   vm_id from;
   peer::document content;
 };
+/// A decision waits until the document is known to be the newest one, or it is time to make sure.
+struct document_check_requested {};
 struct config_distributor_tick {};
 
 using config_distributor_event =
     std::variant<document_announced, fetch_received, document_received, view_adopted, staleness_changed,
-                 store_row_answered, config_distributor_tick>;
+                 store_row_answered, document_check_requested, config_distributor_tick>;
 
 struct send_fetch {
   vm_id to;
@@ -83,6 +86,9 @@
     /// In a view of n members, a VM that does not watch the store reads the row about once every n
     /// intervals, in case both watchers are cut off from the store.
     duration background_read_interval{5'000'000};
+    /// When the document in force counts as confirmed. A promoted document is in force everywhere within 9 s,
+    /// and a check has 3 s for several attempts.
+    version_tracker::options confirmation{.max_age = duration{8'900'000}, .check_after = duration{6'000'000}};
   };
 
   config_distributor(options opts, random_source& random);
@@ -95,12 +101,17 @@
   /// The document in force; version 0 until the first document is known.
   [[nodiscard]] const versioned_document& current() const noexcept { return current_; }
   [[nodiscard]] peer::document_stamp stamp() const;
+  /// Whether the document in force was the newest one a short time ago.
+  [[nodiscard]] version_tracker::standing standing(instant now) { return confirmation_.standing_at(now); }
+  /// Whether a peer has announced a newer document that has not arrived.
+  [[nodiscard]] bool newer_announced() const noexcept { return !announced_.empty(); }
 
  private:
   using actions = std::vector<config_distributor_action>;
   struct pending_call {
     call_id id;
     bool watch{false};
+    instant sent_at{};
     instant expires{};
   };
   struct pending_fetch {
@@ -114,16 +125,20 @@
   void on(const view_adopted& event, instant now, actions& out);
   void on(const staleness_changed& event, instant now, actions& out);
   void on(const store_row_answered& event, instant now, actions& out);
+  void on(const document_check_requested& event, instant now, actions& out);
   void on(const config_distributor_tick& event, instant now, actions& out);
   void adopt(const versioned_document& found, actions& out);
   void fetch_next(instant now, actions& out);
   void call_store(instant now, actions& out);
   void schedule_next_call(instant now);
+  /// Notes until when the answer shows that the document in force is the newest one.
+  void confirm(const pending_call& call, const store_response& response, instant now);
   [[nodiscard]] bool is_watcher(instant now) const;
 
   options options_;
   random_source& random_;
   versioned_document current_;
+  version_tracker confirmation_;
   revision row_revision_;  ///< Highest revision of the row that the store has returned.
   absl::btree_map<vm_id, peer::document_stamp> announced_;  ///< Newer documents, by the peer that has them.
   std::optional<pending_fetch> fetch_;
--- a/include/rhubarbpath/coordination/domain_owner.hpp
+++ b/include/rhubarbpath/coordination/domain_owner.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -54,6 +55,11 @@
   std::shared_ptr<const environment_document> document;  ///< Shared by all failure domains of a process.
 };
 
+/// Whether the document may no longer be the newest one. Confirmed until this is sent.
+struct document_standing_changed {
+  bool may_be_outdated{false};
+};
+
 /// A process, possibly this one, owns the failure domain under this epoch. Announced when the epoch is opened
 /// and periodically afterwards.
 struct owner_announced {
@@ -64,9 +70,10 @@
   friend bool operator==(const owner_announced&, const owner_announced&) = default;
 };
 
-using domain_owner_event = std::variant<job_submitted, job_queried, job_cancel_requested, document_changed,
-                                        schedulers_changed, owner_announced, drain_requested,
-                                        store_call_result, worker_reported, worker_call_failed, tick>;
+using domain_owner_event =
+    std::variant<job_submitted, job_queried, job_cancel_requested, document_changed,
+                 document_standing_changed, schedulers_changed, owner_announced, drain_requested,
+                 store_call_result, worker_reported, worker_call_failed, tick>;
 
 /// Answer to a job message. `result.result` is `ran` if the message took effect, `not_run` if it definitely
 /// did not, and `may_have_run` if the outcome is unknown and the caller must repeat the message to learn it.
@@ -88,6 +95,9 @@
 /// A submission is answered as accepted only after its `job_accepted` entry is committed, and a start command
 /// is sent only after its `job_placed` entry is committed. All other messages, including repeats, are
 /// answered from the committed state.
+///
+/// A document that may be outdated refuses no job, starts none and stops no gang, because a refusal is final
+/// and the newest document may have the team or the worker.
 class domain_owner {
  public:
   struct options {
@@ -157,6 +167,7 @@
   void on(const job_queried& event, instant now, actions& out);
   void on(const job_cancel_requested& event, instant now, actions& out);
   void on(const document_changed& event, instant now, actions& out);
+  void on(const document_standing_changed& event, instant now, actions& out);
   void on(const schedulers_changed& event, instant now, actions& out);
   void on(const owner_announced& event, instant now, actions& out);
   void on(const drain_requested& event, instant now, actions& out);
@@ -188,6 +199,7 @@
   void resign(const std::string& reason, bool appends_settled, duration wait, instant now, actions& out);
   void finish_drain(actions& out);
   void end_waiting_job(const job_id& job, job_state state, std::string reason, instant now, actions& out);
+  void initialize_placement(instant now);
   void run_placement(instant now, actions& out);
   void apply_decision(const job_placement_decided& decision, instant now, actions& out);
   void apply_decision(const job_preemption_decided& decision, instant now, actions& out);
@@ -226,8 +238,11 @@
   std::optional<instant> next_answer_deadline_;
   std::map<job_id, gang_stop> requested_stops_;  ///< Requested stops of attempts that still hold workers.
   bool lease_uncertain_{false};
-  bool placement_initialized_{false};  ///< The placement policy was initialized with the replayed state.
-  bool adoption_done_{false};          ///< Adoption is finished or `adoption_grace` has passed.
+  /// The placement policy was initialized with the replayed state. False while the document may be outdated.
+  bool placement_initialized_{false};
+  bool document_may_be_outdated_{false};
+  std::set<worker_id> unreachable_workers_;  ///< As reported since the log was opened.
+  bool adoption_done_{false};                ///< Adoption is finished or `adoption_grace` has passed.
   bool draining_{false};
   bool drained_{false};
   std::optional<instant> hand_over_deadline_;
--- a/src/coordination/config_distributor.cpp
+++ b/src/coordination/config_distributor.cpp
@@ -13,7 +13,7 @@
 }  // namespace
 
 config_distributor::config_distributor(options opts, random_source& random)
-    : options_{std::move(opts)}, random_{random} {}
+    : options_{std::move(opts)}, random_{random}, confirmation_{options_.confirmation} {}
 
 void config_distributor::handle(const config_distributor_event& event, instant now,
                                 std::vector<config_distributor_action>& out) {
@@ -119,9 +119,9 @@
   if (!call_ || call_->id != event.call) {
     return;
   }
-  const bool was_watch = call_->watch;
+  const auto call = *std::exchange(call_, std::nullopt);
+  const bool was_watch = call.watch;
   const auto known_revision = row_revision_;
-  call_.reset();
   if (std::holds_alternative<store_failure>(event.response)) {
     read_before_watch_ = true;
     next_call_at_ = now + random_.jittered(options_.retry_interval);
@@ -138,6 +138,7 @@
       out.emplace_back(document_conflict{.stamp = {.version = found->version, .digest = found->digest}});
     }
   }
+  confirm(call, event.response, now);
   read_before_watch_ = false;
   schedule_next_call(now);
   const bool changed = !std::holds_alternative<store_unchanged>(event.response);
@@ -147,8 +148,36 @@
   }
 }
 
+void config_distributor::on(const document_check_requested&, instant now, actions&) {
+  // A watch in progress reports a change, and its loss is noticed before the document may be outdated.
+  if (!call_ && confirmation_.check_due(now)) {
+    read_before_watch_ = true;
+    next_call_at_ = now;
+  }
+}
+
 void config_distributor::on(const config_distributor_tick&, instant, actions&) {}
 
+void config_distributor::confirm(const pending_call& call, const store_response& response, instant now) {
+  if (std::holds_alternative<store_unchanged>(response)) {
+    confirmation_.confirm(std::min(now, call.sent_at + options_.watch_wait));
+    return;
+  }
+  const auto* const rows = std::get_if<store_rows>(&response);
+  if (rows == nullptr) {
+    return;
+  }
+  if (!rows->rows.empty()) {
+    const auto& row = rows->rows.front();
+    const auto found = options_.decode_row(row);
+    const bool outdated_read = row.at < row_revision_;
+    if (outdated_read || (found && found->version > current_.version)) {
+      return;
+    }
+  }
+  confirmation_.confirm(call.sent_at);
+}
+
 void config_distributor::adopt(const versioned_document& found, actions& out) {
   current_ = found;
   for (auto it = announced_.begin(); it != announced_.end();) {
@@ -174,7 +203,7 @@
   // A watch needs a revision to start from. A VM that is not a watcher only reads.
   const bool watch = is_watcher(now) && !read_before_watch_;
   const auto wait = watch ? options_.watch_wait + options_.watch_grace : options_.call_timeout;
-  call_ = pending_call{.id = id, .watch = watch, .expires = now + wait};
+  call_ = pending_call{.id = id, .watch = watch, .sent_at = now, .expires = now + wait};
   if (watch) {
     out.emplace_back(store_row_call{
         .call = id,
--- a/src/coordination/domain_owner.cpp
+++ b/src/coordination/domain_owner.cpp
@@ -167,12 +167,24 @@
   if (placement_initialized_) {
     placement_->document_changed(event.document, now);
   } else {
-    placement_->rebuild(event.document, projected_state_, now);
-    placement_initialized_ = true;
+    initialize_placement(now);
   }
   dispatch_to_gangs(workers_changed{.workers = domain_workers()}, now, out);
 }
 
+void domain_owner::on(const document_standing_changed& event, instant now, actions& /*out*/) {
+  document_may_be_outdated_ = event.may_be_outdated;
+  if (!gangs_) {
+    return;
+  }
+  if (document_may_be_outdated_) {
+    // What was decided by this document and not yet carried out is decided anew.
+    placement_initialized_ = false;
+  } else if (!placement_initialized_) {
+    initialize_placement(now);
+  }
+}
+
 void domain_owner::on(const schedulers_changed& event, instant now, actions& out) {
   dispatch_to_lease(event, now, out);
 }
@@ -316,10 +328,8 @@
   owner_since_ = now;
   next_announcement_ = now;
   adoption_done_ = false;
-  placement_initialized_ = document_.has_value();
-  if (document_) {
-    placement_->rebuild(document_->document, projected_state_, now);
-  }
+  unreachable_workers_.clear();
+  initialize_placement(now);
   const auto jobs = projected_state_.jobs;  // A copy, because adoption may change the state.
   for (const auto& [id, job] : jobs) {
     if (holds_workers(job.state)) {
@@ -441,6 +451,11 @@
 }
 
 void domain_owner::on_gangs(const worker_reachability& event, instant now, actions& /*out*/) {
+  if (event.reachable) {
+    unreachable_workers_.erase(event.worker);
+  } else {
+    unreachable_workers_.insert(event.worker);
+  }
   if (placement_initialized_) {
     placement_->worker_reachable(event.worker, event.reachable, now);
   }
@@ -456,6 +471,17 @@
 
 // Placement.
 
+void domain_owner::initialize_placement(instant now) {
+  placement_initialized_ = document_ && !document_may_be_outdated_;
+  if (!placement_initialized_) {
+    return;
+  }
+  placement_->rebuild(document_->document, projected_state_, now);
+  for (const auto& worker : unreachable_workers_) {
+    placement_->worker_reachable(worker, false, now);
+  }
+}
+
 void domain_owner::run_placement(instant now, actions& out) {
   if (!may_place(now)) {
     return;
--- a/src/programs/rhubarb-entry/api_answers.cpp
+++ b/src/programs/rhubarb-entry/api_answers.cpp
@@ -26,4 +26,11 @@
       kind, {.result = verdict::not_run, .reason = std::move(reason), .retry_after = std::nullopt});
 }
 
+http_response document_outdated() {
+  return outcome_response(answer_kind::unavailable,
+                          {.result = verdict::not_run,
+                           .reason = "the document in force does not allow this, and may be outdated",
+                           .retry_after = std::chrono::seconds{1}});
+}
+
 }  // namespace rhubarbpath
--- a/src/programs/rhubarb-entry/api_answers.hpp
+++ b/src/programs/rhubarb-entry/api_answers.hpp
@@ -17,4 +17,7 @@
 /// Adds the verdict as a header, and Retry-After in whole seconds when the outcome names a wait.
 void add_outcome_headers(const outcome& result, http_response& response);
 
+/// The document in force does not allow the call and may be outdated; the caller may try again.
+[[nodiscard]] http_response document_outdated();
+
 }  // namespace rhubarbpath
--- a/src/programs/rhubarb-entry/entry_daemon.cpp
+++ b/src/programs/rhubarb-entry/entry_daemon.cpp
@@ -36,7 +36,7 @@
 
 entry_daemon::entry_daemon(const daemon_settings& settings)
     : daemon_base{settings, base_options(settings)},
-      jobs_{loop_, mesh_, store_, metrics_, random_, settings_.environment},
+      jobs_{loop_, mesh_, cluster_, store_, metrics_, random_, settings_.environment},
       services_{loop_, mesh_, cluster_, metrics_, random_, options_.self, [this] { finish_drain(); }},
       connect_timer_{loop_.run_every(connect_interval, [this] { connect_schedulers(); })} {
   schedulers_[scheduler_id(settings_.self.vm)] = settings_.self.scheduler;
--- a/src/programs/rhubarb-entry/job_endpoint.cpp
+++ b/src/programs/rhubarb-entry/job_endpoint.cpp
@@ -55,10 +55,11 @@
 
 }  // namespace
 
-job_endpoint::job_endpoint(event_loop& loop, peer_mesh& mesh, store_port& store, metrics& counters,
-                           random_source& random, const std::string& environment)
+job_endpoint::job_endpoint(event_loop& loop, peer_mesh& mesh, cluster_node& cluster, store_port& store,
+                           metrics& counters, random_source& random, const std::string& environment)
     : loop_{loop},
       mesh_{mesh},
+      cluster_{cluster},
       store_{store},
       metrics_{counters},
       random_{random},
@@ -83,7 +84,7 @@
     return;
   }
   if (path.empty() || path == "/") {
-    request.method == "POST" ? submit(request, reply)
+    request.method == "POST" ? submit(request, reply, loop_.now())
                              : reply.send(refusal(answer_kind::wrong_method, "use POST to submit a job"));
     return;
   }
@@ -99,7 +100,7 @@
   }
 }
 
-void job_endpoint::submit(const http_request& request, const http_responder& reply) {
+void job_endpoint::submit(const http_request& request, const http_responder& reply, instant arrived) {
   const auto headers = parse_caller_headers(request.headers);
   if (!headers.ok()) {
     reply.send(refusal(answer_kind::malformed, std::string{headers.status().message()}));
@@ -115,10 +116,22 @@
     return;
   }
   const auto choice = choose_failure_domains(*document_, guarantees_, *spec, loads_);
-  if (!choice.candidates.empty()) {
+  if (choice.candidates.empty()) {
+    switch (cluster_.decide_refusal(loop_.now() - arrived)) {
+      case config_decision::wait:
+        cluster_.when_document_checked([this, request, reply, arrived] { submit(request, reply, arrived); });
+        return;
+      case config_decision::cannot_tell:
+        reply.send(document_outdated());
+        return;
+      case config_decision::refuse:
+      case config_decision::proceed:
+        break;
+    }
+  } else {
     count_submission(choice.candidates.front(), *spec, loads_);
   }
-  const auto id = admit(request, gateway::owner_message::submit, reply);
+  const auto id = admit(request, gateway::owner_message::submit, reply, arrived);
   feed(gateway::submission{
       .id = id,
       .job = job_id_for(spec->team, *headers->key),
@@ -135,23 +148,23 @@
     reply.send(refusal(answer_kind::malformed, std::string{wait.status().message()}));
     return;
   }
-  const auto id = admit(request, gateway::owner_message::query, reply);
+  const auto id = admit(request, gateway::owner_message::query, reply, loop_.now());
   feed(gateway::query{.id = id, .job = job, .wait = *wait, .deadline = loop_.now() + *wait + answer_margin});
 }
 
 void job_endpoint::cancel(const http_request& request, const job_id& job, const http_responder& reply) {
-  const auto id = admit(request, gateway::owner_message::cancel, reply);
+  const auto id = admit(request, gateway::owner_message::cancel, reply, loop_.now());
   feed(gateway::cancellation{.id = id, .job = job, .deadline = loop_.now() + settle_within});
 }
 
 request_id job_endpoint::admit(const http_request& request, gateway::owner_message kind,
-                               const http_responder& reply) {
+                               const http_responder& reply, instant arrived) {
   last_request_ = last_request_.next();
   const auto given = header_value(request.headers, "traceparent");
   const auto parent = parse_traceparent(given);
   callers_.insert_or_assign(last_request_, waiting_caller{.reply = reply,
                                                           .kind = kind,
-                                                          .arrived = loop_.now(),
+                                                          .arrived = arrived,
                                                           .hop = continue_trace(given, random_),
                                                           .parent = parent.value_or(trace_context{})});
   return last_request_;
--- a/src/programs/rhubarb-entry/job_endpoint.hpp
+++ b/src/programs/rhubarb-entry/job_endpoint.hpp
@@ -15,6 +15,7 @@
 #include "rhubarbpath/protocol/trace_context.hpp"
 #include "rhubarbpath/transport/http_server.hpp"
 #include "rhubarbpath/transport/metrics.hpp"
+#include "shared/cluster_node.hpp"
 #include "shared/deadline_timer.hpp"
 #include "shared/peer_mesh.hpp"
 #include "shared/store_port.hpp"
@@ -24,8 +25,8 @@
 /// Serves `/v1/jobs`: callers' submissions, queries and cancellations.
 class job_endpoint {
  public:
-  job_endpoint(event_loop& loop, peer_mesh& mesh, store_port& store, metrics& counters, random_source& random,
-               const std::string& environment);
+  job_endpoint(event_loop& loop, peer_mesh& mesh, cluster_node& cluster, store_port& store, metrics& counters,
+               random_source& random, const std::string& environment);
 
   /// `path` is the part after "/v1/jobs"; empty for a submission.
   void handle(const http_request& request, std::string_view path, const http_responder& reply);
@@ -49,10 +50,11 @@
     trace_context parent;
   };
 
-  void submit(const http_request& request, const http_responder& reply);
+  void submit(const http_request& request, const http_responder& reply, instant arrived);
   void look_up(const http_request& request, const job_id& job, const http_responder& reply);
   void cancel(const http_request& request, const job_id& job, const http_responder& reply);
-  request_id admit(const http_request& request, gateway::owner_message kind, const http_responder& reply);
+  request_id admit(const http_request& request, gateway::owner_message kind, const http_responder& reply,
+                   instant arrived);
   void feed(const job_gateway_event& event);
   void run(const store_call& action);
   void run(const store_call_cancelled& action);
@@ -61,6 +63,7 @@
 
   event_loop& loop_;
   peer_mesh& mesh_;
+  cluster_node& cluster_;
   store_port& store_;
   metrics& metrics_;
   random_source& random_;
--- a/src/programs/rhubarb-entry/service_endpoint.cpp
+++ b/src/programs/rhubarb-entry/service_endpoint.cpp
@@ -72,12 +72,17 @@
 
 void service_endpoint::handle(const http_request& request, std::string_view path,
                               const http_responder& reply) {
+  handle_call(request, std::string{path}, reply, loop_.now());
+}
+
+void service_endpoint::handle_call(const http_request& request, const std::string& path,
+                                   const http_responder& reply, instant arrived) {
   const auto slash = path.find('/');
   if (request.method != "POST") {
     reply.send(refusal(answer_kind::wrong_method, "use POST to send a request to a service"));
     return;
   }
-  if (document_ == nullptr || slash == std::string_view::npos) {
+  if (document_ == nullptr || slash == std::string::npos) {
     reply.send(document_ == nullptr
                    ? refusal(answer_kind::unavailable, "no document is in force yet")
                    : refusal(answer_kind::unknown, "the path is /v1/services/{service}/{class}"));
@@ -86,12 +91,26 @@
   const service_id service{path.substr(0, slash)};
   const class_id request_class{path.substr(slash + 1)};
   const auto* spec = find_class(service, request_class);
+  const auto headers = parse_caller_headers(request.headers);
+  if (spec == nullptr || (headers.ok() && !has_team(headers->team))) {
+    switch (cluster_.decide_refusal(loop_.now() - arrived)) {
+      case config_decision::wait:
+        cluster_.when_document_checked(
+            [this, request, path, reply, arrived] { handle_call(request, path, reply, arrived); });
+        return;
+      case config_decision::cannot_tell:
+        reply.send(document_outdated());
+        return;
+      case config_decision::refuse:
+      case config_decision::proceed:
+        break;
+    }
+  }
   if (spec == nullptr) {
     reply.send(refusal(answer_kind::unknown, fmt::format("service \"{}\" has no class \"{}\"",
                                                          service.value(), request_class.value())));
     return;
   }
-  const auto headers = parse_caller_headers(request.headers);
   if (!headers.ok()) {
     reply.send(refusal(answer_kind::malformed, std::string{headers.status().message()}));
     return;
@@ -107,7 +126,7 @@
   const auto parent = parse_traceparent(headers->traceparent);
   waiting_caller caller{.reply = reply,
                         .request_class = request_class,
-                        .arrived = loop_.now(),
+                        .arrived = arrived,
                         .hop = continue_trace(headers->traceparent, random_),
                         .parent = parent.value_or(trace_context{}),
                         .service = service.value(),
@@ -527,6 +546,11 @@
   return found == addresses_.end() ? std::string{} : found->second;
 }
 
+bool service_endpoint::has_team(const team_id& team) const {
+  return std::any_of(document_->teams.begin(), document_->teams.end(),
+                     [&](const auto& known) { return known.id == team; });
+}
+
 const request_class_spec* service_endpoint::find_class(const service_id& service,
                                                        const class_id& name) const {
   for (const auto& candidate : document_->services) {
--- a/src/programs/rhubarb-entry/service_endpoint.hpp
+++ b/src/programs/rhubarb-entry/service_endpoint.hpp
@@ -61,6 +61,9 @@
     worker_id target;
   };
 
+  void handle_call(const http_request& request, const std::string& path, const http_responder& reply,
+                   instant arrived);
+  [[nodiscard]] bool has_team(const team_id& team) const;
   void feed_router(const request_router_event& event);
   void feed_intents(const intent_registry_event& event);
 
--- a/src/programs/rhubarb-scheduler/scheduler_daemon.cpp
+++ b/src/programs/rhubarb-scheduler/scheduler_daemon.cpp
@@ -16,6 +16,8 @@
 
 namespace {
 
+constexpr duration document_check_interval = std::chrono::milliseconds{200};
+
 daemon_base::options base_options(const daemon_settings& settings) {
   daemon_base::options opts{
       .self = {.id = {.vm = scheduler_id(settings.self.vm), .incarnation = new_incarnation()},
@@ -70,7 +72,9 @@
       timer{daemon.loop_, [this, &daemon] { daemon.feed(*this, tick{}); }} {}
 
 scheduler_daemon::scheduler_daemon(const daemon_settings& settings)
-    : daemon_base{settings, base_options(settings)}, workers_http_{loop_, {}} {}
+    : daemon_base{settings, base_options(settings)},
+      workers_http_{loop_, {}},
+      document_timer_{loop_.run_every(document_check_interval, [this] { check_document(); })} {}
 
 void scheduler_daemon::on_peer_message(const member_info& from, const peer::message& message) {
   const auto& vm = from.id.vm;
@@ -125,6 +129,7 @@
 
 void scheduler_daemon::on_document(std::shared_ptr<const environment_document> document,
                                    const versioned_document& versioned) {
+  check_document();
   addresses_.clear();
   for (const auto& worker : document->workers) {
     addresses_[worker.id] = worker.address;
@@ -132,6 +137,7 @@
   for (const auto& domain : document->failure_domains) {
     if (!domains_.contains(domain.id)) {
       domains_[domain.id] = std::make_unique<domain_slot>(*this, domain.id);
+      feed(*domains_[domain.id], document_standing_changed{.may_be_outdated = document_outdated_});
       feed(*domains_[domain.id], schedulers());
     }
   }
@@ -205,6 +211,24 @@
   }
 }
 
+void scheduler_daemon::check_document() {
+  const bool owner = std::any_of(domains_.begin(), domains_.end(),
+                                 [](const auto& entry) { return entry.second->owner.owns(); });
+  if (owner) {
+    cluster_.check_document();
+  }
+  const bool outdated = cluster_.document_may_be_outdated();
+  if (std::exchange(document_outdated_, outdated) == outdated) {
+    return;
+  }
+  if (owner) {
+    log(document_outdated_ ? log_level::warning : log_level::info,
+        document_outdated_ ? "the document may be outdated; placement waits"
+                           : "the document is the newest one");
+  }
+  feed_all(document_standing_changed{.may_be_outdated = document_outdated_});
+}
+
 void scheduler_daemon::feed_all(const domain_owner_event& event) {
   for (auto& [id, slot] : domains_) {
     feed(*slot, event);
--- a/src/programs/rhubarb-scheduler/scheduler_daemon.hpp
+++ b/src/programs/rhubarb-scheduler/scheduler_daemon.hpp
@@ -47,6 +47,9 @@
 
   void feed(domain_slot& slot, const domain_owner_event& event);
   void feed_all(const domain_owner_event& event);
+  /// Keeps the document confirmed while this process owns a failure domain, and tells the owners its
+  /// standing.
+  void check_document();
   void run(domain_slot& slot, const store_call& action);
   void run(domain_slot& slot, const store_call_cancelled& action);
   void run(domain_slot& slot, const worker_send& action);
@@ -62,6 +65,8 @@
   cbor_log_codec codec_;
   std::map<failure_domain_id, std::unique_ptr<domain_slot>> domains_;
   std::map<worker_id, std::string> addresses_;
+  bool document_outdated_{false};
+  timer_handle document_timer_;
 };
 
 }  // namespace rhubarbpath
--- a/src/programs/shared/cluster_node.cpp
+++ b/src/programs/shared/cluster_node.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+/// Interval at which decisions that wait for a check of the document are made again.
+constexpr duration waiting_interval = std::chrono::milliseconds{20};
+
 /// The parts retry by themselves, so the store session only bounds each try.
 constexpr duration row_call_patience = std::chrono::seconds{4};
 
@@ -218,6 +221,32 @@
        {"digest", action.stamp.digest}});
 }
 
+bool cluster_node::document_may_be_outdated() {
+  return config_.standing(loop_.now()) != version_tracker::standing::confirmed;
+}
+
+config_decision cluster_node::decide_refusal(duration waited) {
+  check_document();
+  return decide(config_.standing(loop_.now()), config_.newer_announced(),
+                {.allowed = false, .waited = waited});
+}
+
+void cluster_node::when_document_checked(std::function<void()> call) {
+  waiting_.push_back(std::move(call));
+  if (!waiting_timer_.active()) {
+    waiting_timer_ = loop_.run_every(waiting_interval, [this] { run_waiting(); });
+  }
+}
+
+void cluster_node::run_waiting() {
+  for (const auto& call : std::exchange(waiting_, {})) {
+    call();
+  }
+  if (waiting_.empty()) {
+    waiting_timer_.cancel();
+  }
+}
+
 void cluster_node::publish_status() {
   status_.view = options_.keeps_view ? view_.number : view_number{};
   status_.document = config_.stamp();
--- a/src/programs/shared/cluster_node.hpp
+++ b/src/programs/shared/cluster_node.hpp
@@ -6,6 +6,7 @@
 
 #include "deadline_timer.hpp"
 #include "peer_mesh.hpp"
+#include "rhubarbpath/coordination/config_decision.hpp"
 #include "rhubarbpath/coordination/config_distributor.hpp"
 #include "rhubarbpath/coordination/membership.hpp"
 #include "rhubarbpath/coordination/view_keeper.hpp"
@@ -57,6 +58,15 @@
   void leave();
 
   [[nodiscard]] const versioned_document& document() const noexcept { return config_.current(); }
+  /// Asks the store for the newest document if the one in force was not confirmed for some time.
+  void check_document() { feed(config_distributor_event{document_check_requested{}}); }
+  /// Whether the document in force may no longer be the newest one.
+  [[nodiscard]] bool document_may_be_outdated();
+  /// Decides a call that the document in force does not allow and that arrived `waited` ago. The document may
+  /// be outdated, and is then checked.
+  [[nodiscard]] config_decision decide_refusal(duration waited);
+  /// Calls back from the loop when such a decision may have changed.
+  void when_document_checked(std::function<void()> call);
   [[nodiscard]] const view& current_view() const noexcept { return view_; }
   [[nodiscard]] std::vector<live_member> live() const { return members_.live(); }
   /// Peer address of a live member; empty when it is not known.
@@ -76,6 +86,7 @@
   void run(const document_adopted& action);
   void run(const document_conflict& action);
   void publish_status();
+  void run_waiting();
   void rank_by_live_list(const live_list_changed& action);
 
   event_loop& loop_;
@@ -93,6 +104,8 @@
   deadline_timer members_timer_;
   deadline_timer views_timer_;
   deadline_timer config_timer_;
+  std::vector<std::function<void()>> waiting_;  ///< For the result of a check of the document.
+  timer_handle waiting_timer_;
 };
 
 /// Parses the body of `GET /vms`; entries that are malformed are left out.
--- a/tests/coordination/domain_owner_test.cpp
+++ b/tests/coordination/domain_owner_test.cpp
@@ -12,6 +12,8 @@
 using simulation::domain_simulation;
 using simulation::second;
 
+constexpr int workers_in_domain = simulation::workers_per_domain;
+
 constexpr duration takeover_bound = 8 * second;
 
 /// A simulated domain in which a process has already become the owner.
@@ -231,4 +233,85 @@
   CHECK(world.state_of("job") == job_state::cancelled);
 }
 
+// Guards against a job that is refused for good by a document that may be outdated, although the newest one
+// has its team.
+TEST_CASE("domain_owner_refuses_no_job_by_a_document_that_may_be_outdated") {
+  for (const bool document_comes_first : {false, true}) {
+    owned_domain world{35, true};
+    auto& owner = *world.owner();
+    owner.send(document_standing_changed{.may_be_outdated = true});
+    const job_spec spec{.team = team_id{"new team"},
+                        .job_class = class_id{"batch"},
+                        .shape = {.accelerators_per_member = 8, .members = 1, .within = proximity::rack},
+                        .declared_run_time = second,
+                        .command = "run"};
+    world.gang_sizes[job_id{"job"}] = 1;
+    owner.send(job_submitted{
+        .from = {.peer = vm_id{"client"}, .request = request_id{1}}, .job = job_id{"job"}, .spec = spec});
+    world.run(3 * second);
+    CHECK(world.accepted.contains(job_id{"job"}));
+    CHECK(world.state_of("job") == job_state::waiting);
+    world.document.teams.push_back({.id = team_id{"new team"}});
+    const document_changed newer{.version = document_version{2},
+                                 .document = std::make_shared<environment_document>(world.document)};
+    if (document_comes_first) {
+      owner.send(newer);
+      owner.send(document_standing_changed{.may_be_outdated = false});
+    } else {
+      owner.send(document_standing_changed{.may_be_outdated = true});
+      owner.send(newer);
+      world.run(second);
+      CHECK(world.state_of("job") == job_state::waiting);
+      owner.send(document_standing_changed{.may_be_outdated = false});
+    }
+    world.run(5 * second);
+    CHECK(world.state_of("job") == job_state::finished);
+  }
+}
+
+// Guards against a new owner that stops a running gang, because its document is older than the one by which
+// the gang was placed and lacks a worker.
+TEST_CASE("domain_owner_takeover_with_an_outdated_document_stops_no_gang") {
+  owned_domain world{36, true};
+  const auto first = world.owner_name();
+  world.submit(first, "long", workers_in_domain, 60 * second);
+  world.run(3 * second);
+  REQUIRE(world.state_of("long") == job_state::running);
+  auto older = world.document;
+  older.workers.resize(2);
+  for (const auto& [name, process] : world.processes) {
+    if (name != first) {
+      process->send(document_standing_changed{.may_be_outdated = true});
+      process->send(document_changed{.version = document_version{0},
+                                     .document = std::make_shared<environment_document>(older)});
+    }
+  }
+  const auto before = world.owner()->part().current_epoch();
+  world.crash(first);
+  REQUIRE(world.wait_for_owner(before, takeover_bound));
+  world.run(10 * second);
+  CHECK(world.state_of("long") == job_state::running);
+  world.owner()->send(document_changed{.version = document_version{1},
+                                       .document = std::make_shared<environment_document>(world.document)});
+  world.owner()->send(document_standing_changed{.may_be_outdated = false});
+  world.run(60 * second);
+  CHECK(world.state_of("long") == job_state::finished);
+  CHECK(world.logged_placed.size() == 1);
+}
+
+// Guards against a gang that is placed on a worker that became unreachable while the document was checked.
+TEST_CASE("domain_owner_places_nothing_on_workers_lost_while_its_document_was_checked") {
+  owned_domain world{37, true};
+  auto& owner = *world.owner();
+  owner.send(document_standing_changed{.may_be_outdated = true});
+  for (int i = 0; i + 1 < workers_in_domain; ++i) {
+    world.workers.at(worker_id{"w" + std::to_string(i)}).unreachable = true;
+  }
+  world.run(20 * second);
+  owner.send(document_standing_changed{.may_be_outdated = false});
+  world.submit(owner.vm().value(), "job", 1, second);
+  world.run(5 * second);
+  CHECK(world.state_of("job") == job_state::finished);
+}
+
 }  // namespace rhubarbpath
