--- a/tests/platform/soak/worker_fleet.cpp
+++ b/tests/platform/soak/worker_fleet.cpp
@@ -517,6 +517,11 @@
                      [&](const auto& each) { return each.first.job == job; });
 }
 
+std::set<std::string> worker_fleet::workers_of(const std::string& job) const {
+  const auto found = started_.find(job);
+  return found == started_.end() ? std::set<std::string>{} : found->second;
+}
+
 const soak_step* worker_fleet::find_step(const task_name& task) const {
   const auto found = jobs_.find(task.job);
   const auto step = static_cast<std::size_t>(task.step);
@@ -525,7 +530,7 @@
 
 void worker_fleet::run_started(const task_name& task, std::uint64_t run, const std::string& worker) {
   ++run_count_;
-  started_.insert(task.job);
+  started_[task.job].insert(worker);
   if (const auto other = running_.find(task); other != running_.end()) {
     violation(fmt::format("TWICE: {} was started as run {} on {} while it runs on {}", wire_name(task), run,
                           worker, other->second));
--- a/tests/platform/soak/worker_fleet.hpp
+++ b/tests/platform/soak/worker_fleet.hpp
@@ -79,6 +79,8 @@
   [[nodiscard]] bool all_done(const std::string& job) const;
   [[nodiscard]] bool ever_started(const std::string& job) const { return started_.contains(job); }
   [[nodiscard]] bool running(const std::string& job) const;
+  /// Ids of the workers that have started tasks of the job.
+  [[nodiscard]] std::set<std::string> workers_of(const std::string& job) const;
   [[nodiscard]] const std::vector<std::string>& violations() const noexcept { return violations_; }
   [[nodiscard]] std::size_t runs() const noexcept { return run_count_; }
 
@@ -102,8 +104,8 @@
   std::vector<std::unique_ptr<worker_stand_in>> workers_;
   std::vector<expiring_row> expiring_rows_;
   std::map<std::string, soak_job> jobs_;
-  std::set<std::string> started_;
-  std::map<task_name, std::string> running_;  ///< Id of the worker that runs each task.
+  std::map<std::string, std::set<std::string>> started_;  ///< By job, the workers that started its tasks.
+  std::map<task_name, std::string> running_;              ///< Id of the worker that runs each task.
   std::set<task_name> done_;
   std::set<task_name> rerun_allowed_;
   std::vector<std::string> violations_;
