--- a/tests/platform/edge/edge_processes.cpp
+++ b/tests/platform/edge/edge_processes.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <csignal>
 #include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -56,6 +57,8 @@
       store_{loop_, network_prefix_ + ".1", store_port, random_},
       workers_{loop_, store_, random_},
       client_{loop_, {}} {
+  // A process that is killed or that gives up an answer closes its connection while a stand-in writes to it.
+  std::signal(SIGPIPE, SIG_IGN);
   put_config(1);
   require(store_.listen());
   std::vector<std::string> seeds;
@@ -119,6 +122,35 @@
   return *answer;
 }
 
+void edge_processes::kill(std::size_t vm) {
+  auto& process = *vms_.at(vm).process;
+  process.send(SIGKILL);
+  while (process.alive()) {
+    static_cast<void>(process.reap());
+    run_for(poll_interval);
+  }
+}
+
+void edge_processes::start(std::size_t vm) {
+  if (!vms_.at(vm).process->start()) {
+    throw std::runtime_error{"cannot start a rhubarb-edge process"};
+  }
+}
+
+bool edge_processes::alive(std::size_t vm) {
+  auto& process = *vms_.at(vm).process;
+  static_cast<void>(process.reap());
+  return process.alive();
+}
+
+int edge_processes::send_as_peer(std::size_t vm, const std::string& path, const std::string& body) {
+  const auto result =
+      call(fmt::format("{}:{}", vms_.at(vm).address, peer_port),
+           {.method = "POST", .path = path, .query = {}, .headers = {}, .body = body}, call_timeout);
+  const auto* response = std::get_if<http_response>(&result);
+  return response == nullptr ? 0 : response->status;
+}
+
 http_result edge_processes::query_version(std::size_t vm, int number) {
   return call(fmt::format("{}:{}", vms_.at(vm).address, caller_port),
               {.method = "GET",
--- a/tests/platform/soak/worker_fleet.cpp
+++ b/tests/platform/soak/worker_fleet.cpp
@@ -162,6 +162,11 @@
   }
 }
 
+std::set<std::string> worker_fleet::workers_of(const std::string& job) const {
+  const auto found = started_.find(job);
+  return found == started_.end() ? std::set<std::string>{} : found->second;
+}
+
 const soak_step* worker_fleet::find_step(const task_name& task) const {
   const auto found = jobs_.find(task.job);
   const auto step = static_cast<std::size_t>(task.step);
@@ -171,7 +176,7 @@
 void worker_fleet::run_started(const task_name& task, std::uint64_t run, const std::string& worker,
                                const std::string& rack) {
   ++run_count_;
-  started_.insert(task.job);
+  started_[task.job].insert(worker);
   last_runs_[task] = {.run = run, .worker = worker, .rack = rack, .ended_at = {}, .outcome = {}};
   if (const auto other = running_.find(task); other != running_.end()) {
     violation(fmt::format("TWICE: {} was started as run {} on {} while it runs on {}", wire_name(task), run,
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <limits>
 
 #include "platform/config_wire.hpp"
 #include "platform/job_wire.hpp"
@@ -158,6 +159,78 @@
   CHECK(report->running.front().percent == 100);
 }
 
+TEST_CASE("renewal_answer_with_a_clock_or_incarnation_out_of_range_is_no_report") {
+  // Guards against leases that are counted from a clock that overflows, and against an incarnation that no
+  // later one can follow.
+  const auto readable = [](const std::string& text) {
+    return std::holds_alternative<lease_report>(decode_renew_answer(make_response(200, text)));
+  };
+  REQUIRE(readable(R"({"clockMs":5,"born":9,"running":[],"finished":[]})"));
+  REQUIRE(readable(R"({"clockMs":0,"running":[],"finished":[]})"));
+  const auto nested = std::string(100'000, '[') + std::string(100'000, ']');
+  for (const std::string& odd :
+       {std::string{"-1"}, std::string{"1e300"}, std::string{"1e400"}, std::string{"9223372036854775807"},
+        std::string{"9223372036854775808"}, std::string{"\"5\""}, nested}) {
+    INFO(odd.substr(0, 30));
+    CHECK_FALSE(readable(R"({"clockMs":)" + odd + R"(,"born":9})"));
+    if (odd != "9223372036854775807") {
+      CHECK_FALSE(readable(R"({"clockMs":5,"born":)" + odd + "}"));
+    }
+  }
+  CHECK_FALSE(readable(nested));
+  const auto answer = decode_renew_answer(
+      make_response(200, R"({"clockMs":5,"running":)" + nested + R"(,"finished":[[1,)" + nested + "]]}"));
+  REQUIRE(std::holds_alternative<lease_report>(answer));
+  CHECK_FALSE(std::get<lease_report>(answer).complete);
+}
+
+TEST_CASE("worker_entry_whose_id_no_header_can_carry_is_ignored") {
+  // Guards against orders that another worker at the same address takes for its own: a header with a line
+  // break is left out of the order, and space around a value is not part of it.
+  const std::string good =
+      R"({"service":"s","address":"10.0.0.1:1","zone":"z","version":"v1","slots":8,"seq":4,
+    "state":"ready","capacity":{"cpu":1,"memMb":1,"gpu":8},"labels":["a","r1"],"born":5})";
+  REQUIRE(decode_worker_entry("servers/i-885cfb2f", good).ok());
+  for (const std::string_view id :
+       {"", " ", "i-1 ", " i-1", "i-1\r\nA: b", "i-1\n", "i\t1", "i-\x7f", "i-\xff"}) {
+    INFO(id);
+    CHECK_FALSE(decode_worker_entry("servers/" + std::string{id}, good).ok());
+  }
+}
+
+TEST_CASE("config_with_an_odd_version_or_list_is_rejected") {
+  // Guards against a version that no later one can follow, and against a route that is made of no object.
+  CHECK(decode_config(R"({"version":0})").ok());
+  CHECK(decode_config(R"({"version":7,"routes":[{"name":"r"}],"services":[],"tenants":[]})").ok());
+  const auto nested = std::string(100'000, '[') + std::string(100'000, ']');
+  for (const std::string& odd :
+       {std::string{"-1"}, std::string{"1e300"}, std::string{"1e400"}, std::string{"9223372036854775808"},
+        std::string{"18446744073709551615"}, std::string{"\"7\""}, std::string{"null"}, nested}) {
+    INFO(odd.substr(0, 30));
+    CHECK_FALSE(decode_config(R"({"version":)" + odd + "}").ok());
+  }
+  for (const auto* name : {"routes", "services", "tenants"}) {
+    for (const std::string& odd :
+         {std::string{"7"}, std::string{"\"r\""}, std::string{"[7]"}, std::string{"{\"a\":1}"}, nested}) {
+      INFO(name << ' ' << odd.substr(0, 30));
+      CHECK_FALSE(decode_config(R"({"version":7,")" + std::string{name} + R"(":)" + odd + "}").ok());
+    }
+  }
+  CHECK_FALSE(decode_config(nested).ok());
+}
+
+TEST_CASE("config_numbers_out_of_range_count_as_the_nearest_in_range") {
+  // Guards against times that overflow when they are added to those of a job.
+  const auto queue = [](const std::string& fields) {
+    return decode_config(R"({"version":7,"routes":[{"name":"r",)" + fields + "}]}")->queues.front();
+  };
+  CHECK(queue(R"("targetDurationMs":9223372036854775807)").target > std::chrono::hours{24});
+  CHECK(queue(R"("targetDurationMs":9223372036854775807)").target < duration::max() / 4);
+  CHECK(queue(R"("targetDurationMs":-9223372036854775807)").target == duration::zero());
+  CHECK(queue(R"("maxAttempts":-1)").max_attempts == 0);
+  CHECK(queue(R"("maxAttempts":4294967297)").max_attempts == std::numeric_limits<std::uint32_t>::max());
+}
+
 TEST_CASE("config_guarantee_is_decoded_from_its_object") {
   const auto config = decode_config(R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/",
     "priority":0,"service":"s","maxAttempts":3,"stretch":1.5}],"services":[],
