Start nothing beside a silent worker before it has reported again

Callers saw a job with nothing running for 60 s while the fleet was empty: the workers of its data rack were cut off and still listed, and each cost the unit one start without an answer, which holds it up until the lease has passed, 10 s one after the other.

Cause: what the owner learned of one silent worker said nothing about its neighbours, and idle workers are not called, so the next one looked sound. For the same reason an idle worker that had started again got starts by the clock of its earlier incarnation.

Change: after a start or a renewal without an answer, a start refused as late, or an entry with another incarnation or address, an idle worker is doubted; after a call without an answer so are those of its rack. Before a start to a doubted worker its space is reserved and it is asked for a report that grants no lease; all idle workers of a doubted rack are asked at once, and after 0.1 s without an answer the unit is placed on others. After a start without an answer the unit goes only to workers that have reported since. Members with reserved space now count for the limit of a step's tasks on one worker.

Ruled out: repeats of a start that keep the deadline of the first attempt. A renewal goes to the worker with the next scan, up to 25 ms after the start, and grants the lease of 9.5 s, so the deadline of the start does not bound the wait. Without that renewal the wait for a worker without earlier leases was under 5.2 s instead of 10.2 s. But a worker that has started again unnoticed shortens the deadline, on its new clock, to the longest lease of 10 s, so the run could still be at work when the owner takes it as over (by reading, not shown by a run). Left as it was.

--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -39,6 +39,8 @@
 constexpr duration reservation_timeout{std::chrono::milliseconds{1200}};
 /// Interval of renewals to a worker whose address answers as another instance, while it is still listed.
 constexpr duration replaced_pause{std::chrono::seconds{2}};
+/// How long a start waits for the report of its worker before it is placed on others. The call goes on.
+constexpr duration max_report_wait{std::chrono::milliseconds{100}};
 /// Interval of the checks for expired leases, retries, stalls and due renewals; bounds how late they act.
 constexpr duration scan_interval{std::chrono::milliseconds{25}};
 /// Number of consecutive failed renewals after which a worker gets no new work.
@@ -94,6 +96,7 @@
   resource_amounts used;
   resource_amounts reserved;
   std::vector<assigned_task> tasks;
+  std::vector<assigned_task> reserved_tasks;  ///< For which `reserved` is.
   /// Position in the index of its service; empty until the worker is listed.
   std::optional<worker_slot> slot;
   bool stored{false};  ///< Its id is in the stored set of workers, so it may get orders.
@@ -118,6 +121,10 @@
   std::map<std::uint64_t, task_ref> unstored_ends;
   bool renewing{false};
   instant renew_at{};
+  /// An order to it or to a worker in its rack had no answer, or its entry names another incarnation or
+  /// address: it gets no start before it has reported after this time.
+  instant doubted_at{};
+  std::optional<instant> report_wanted;  ///< Since when a start waits for its report.
   int failed_renewals{0};
   bool replaced{false};       ///< Another instance responds at the worker's address.
   instant first_report_at{};  ///< Of this term.
@@ -298,6 +305,14 @@
   void start_rejected(detail::job_state& job, detail::unit& unit, std::size_t index,
                       const start_refused& refused, instant now);
   void order_stop(detail::job_state& job, detail::unit& unit, std::size_t index);
+  /// Whether the worker has to report before it gets a start. An idle one may be cut off without notice; one
+  /// that runs something is called all the time.
+  [[nodiscard]] static bool must_report(const detail::worker_state& worker, const detail::unit& unit);
+  /// Reads the worker's lists without granting a lease. If it is doubted, so are the other doubted workers of
+  /// its rack: a rack that is out of reach then costs the time of one unanswered call, not one for each.
+  void request_report(detail::worker_state& worker, instant now);
+  /// An order to the worker had no answer: what it shares its rack with may be out of reach as well.
+  void doubt_rack_of(detail::worker_state& worker, instant now);
   void renew_workers(instant now);
   void renew_worker(detail::worker_state& worker, instant now);
   void expire_silent_workers(instant now);
@@ -414,6 +429,10 @@
   [[nodiscard]] bool fits_an_empty_rack(const detail::job_state& job, const detail::unit& unit);
   /// Whether the job has stood for as long as it may in a fleet with room.
   [[nodiscard]] bool overdue(const detail::job_state& job, instant now);
+  /// Starts the unit, or reserves the space until all workers have reported that must do so before.
+  void start_or_reserve(detail::job_state& job, detail::unit& unit, const placement& where, instant now);
+  /// Reserves the space of the unit until `start_reserved` can start it.
+  void reserve(detail::job_state& job, detail::unit& unit, const placement& where, instant now);
   void start_unit(detail::job_state& job, detail::unit& unit, const placement& where, instant now);
   void start_reserved(instant now);
   void release_reservation(detail::unit& unit, const resource_amounts& each);
--- a/src/coordination/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler_placement.cpp
@@ -197,6 +197,7 @@
   return worker.listed && worker.reported && !worker.replaced && !worker.entry.draining &&
          worker.failed_renewals < detail::unusable_after_failed_renewals && now >= worker.full_until &&
          worker.stored && !worker.stored_as_leaving &&
+         (!worker.report_wanted || now - *worker.report_wanted <= detail::max_report_wait) &&
          (!worker.set_aside || (worker.trial && worker.tasks.empty()));
 }
 
@@ -282,11 +283,13 @@
 
 std::uint32_t job_scheduler::implementation::tasks_of_step(const worker_state& worker, const job_state& job,
                                                            const unit& placed) const {
+  const auto same_step = [&](const detail::assigned_task& task) {
+    return task.job == &job && task.parent->occurrence == placed.occurrence &&
+           task.parent->step == placed.step;
+  };
   return static_cast<std::uint32_t>(
-      std::count_if(worker.tasks.begin(), worker.tasks.end(), [&](const detail::assigned_task& task) {
-        return task.job == &job && task.parent->occurrence == placed.occurrence &&
-               task.parent->step == placed.step;
-      }));
+      std::count_if(worker.tasks.begin(), worker.tasks.end(), same_step) +
+      std::count_if(worker.reserved_tasks.begin(), worker.reserved_tasks.end(), same_step));
 }
 
 bool job_scheduler::implementation::known_unplaceable(const unplaceable_request& request) const {
@@ -366,7 +369,7 @@
   const auto& step = step_of(job, placed);
   const bool urgent = job.queue->priority == 0;
   if (const auto where = choose_workers(job, placed, false); !where.empty()) {
-    start_unit(job, placed, where, now);
+    start_or_reserve(job, placed, where, now);
     return std::nullopt;
   }
   if (urgent && preempt(job, placed, false, now)) {
@@ -375,7 +378,7 @@
   const bool spread = prefers_rack(step) && may_spread(job, placed, now);
   if (spread) {
     if (const auto where = choose_workers(job, placed, true); !where.empty()) {
-      start_unit(job, placed, where, now);
+      start_or_reserve(job, placed, where, now);
       return std::nullopt;
     }
     if (urgent && preempt(job, placed, true, now)) {
@@ -385,7 +388,7 @@
   if (!held_back.empty() && overdue(job, now)) {
     release_held_back();
     if (const auto where = choose_workers(job, placed, true); !where.empty()) {
-      start_unit(job, placed, where, now);
+      start_or_reserve(job, placed, where, now);
       return std::nullopt;
     }
   }
@@ -445,12 +448,46 @@
          !fits_an_empty_rack(job, placed);
 }
 
+void job_scheduler::implementation::start_or_reserve(job_state& job, unit& placed, const placement& where,
+                                                     instant now) {
+  bool all_reported = true;
+  for (auto* worker : where) {
+    if (must_report(*worker, placed)) {
+      all_reported = false;
+      request_report(*worker, now);
+    }
+  }
+  if (all_reported) {
+    start_unit(job, placed, where, now);
+  } else {
+    reserve(job, placed, where, now);
+  }
+}
+
+void job_scheduler::implementation::reserve(job_state& job, unit& placed, const placement& where,
+                                            instant now) {
+  placed.phase = unit_phase::reserved;
+  ++reserved_units;
+  placed.reserved_until = now + detail::reservation_timeout;
+  const auto need = occupied(step_of(job, placed));
+  for (std::size_t index = 0; index < placed.members.size(); ++index) {
+    auto& worker = *where[index];
+    placed.members[index] =
+        member{.phase = member_phase::reserved, .worker = &worker, .run = {}, .checkpoint = {}};
+    worker.reserved += need;
+    worker.reserved_tasks.push_back({.job = &job, .parent = &placed, .index = index});
+  }
+  track(job, placed);
+  invalidate_caches(where);
+}
+
 void job_scheduler::implementation::release_reservation(unit& placed, const resource_amounts& each) {
   for (auto& one : placed.members) {
     if (one.phase != member_phase::reserved) {
       continue;
     }
     one.worker->reserved -= each;
+    std::erase_if(one.worker->reserved_tasks, [&](const auto& task) { return task.parent == &placed; });
     one = member{};
   }
   --reserved_units;
@@ -459,11 +496,10 @@
 
 void job_scheduler::implementation::start_reserved(instant now) {
   // Iterates over a copy, because starting a unit changes the list.
-  const auto tracked = active_units;
-  for (const auto& [job, each] : tracked) {
-    if (each->phase != unit_phase::reserved) {
-      continue;
-    }
+  std::vector<std::pair<job_state*, unit*>> reserved;
+  std::copy_if(active_units.begin(), active_units.end(), std::back_inserter(reserved),
+               [](const auto& active) { return active.second->phase == unit_phase::reserved; });
+  for (const auto& [job, each] : reserved) {
     const auto need = occupied(step_of(*job, *each));
     placement where;
     bool free = true;
@@ -474,6 +510,10 @@
         lost = true;
         break;
       }
+      if (must_report(*one.worker, *each)) {
+        request_report(*one.worker, now);
+        free = false;
+      }
       where.push_back(one.worker);
       needed[one.worker] += need;
       free = free && (one.worker->entry.capacity - one.worker->used).covers(needed[one.worker]);
--- a/src/coordination/job_scheduler_preemption.cpp
+++ b/src/coordination/job_scheduler_preemption.cpp
@@ -305,17 +305,7 @@
            {{"step", absl::StrCat(target->occurrence, ".", target->step, ".", target->number)}});
     end_unit(*victim_job, *target, now);
   }
-  placed.phase = unit_phase::reserved;
-  ++reserved_units;
-  placed.reserved_until = now + detail::reservation_timeout;
-  for (std::size_t index = 0; index < placed.members.size(); ++index) {
-    auto& worker = *best->where[index];
-    placed.members[index] =
-        member{.phase = member_phase::reserved, .worker = &worker, .run = {}, .checkpoint = {}};
-    worker.reserved += occupied(step);
-    refresh_space(worker);
-  }
-  track(job, placed);
+  reserve(job, placed, best->where, now);
   return true;
 }
 
--- a/src/coordination/job_scheduler_reports.cpp
+++ b/src/coordination/job_scheduler_reports.cpp
@@ -48,6 +48,9 @@
     if (restarted_or_moved && worker.reported && entry.born != incarnation{} && entry.born != worker.born) {
       self.expect_unknown_lease(worker, now);
     }
+    if (restarted_or_moved && worker.reported) {
+      worker.doubted_at = now;
+    }
     self.note_drain(worker, entry, now);
     self.index_worker(worker, entry);
     worker.stored = worker.stored || self.stored_workers.contains(entry.id);
@@ -73,6 +76,7 @@
   }
   auto& worker = found->second;
   worker.renewing = false;
+  worker.report_wanted.reset();
   if (failure == renewal_failure::unanswered && order.lease_until) {
     worker.lease_order_open_until = now + detail::max_order_delay;
   }
@@ -86,6 +90,7 @@
   constexpr duration longest_pause{std::chrono::milliseconds{600}};
   worker.renew_at = now + std::min(longest_pause, detail::renew_pause * worker.failed_renewals);
   if (worker.failed_renewals == 1) {
+    self.doubt_rack_of(worker, now);
     self.record("worker_silent", {}, std::string{failure_name(failure)},
                 {{"worker", id.value()}, {"tasks", absl::StrCat(worker.tasks.size())}});
   }
@@ -182,8 +187,10 @@
     return;
   }
   auto& worker = found->second;
-  worker.renewing = false;
-  worker.replaced = false;
+  worker.renewing = worker.replaced = false;
+  if (std::exchange(worker.report_wanted, std::nullopt)) {
+    self.placement_due = true;
+  }
   worker.answered_at = order.address;
   if (std::exchange(worker.failed_renewals, 0) > 0) {
     self.record("worker_answers", {}, "renewal answered", {{"worker", id.value()}});
--- a/src/coordination/job_scheduler_standing.cpp
+++ b/src/coordination/job_scheduler_standing.cpp
@@ -79,6 +79,9 @@
       const auto& worker = assigned->worker->entry.id;
       switch (each.phase) {
         case unit_phase::reserved:
+          if (assigned->worker->report_wanted) {
+            return detail::report_awaited{.worker = worker};
+          }
           return detail::stops_unfinished{.worker = worker};
         case unit_phase::active:
           return detail::start_unconfirmed{.worker = worker};
--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -33,6 +33,17 @@
   return "invalid";
 }
 
+bool shares_rack(const worker_state& one, const worker_state& other) {
+  return !one.entry.rack.empty() && one.entry.rack == other.entry.rack &&
+         one.entry.domain == other.entry.domain;
+}
+
+bool runs_something(const worker_state& worker) {
+  return std::any_of(worker.tasks.begin(), worker.tasks.end(), [](const auto& task) {
+    return task.parent->members[task.index].phase == member_phase::running;
+  });
+}
+
 }  // namespace
 
 // ---- clocks and leases ----
@@ -218,6 +229,43 @@
   space.workers[position] = &worker;
 }
 
+bool job_scheduler::implementation::must_report(const worker_state& worker, const unit& waiting) {
+  if (worker.clock_at <= waiting.start_unanswered_at) {
+    return true;
+  }
+  return worker.clock_at <= worker.doubted_at && !runs_something(worker);
+}
+
+void job_scheduler::implementation::request_report(worker_state& worker, instant now) {
+  if (worker.report_wanted) {
+    return;
+  }
+  const auto request = [&](worker_state& each) {
+    if (!each.report_wanted) {
+      each.report_wanted = each.renew_at = now;
+    }
+    renew_worker(each, now);
+  };
+  request(worker);
+  if (worker.clock_at > worker.doubted_at) {
+    return;
+  }
+  for (auto& [id, each] : workers) {
+    if (shares_rack(each, worker) && each.clock_at <= each.doubted_at && usable(each, now)) {
+      request(each);
+    }
+  }
+}
+
+void job_scheduler::implementation::doubt_rack_of(worker_state& worker, instant now) {
+  worker.doubted_at = now;
+  for (auto& [id, each] : workers) {
+    if (shares_rack(each, worker)) {
+      each.doubted_at = now;
+    }
+  }
+}
+
 void job_scheduler::implementation::renew_workers(instant now) {
   for (auto& [id, worker] : workers) {
     renew_worker(worker, now);
@@ -232,7 +280,8 @@
   const bool ends_unstored = worker.seen_through > worker.acknowledged_through;
   const bool acknowledge = worker.acknowledged_through > worker.acknowledged_confirmed;
   const bool silent = worker.failed_renewals > 0 && worker.listed;
-  const bool idle = worker.tasks.empty() && !ends_unstored && !acknowledge && !silent && !worker.has_strays;
+  const bool idle = worker.tasks.empty() && !ends_unstored && !acknowledge && !silent && !worker.has_strays &&
+                    !worker.report_wanted;
   if (worker.has_complete_report && idle) {
     return;
   }
@@ -255,7 +304,8 @@
     order.lease_until = lease_end(worker, now);
     worker.lease_until = std::max(worker.lease_until, *order.lease_until);
   }
-  if (worker.reported && !ends_unstored && !worker.tasks.empty() && worker.failed_renewals == 0) {
+  if (worker.reported && !ends_unstored && !worker.tasks.empty() && worker.failed_renewals == 0 &&
+      !worker.report_wanted) {
     order.wait = duration_cast<milliseconds>(opts.renew_wait);
   }
   worker.renewing = true;
@@ -422,10 +472,14 @@
                                                      instant now) {
   auto& started = parent.members[index];
   started.repeat_at = now + detail::order_repeat_pause;
+  if (started.attempts == 1) {
+    doubt_rack_of(*started.worker, now);
+  }
   if (started.attempts < detail::max_start_attempts) {
     return;
   }
   ++started.worker->failed_renewals;
+  parent.start_unanswered_at = now;
   record("start_unanswered", job.job.id, "worker does not respond",
          {{"worker", started.worker->entry.id.value()}});
   end_unit(job, parent, now);
@@ -440,6 +494,11 @@
   if (refused.why == start_refusal::fenced) {
     actions.emplace_back(owner_superseded{.worker = worker.entry.id});
   }
+  if (refused.why == start_refusal::too_late) {
+    // The worker's clock is not what the owner takes it for: it was started again, or has not reported for
+    // long.
+    worker.doubted_at = now;
+  }
   if (refused.why == start_refusal::no_ticket) {
     tickets.ticket_refused({.job = job.job.id, .occurrence = parent.occurrence, .step = parent.step},
                            worker.entry.id);
--- a/src/coordination/job_units.hpp
+++ b/src/coordination/job_units.hpp
@@ -65,7 +65,8 @@
   unit_wait wait;  ///< While it waits: why the last placement pass did not place it.
   bool all_running{false};
   instant reserved_until{};
-  bool tracked{false};  ///< Is in `active_units` of the scheduler.
+  instant start_unanswered_at{};  ///< When a start of it was given up without an answer.
+  bool tracked{false};            ///< Is in `active_units` of the scheduler.
 };
 
 /// Numbers as few ranges.
--- a/src/coordination/unit_wait.cpp
+++ b/src/coordination/unit_wait.cpp
@@ -24,6 +24,9 @@
   std::string operator()(const stops_unfinished& wait) const {
     return absl::StrCat("preempted runs on ", wait.worker.value(), " have not ended");
   }
+  std::string operator()(const report_awaited& wait) const {
+    return absl::StrCat(wait.worker.value(), " has to report before a start");
+  }
   std::string operator()(const start_unconfirmed& wait) const {
     return absl::StrCat("the start on ", wait.worker.value(), " is not confirmed");
   }
--- a/src/coordination/unit_wait.hpp
+++ b/src/coordination/unit_wait.hpp
@@ -31,6 +31,10 @@
 struct stops_unfinished {
   worker_id worker;
 };
+/// Space is reserved on this worker, which has to report before a start.
+struct report_awaited {
+  worker_id worker;
+};
 /// A start was ordered, and the worker has not confirmed it.
 struct start_unconfirmed {
   worker_id worker;
@@ -40,9 +44,9 @@
   worker_id worker;
 };
 
-using unit_wait =
-    std::variant<not_considered, starts_are_held, unknown_queue, recovery_unfinished, run_of_previous_owner,
-                 rack_is_full, no_free_space, stops_unfinished, start_unconfirmed, earlier_run_unfinished>;
+using unit_wait = std::variant<not_considered, starts_are_held, unknown_queue, recovery_unfinished,
+                               run_of_previous_owner, rack_is_full, no_free_space, stops_unfinished,
+                               report_awaited, start_unconfirmed, earlier_run_unfinished>;
 
 /// The reason for the log.
 [[nodiscard]] std::string describe(const unit_wait& wait);
