Ask a worker that has been idle for 3 s for a report before it gets a start

Callers saw a job with nothing running for 10 s or more while the fleet was empty: workers that run nothing are not called, so one that was cut off while idle got a start without an answer, and the unit waited for its lease. For the same reason the owner's estimate of an idle worker's clock aged (it may be 2% slow), and after 225 s without a call a start was refused as late until a renewal happened to be sent beside one.

Change: an idle worker that has not reported for 3 s, the time for which a job may stand, is asked for a report before a start, as a doubted one is. A worker that runs something is called all the time and gets starts as before.

Tests: scheduler_task_whose_data_rack_was_cut_off_while_idle_runs_elsewhere, scheduler_gang_over_workers_that_were_cut_off_while_idle_runs_elsewhere and scheduler_task_starts_on_workers_that_have_been_idle_for_long failed before; scheduler_tasks_on_idle_workers_start_within_one_call_of_each guards the price.

--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -39,6 +39,9 @@
 constexpr duration reservation_timeout{std::chrono::milliseconds{1200}};
 /// Interval of renewals to a worker whose address answers as another instance, while it is still listed.
 constexpr duration replaced_pause{std::chrono::seconds{2}};
+/// A worker that has not reported for longer is read before it gets a start: it may be cut off, and the
+/// owner's idea of its clock ages. Idle workers are not called.
+constexpr duration max_report_age{std::chrono::seconds{3}};
 /// How long a start waits for the report of its worker before it is placed on others. The call goes on.
 constexpr duration max_report_wait{std::chrono::milliseconds{100}};
 /// Interval of the checks for expired leases, retries, stalls and due renewals; bounds how late they act.
@@ -307,7 +310,8 @@
   void order_stop(detail::job_state& job, detail::unit& unit, std::size_t index);
   /// Whether the worker has to report before it gets a start. An idle one may be cut off without notice; one
   /// that runs something is called all the time.
-  [[nodiscard]] static bool must_report(const detail::worker_state& worker, const detail::unit& unit);
+  [[nodiscard]] static bool must_report(const detail::worker_state& worker, const detail::unit& unit,
+                                        instant now);
   /// Reads the worker's lists without granting a lease. If it is doubted, so are the other doubted workers of
   /// its rack: a rack that is out of reach then costs the time of one unanswered call, not one for each.
   void request_report(detail::worker_state& worker, instant now);
--- a/src/coordination/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler_placement.cpp
@@ -452,7 +452,7 @@
                                                      instant now) {
   bool all_reported = true;
   for (auto* worker : where) {
-    if (must_report(*worker, placed)) {
+    if (must_report(*worker, placed, now)) {
       all_reported = false;
       request_report(*worker, now);
     }
@@ -510,7 +510,7 @@
         lost = true;
         break;
       }
-      if (must_report(*one.worker, *each)) {
+      if (must_report(*one.worker, *each, now)) {
         request_report(*one.worker, now);
         free = false;
       }
--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -229,11 +229,14 @@
   space.workers[position] = &worker;
 }
 
-bool job_scheduler::implementation::must_report(const worker_state& worker, const unit& waiting) {
+bool job_scheduler::implementation::must_report(const worker_state& worker, const unit& waiting,
+                                                instant now) {
   if (worker.clock_at <= waiting.start_unanswered_at) {
     return true;
   }
-  return worker.clock_at <= worker.doubted_at && !runs_something(worker);
+  const bool doubtful =
+      worker.clock_at <= worker.doubted_at || now - worker.clock_at > detail::max_report_age;
+  return doubtful && !runs_something(worker);
 }
 
 void job_scheduler::implementation::request_report(worker_state& worker, instant now) {
--- a/tests/coordination/job_scheduler_silent_workers_test.cpp
+++ b/tests/coordination/job_scheduler_silent_workers_test.cpp
@@ -84,6 +84,16 @@
   simulated_workers fleet{20261206};
 };
 
+TEST_CASE_METHOD(idle_fleet, "scheduler_task_whose_data_rack_was_cut_off_while_idle_runs_elsewhere") {
+  // Guards against one start without an answer for each worker that was cut off while idle.
+  fleet.advance(seconds{20});
+  cut_off("r2");
+  fleet.advance(seconds{5});
+  fleet.submit(simulated_workers::job("a", 1, task_with_data_in("r2")));
+  CHECK(time_until_it_runs("a", seconds{120}) <= longest_stand);
+  CHECK(fleet.violations.empty());
+}
+
 TEST_CASE_METHOD(idle_fleet,
                  "scheduler_task_whose_data_rack_was_cut_off_just_now_waits_for_one_start_at_most") {
   // Guards against starts that follow one without an answer to workers that have not answered since.
@@ -111,6 +121,19 @@
   CHECK(fleet.violations.empty());
 }
 
+TEST_CASE_METHOD(idle_fleet, "scheduler_gang_over_workers_that_were_cut_off_while_idle_runs_elsewhere") {
+  // Guards against a gang that is placed on one silent worker after the other.
+  fleet.advance(seconds{20});
+  cut_off("r2");
+  cut_off("r5");
+  fleet.advance(seconds{5});
+  fleet.submit(simulated_workers::job("a", 1, gang(5, "r2")));
+  CHECK(time_until_it_runs("a", seconds{120}, 5) <= longest_stand);
+  fleet.submit(simulated_workers::job("b", 1, gang(6, "")));
+  CHECK(time_until_it_runs("b", seconds{120}, 6) <= longest_stand);
+  CHECK(fleet.violations.empty());
+}
+
 TEST_CASE_METHOD(idle_fleet, "scheduler_gang_of_which_some_workers_were_cut_off_just_now_runs_elsewhere") {
   // Guards against a gang that is placed again on neighbours of silent workers that have not answered since.
   fleet.submit(simulated_workers::job(
@@ -149,5 +172,27 @@
   CHECK(fleet.violations.empty());
 }
 
+TEST_CASE_METHOD(idle_fleet, "scheduler_task_starts_on_workers_that_have_been_idle_for_long") {
+  // Guards against deadlines by an estimate of a worker's clock that ages: it may be 2% slow.
+  for (auto& [id, worker] : fleet.workers) {
+    worker.clock_rate = 1.0;
+  }
+  fleet.advance(seconds{400});
+  fleet.submit(simulated_workers::job("a", 1, task_with_data_in("r2")));
+  CHECK(time_until_it_runs("a", seconds{60}) <= milliseconds{100});
+}
+
+TEST_CASE_METHOD(idle_fleet, "scheduler_tasks_on_idle_workers_start_within_one_call_of_each") {
+  // Guards against reads of idle workers one after the other, and against two tasks on one worker where their
+  // step permits one.
+  fleet.advance(seconds{20});
+  fleet.submit(simulated_workers::job(
+      "a", 1, {.count = 48, .each = {1000, 1000, 1}, .estimate = seconds{4}, .max_per_worker = 1}));
+  CHECK(time_until_it_runs("a", seconds{10}, 48) <= milliseconds{100});
+  for (const auto& [id, worker] : fleet.workers) {
+    CHECK(worker.tasks.size() == 1);
+  }
+}
+
 }  // namespace
 }  // namespace rhubarbpath
