Limit the timeout that a caller asks for

A call with a Timeout-Ms near the largest number counted as late from the start, because the conversion of its timeout overflowed: when the store lost the answer to the write, the caller got 504 at once instead of the answer to a repeated write. The overflow is undefined besides.

Change: a longer timeout counts as ten minutes.

Test, failing before with a real process (504 for two of three timeouts): caller_with_a_timeout_out_of_range_is_served_like_a_patient_one.

--- a/src/programs/rhubarb-edge/caller_api.cpp
+++ b/src/programs/rhubarb-edge/caller_api.cpp
@@ -32,6 +32,8 @@
 constexpr duration owner_timeout{std::chrono::milliseconds{250}};
 constexpr int retry_after_seconds = 1;
 constexpr std::int64_t default_timeout_ms = 3000;
+/// A longer timeout counts as this one, so that the deadline cannot overflow.
+constexpr std::int64_t max_timeout_ms = 600'000;
 
 const kv_item* find_item(const std::vector<kv_item>& items, const std::string& key) {
   const auto found =
@@ -122,6 +124,7 @@
   if (!absl::SimpleAtoi(timeout_text, &timeout_ms) || timeout_ms <= 0) {
     timeout_ms = default_timeout_ms;
   }
+  timeout_ms = std::min(timeout_ms, max_timeout_ms);
   call->answer_deadline = call->received_at + std::chrono::milliseconds{timeout_ms} - answer_margin;
   route(call, request);
 }
--- a/tests/platform/edge/edge_processes.cpp
+++ b/tests/platform/edge/edge_processes.cpp
@@ -163,26 +163,30 @@
 }
 
 http_result edge_processes::call_for_job(std::size_t vm, const std::string& method, const std::string& job,
-                                         const std::string& body, duration patience, const std::string& key) {
-  return call(
-      fmt::format("{}:{}", vms_.at(vm).address, caller_port),
-      {.method = method,
-       .path = "/jobs/" + job,
-       .query = {},
-       .headers = {{"Host", std::string{caller_host}}, {"Key", key}, {"Content-Type", "application/json"}},
-       .body = body},
-      patience);
+                                         const std::string& body, duration patience, const std::string& key,
+                                         const std::string& timeout_ms) {
+  http_request request{
+      .method = method,
+      .path = "/jobs/" + job,
+      .query = {},
+      .headers = {{"Host", std::string{caller_host}}, {"Key", key}, {"Content-Type", "application/json"}},
+      .body = body};
+  if (!timeout_ms.empty()) {
+    request.headers.emplace_back("Timeout-Ms", timeout_ms);
+  }
+  return call(fmt::format("{}:{}", vms_.at(vm).address, caller_port), request, patience);
 }
 
 int edge_processes::call_job(std::size_t vm, const std::string& method, const std::string& job,
-                             const std::string& body, duration patience, const std::string& key) {
-  const auto result = call_for_job(vm, method, job, body, patience, key);
+                             const std::string& body, duration patience, const std::string& key,
+                             const std::string& timeout_ms) {
+  const auto result = call_for_job(vm, method, job, body, patience, key, timeout_ms);
   const auto* response = std::get_if<http_response>(&result);
   return response == nullptr ? 0 : response->status;
 }
 
 std::string edge_processes::job_state(std::size_t vm, const std::string& job) {
-  const auto result = call_for_job(vm, "GET", job, {}, call_timeout, "key-a");
+  const auto result = call_for_job(vm, "GET", job, {}, call_timeout, "key-a", {});
   const auto* response = std::get_if<http_response>(&result);
   if (response == nullptr || response->status != http_status::ok) {
     return {};
--- a/tests/platform/edge/edge_processes.hpp
+++ b/tests/platform/edge/edge_processes.hpp
@@ -55,7 +55,8 @@
   /// Sends a caller's request for a job and waits for the answer, at most for `patience`. Returns its status;
   /// 0 without one.
   [[nodiscard]] int call_job(std::size_t vm, const std::string& method, const std::string& job,
-                             const std::string& body, duration patience, const std::string& key = "key-a");
+                             const std::string& body, duration patience, const std::string& key = "key-a",
+                             const std::string& timeout_ms = {});
   /// Sends a request as another VM would. Returns the status of the answer; 0 without one.
   int send_as_peer(std::size_t vm, const std::string& path, const std::string& body);
   /// Number of store calls that the VM has relayed for others.
@@ -69,7 +70,8 @@
   };
   [[nodiscard]] http_result call(const std::string& address, const http_request& request, duration patience);
   [[nodiscard]] http_result call_for_job(std::size_t vm, const std::string& method, const std::string& job,
-                                         const std::string& body, duration patience, const std::string& key);
+                                         const std::string& body, duration patience, const std::string& key,
+                                         const std::string& timeout_ms);
 
   std::filesystem::path folder_;
   std::string network_prefix_;
--- a/tests/platform/edge/odd_input_test.cpp
+++ b/tests/platform/edge/odd_input_test.cpp
@@ -134,5 +134,24 @@
   }
 }
 
+TEST_CASE("caller_with_a_timeout_out_of_range_is_served_like_a_patient_one") {
+  // Guards against a caller whose call counts as late from the start, because its timeout overflows: the
+  // store loses the answer to the write, so the call has to be repeated.
+  edge_processes vms{1};
+  REQUIRE(vms.all_use(1, start_limit));
+  vms.run_for(seconds{2});
+  int number = 0;
+  for (const auto* timeout_ms : {"60000", "9223372036854775807", "9223372036854775"}) {
+    INFO(timeout_ms);
+    vms.store().faults.lost_answers_percent = 100;
+    vms.store().run_later(milliseconds{300}, [](store_faults& faults) { faults.lost_answers_percent = 0; });
+    const auto job = fmt::format("5c0e7a21d94b04{:02x}", ++number);
+    CHECK(vms.call_job(0, "POST", job, std::string{job_body}, seconds{5}, "key-a", timeout_ms) ==
+          http_status::ok);
+    // New writes wait until the store has answered again for some time.
+    vms.run_for(seconds{3});
+  }
+}
+
 }  // namespace
 }  // namespace rhubarbpath::soak
--- a/tests/platform/soak/store_stand_in.hpp
+++ b/tests/platform/soak/store_stand_in.hpp
@@ -2,12 +2,14 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "rhubarbpath/state/random.hpp"
@@ -41,6 +43,10 @@
   [[nodiscard]] bool contains(const std::string& key) const { return rows_.contains(key); }
 
   store_faults faults;
+  /// Changes the faults after `delay`.
+  void run_later(duration delay, std::function<void(store_faults&)> change) {
+    loop_.run_detached(delay, [this, change = std::move(change)] { change(faults); });
+  }
 
  private:
   struct row {
