Let the restarted VM of a test hold the older version

The paused VM had got the newer version from its watch when it went on, so the test of a withdrawn key never saw an older one.

--- a/tests/platform/edge/restart_test.cpp
+++ b/tests/platform/edge/restart_test.cpp
@@ -34,6 +34,8 @@
   vms.run_for(seconds{3});
   REQUIRE(vms.call_job(0, "POST", "5c0e7a21d94b0201", std::string{job_body}, seconds{3}, "key-b") ==
           http_status::ok);
+  // The answer to its watch would wait for it.
+  vms.store_proxy(2).set_mode(proxy_mode::silent);
   vms.send(2, SIGSTOP);
   vms.store().put("op/config", config_without_key_b(2));
   REQUIRE(vms.uses(0, 2, apply_limit));
@@ -43,9 +45,11 @@
   vms.kill(0);
   vms.run_for(apply_limit);
   vms.store().faults.config_unanswered = true;
+  vms.store_proxy(2).set_mode(proxy_mode::pass);
   vms.send(2, SIGCONT);
   vms.start(0);
   REQUIRE(vms.uses(0, 1, start_limit));
+  REQUIRE(vms.query_status(0, 2) != http_status::gone);
   for (int i = 0; i < 30; ++i) {
     CHECK(vms.call_job(0, "POST", "5c0e7a21d94b0203", std::string{job_body}, seconds{3}, "key-b") !=
           http_status::ok);
