--- a/tests/platform/edge/cancellation_test.cpp
+++ b/tests/platform/edge/cancellation_test.cpp
@@ -49,8 +49,9 @@
   // that cancels a job of another.
   const std::string job = "5c0e7a21d94b0005";
   CHECK(vms.call_job(0, "POST", job, std::string{job_body}, seconds{3}) == http_status::ok);
-  CHECK(vms.call_job(1, "POST", job, std::string{job_body}, seconds{3}, "key-b") == http_status::conflict);
-  CHECK(vms.call_job(1, "DELETE", job, {}, seconds{3}, "key-b") == http_status::gone);
+  CHECK(vms.call_job(1, "POST", job, std::string{job_body}, seconds{3}, {.key = "key-b"}) ==
+        http_status::conflict);
+  CHECK(vms.call_job(1, "DELETE", job, {}, seconds{3}, {.key = "key-b"}) == http_status::gone);
   CHECK_FALSE(vms.store().contains("rhubarb/job/" + job + "/cancel"));
   CHECK(vms.call_job(1, "POST", job, std::string{job_body}, seconds{3}) == http_status::ok);
   CHECK(vms.call_job(1, "DELETE", job, {}, seconds{3}) == http_status::ok);
--- a/tests/platform/edge/edge_processes.hpp
+++ b/tests/platform/edge/edge_processes.hpp
@@ -15,6 +15,13 @@
 
 namespace rhubarbpath::soak {
 
+/// How a caller calls about a job.
+struct job_call_options {
+  std::string key{"key-a"};
+  std::string_view queue{normal_queue};
+  std::string timeout_ms;  ///< The caller's time limit, as the header has it; none if empty.
+};
+
 /// A few `rhubarb-edge` processes on loopback, each with a proxy of its own before the stand-in of the store.
 class edge_processes {
  public:
@@ -57,8 +64,8 @@
   /// Sends a caller's request for a job and waits for the answer, at most for `patience`. Returns its status;
   /// 0 without one.
   [[nodiscard]] int call_job(std::size_t vm, const std::string& method, const std::string& job,
-                             const std::string& body, duration patience, const std::string& key = "key-a",
-                             std::string_view queue = normal_queue);
+                             const std::string& body, duration patience,
+                             const job_call_options& options = {});
   /// Sends a request as another VM would. Returns the status of the answer; 0 without one.
   int send_as_peer(std::size_t vm, const std::string& path, const std::string& body);
   /// Number of store calls that the VM has relayed for others.
@@ -72,8 +79,8 @@
   };
   [[nodiscard]] http_result call(const std::string& address, const http_request& request, duration patience);
   [[nodiscard]] http_result call_for_job(std::size_t vm, const std::string& method, const std::string& job,
-                                         const std::string& body, duration patience, const std::string& key,
-                                         std::string_view queue);
+                                         const std::string& body, duration patience,
+                                         const job_call_options& options);
 
   std::filesystem::path folder_;
   std::string network_prefix_;
--- a/tests/platform/edge/restart_test.cpp
+++ b/tests/platform/edge/restart_test.cpp
@@ -32,28 +32,32 @@
   edge_processes vms{3};
   REQUIRE(vms.all_use(1, start_limit));
   vms.run_for(seconds{3});
-  REQUIRE(vms.call_job(0, "POST", "5c0e7a21d94b0201", std::string{job_body}, seconds{3}, "key-b") ==
+  REQUIRE(vms.call_job(0, "POST", "5c0e7a21d94b0201", std::string{job_body}, seconds{3}, {.key = "key-b"}) ==
           http_status::ok);
+  // The answer to its watch would wait for it.
+  vms.store_proxy(2).set_mode(proxy_mode::silent);
   vms.send(2, SIGSTOP);
   vms.store().put("op/config", config_without_key_b(2));
   REQUIRE(vms.uses(0, 2, apply_limit));
-  CHECK(vms.call_job(0, "POST", "5c0e7a21d94b0202", std::string{job_body}, seconds{3}, "key-b") ==
+  CHECK(vms.call_job(0, "POST", "5c0e7a21d94b0202", std::string{job_body}, seconds{3}, {.key = "key-b"}) ==
         http_status::unauthorized);
   vms.send(1, SIGSTOP);
   vms.kill(0);
   vms.run_for(apply_limit);
   vms.store().faults.config_unanswered = true;
+  vms.store_proxy(2).set_mode(proxy_mode::pass);
   vms.send(2, SIGCONT);
   vms.start(0);
   REQUIRE(vms.uses(0, 1, start_limit));
+  REQUIRE(vms.query_status(0, 2) != http_status::gone);
   for (int i = 0; i < 30; ++i) {
-    CHECK(vms.call_job(0, "POST", "5c0e7a21d94b0203", std::string{job_body}, seconds{3}, "key-b") !=
+    CHECK(vms.call_job(0, "POST", "5c0e7a21d94b0203", std::string{job_body}, seconds{3}, {.key = "key-b"}) !=
           http_status::ok);
     vms.run_for(milliseconds{100});
   }
   vms.store().faults.config_unanswered = false;
   vms.run_for(apply_limit);
-  CHECK(vms.call_job(0, "POST", "5c0e7a21d94b0204", std::string{job_body}, seconds{3}, "key-b") ==
+  CHECK(vms.call_job(0, "POST", "5c0e7a21d94b0204", std::string{job_body}, seconds{3}, {.key = "key-b"}) ==
         http_status::unauthorized);
 }
 
@@ -73,7 +77,7 @@
   const std::string job = "5c0e7a21d94b0205";
   int status = 0;
   for (int i = 0; i < 100 && status != http_status::unauthorized; ++i) {
-    status = vms.call_job(0, "POST", job, std::string{job_body}, seconds{3}, "key-b");
+    status = vms.call_job(0, "POST", job, std::string{job_body}, seconds{3}, {.key = "key-b"});
     CHECK(status != http_status::ok);
     vms.run_for(milliseconds{100});
   }
--- a/tests/platform/edge/tasks_per_worker_test.cpp
+++ b/tests/platform/edge/tasks_per_worker_test.cpp
@@ -35,7 +35,7 @@
   REQUIRE(vms.call_job(0, "POST", urgent,
                        R"({"spec":"x","steps":[{"count":3,"cpu":600,"memMb":1,"estimateMs":2000,)"
                        R"("maxPerServer":1}]})",
-                       seconds{3}, "key-a", urgent_queue) == http_status::ok);
+                       seconds{3}, {.queue = urgent_queue}) == http_status::ok);
   vms.run_for(seconds{4});
   CHECK(vms.workers().all_done(urgent));
   CHECK(vms.workers().violations() == std::vector<std::string>{});
