Count reserved units in the limit of tasks for each worker

Cause: a reservation is not in the worker's list of tasks until it starts, so each of several units saw the same free allowance.

Change: tasks_of_step also counts the members of reserved units of the step.

Test: scheduler_reservations_keep_the_limit_of_tasks_for_each_worker; it failed before with 3 tasks for a limit of 2.

--- a/src/coordination/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler_placement.cpp
@@ -282,11 +282,23 @@
 
 std::uint32_t job_scheduler::implementation::tasks_of_step(const worker_state& worker, const job_state& job,
                                                            const unit& placed) const {
-  return static_cast<std::uint32_t>(
-      std::count_if(worker.tasks.begin(), worker.tasks.end(), [&](const detail::assigned_task& task) {
-        return task.job == &job && task.parent->occurrence == placed.occurrence &&
-               task.parent->step == placed.step;
-      }));
+  const auto same_step = [&](const job_state* other_job, const unit& other) {
+    return other_job == &job && other.occurrence == placed.occurrence && other.step == placed.step;
+  };
+  auto present =
+      std::count_if(worker.tasks.begin(), worker.tasks.end(),
+                    [&](const detail::assigned_task& task) { return same_step(task.job, *task.parent); });
+  // Units with a reservation are not assigned to their workers yet.
+  if (reserved_units > 0) {
+    for (const auto& [other_job, other] : active_units) {
+      if (other->phase == unit_phase::reserved && same_step(other_job, *other)) {
+        present += std::count_if(other->members.begin(), other->members.end(), [&](const member& one) {
+          return one.phase == member_phase::reserved && one.worker == &worker;
+        });
+      }
+    }
+  }
+  return static_cast<std::uint32_t>(present);
 }
 
 bool job_scheduler::implementation::known_unplaceable(const unplaceable_request& request) const {
