Let tasks not wait for a rack because their job seems to run on silent workers

Cause: overdue() bounds the wait for a rack by stands_since, which was reset as long as a member of the job was taken to run. A run on a worker that does not answer counted as running until its lease had passed. For the same reason job_stands was not logged.

Ruled out: space that is held back, a full fleet; the units were placed at once after the leases had passed.

Change: what a silent worker runs does not count as running; the job then stands since the last report of that worker. Only the preference for a rack depends on it: no run is ended sooner.

--- a/src/coordination/job_scheduler_standing.cpp
+++ b/src/coordination/job_scheduler_standing.cpp
@@ -26,9 +26,24 @@
 constexpr std::int64_t full_percent = 50;
 constexpr int max_reports_per_check = 2;
 
+bool runs_on_answering_worker(const member& one) {
+  return one.phase == member_phase::running && one.worker->failed_renewals == 0;
+}
+
+/// Whether a member runs. What a silent worker runs may be lost.
 bool runs(const unit& each) {
-  return std::any_of(each.members.begin(), each.members.end(),
-                     [](const member& one) { return one.phase == member_phase::running; });
+  return std::any_of(each.members.begin(), each.members.end(), runs_on_answering_worker);
+}
+
+/// The last report of a silent worker that ran a member; nothing if there is none.
+std::optional<instant> last_report_of_silent_worker(const unit& each) {
+  std::optional<instant> last;
+  for (const auto& one : each.members) {
+    if (one.phase == member_phase::running && !runs_on_answering_worker(one)) {
+      last = std::max(last.value_or(one.worker->clock_at), one.worker->clock_at);
+    }
+  }
+  return last;
 }
 
 /// The share of the resource that is used most, in percent.
@@ -81,6 +96,9 @@
         case unit_phase::reserved:
           return detail::stops_unfinished{.worker = worker};
         case unit_phase::active:
+          if (assigned->phase == member_phase::running) {
+            return detail::earlier_run_unfinished{.worker = worker};
+          }
           return detail::start_unconfirmed{.worker = worker};
         default:
           return detail::earlier_run_unfinished{.worker = worker};
@@ -102,9 +120,13 @@
   }
   next_stand_check = now + stand_check_interval;
   absl::flat_hash_set<const job_state*> running;
+  absl::flat_hash_map<const job_state*, instant> last_reports;
   for (const auto& [job, each] : active_units) {
     if (runs(*each)) {
       running.insert(job);
+    } else if (const auto last = last_report_of_silent_worker(*each)) {
+      auto& latest = last_reports.try_emplace(job, *last).first->second;
+      latest = std::max(latest, *last);
     }
   }
   int reports = 0;
@@ -117,8 +139,9 @@
       continue;
     }
     if (!job.stands_since) {
-      job.stands_since = now;
-      job.next_stand_report = now + reported_stand;
+      const auto last_report = last_reports.find(&job);
+      job.stands_since = last_report == last_reports.end() ? now : last_report->second;
+      job.next_stand_report = *job.stands_since + reported_stand;
     }
     if (now >= job.next_stand_report && reports < max_reports_per_check) {
       ++reports;
