--- a/tests/coordination/job_scheduler_standing_faults_test.cpp
+++ b/tests/coordination/job_scheduler_standing_faults_test.cpp
@@ -64,5 +64,80 @@
   CHECK(fleet.violations.empty());
 }
 
+TEST_CASE_METHOD(faulty_fleet_fixture, "scheduler_gang_refused_by_a_worker_does_not_wait_for_its_lease") {
+  // Guards against a stop that is waited for although all attempts of the start have been refused.
+  auto step = tasks(4, 2, seconds{4});
+  step.gang = true;
+  step.required_label = "r1";
+  for (auto& [id, worker] : fleet.workers) {
+    worker.refuses_starts = worker.entry.rack.value() == "r1";
+  }
+  fleet.submit(simulated_workers::job("a", 1, step));
+  for (int wait = 0; wait < 500 && !fleet.last_start; ++wait) {
+    fleet.advance(milliseconds{4});
+  }
+  REQUIRE(fleet.last_start);
+  fleet.advance(milliseconds{8});
+  fleet.workers.at(fleet.last_start->worker).disconnected = true;
+  for (auto& [id, worker] : fleet.workers) {
+    worker.refuses_starts = false;
+  }
+  CHECK(time_until_it_runs("a", seconds{30}) <= longest_stand);
+  CHECK(fleet.violations.empty());
+}
+
+TEST_CASE_METHOD(faulty_fleet_fixture,
+                 "scheduler_run_being_stopped_on_a_worker_that_starts_again_and_leaves_is_over") {
+  // Guards against a run that counts as open although a later incarnation has reported without it.
+  fleet.submit(simulated_workers::job("a", 1, tasks(1, 8, seconds{20})));
+  fleet.advance(seconds{2});
+  const auto runs_on = workers_that_run("a");
+  REQUIRE(runs_on.size() == 1);
+  const auto& id = runs_on.front();
+  auto& worker = fleet.workers.at(id);
+  worker.entry.draining = true;
+  worker.entry.stays_for = milliseconds{2000};
+  fleet.stop_time = milliseconds{2000};
+  fleet.list_workers();
+  while (!worker.tasks.begin()->second.stops_at) {
+    fleet.advance(milliseconds{4});
+  }
+  fleet.restart(id);
+  fleet.advance(milliseconds{1200});
+  fleet.crash(id, seconds{30});
+  CHECK(time_until_it_runs("a", seconds{40}) <= longest_stand);
+  CHECK(fleet.violations.empty());
+}
+
+/// The time until a task runs whose start got no answer, after its worker has started again.
+class late_proof_fixture : public faulty_fleet_fixture {
+ public:
+  duration time_to_run_after_restart(duration cut_off_for) {
+    const worker_id id{"w1"};
+    fleet.workers.at(id).entry.labels.emplace_back("only");
+    fleet.advance(seconds{1});
+    fleet.workers.at(id).disconnected = true;
+    auto step = tasks(1, 1, seconds{8});
+    step.required_label = "only";
+    fleet.submit(simulated_workers::job("a", 1, step));
+    fleet.advance(cut_off_for);
+    fleet.restart(id);
+    fleet.workers.at(id).disconnected = false;
+    step.count = 2;
+    fleet.submit(simulated_workers::job("b", 1, step));
+    return time_until_it_runs("a", seconds{40});
+  }
+};
+
+TEST_CASE("scheduler_unanswered_start_on_a_worker_that_starts_again_is_over_within_3_s") {
+  // Guards against a proof that takes several long polls after the worker has answered again.
+  duration longest{0};
+  for (int wait = 0; wait < 40; ++wait) {
+    late_proof_fixture fixture;
+    longest = std::max(longest, fixture.time_to_run_after_restart(milliseconds{2000 + 40 * wait}));
+  }
+  CHECK(longest <= longest_stand);
+}
+
 }  // namespace
 }  // namespace rhubarbpath
--- a/tests/coordination/simulated_fleet.hpp
+++ b/tests/coordination/simulated_fleet.hpp
@@ -13,6 +13,7 @@
 #include <tuple>
 #include <vector>
 
+#include "job_turns.hpp"
 #include "rhubarbpath/coordination/job_scheduler.hpp"
 #include "rhubarbpath/state/random.hpp"
 
@@ -216,20 +217,6 @@
                     });
            });
   }
-  /// Whether `is_done` holds for all tasks of a step's earlier steps.
-  template <class IsDone>
-  [[nodiscard]] static bool turn_has_come(const accepted_job& job, std::uint32_t occurrence,
-                                          std::uint32_t step, IsDone is_done) {
-    const auto& after = job.graph.steps[step].after;
-    return std::all_of(after.begin(), after.end(), [&](std::uint32_t before) {
-      for (std::uint32_t index = 0; index < job.graph.steps[before].count; ++index) {
-        if (!is_done(task_ref{.job = job.id, .occurrence = occurrence, .step = before, .index = index})) {
-          return false;
-        }
-      }
-      return true;
-    });
-  }
   [[nodiscard]] static bool has_label(const worker& each, const step_spec& spec) {
     const auto& labels = each.entry.labels;
     return spec.required_label.empty() ||
@@ -360,13 +347,15 @@
     return duration{std::stoll(checkpoint.substr(owner.size()))} + restore_time;
   }
 
+  using gang_run = std::tuple<job_id, std::uint32_t, std::uint32_t, run_number>;
+
   /// The gangs that run on more than one rack.
-  [[nodiscard]] std::set<std::tuple<job_id, std::uint32_t, std::uint32_t, run_number>> spread_gangs() const {
-    std::map<std::tuple<job_id, std::uint32_t, std::uint32_t, run_number>, rack_id> rack_of;
-    std::set<std::tuple<job_id, std::uint32_t, std::uint32_t, run_number>> spread;
+  [[nodiscard]] std::set<gang_run> spread_gangs() const {
+    std::map<gang_run, rack_id> rack_of;
+    std::set<gang_run> spread;
     for (const auto& [id, each] : workers) {
       for (const auto& [task, state] : each.tasks) {
-        const std::tuple run{task.job, task.occurrence, task.step, state.run};
+        const gang_run run{task.job, task.occurrence, task.step, state.run};
         if (state.gang && rack_of.try_emplace(run, each.entry.rack).first->second != each.entry.rack) {
           spread.insert(run);
         }
@@ -379,8 +368,6 @@
            (spec.same_rack && spread);
   }
 
-  using gang_run = std::tuple<job_id, std::uint32_t, std::uint32_t, run_number>;
-
   /// Number of members that are running, by gang run.
   [[nodiscard]] std::map<gang_run, std::uint32_t> gang_members() const {
     std::map<gang_run, std::uint32_t> present;
