Poll no longer for a run that is being stopped than the stop takes

What callers saw: a job with nothing running for up to 4.84 s after the worker of an unanswered start has started again and answers (LOST).

Cause: a run that was not there when it was stopped lists no end, so no long poll returns early for it. Its proof is a report that is requested after the time of the stop, and each report before that waited a second.

Change: while a run is being stopped, a renewal waits for the time of a stop at most, and not at all once that time is over.

--- a/src/coordination/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler_impl.hpp
@@ -333,6 +333,8 @@
   void doubt_rack_of(detail::worker_state& worker, instant now);
   void renew_workers(instant now);
   void renew_worker(detail::worker_state& worker, instant now);
+  /// How long a renewal may wait on the worker for a run to end.
+  [[nodiscard]] std::chrono::milliseconds longest_wait(const detail::worker_state& worker, instant now) const;
   void expire_silent_workers(instant now);
   /// Another instance responds at `address`. If the worker itself answered there before, it runs nothing any
   /// more. Runs of a worker that answered elsewhere are kept until it reports or its lease expires.
--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -292,6 +292,20 @@
   }
 }
 
+milliseconds job_scheduler::implementation::longest_wait(const worker_state& worker, instant now) const {
+  auto wait = opts.renew_wait;
+  for (const auto& task : worker.tasks) {
+    const auto& one = task.parent->members[task.index];
+    if (one.phase != member_phase::stopping) {
+      continue;
+    }
+    // A run that was not there ends no poll. Only a report that was requested later shows that it is over.
+    const bool stop_is_over = one.confirmed_at != instant{} && now > one.confirmed_at;
+    wait = std::min(wait, stop_is_over ? duration::zero() : stop_grace());
+  }
+  return duration_cast<milliseconds>(wait);
+}
+
 void job_scheduler::implementation::renew_worker(worker_state& worker, instant now) {
   const auto& id = worker.entry.id;
   if (worker.renewing || now < worker.renew_at) {
@@ -328,7 +342,7 @@
   }
   if (worker.reported && !ends_unstored && !worker.tasks.empty() && worker.failed_renewals == 0 &&
       !worker.report_wanted) {
-    order.wait = duration_cast<milliseconds>(opts.renew_wait);
+    order.wait = longest_wait(worker, now);
   }
   worker.renewing = true;
   actions.emplace_back(std::move(order));
