Take a run of an earlier incarnation as over whatever becomes of its stop

What callers saw: a job with nothing running for up to 25.2 s, because the worker of a run that was being stopped had started again and then fell silent (LOST).

Cause: a complete report of a later incarnation that does not name a run shows that it is over, if no attempt to start it is open. That was not looked at while a stop of the run had no answer.

Change: it is, if the last answer to a start of the run came before the report was requested; otherwise the later incarnation may have accepted it after its report.

--- a/src/coordination/job_scheduler_reports.cpp
+++ b/src/coordination/job_scheduler_reports.cpp
@@ -398,8 +398,16 @@
   for (const auto& [job, parent, index] : tasks) {
     const auto& one = parent->members[index];
     const bool past_starting = one.phase == member_phase::running || one.phase == member_phase::stopping;
-    if (one.worker != &worker || !past_starting || one.answer_pending || one.confirmed_at == instant{} ||
-        one.confirmed_at >= sent || listed.contains({task_of(*job, *parent, index), one.run})) {
+    if (one.worker != &worker || !past_starting ||
+        listed.contains({task_of(*job, *parent, index), one.run})) {
+      continue;
+    }
+    // What an earlier incarnation ran is over, whatever becomes of a stop that is on its way.
+    const bool on_earlier_incarnation =
+        one.started_on != worker.born && one.open_starts == 0 && one.start_answered_at < sent;
+    const bool confirmed_before =
+        !one.answer_pending && one.confirmed_at != instant{} && one.confirmed_at < sent;
+    if (!on_earlier_incarnation && !confirmed_before) {
       continue;
     }
     if (const auto end = end_of_unlisted_run(worker, one)) {
--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -482,6 +482,7 @@
   }
   if (!std::holds_alternative<order_unanswered>(result)) {
     --started.open_starts;
+    started.start_answered_at = now;
   }
   if (started.phase == member_phase::stopping) {
     // A stop order was sent since; only its response matters.
--- a/src/coordination/job_units.hpp
+++ b/src/coordination/job_units.hpp
@@ -28,6 +28,7 @@
   int attempts{0};
   /// Attempts to start the run to which no answer has come. The worker may still carry them out.
   int open_starts{0};
+  instant start_answered_at{};  ///< When an attempt to start the run was answered last.
   bool answer_pending{false};
   /// The incarnation of the worker that the run was started on or that listed it last, and the one that
   /// acknowledged a stop.
