Count refusals of a start also while the run is being stopped

What callers saw: a gang with nothing running for 10.4 s, because a worker refused one of its starts and another then fell silent (LOST).

Cause: the first refusal stops the whole gang, and from then on answers to the other starts were ignored. Their members waited for the answer to a stop, although each start had been refused as well.

Change: a refusal of the only attempt shows that the run never started, whether a stop was sent or not.

--- a/src/coordination/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler_workers.cpp
@@ -484,16 +484,23 @@
     --started.open_starts;
     started.start_answered_at = now;
   }
+  const bool accepted = std::holds_alternative<start_accepted>(result);
+  const bool unanswered = std::holds_alternative<order_unanswered>(result);
   if (started.phase == member_phase::stopping) {
-    // A stop order was sent since; only its response matters.
+    // A stop order was sent since. Its response matters unless this one shows that nothing was started.
+    const bool never_listed = started.listed_at == milliseconds{0};
+    if (!accepted && !unanswered && started.open_starts == 0 && never_listed) {
+      self.end_run(job, *parent, index, detail::never_started{}, now);
+      self.requeue_if_ended(job, *parent, now);
+    }
     return;
   }
   started.answer_pending = false;
-  if (std::holds_alternative<order_unanswered>(result)) {
+  if (unanswered) {
     self.start_unanswered(job, *parent, index, now);
     return;
   }
-  if (!std::holds_alternative<start_accepted>(result)) {
+  if (!accepted) {
     const auto* refused = std::get_if<start_refused>(&result);
     self.start_rejected(job, *parent, index, refused == nullptr ? start_refused{} : *refused, now);
     return;
