--- a/tests/coordination/random_fleet_scenario.hpp
+++ b/tests/coordination/random_fleet_scenario.hpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "simulated_workers.hpp"
@@ -97,7 +98,10 @@
 
   void submit_job() {
     const auto name = "j" + std::to_string(jobs++);
-    auto job = simulated_workers::job(name, static_cast<int>(random.below(3)), random_step());
+    // Compilers evaluate the arguments of a call in different orders.
+    auto first_step = random_step();
+    const auto priority = static_cast<int>(random.below(3));
+    auto job = simulated_workers::job(name, priority, std::move(first_step));
     job.team = team_id{chance(2) ? "team" : "other"};
     fleet.real_duration[job.id] = between(400, 9000);
     if (chance(8)) {
