Evacuate failure domains at an operator's request

Callers of a deployment whose operator empties a zone saw tasks go on being started there: the request had no reader. The owner reads the requests before its first start, follows them with a watch, and starts nothing while they may be unknown. The scheduler gives no work to the workers of an evacuated domain, withdraws starts that were not confirmed, and lets runs end. Only where the settings have the bound.

The table of log events was compared with a folder that the scheduler has left; it is compared with the new one.

--- a/include/rhubarbpath/coordination/job_scheduler.hpp
+++ b/include/rhubarbpath/coordination/job_scheduler.hpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -188,6 +189,9 @@
   /// Updates the workers from a list of the registry that was requested at `requested`. Workers that are no
   /// longer listed are kept while they have work.
   void set_workers(const std::vector<worker_entry>& entries, instant requested, instant now);
+  /// The failure domains in which nothing is started until they are taken out again. What runs there goes on;
+  /// starts that a worker there has not confirmed are withdrawn.
+  void evacuate_domains(std::set<failure_domain_id> domains, instant now);
   /// Adds an accepted job. `inherited` is true if a previous owner may have started it. Repeated calls for
   /// the same job are ignored.
   void add_job(const accepted_job& job, const std::optional<job_progress>& progress, bool inherited,
--- a/include/rhubarbpath/state/vm_settings.hpp
+++ b/include/rhubarbpath/state/vm_settings.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,9 @@
   duration worker_heartbeat_interval{std::chrono::milliseconds{1500}};
   /// A configuration must be in force this long after it was acknowledged.
   duration config_apply_limit{std::chrono::seconds{2}};
+  /// Nothing is started in a failure domain this long after its evacuation was requested. Nothing where no
+  /// evacuations are requested.
+  std::optional<duration> evacuation_limit;
   double remote_factor{3.0};  ///< Slowdown of a task away from its data or from its gang's rack.
 
   friend bool operator==(const vm_settings&, const vm_settings&) = default;
--- a/src/coordination/job_scheduler/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler/job_scheduler_impl.hpp
@@ -92,6 +92,7 @@
 struct worker_state {
   worker_entry entry;
   bool listed{false};
+  bool evacuated{false};  ///< It is in one of `evacuated_domains` of the scheduler.
   /// The first report of this term has arrived, so the worker rejects orders of earlier owners.
   bool reported{false};
   incarnation born;
@@ -164,9 +165,10 @@
 }
 
 /// Whether the worker's capacity, and what is used of it, counts when the use of its service is judged. What
-/// an unreachable worker runs is out of use for everyone else.
+/// an unreachable worker runs, or one in an evacuated failure domain, is out of use for everyone else.
 inline bool in_reach(const worker_state& worker) {
-  return worker.listed && !worker.replaced && worker.failed_renewals < unusable_after_failed_renewals;
+  return worker.listed && !worker.replaced && !worker.evacuated &&
+         worker.failed_renewals < unusable_after_failed_renewals;
 }
 
 inline bool has_required_label(const worker_state& worker, const step_spec& step) {
@@ -209,6 +211,9 @@
   std::vector<std::pair<detail::job_state*, detail::unit*>> active_units;
   std::map<worker_id, detail::worker_state> workers;
   std::map<service_id, detail::service_space> services;
+  std::set<failure_domain_id> evacuated_domains;
+  /// Those of them that are not logged yet, because the registry has not been read.
+  std::set<failure_domain_id> unrecorded_evacuations;
   /// Workers with ended runs that are not acknowledged yet.
   std::vector<detail::worker_state*> workers_with_ends;
   std::set<worker_id> unreported_workers;  ///< Workers whose first complete report recovery waits for.
@@ -386,6 +391,15 @@
   void repeat_stops_of_late_starts(detail::worker_state& worker, instant now);
   void detect_stalls(instant now);
 
+  // job_scheduler_domains.cpp
+  /// Logs the evacuations that began, once the workers are known.
+  void record_evacuations();
+  /// Space that is held back may be in a failure domain whose use has changed.
+  void forget_plans();
+  /// Stops the units that a worker in an evacuated failure domain has not confirmed, and releases what is
+  /// reserved there. An order may still be on its way.
+  void withdraw_starts(instant now);
+
   // job_scheduler_evacuation.cpp
   /// Takes over whether the worker drains, and when it may leave at the earliest.
   void note_drain(detail::worker_state& worker, const worker_entry& entry, instant now) const;
--- a/src/coordination/job_scheduler/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_placement.cpp
@@ -195,9 +195,9 @@
 // ---- choice of workers ----
 
 bool job_scheduler::implementation::usable(const worker_state& worker, instant now) const {
-  return worker.listed && worker.reported && !worker.replaced && !worker.entry.draining &&
-         worker.failed_renewals < detail::unusable_after_failed_renewals && now >= worker.full_until &&
-         worker.stored && !worker.stored_as_leaving &&
+  return worker.listed && worker.reported && !worker.replaced && !worker.evacuated &&
+         !worker.entry.draining && worker.failed_renewals < detail::unusable_after_failed_renewals &&
+         now >= worker.full_until && worker.stored && !worker.stored_as_leaving &&
          (!worker.report_wanted || now - *worker.report_wanted <= detail::max_report_wait) &&
          (!worker.set_aside || (worker.trial && worker.tasks.empty()));
 }
@@ -432,8 +432,8 @@
   auto left = placed.members.size();
   for (const auto* worker : space->workers) {
     const bool suited = worker != nullptr && worker->listed && worker->set_aside && !worker->trial &&
-                        worker->tasks.empty() && !worker->entry.draining && worker->failed_renewals == 0 &&
-                        detail::has_required_label(*worker, step) &&
+                        worker->tasks.empty() && !worker->evacuated && !worker->entry.draining &&
+                        worker->failed_renewals == 0 && detail::has_required_label(*worker, step) &&
                         worker->entry.capacity.covers(occupied(step));
     if (suited && left > 0) {
       --left;
@@ -465,8 +465,8 @@
   const auto need = occupied(step);
   absl::flat_hash_map<std::string_view, std::size_t> room_by_rack;
   for (const auto* worker : space.workers) {
-    if (worker == nullptr || !worker->listed || worker->replaced || worker->entry.draining ||
-        !detail::has_required_label(*worker, step)) {
+    if (worker == nullptr || !worker->listed || worker->replaced || worker->evacuated ||
+        worker->entry.draining || !detail::has_required_label(*worker, step)) {
       continue;
     }
     const auto& rack = worker->entry.rack.value();
--- a/src/coordination/job_scheduler/job_scheduler_reports.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_reports.cpp
@@ -64,6 +64,7 @@
                                                   .set_aside_share = set_aside_share},
                      now);
   self.registry_requested = requested;
+  self.record_evacuations();
   self.empty_rack_fits.clear();
   self.store_worker_set(now);
   self.renew_workers(now);
--- a/src/coordination/job_scheduler/job_scheduler_standing.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_standing.cpp
@@ -165,6 +165,7 @@
   std::size_t with_room = 0;
   std::size_t held = 0;
   std::size_t aside = 0;
+  std::size_t evacuated = 0;
   std::size_t rack_usable = 0;
   std::size_t rack_with_room = 0;
   for (const auto& [id, worker] : workers) {
@@ -177,6 +178,7 @@
       used += worker.used;
     }
     aside += worker.set_aside ? 1 : 0;
+    evacuated += worker.evacuated ? 1 : 0;
     if (!usable(worker, now) || !detail::has_required_label(worker, step)) {
       continue;
     }
@@ -200,7 +202,9 @@
   job.next_stand_report = now + stands;
   const auto& state = standing.occurrence->steps[standing.step];
   const auto found = state.units.find(standing.number);
-  record("job_stands", job.job.id, describe(wait_of(job, standing)),
+  const auto wait = usable_count == 0 && evacuated > 0 ? detail::unit_wait{detail::only_evacuated_workers{}}
+                                                       : wait_of(job, standing);
+  record("job_stands", job.job.id, describe(wait),
          {{"step", absl::StrCat(standing.occurrence->number, ".", standing.step, ".", standing.number)},
           {"runs", absl::StrCat(found == state.units.end() ? 0 : found->second.run.value())},
           {"stands_ms", absl::StrCat(duration_cast<milliseconds>(stands).count())},
@@ -210,6 +214,7 @@
           {"with_room", absl::StrCat(with_room)},
           {"held_back", absl::StrCat(held)},
           {"set_aside", absl::StrCat(aside)},
+          {"evacuated", absl::StrCat(evacuated)},
           {"rack", step.data_rack},
           {"rack_usable", absl::StrCat(rack_usable)},
           {"rack_with_room", absl::StrCat(rack_with_room)}});
--- a/src/coordination/job_scheduler/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_workers.cpp
@@ -111,10 +111,7 @@
   std::erase(workers_with_ends, &worker);
   space_cache.erase(&worker);
   held_back.erase(&worker);
-  plans.clear();
-  for (auto& expected : urgent_arrivals) {
-    expected.plan = {};
-  }
+  forget_plans();
   if (worker.slot) {
     auto& space = services[worker.entry.service];
     space.index.remove(*worker.slot);
@@ -227,6 +224,7 @@
 }
 
 void job_scheduler::implementation::index_worker(worker_state& worker, const worker_entry& entry) {
+  worker.evacuated = evacuated_domains.contains(entry.domain);
   const bool in_place =
       worker.slot && worker.entry.service == entry.service && worker.entry.rack == entry.rack;
   if (in_place) {
--- a/src/coordination/job_scheduler/unit_wait.cpp
+++ b/src/coordination/job_scheduler/unit_wait.cpp
@@ -20,6 +20,9 @@
     return wait.rack.empty() ? "no rack has space for the whole gang"
                              : absl::StrCat("rack ", wait.rack, " of its data has no space");
   }
+  std::string operator()(const only_evacuated_workers& /*wait*/) const {
+    return "all workers for it are in evacuated failure domains";
+  }
   std::string operator()(const no_free_space& /*wait*/) const { return "no allowed worker has space"; }
   std::string operator()(const stops_unfinished& wait) const {
     return absl::StrCat("preempted runs on ", wait.worker.value(), " have not ended");
--- a/src/coordination/job_scheduler/unit_wait.hpp
+++ b/src/coordination/job_scheduler/unit_wait.hpp
@@ -9,7 +9,7 @@
 // Why a unit that could run is not running. The scheduler logs it for jobs that stand.
 namespace rhubarbpath::detail {
 
-/// The owner starts nothing, because cancellations or a configuration may be unknown.
+/// The owner starts nothing, because cancellations, evacuations or a configuration may be unknown.
 struct starts_are_held {};
 /// The configuration does not have the job's queue, and the job was stored without its terms.
 struct unknown_queue {};
@@ -25,6 +25,8 @@
 struct rack_is_full {
   std::string rack;  ///< Of the data; empty for a gang that may use any one rack.
 };
+/// All workers that may run it are in evacuated failure domains.
+struct only_evacuated_workers {};
 /// No allowed worker has free space that is not held back.
 struct no_free_space {};
 /// Space is reserved on this worker, where preempted runs have not ended yet.
@@ -45,8 +47,8 @@
 };
 
 using unit_wait = std::variant<not_considered, starts_are_held, unknown_queue, recovery_unfinished,
-                               run_of_previous_owner, rack_is_full, no_free_space, stops_unfinished,
-                               report_awaited, start_unconfirmed, earlier_run_unfinished>;
+                               run_of_previous_owner, rack_is_full, only_evacuated_workers, no_free_space,
+                               stops_unfinished, report_awaited, start_unconfirmed, earlier_run_unfinished>;
 
 /// The reason for the log.
 [[nodiscard]] std::string describe(const unit_wait& wait);
--- a/src/programs/rhubarb-edge/edge_daemon.cpp
+++ b/src/programs/rhubarb-edge/edge_daemon.cpp
@@ -412,7 +412,8 @@
       owner_session::options{.term = term,
                              .owner_row = action.owner_row,
                              .scheduler = scheduler,
-                             .adviser_address = settings_.adviser_address},
+                             .adviser_address = settings_.adviser_address,
+                             .evacuation_limit = settings_.evacuation_limit},
       owner_session::dependencies{
           .loop = loop_,
           .store = store_,
--- a/src/programs/rhubarb-edge/owner_session.cpp
+++ b/src/programs/rhubarb-edge/owner_session.cpp
@@ -46,12 +46,33 @@
 }
 
 void owner_session::start() {
+  follow_evacuations();
   load();
 }
 
+void owner_session::follow_evacuations() {
+  if (!opts_.evacuation_limit) {
+    return;
+  }
+  evacuations_ = std::make_shared<evacuation_watch>(
+      *opts_.evacuation_limit, opts_.order_timeout,
+      evacuation_watch::dependencies{
+          .loop = deps_.loop,
+          .store = deps_.store,
+          .counters = deps_.counters,
+          .list_all = [this](std::string prefix,
+                             list_handler done) { list_all(std::move(prefix), std::move(done)); },
+          .changed = unless_stopped([this] {
+            scheduler_->evacuate_domains(evacuations_->evacuations().domains(), deps_.loop.now());
+            run_tick();
+          })});
+  evacuations_->start();
+}
+
 void owner_session::stop() {
   stopped_ = true;
   tick_timer_.cancel();
+  evacuations_.reset();
   for (auto& [id, channel] : channels_) {
     channel.waiting.clear();
   }
@@ -332,6 +353,9 @@
   if (boot_clock_now() - jobs_known_at_ > max_job_age) {
     return "the watch of jobs has not answered";
   }
+  if (evacuations_ != nullptr && !evacuations_->evacuations().may_start(boot_clock_now())) {
+    return "the watch of evacuations has not answered";
+  }
   return deps_.config_may_be_outdated() ? "the configuration may be outdated" : std::string_view{};
 }
 
@@ -341,7 +365,7 @@
   const bool hold = !reason.empty();
   if (scheduler_->hold_starts(hold)) {
     log(hold ? log_level::warning : log_level::info, hold ? "starts_held" : "starts_resumed",
-        {{"reason", std::string{hold ? reason : "jobs and configuration are known again"}},
+        {{"reason", std::string{hold ? reason : "jobs, evacuations and configuration are known again"}},
          {"jobs_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(jobs_age).count()}});
   }
 }
--- a/src/programs/rhubarb-edge/owner_session.hpp
+++ b/src/programs/rhubarb-edge/owner_session.hpp
@@ -4,9 +4,11 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "config_feed.hpp"
+#include "evacuation_watch.hpp"
 #include "rhubarbpath/coordination/job_scheduler.hpp"
 #include "rhubarbpath/protocol/job_rows.hpp"
 #include "rhubarbpath/transport/event_loop.hpp"
@@ -25,6 +27,9 @@
     revision owner_row;  ///< Revision of the owner row; every write of the term is conditional on it.
     job_scheduler::options scheduler;
     std::string adviser_address;
+    /// Nothing is started in a failure domain this long after its evacuation was requested. Empty where
+    /// evacuations are not requested; then no requests are read.
+    std::optional<duration> evacuation_limit;
     /// Interval between reads of the worker registry. A worker must receive no new work 2 s after it
     /// starts draining.
     duration registry_poll_interval{std::chrono::milliseconds{700}};
@@ -75,6 +80,8 @@
   };
   using list_handler = std::function<void(std::vector<kv_item>, revision)>;
 
+  /// Starts are held until the requests to evacuate failure domains have been read.
+  void follow_evacuations();
   void load();
   void load_leaving_workers(std::vector<worker_id> workers);
   void load_jobs();
@@ -104,7 +111,8 @@
   void write_progress();
   void write_workers();
   void erase_expired();
-  /// Nothing may be started while cancellations or a newer configuration may be unknown. Empty otherwise.
+  /// Nothing may be started while cancellations, evacuations or a newer configuration may be unknown. Empty
+  /// otherwise.
   [[nodiscard]] std::string_view reason_to_hold_starts() const;
   /// Holds starts while there is such a reason.
   void hold_or_resume_starts();
@@ -114,6 +122,7 @@
   options opts_;
   dependencies deps_;
   std::unique_ptr<job_scheduler> scheduler_;
+  std::shared_ptr<evacuation_watch> evacuations_;  ///< Empty without a limit.
   bool stopped_{false};
   bool loaded_{false};
   bool running_actions_{false};
--- a/src/protocol/job_log_history.cpp
+++ b/src/protocol/job_log_history.cpp
@@ -31,6 +31,11 @@
          event == "order_fenced" || event == "write_fenced";
 }
 
+/// So does an evacuation of a failure domain.
+bool is_evacuation_event(std::string_view event) {
+  return event == "domain_evacuated" || event == "domain_evacuation_ended";
+}
+
 bool is_worker_event(std::string_view event) {
   return event.starts_with("worker_") && event != "worker_row_unreadable";
 }
@@ -57,6 +62,7 @@
     add_start_wait();
     add_stands();
     add_interruptions();
+    add_evacuations();
     add_failed_runs();
     add_job_end();
     return std::move(findings_);
@@ -140,6 +146,16 @@
       }
     }
   }
+  void add_evacuations() {
+    for (const auto* each : entries_of("domain_evacuated")) {
+      findings_.push_back(fmt::format("failure domain {} was evacuated at {}: nothing was started there",
+                                      field_text(each->fields, "failure_domain"), each->time));
+    }
+    if (const auto withdrawn = entries_of("start_withdrawn"); !withdrawn.empty()) {
+      findings_.push_back(
+          fmt::format("{} starts of it were withdrawn from evacuated failure domains", withdrawn.size()));
+    }
+  }
   void add_failed_runs() {
     std::map<std::string, int> failures;
     for (const auto* end : entries_of("run_ended")) {
@@ -175,6 +191,25 @@
   std::vector<std::string> findings_;
 };
 
+/// The evacuations that began before `time`, and were not taken back before it.
+std::vector<job_log_entry> evacuations_standing_at(const std::string& time,
+                                                   const std::vector<job_log_entry>& entries) {
+  std::map<std::string, const job_log_entry*> last;
+  for (const auto& entry : entries) {
+    if (is_evacuation_event(entry.event) && entry.time < time) {
+      auto*& latest = last[field_text(entry.fields, "failure_domain")];
+      latest = latest == nullptr || latest->time <= entry.time ? &entry : latest;
+    }
+  }
+  std::vector<job_log_entry> standing;
+  for (const auto& [domain, entry] : last) {
+    if (entry->event == "domain_evacuated") {
+      standing.push_back(*entry);
+    }
+  }
+  return standing;
+}
+
 }  // namespace
 
 job_log_history collect_job_log(const std::vector<std::string>& lines, std::string_view job) {
@@ -201,7 +236,8 @@
     entry.fields = std::move(fields);
     if (entry.own) {
       history.entries.push_back(std::move(entry));
-    } else if (is_owner_event(entry.event) || is_worker_event(entry.event)) {
+    } else if (is_owner_event(entry.event) || is_evacuation_event(entry.event) ||
+               is_worker_event(entry.event)) {
       context_entries.push_back(std::move(entry));
     }
   }
@@ -214,18 +250,20 @@
   const auto [first, last] = std::minmax_element(history.entries.begin(), history.entries.end(), by_time);
   const auto begin = first->time;
   const auto end = last->time;
+  const auto standing = evacuations_standing_at(begin, context_entries);
   std::set<std::string> workers;
   for (const auto& entry : history.entries) {
     workers.merge(workers_in(entry));
   }
   for (auto& entry : context_entries) {
     const bool in_range = entry.time >= begin && entry.time <= end;
-    const bool is_relevant =
-        is_owner_event(entry.event) || workers.contains(field_text(entry.fields, "worker"));
+    const bool is_relevant = is_owner_event(entry.event) || is_evacuation_event(entry.event) ||
+                             workers.contains(field_text(entry.fields, "worker"));
     if (in_range && is_relevant) {
       history.entries.push_back(std::move(entry));
     }
   }
+  history.entries.insert(history.entries.end(), standing.begin(), standing.end());
   std::stable_sort(history.entries.begin(), history.entries.end(), by_time);
   history.findings = findings_builder{history.entries}.build();
   return history;
--- a/tests/coordination/simulated_fleet.hpp
+++ b/tests/coordination/simulated_fleet.hpp
@@ -171,6 +171,8 @@
   std::vector<std::string> violations;
   std::map<task_ref, int> starts;
   std::map<worker_id, int> starts_on;
+  /// Since when the owner knows that a failure domain is evacuated.
+  std::map<failure_domain_id, instant> evacuated_since;
   std::map<task_ref, instant> last_started;
   int refused_tickets{0};
   /// Prints the scheduler's decisions for debugging; enabled by RHUBARBPATH_TRACE.
@@ -258,6 +260,7 @@
         violation("task runs twice at the same time: " + task.job.value() + "." + std::to_string(task.index));
       }
     }
+    check_evacuation(at);
     if (simulated.checks_order_and_labels) {
       check_order_and_label(task, at);
     }
@@ -266,6 +269,15 @@
     }
   }
 
+  void check_evacuation(const worker_id& at) {
+    // An order that was sent before takes this long to arrive.
+    constexpr duration delivery_time{milliseconds{4}};
+    const auto since = evacuated_since.find(workers.at(at).entry.domain);
+    if (since != evacuated_since.end() && now > since->second + delivery_time) {
+      violation("task starts in an evacuated failure domain: " + at.value());
+    }
+  }
+
   void check_order_and_label(const task_ref& task, const worker_id& at) {
     const auto& spec = *step_of(task);
     const auto& job = stored_jobs.at(task.job);
--- a/tests/coordination/simulated_workers.hpp
+++ b/tests/coordination/simulated_workers.hpp
@@ -30,6 +30,7 @@
     scheduler = std::make_unique<job_scheduler>(options, owner_term{term}, now);
     scheduler->set_wall_clock(wall(), now);
     scheduler->set_config(configuration, now);
+    tell_evacuations();
     if (!stored_workers.empty()) {
       scheduler->expect_workers(stored_workers, stored_leaving, now);
     }
@@ -44,6 +45,17 @@
     list_workers();
   }
 
+  /// The owner learns that an operator evacuates the failure domain, or takes that back.
+  void evacuate(const std::string& domain, bool evacuated = true) {
+    if (evacuated) {
+      evacuated_since.try_emplace(failure_domain_id{domain}, now);
+    } else {
+      evacuated_since.erase(failure_domain_id{domain});
+    }
+    tell_evacuations();
+    take_actions();
+  }
+
   void submit(const accepted_job& submitted) {
     auto& stored = stored_jobs[submitted.id] = submitted;
     for (const auto& queue : configuration->queues) {
@@ -193,6 +205,14 @@
   }
 
  private:
+  void tell_evacuations() {
+    std::set<failure_domain_id> domains;
+    for (const auto& [domain, since] : evacuated_since) {
+      domains.insert(domain);
+    }
+    scheduler->evacuate_domains(std::move(domains), now);
+  }
+
   instant adviser_free{};
   std::uint64_t last_ticket{0};
   struct message {
--- a/tests/platform/soak/edge_soak.cpp
+++ b/tests/platform/soak/edge_soak.cpp
@@ -19,6 +19,7 @@
 
 #include "callers.hpp"
 #include "config_checks.hpp"
+#include "domain_changes.hpp"
 #include "edge_process.hpp"
 #include "fault_proxy.hpp"
 #include "odd_callers.hpp"
@@ -60,6 +61,7 @@
   bool worker_changes{true};
   bool service_faults{true};
   bool rack_changes{true};
+  bool domain_changes{true};
   std::filesystem::path folder;
 };
 
@@ -106,6 +108,13 @@
           options_.seed);
       rack_changes_->plan(seconds{4}, seconds{options_.seconds});
     }
+    if (options_.domain_changes) {
+      domain_changes_ = std::make_unique<domain_changes>(
+          domain_changes::dependencies{
+              .loop = loop_, .fleet = fleet_, .trace = [this](const std::string& text) { trace(text); }},
+          options_.seed);
+      domain_changes_->plan(seconds{4}, seconds{options_.seconds});
+    }
     timers_.push_back(loop_.run_every(milliseconds{50}, [this] { check_processes(); }));
     timers_.push_back(loop_.run_every(milliseconds{500}, [this] { probe_configs(); }));
     timers_.push_back(loop_.run_every(seconds{2}, [this] { configs_.write(); }));
@@ -453,6 +462,9 @@
     if (rack_changes_ != nullptr) {
       rack_changes_->clear();
     }
+    if (domain_changes_ != nullptr) {
+      domain_changes_->clear();
+    }
     standing_check_->faults_cleared();
     schedule(endless_limit, [this] { callers_->cancel_endless_jobs(); });
     for (auto& entry_vm : vms_) {
@@ -527,6 +539,7 @@
   std::unique_ptr<standing_check> standing_check_;
   std::unique_ptr<worker_changes> worker_changes_;
   std::unique_ptr<rack_changes> rack_changes_;
+  std::unique_ptr<domain_changes> domain_changes_;
   std::vector<timer_handle> timers_;
   std::vector<std::string> violations_;
   int config_version_at_clear_{0};
@@ -552,6 +565,7 @@
     TCLAP::SwitchArg steady_service{"", "steady-service", "no VM, store or call is disturbed", command};
     TCLAP::SwitchArg steady_racks{"", "steady-racks", "no rack is disturbed, and no job cares where it runs",
                                   command};
+    TCLAP::SwitchArg steady_domains{"", "steady-domains", "no failure domain is evacuated", command};
     TCLAP::ValueArg<std::string> folder{"",     "folder", "folder for logs and settings", true, "",
                                         "path", command};
     command.parse(argc, argv);
@@ -564,6 +578,7 @@
                                        .worker_changes = !steady_workers.getValue(),
                                        .service_faults = !steady_service.getValue(),
                                        .rack_changes = !steady_racks.getValue(),
+                                       .domain_changes = !steady_domains.getValue(),
                                        .folder = folder.getValue()}};
     return soak.run();
   } catch (const TCLAP::ArgException& error) {
--- a/tests/platform/soak/platform_documents.cpp
+++ b/tests/platform/soak/platform_documents.cpp
@@ -25,7 +25,8 @@
                         {"drainMs", 2000},
                         {"remoteFactor", 3},
                         {"graceS", 6},
-                        {"configApplyMs", 2000}}},
+                        {"configApplyMs", 2000},
+                        {"evacuateMs", evacuation_limit.count()}}},
                       {"controlMode", "request"},
                       {"platform", {{"address", vm.store_address}}}};
   auto temporary_path = path;
--- a/tests/platform/soak/platform_documents.hpp
+++ b/tests/platform/soak/platform_documents.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <filesystem>
 #include <string>
@@ -17,6 +18,9 @@
 constexpr std::string_view urgent_queue = "/urgent/";  ///< Priority 0.
 constexpr std::string_view spare_queue = "/spare/";    ///< Priority 2.
 
+/// No start may happen in a failure domain later than this after its evacuation was requested.
+constexpr std::chrono::milliseconds evacuation_limit{5000};
+
 struct vm_document {
   std::string name;
   std::string address;  ///< IP number of the VM.
--- a/tests/platform/soak/store_stand_in.cpp
+++ b/tests/platform/soak/store_stand_in.cpp
@@ -85,7 +85,9 @@
     reply.send({.status = draw_fault(50) ? 503 : 429, .headers = {}, .body = {}});
     return;
   }
-  if (faults.config_unanswered && request.query.find("config") != std::string::npos) {
+  const auto is_about = [&](std::string_view name) { return request.query.find(name) != std::string::npos; };
+  if ((faults.config_unanswered && is_about("config")) ||
+      (faults.evacuations_unanswered && is_about("evacuate"))) {
     unanswered_.push_back(reply);
     return;
   }
--- a/tests/platform/soak/store_stand_in.hpp
+++ b/tests/platform/soak/store_stand_in.hpp
@@ -23,10 +23,11 @@
   bool down{false};
   bool leases_paused{false};  ///< Leases do not expire while the store is down.
   duration answer_delay{};
-  int lost_answers_percent{0};    ///< Executed immediately, never answered.
-  int late_writes_percent{0};     ///< Executed up to 3.5 s later, never answered.
-  bool config_unanswered{false};  ///< Calls for the configuration get no answer; others do.
-  int refused_percent{0};         ///< Answered with 429 or 503 and not executed.
+  int lost_answers_percent{0};         ///< Executed immediately, never answered.
+  int late_writes_percent{0};          ///< Executed up to 3.5 s later, never answered.
+  bool config_unanswered{false};       ///< Calls for the configuration get no answer; others do.
+  bool evacuations_unanswered{false};  ///< The same for requests to evacuate a failure domain.
+  int refused_percent{0};              ///< Answered with 429 or 503 and not executed.
 };
 
 /// In-memory stand-in for the platform's store, with rows, revisions, leases, watches and transactions.
--- a/tests/platform/soak/worker_fleet.cpp
+++ b/tests/platform/soak/worker_fleet.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 
+#include "platform_documents.hpp"
 #include "worker_stand_in.hpp"
 
 namespace rhubarbpath::soak {
@@ -108,11 +109,16 @@
 
 worker_view worker_fleet::view(std::size_t worker) const {
   const auto& found = *workers_.at(worker);
+  const auto taken_back = taken_back_at_.find(found.where().zone);
   return {.id = found.id(),
+          .zone = found.where().zone,
           .rack = found.where().rack,
           .kind = found.where().kind,
-          .takes_work = found.present() && !found.draining() && found.faults.unhealthy_percent == 0,
-          .alive_since = found.alive_since(),
+          .takes_work = found.present() && !found.draining() && !evacuated(found.where().zone) &&
+                        found.faults.unhealthy_percent == 0,
+          .alive_since = taken_back == taken_back_at_.end()
+                             ? found.alive_since()
+                             : std::max(found.alive_since(), taken_back->second),
           .used = found.used()};
 }
 
@@ -150,6 +156,34 @@
   }
 }
 
+void worker_fleet::evacuate(const std::string& zone) {
+  store_.put("op/evacuate/" + zone, "{}");
+  evacuated_since_.try_emplace(zone, loop_.now());
+}
+
+void worker_fleet::take_back(const std::string& zone) {
+  store_.erase("op/evacuate/" + zone);
+  evacuated_since_.erase(zone);
+  taken_back_at_[zone] = loop_.now();
+}
+
+std::vector<std::string> worker_fleet::zones() const {
+  std::set<std::string> names;
+  for (const auto& each : workers_) {
+    names.insert(each->where().zone);
+  }
+  return {names.begin(), names.end()};
+}
+
+void worker_fleet::check_evacuation(const task_name& task, const worker_stand_in& worker) {
+  const auto since = evacuated_since_.find(worker.where().zone);
+  if (since != evacuated_since_.end() && loop_.now() - since->second > evacuation_limit) {
+    violation(fmt::format("EVACUATION: {} was started on {} in {} {} ms after it was evacuated",
+                          wire_name(task), worker.id(), worker.where().zone,
+                          (loop_.now() - since->second).count() / 1000));
+  }
+}
+
 void worker_fleet::check_rules_of_step(const task_name& task, const soak_step& step,
                                        const worker_stand_in& worker) {
   if (!step.allowed_with(worker.where().kind, worker.where().rack)) {
--- a/tests/platform/soak/worker_fleet.hpp
+++ b/tests/platform/soak/worker_fleet.hpp
@@ -97,9 +97,10 @@
 /// A worker as it is, whatever the owner knows of it.
 struct worker_view {
   std::string id;
+  std::string zone;
   std::string rack;
   std::string kind;
-  bool takes_work{false};  ///< Up, not draining, and refuses no start.
+  bool takes_work{false};  ///< Up, not draining or evacuated, and refuses no start.
   instant alive_since{};
   amounts used;
 };
@@ -139,6 +140,13 @@
   [[nodiscard]] bool present(std::size_t worker) const;
   [[nodiscard]] bool draining(std::size_t worker) const;
 
+  /// Requests, as an operator, that nothing more be started in a zone. A start later than the limit after it
+  /// is a violation.
+  void evacuate(const std::string& zone);
+  void take_back(const std::string& zone);
+  [[nodiscard]] bool evacuated(const std::string& zone) const { return evacuated_since_.contains(zone); }
+  [[nodiscard]] std::vector<std::string> zones() const;
+
   /// Tells the fleet the steps of a job before the job is submitted.
   void register_job(const std::string& job, soak_job steps) { jobs_[job] = std::move(steps); }
   /// Returns true when all tasks of all steps have ended as done.
@@ -180,6 +188,7 @@
                    const std::string& rack);
   void run_ended(const task_name& task, std::uint64_t run, const std::string& worker,
                  const std::string& outcome, bool done);
+  void check_evacuation(const task_name& task, const worker_stand_in& worker);
   void check_rules_of_step(const task_name& task, const soak_step& step, const worker_stand_in& worker);
   void order_unanswered(const std::string& body) const;
   void advance();
@@ -192,6 +201,8 @@
   std::vector<std::unique_ptr<worker_stand_in>> workers_;
   std::vector<expiring_row> expiring_rows_;
   std::map<std::string, soak_job> jobs_;
+  std::map<std::string, instant> evacuated_since_;  ///< By zone.
+  std::map<std::string, instant> taken_back_at_;
   std::map<task_name, last_run> last_runs_;
   std::function<void(const std::string&)> unanswered_order_;
   std::map<std::string, std::set<std::string>> started_;  ///< By job, the workers that started its tasks.
--- a/tests/platform/soak/worker_stand_in.cpp
+++ b/tests/platform/soak/worker_stand_in.cpp
@@ -255,7 +255,9 @@
     unanswered_.push_back(reply);
     fleet_.loop_.run_detached(milliseconds{300 + fleet_.random_.below(2500)}, [this, request, born = born_] {
       if (born == born_ && present()) {
+        carries_out_late_ = true;
         static_cast<void>(execute(request));
+        carries_out_late_ = false;
       }
     });
     return;
@@ -357,6 +359,9 @@
     return respond(409, {{"reason", "room"}});
   }
   fleet_.check_rules_of_step(task, *step, *this);
+  if (!carries_out_late_) {
+    fleet_.check_evacuation(task, *this);
+  }
   auto added = make_active(body, task, *step);
   added.run = run;
   running_[task] = std::move(added);
--- a/tests/platform/soak/worker_stand_in.hpp
+++ b/tests/platform/soak/worker_stand_in.hpp
@@ -131,6 +131,7 @@
   std::uint64_t sequence_{0};
   instant next_row_write_{};
   instant last_row_write_{};
+  bool carries_out_late_{false};  ///< The order being executed arrived long ago.
   std::vector<waiting_call> waiting_calls_;
   std::vector<http_responder> unanswered_;
   std::unique_ptr<http_server> server_;  ///< Empty while the worker is stopped.
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -40,6 +40,23 @@
   CHECK_FALSE(decode_settings("[]").ok());
 }
 
+TEST_CASE("settings_name_a_limit_for_evacuations_only_where_they_are_requested") {
+  // Guards against reads of requests, and starts that wait for them, in deployments without any.
+  CHECK_FALSE(decode_settings(settings_text)->evacuation_limit);
+  std::string text{settings_text};
+  text.replace(text.find(R"("maxHoldMs":8000)"), 16, R"("evacuateMs":5000)");
+  CHECK(decode_settings(text)->evacuation_limit == std::chrono::seconds{5});
+  text.replace(text.find("5000"), 4, R"("no")");
+  CHECK_FALSE(decode_settings(text)->evacuation_limit);
+}
+
+TEST_CASE("evacuated_domain_is_named_by_the_key_of_the_request") {
+  CHECK(evacuated_domain("op/evacuate/tas-hba") == failure_domain_id{"tas-hba"});
+  CHECK(evacuated_domain("op/evacuate/a/b") == failure_domain_id{"a/b"});
+  CHECK_FALSE(evacuated_domain("op/evacuate/").ok());
+  CHECK_FALSE(evacuated_domain("op/config").ok());
+}
+
 TEST_CASE("advice_request_and_answer_match_the_wire_format") {
   const auto request =
       encode_advice_request({.step = {.job = job_id{"5c0e7a21d94b36f8"}, .occurrence = 0, .step = 1},
--- a/tests/protocol/job_log_history_test.cpp
+++ b/tests/protocol/job_log_history_test.cpp
@@ -60,6 +60,27 @@
         "(step 0.0.0; 4% of the service in use, 41 of 48 workers with space)");
 }
 
+// Guards against a job whose place or wait looks strange because an operator emptied a failure domain.
+TEST_CASE("job_log_names_the_evacuations_that_stood_while_the_job_was_open") {
+  const auto line = [](const std::string& second, const std::string& message, const std::string& fields) {
+    return R"({"time":"2026-12-06T11:00:)" + second + R"(.000Z","vm":"a","message":")" + message + "\",\"" +
+           fields + "\"}";
+  };
+  const auto history = collect_job_log({line("01", "domain_evacuated", R"(failure_domain":"west-a)"),
+                                        line("02", "domain_evacuated", R"(failure_domain":"west-b)"),
+                                        line("03", "domain_evacuation_ended", R"(failure_domain":"west-a)"),
+                                        line("05", "start_withdrawn", R"(job":"j5","worker":"w1)"),
+                                        line("06", "domain_evacuated", R"(failure_domain":"west-c)"),
+                                        line("07", "start_refused", R"(job":"j5","worker":"w1)"),
+                                        line("08", "domain_evacuated", R"(failure_domain":"west-d)")},
+                                       "j5");
+  CHECK(history.findings ==
+        std::vector<std::string>{
+            "failure domain west-b was evacuated at 2026-12-06T11:00:02.000Z: nothing was started there",
+            "failure domain west-c was evacuated at 2026-12-06T11:00:06.000Z: nothing was started there",
+            "1 starts of it were withdrawn from evacuated failure domains"});
+}
+
 // Guards against attributing the failures of one bad worker to the job, and the reverse.
 TEST_CASE("job_log_of_failed_runs_names_worker_or_job") {
   const std::string one =
--- a/tests/protocol/log_events_test.cpp
+++ b/tests/protocol/log_events_test.cpp
@@ -35,12 +35,12 @@
   // A conditional expression may pass one of two names, so every name before the first brace is collected.
   const std::regex call{R"((?:\blog|\brecord)\(([^;{]*))"};
   const std::regex name{R"re("([a-z]+(?:_[a-z]+)*)")re"};
-  for (const auto* folder : {"src/programs/rhubarb-edge", "src/coordination"}) {
+  for (const auto* folder : {"src/programs/rhubarb-edge", "src/coordination/job_scheduler"}) {
     for (const auto& entry : std::filesystem::directory_iterator{source_folder / folder}) {
       const auto file = entry.path().filename().string();
       const bool is_searched =
           entry.path().extension() == ".cpp" &&
-          (std::string{folder} != "src/coordination" || file.starts_with("job_scheduler"));
+          (std::string{folder} != "src/coordination/job_scheduler" || file.starts_with("job_scheduler"));
       if (!is_searched) {
         continue;
       }
