Log a job's objective and what its runs take and need

An operator can't tell from the logs whether a job met its objective, nor what a stopped run had cost. job_added now tells kind, tasks, age, longest chain by the estimates, objective and target; unit_started the estimate, the cores of a task, whether it saves, and how many tasks are outside the rack that the step prefers; unit_preempted the progress. Each field is bounded.

--- a/src/coordination/job_scheduler/job_scheduler.cpp
+++ b/src/coordination/job_scheduler/job_scheduler.cpp
@@ -500,11 +500,18 @@
     }
   }
   self.placement_due = true;
-  self.record("job_added", job.id, inherited ? "inherited" : "new",
-              {{"queue", job.queue.value()},
-               {"team", job.team.value()},
-               {"units", absl::StrCat(state.units.count())},
-               {"phase", std::string{phase_name(state.phase)}}});
+  self.record(
+      "job_added", job.id, inherited ? "inherited" : "new",
+      {{"queue", job.queue.value()},
+       {"team", job.team.value()},
+       {"units", absl::StrCat(state.units.count())},
+       {"phase", std::string{phase_name(state.phase)}},
+       {"kind", std::string{detail::kind_of(job.graph)}},
+       {"tasks", absl::StrCat(detail::task_count(job.graph))},
+       {"age_ms", detail::millis_text(now - submitted_at)},
+       {"chain_ms", absl::StrCat(static_cast<std::int64_t>(critical_path / 1000.0))},
+       {"objective_ms", detail::millis_text(state.objective - submitted_at)},
+       {"target_ms", detail::millis_text(state.queue == nullptr ? duration::zero() : state.queue->target)}});
 }
 
 void job_scheduler::cancel_job(const job_id& id, instant now) {
--- a/src/coordination/job_scheduler/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler/job_scheduler_impl.hpp
@@ -152,6 +152,27 @@
   return one.worker != nullptr && one.run == run && one.worker->entry.id == worker;
 }
 
+/// Whole milliseconds, for the log.
+inline std::string millis_text(duration value) {
+  return absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+}
+
+/// "timed" jobs and "lasting" ones, whose steps last until they are cancelled, have no objective as a whole.
+inline std::string_view kind_of(const job_graph& graph) {
+  const bool lasting = std::any_of(graph.steps.begin(), graph.steps.end(),
+                                   [](const step_spec& step) { return step.long_running; });
+  return graph.occurrences > 0 ? "timed" : lasting ? "lasting" : "once";
+}
+
+/// Tasks of one occurrence.
+inline std::uint64_t task_count(const job_graph& graph) {
+  std::uint64_t count = 0;
+  for (const auto& step : graph.steps) {
+    count += step.count;
+  }
+  return count;
+}
+
 /// Whether the step runs slower outside the rack of its data, or as a gang spread over racks.
 inline bool prefers_rack(const step_spec& step) {
   return !step.data_rack.empty() || (step.gang && step.same_rack);
--- a/src/coordination/job_scheduler/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_placement.cpp
@@ -340,6 +340,22 @@
 
 // ---- starts and reservations ----
 
+namespace {
+
+/// How many of the tasks run outside the rack that the step prefers. A gang without data prefers that of its
+/// first task.
+std::size_t tasks_outside_rack(const step_spec& step, const std::vector<worker_state*>& where) {
+  if (!prefers_rack(step) || where.empty()) {
+    return 0;
+  }
+  const auto& preferred = step.data_rack.empty() ? where.front()->entry.rack.value() : step.data_rack;
+  return static_cast<std::size_t>(std::count_if(where.begin(), where.end(), [&](const auto* worker) {
+    return worker->entry.rack.value() != preferred;
+  }));
+}
+
+}  // namespace
+
 void job_scheduler::implementation::start_unit(job_state& job, unit& starting, const placement& where,
                                                instant now) {
   // Each term has its own range of run numbers, so that a new run never reuses the number of a start by an
@@ -366,7 +382,11 @@
   record("unit_started", job.job.id, "placed",
          {{"step", absl::StrCat(starting.occurrence, ".", starting.step, ".", starting.number)},
           {"run", absl::StrCat(starting.run.value())},
-          {"workers", std::move(worker_names)}},
+          {"workers", std::move(worker_names)},
+          {"estimate_ms", detail::millis_text(step_of(job, starting).estimate)},
+          {"cores_milli", absl::StrCat(step_of(job, starting).each.cpu_millicores)},
+          {"saves", step_of(job, starting).checkpointing ? "1" : "0"},
+          {"outside_rack", absl::StrCat(tasks_outside_rack(step_of(job, starting), where))}},
          now - starting.waiting_since);
 }
 
--- a/src/coordination/job_scheduler/job_scheduler_preemption.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_preemption.cpp
@@ -305,7 +305,8 @@
   invalidate_caches(best->where);
   for (const auto& [target, victim_job] : best->victims) {
     record("unit_preempted", victim_job->job.id, absl::StrCat("for ", job.job.id.value()),
-           {{"step", absl::StrCat(target->occurrence, ".", target->step, ".", target->number)}});
+           {{"step", absl::StrCat(target->occurrence, ".", target->step, ".", target->number)},
+            {"percent", absl::StrCat(target->members.front().percent)}});
     end_unit(*victim_job, *target, now);
   }
   reserve(job, placed, best->where, now);
--- a/src/protocol/log_events.cpp
+++ b/src/protocol/log_events.cpp
@@ -37,13 +37,18 @@
     log_event{
         "caller_answered", "an answer to a caller, but for phase queries that succeed",
         "job, method, status, reason, queue, team, config_version, config_age_ms, took_ms, caller_gone"},
-    log_event{"job_added", "the owner learns of a job", "job, reason, term, queue, team, units, phase"},
+    log_event{"job_added", "the owner learns of a job",
+              "job, reason, term, queue, team, units, phase, kind, tasks, age_ms, chain_ms, objective_ms, "
+              "target_ms"},
     log_event{"job_ended", "a job is complete, failed or cancelled", "job, reason, term, waited_ms"},
-    log_event{"unit_started", "a task or gang is placed", "job, reason, term, step, run, workers, waited_ms"},
+    log_event{
+        "unit_started", "a task or gang is placed",
+        "job, reason, term, step, run, workers, estimate_ms, cores_milli, saves, outside_rack, waited_ms"},
     log_event{"job_stands", "nothing of a job has run for 3 s or more although the turn of a task has come",
               "job, reason, term, step, runs, stands_ms, in_use_percent, workers, usable, with_room, "
               "held_back, set_aside, rack, rack_usable, rack_with_room"},
-    log_event{"unit_preempted", "a task or gang is stopped for urgent work", "job, reason, term, step"},
+    log_event{"unit_preempted", "a task or gang is stopped for urgent work",
+              "job, reason, term, step, percent"},
     log_event{"unit_evacuated", "a task or gang is stopped because one of its workers leaves before it ends",
               "job, reason, term, worker, step, percent, leaves_in_ms"},
     log_event{"run_ended", "a worker lists a run as ended", "job, reason, term, worker, task, run"},
