Split missed objectives by cause: rhubarbctl misses

An operator saw late jobs one at a time (rhubarbctl explain) and could not tell what most of them were late for.

--- a/src/programs/rhubarbctl/command.cpp
+++ b/src/programs/rhubarbctl/command.cpp
@@ -55,6 +55,8 @@
        "rhubarbctl status --store 127.0.0.1:4000 --entry 127.0.0.1:4100", run_status},
       {"explain", "Prints the history of one job from the logs of rhubarb-edge, and what decided it.",
        "rhubarbctl explain 05669e6d8f9c6efa vm1.log vm2.log", run_explain},
+      {"misses", "Splits the jobs that missed their objective by cause, from the logs of rhubarb-edge.",
+       "rhubarbctl misses vm1.log vm2.log", run_misses},
       {"submit", "Submits a job and prints its id and key.",
        "rhubarbctl submit --entry 127.0.0.1:4100 --team bookings --class concert-eve --accelerators 8 "
        "--members 4 --within rack --run-time 2h -- train --epochs 3",
--- a/src/programs/rhubarbctl/command.hpp
+++ b/src/programs/rhubarbctl/command.hpp
@@ -76,6 +76,7 @@
 command_result run_job(command_line& line, const std::vector<std::string>& args);
 command_result run_cancel(command_line& line, const std::vector<std::string>& args);
 command_result run_explain(command_line& line, const std::vector<std::string>& args);
+command_result run_misses(command_line& line, const std::vector<std::string>& args);
 command_result run_why(command_line& line, const std::vector<std::string>& args);
 
 }  // namespace rhubarbpath::ctl
--- a/tests/integration/rhubarbctl_test.cpp
+++ b/tests/integration/rhubarbctl_test.cpp
@@ -418,4 +418,25 @@
   CHECK(run("explain 0123456789abcdef <" + path).object["entries"].size() == 1);
 }
 
+// Guards against a table of zeros for logs that hold no job, which would read as "all in time".
+TEST_CASE_METHOD(ctl_fixture, "misses_reads_log_files_and_tells_when_they_hold_no_job") {
+  const std::string path = "misses_test.log";
+  {
+    std::ofstream file{path};
+    file << R"({"time":"2026-12-04T11:00:00.100Z","message":"job_added","job":"j1","queue":"q","team":"t",)"
+         << R"("kind":"once","chain_ms":"100","objective_ms":"200","target_ms":"50"})"
+         << "\n"
+         << R"({"time":"2026-12-04T11:00:09.100Z","message":"job_ended","job":"j1","reason":"complete"})"
+         << "\n"
+         << R"({"time":"2026-12-04T11:00:09.2)"
+         << "\n";
+  }
+  const auto found = run("misses " + path);
+  CHECK(found.code == 0);
+  CHECK(found.object["missed"][0]["job"] == "j1");
+  CHECK(found.object["queues"]["q"]["missed"] == 1);
+  CHECK(run("misses no-such-file.log").code == 2);
+  CHECK(run("misses </dev/null").code == 1);
+}
+
 }  // namespace rhubarbpath
