Keep a run that a later incarnation may be stopping from being taken for ended

Its worker had started again since its last report. The start, which was sent by the earlier incarnation, was carried out by the later one, and stopped 30 ms later for an urgent job. A worker lists a run in neither list while it stops it. The first report of the later incarnation came in that time because of another run's end, and the owner took the run for one that had ended with the earlier incarnation.

The answer to a start doesn't tell which incarnation carried it out. So an unlisted run that is being stopped has now ended with an earlier incarnation only if a report has listed it; otherwise the later incarnation has to acknowledge the stop, and to name the run in no report after the time that a stop takes.

The test stops the run 0 to 60 ms after its start; it failed at each of its 16 waits before, and passes.

--- a/src/coordination/job_scheduler/job_scheduler_reports.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_reports.cpp
@@ -402,9 +402,12 @@
         listed.contains({task_of(*job, *parent, index), one.run})) {
       continue;
     }
-    // What an earlier incarnation ran is over, whatever becomes of a stop that is on its way.
-    const bool on_earlier_incarnation =
-        one.started_on != worker.born && one.open_starts == 0 && one.start_answered_at < sent;
+    // What an earlier incarnation ran is over, whatever becomes of a stop that is on its way. A run that no
+    // report has listed may have been started by this incarnation, which does not list it while it stops it.
+    const bool was_listed = one.listed_at != milliseconds{0};
+    const bool on_earlier_incarnation = one.started_on != worker.born && one.open_starts == 0 &&
+                                        one.start_answered_at < sent &&
+                                        (was_listed || one.phase == member_phase::running);
     const bool confirmed_before =
         !one.answer_pending && one.confirmed_at != instant{} && one.confirmed_at < sent;
     if (!on_earlier_incarnation && !confirmed_before) {
--- a/src/coordination/job_scheduler/run_end.hpp
+++ b/src/coordination/job_scheduler/run_end.hpp
@@ -20,7 +20,8 @@
   std::chrono::milliseconds clock{0};
 };
 /// A later incarnation of the worker names the run in no complete report, and all attempts to start the run
-/// were answered before.
+/// were answered before. It is not stopping the run: an earlier incarnation listed the run, no stop was
+/// ordered, or the time that a stop takes has passed.
 struct incarnation_over {
   incarnation successor;
 };
