Reserve space for one task at a time on a worker on trial

A worker on trial may take one task. That was judged by the tasks that run there, not by those for which space is reserved until the worker reports, so each waiting task got a reservation, whatever the step's limit. A worker that was started again is no longer on trial, and then all of them started.

A reservation now counts.

--- a/src/coordination/job_scheduler/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_placement.cpp
@@ -230,7 +230,7 @@
     return 0;
   }
   if (worker.set_aside) {
-    return 1;
+    return worker.reserved_tasks.empty() ? 1 : 0;
   }
   if (step.max_per_worker == 0) {
     return std::numeric_limits<std::uint32_t>::max();
