--- a/src/protocol/missed_objectives.cpp
+++ b/src/protocol/missed_objectives.cpp
@@ -212,6 +212,14 @@
     std::int64_t begin{0};
     std::int64_t end{0};
   };
+  /// What is known of the owner at one place in the logs.
+  struct owner_times {
+    std::int64_t last_term{0};
+    std::int64_t last_line{0};
+    std::optional<std::int64_t> away_since;
+    std::optional<std::int64_t> first_start;  ///< Since `away_since`.
+    std::optional<std::int64_t> held_since;
+  };
   using split = std::array<double, miss_cause_count>;
 
   std::vector<event> events;
@@ -229,8 +237,9 @@
   // ---- reading ----
 
   void collect();
-  void note_owner(const event& each, std::int64_t& last_term, std::int64_t& last_owner_line,
-                  std::optional<std::int64_t>& away_since, std::optional<std::int64_t>& held_since);
+  void note_owner(const event& each, owner_times& owner);
+  /// Ends the time without an owner. A term without recovery ends it with its first start.
+  void end_gap(owner_times& owner, std::int64_t otherwise);
   void note_job(const event& each);
   void start_run(job_history& job, const event& each) const;
   static void end_run(job_history& job, const event& each);
@@ -374,51 +383,54 @@
   }
 }
 
-void missed_objectives::implementation::note_owner(const event& each, std::int64_t& last_term,
-                                                   std::int64_t& last_owner_line,
-                                                   std::optional<std::int64_t>& away_since,
-                                                   std::optional<std::int64_t>& held_since) {
+void missed_objectives::implementation::end_gap(owner_times& owner, std::int64_t otherwise) {
+  if (owner.away_since) {
+    gaps.push_back({*owner.away_since, owner.first_start.value_or(otherwise)});
+  }
+  owner.away_since.reset();
+  owner.first_start.reset();
+}
+
+void missed_objectives::implementation::note_owner(const event& each, owner_times& owner) {
   if (each.name == "term_began") {
     // An owner that was killed logs no end of its term, so its last line counts.
-    if (number_of(each.fields, "term") > last_term) {
-      last_term = number_of(each.fields, "term");
-      away_since = away_since.value_or(last_owner_line == 0 ? each.time : last_owner_line);
+    if (number_of(each.fields, "term") > owner.last_term) {
+      owner.last_term = number_of(each.fields, "term");
+      end_gap(owner, each.time);
+      owner.away_since = owner.last_line == 0 ? each.time : owner.last_line;
     }
   } else if (each.name == "recovery_finished") {
-    if (away_since) {
-      gaps.push_back({*away_since, each.time});
-    }
-    away_since.reset();
+    owner.first_start.reset();
+    end_gap(owner, each.time);
   } else if (each.name == "starts_held") {
-    held_since = held_since.value_or(each.time);
+    owner.held_since = owner.held_since.value_or(each.time);
   } else if (each.name == "starts_resumed") {
-    if (held_since) {
-      gaps.push_back({*held_since, each.time});
+    if (owner.held_since) {
+      gaps.push_back({*owner.held_since, each.time});
     }
-    held_since.reset();
+    owner.held_since.reset();
   } else if (each.name != "caller_answered") {
-    last_owner_line = each.time;
+    owner.last_line = each.time;
+    if (each.name == "unit_started" && owner.away_since && !owner.first_start) {
+      owner.first_start = each.time;
+    }
   }
 }
 
 void missed_objectives::implementation::collect() {
   std::stable_sort(events.begin(), events.end(),
                    [](const event& left, const event& right) { return left.time < right.time; });
-  std::int64_t last_term = 0;
-  std::int64_t last_owner_line = 0;
-  std::optional<std::int64_t> away_since;
-  std::optional<std::int64_t> held_since;
+  owner_times owner;
   for (const auto& each : events) {
-    note_owner(each, last_term, last_owner_line, away_since, held_since);
+    note_owner(each, owner);
     if (!text_of(each.fields, "job").empty()) {
       note_job(each);
     }
   }
   last_time = events.empty() ? 0 : events.back().time;
-  for (const auto& since : {away_since, held_since}) {
-    if (since) {
-      gaps.push_back({*since, last_time});
-    }
+  end_gap(owner, last_time);
+  if (owner.held_since) {
+    gaps.push_back({*owner.held_since, last_time});
   }
   std::sort(gaps.begin(), gaps.end(),
             [](const interval& left, const interval& right) { return left.begin < right.begin; });
@@ -433,9 +445,9 @@
   gaps = std::move(merged);
   for (auto& [id, job] : jobs) {
     for (auto& run : job.runs) {
-      if (run.state == run_state::open) {
-        run.ended = std::min(job.ended.value_or(last_time), last_time);
-      }
+      // A job ends with the first report of its last gang; those of the other members come later.
+      const auto latest = job.ended.value_or(last_time);
+      run.ended = run.state == run_state::open ? latest : std::min(run.ended, std::max(latest, run.began));
     }
   }
 }
@@ -521,7 +533,8 @@
     result.runs += job.runs.size();
     for (const auto& run : job.runs) {
       const bool wasted = run.state != run_state::open && run.state != run_state::done;
-      if (!wasted || job.phase == "cancelled") {
+      const bool cancelled = run.state == run_state::stopped && job.phase == "cancelled";
+      if (!wasted || cancelled || job.kind == "lasting") {
         continue;
       }
       auto& stopped = result.stopped[run_state_names[static_cast<std::size_t>(run.state)]];
@@ -664,10 +677,9 @@
 }
 
 void missed_objectives::implementation::judge(const std::string& id, const job_history& job) {
-  auto& queue = result.queues[job.queue];
   if (job.known == 0) {
     if (job.first_refused) {
-      ++queue.never_accepted;
+      ++result.queues[job.queue].never_accepted;
       missed_job missed{.job = id, .queue = job.queue, .team = job.team, .cause = miss_cause::refused};
       result.missed.push_back(std::move(missed));
     }
@@ -676,6 +688,7 @@
   if (job.kind != "once") {
     return;
   }
+  auto& queue = result.queues[job.queue];
   if (job.phase == "cancelled") {
     ++queue.cancelled;
     return;
--- a/tests/protocol/missed_objectives_test.cpp
+++ b/tests/protocol/missed_objectives_test.cpp
@@ -188,6 +188,32 @@
   CHECK(lost(late, miss_cause::no_room) == Approx(100));
 }
 
+// Guards against a first term that counts as absent to its end, because it has nothing to recover.
+TEST_CASE_METHOD(log_writer, "misses_in_term_without_recovery_are_not_blamed_on_the_owner") {
+  line(0, "term_began", R"("term":1)");
+  run_alone("first", 100, 1000, "w1");
+  add_job("late", 2000, 1000);
+  start("late", 9000, "0.0.0", 1, "w1", 1000);
+  end_run("late", 10000, "0.0.0", 1, "w1");
+  end_job("late", 10000);
+  CHECK(only_miss(misses.report(), "late").cause == miss_cause::no_room);
+}
+
+// Guards against a gang whose last reports come after the end of its job and are left out.
+TEST_CASE_METHOD(log_writer, "misses_of_gang_that_ends_with_its_first_report_count_its_run") {
+  add_job("late", 0, 1000);
+  start("late", 0, "0.0.0", 1, "w1,w2", 1000);
+  line(1, "unit_preempted", R"("job":"late","reason":"for x","term":1,"step":"0.0.0","percent":"0")");
+  start("late", 6000, "0.0.0", 2, "w1,w2", 1000);
+  end_run("late", 7000, "0.0.0", 2, "w1");
+  end_job("late", 7000);
+  end_run("late", 7050, "0.0.1", 2, "w2");
+  const auto report = misses.report();
+  const auto& late = only_miss(report, "late");
+  CHECK(late.cause == miss_cause::stopped);
+  CHECK(late.late_ms == 5000);
+}
+
 TEST_CASE_METHOD(log_writer, "misses_of_refused_submissions_are_counted_with_and_without_a_later_job") {
   const auto refuse = [&](int at, const std::string& job) {
     line(at, "caller_answered",
