--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -51,8 +51,8 @@
 }
 
 TEST_CASE("evacuated_domain_is_named_by_the_key_of_the_request") {
-  CHECK(evacuated_domain("op/evacuate/tas-hba") == failure_domain_id{"tas-hba"});
-  CHECK(evacuated_domain("op/evacuate/a/b") == failure_domain_id{"a/b"});
+  CHECK(*evacuated_domain("op/evacuate/tas-hba") == failure_domain_id{"tas-hba"});
+  CHECK(*evacuated_domain("op/evacuate/a/b") == failure_domain_id{"a/b"});
   CHECK_FALSE(evacuated_domain("op/evacuate/").ok());
   CHECK_FALSE(evacuated_domain("op/config").ok());
 }
