--- /dev/null
+++ b/tests/platform/crowd/crowd_test.cpp
@@ -0,0 +1,312 @@
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "../edge/edge_processes.hpp"
+#include "hostile_crowd.hpp"
+#include "rhubarbpath/transport/http_status.hpp"
+
+// Clients that keep to no limit: the process goes on, within the memory and the descriptors that its settings
+// state, and ordinary callers get answers while the crowd stays connected.
+
+namespace rhubarbpath::soak {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr duration start_limit{seconds{20}};
+/// Those of the smallest VM that is served, but for the descriptors, which are fewer to keep crowds small.
+constexpr vm_limits smallest_vm{.memory_mb = 120, .max_descriptors = 400};
+constexpr std::uint64_t memory_limit = std::uint64_t{120} << 20U;
+constexpr std::size_t megabyte = 1U << 20U;
+constexpr std::uint16_t metrics_port = 7001;
+/// The limit of the configuration for the body of one request.
+constexpr std::size_t largest_body = 1'000'000;
+const std::string job_path = "/jobs/5c0e7a21d94b0901";
+
+std::string opening(const std::string& method, const std::string& path, const std::string& headers) {
+  return fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\nKey: key-a\r\n{}", method, path, caller_host, headers);
+}
+
+std::string get(const std::string& path) {
+  return opening("GET", path, "\r\n");
+}
+
+/// A valid job with as many steps as fit into `size` bytes, filled up to exactly that size.
+std::string job_of_size(std::size_t size) {
+  const std::string step = R"({"count":1,"cpu":100,"memMb":1,"estimateMs":1000})";
+  std::string body = R"({"spec":"x","steps":[)" + step;
+  while (body.size() + step.size() + 3 <= size) {
+    body += "," + step;
+  }
+  body += "]";
+  body.resize(size - 1, ' ');
+  return body + "}";
+}
+
+class crowd_fixture {
+ public:
+  crowd_fixture() { REQUIRE(vms.all_use(1, start_limit)); }
+
+  /// Lets the crowd send until it is done, or until the process has taken nothing more for some time.
+  void play(hostile_load load) {
+    crowds_.push_back(std::make_unique<hostile_crowd>(vms.address(0), std::move(load)));
+    auto& crowd = *crowds_.back();
+    constexpr int max_idle_steps = 200;
+    constexpr int steps_per_look = 10;
+    int idle_steps = 0;
+    for (int step = 0; idle_steps < max_idle_steps && !crowd.finished() && vms.alive(0); ++step) {
+      idle_steps = crowd.step() > 0 ? 0 : idle_steps + 1;
+      vms.run_for(milliseconds{5});
+      if (step % steps_per_look == 0) {
+        look();
+      }
+    }
+    look();
+  }
+
+  /// Checks the bounds and that each port still answers an ordinary request.
+  void check() {
+    look();
+    CAPTURE(highest_, unread_at_highest_, memory_of(vms.process_id(0)).highest, most_descriptors_);
+    REQUIRE(vms.alive(0));
+    CHECK(highest_ < memory_limit);
+    CHECK(memory_of(vms.process_id(0)).highest < memory_limit);
+    CHECK(most_descriptors_ < static_cast<std::size_t>(smallest_vm.max_descriptors));
+    CHECK(answers([this] { return vms.query_status(0, 1) == http_status::gone; }));
+    CHECK(answers([this] { return vms.get_status(0, ready_port, "/api/ready") == http_status::ok; }));
+    CHECK(answers([this] { return vms.send_as_peer(0, "/greet", {}) == http_status::ok; }));
+    CHECK(answers([this] { return vms.get_status(0, metrics_port, "/metrics") == http_status::ok; }));
+    CHECK(vms.alive(0));
+  }
+
+  edge_processes vms{1, smallest_vm};
+
+ private:
+  void look() {
+    const auto process = vms.process_id(0);
+    const auto unread = unread_bytes(vms.address(0));
+    if (const auto kept = memory_of(process).resident + unread; kept > highest_) {
+      highest_ = kept;
+      unread_at_highest_ = unread;
+    }
+    most_descriptors_ = std::max(most_descriptors_, open_descriptors(process));
+  }
+
+  /// A caller that is refused or cut off tries again a few times.
+  template <class Call>
+  bool answers(Call call) {
+    constexpr int tries = 5;
+    for (int i = 0; i < tries; ++i) {
+      if (call()) {
+        return true;
+      }
+      vms.run_for(seconds{1});
+    }
+    return false;
+  }
+
+  std::vector<std::unique_ptr<hostile_crowd>> crowds_;
+  std::uint64_t highest_{0};  ///< Resident and unread bytes together.
+  std::uint64_t unread_at_highest_{0};
+  std::size_t most_descriptors_{0};
+};
+
+TEST_CASE_METHOD(crowd_fixture, "vm_keeps_its_bounds_under_announced_bodies_over_the_limit") {
+  // Guards against bodies that are kept until they are whole although the configuration forbids their size.
+  play({.port = caller_port,
+        .clients = 60,
+        .opening = opening("POST", job_path, "Content-Length: 4000000\r\n\r\n"),
+        .repeated = std::string(4096, 'x'),
+        .bytes_per_client = 3'900'000});
+  check();
+}
+
+TEST_CASE_METHOD(crowd_fixture, "vm_keeps_its_bounds_under_bodies_far_over_the_limit") {
+  // Guards against keeping what arrives of a body whose announced length is refused.
+  play({.port = caller_port,
+        .opening = opening("POST", job_path, "Content-Length: 4000000000\r\n\r\n"),
+        .repeated = std::string(4096, 'x'),
+        .bytes_per_client = 8 * megabyte});
+  check();
+}
+
+TEST_CASE_METHOD(crowd_fixture, "vm_keeps_its_bounds_under_bodies_sent_without_announcement") {
+  // Guards against keeping bytes that follow a request and belong to none.
+  play({.port = caller_port,
+        .opening = opening("POST", job_path, "Content-Length: 4\r\n\r\n"),
+        .repeated = std::string(4096, 'x'),
+        .bytes_per_client = 8 * megabyte});
+  check();
+}
+
+TEST_CASE_METHOD(crowd_fixture, "vm_keeps_its_bounds_under_chunked_bodies_without_end") {
+  // Guards against chunked bodies that grow until the process ends.
+  play({.port = caller_port,
+        .clients = 60,
+        .opening = opening("POST", job_path, "Transfer-Encoding: chunked\r\n\r\n"),
+        .repeated = "1000\r\n" + std::string(4096, 'x') + "\r\n",
+        .bytes_per_client = 8 * megabyte});
+  check();
+}
+
+TEST_CASE_METHOD(crowd_fixture, "vm_keeps_its_bounds_under_one_chunk_without_end") {
+  // Guards against one chunk that is larger than any body may be.
+  play({.port = caller_port,
+        .opening = opening("POST", job_path, "Transfer-Encoding: chunked\r\n\r\n7fffffff\r\n"),
+        .repeated = std::string(4096, 'x'),
+        .bytes_per_client = 8 * megabyte});
+  check();
+}
+
+TEST_CASE_METHOD(crowd_fixture, "vm_keeps_its_bounds_under_chunks_of_one_byte") {
+  // Guards against chunks whose bookkeeping takes many times their bytes.
+  play({.port = caller_port,
+        .opening = opening("POST", job_path, "Transfer-Encoding: chunked\r\n\r\n"),
+        .repeated = "1\r\nx\r\n",
+        .bytes_per_client = 4 * megabyte});
+  check();
+}
+
+TEST_CASE_METHOD(crowd_fixture, "vm_keeps_its_bounds_under_header_lines_without_end") {
+  // Guards against short header lines, each of which takes many times its bytes.
+  play({.port = caller_port,
+        .clients = 100,
+        .opening = opening("GET", job_path, {}),
+        .repeated = "a:\r\n",
+        .bytes_per_client = 125'000,
+        .connections_per_client = 1});
+  check();
+}
+
+TEST_CASE_METHOD(crowd_fixture, "vm_keeps_its_bounds_under_one_header_line_without_end") {
+  // Guards against a line that is kept until its end arrives.
+  play({.port = caller_port,
+        .opening = opening("GET", job_path, "Long: "),
+        .repeated = std::string(4096, 'x'),
+        .bytes_per_client = 8 * megabyte});
+  check();
+}
+
+TEST_CASE_METHOD(crowd_fixture, "vm_keeps_its_bounds_under_a_request_line_without_end") {
+  // Guards against a path that is kept until its end arrives.
+  play({.port = caller_port,
+        .opening = "GET /",
+        .repeated = std::string(4096, 'x'),
+        .bytes_per_client = 8 * megabyte});
+  check();
+}
+
+TEST_CASE_METHOD(crowd_fixture, "vm_keeps_its_bounds_under_requests_sent_ahead_without_a_queue") {
+  // Guards against requests that are read while the answers before them are unread.
+  play({.port = caller_port, .repeated = get("/nowhere"), .bytes_per_client = 8 * megabyte});
+  check();
+}
+
+TEST_CASE_METHOD(crowd_fixture, "vm_keeps_its_bounds_under_requests_sent_ahead_to_a_queue") {
+  // Guards against the same where each request is a call to the store.
+  play({.port = caller_port, .repeated = get(job_path), .bytes_per_client = 8 * megabyte});
+  check();
+}
+
+TEST_CASE_METHOD(crowd_fixture, "vm_keeps_its_bounds_under_requests_sent_ahead_of_a_silent_store") {
+  // Guards against requests that are read while the call before them is open.
+  vms.store().faults.answer_delay = seconds{2};
+  play({.port = caller_port, .repeated = get(job_path), .bytes_per_client = 8 * megabyte});
+  vms.store().faults.answer_delay = {};
+  check();
+}
+
+TEST_CASE_METHOD(crowd_fixture, "vm_keeps_its_bounds_under_large_jobs_and_a_silent_store") {
+  // Guards against jobs that are kept in several forms for as long as the store does not confirm them.
+  vms.store().faults.answer_delay = seconds{2};
+  const auto body = job_of_size(largest_body);
+  play({.port = caller_port,
+        .clients = 60,
+        .opening = opening("POST", job_path,
+                           fmt::format("Content-Type: application/json\r\nTimeout-Ms: 600000\r\n"
+                                       "Content-Length: {}\r\n\r\n{}",
+                                       body.size(), body)),
+        .repeated = {},
+        .bytes_per_client = 2 * megabyte,
+        .connections_per_client = 1});
+  vms.run_for(seconds{1});
+  vms.store().faults.answer_delay = {};
+  check();
+}
+
+TEST_CASE_METHOD(crowd_fixture, "vm_keeps_its_bounds_under_bodies_never_finished") {
+  // Guards against many bodies each of which is inside the limit.
+  play({.port = caller_port,
+        .clients = 160,
+        .opening = opening("POST", job_path, fmt::format("Content-Length: {}\r\n\r\n", largest_body)),
+        .repeated = std::string(4096, 'x'),
+        .bytes_per_client = 950'000,
+        .connections_per_client = 1});
+  check();
+}
+
+TEST_CASE_METHOD(crowd_fixture, "vm_keeps_its_bounds_under_metrics_pages_unread") {
+  // Guards against large answers that are prepared for clients that do not read.
+  play({.port = metrics_port, .repeated = get("/metrics"), .bytes_per_client = 8 * megabyte});
+  check();
+}
+
+TEST_CASE_METHOD(crowd_fixture, "vm_keeps_its_bounds_under_readiness_probes_sent_ahead") {
+  // Guards against a second port that is open to the crowd.
+  play({.port = ready_port, .repeated = get("/api/ready"), .bytes_per_client = 8 * megabyte});
+  check();
+}
+
+TEST_CASE_METHOD(crowd_fixture, "vm_keeps_its_bounds_under_requests_sent_ahead_to_the_peer_port") {
+  // Guards against the same on the port of the other VMs.
+  play({.port = peer_port, .repeated = get("/nowhere"), .bytes_per_client = 8 * megabyte});
+  check();
+}
+
+TEST_CASE_METHOD(crowd_fixture, "vm_keeps_its_bounds_under_chunked_bodies_to_the_peer_port") {
+  // Guards against bodies without end on the port of the other VMs.
+  play({.port = peer_port,
+        .clients = 60,
+        .opening = opening("POST", "/greet", "Transfer-Encoding: chunked\r\n\r\n"),
+        .repeated = "1000\r\n" + std::string(4096, 'x') + "\r\n",
+        .bytes_per_client = 8 * megabyte});
+  check();
+}
+
+TEST_CASE_METHOD(crowd_fixture, "vm_keeps_its_bounds_under_idle_connections") {
+  // Guards against connections that use up the descriptors, so that the store and callers are out of reach.
+  play({.port = caller_port,
+        .clients = 600,
+        .opening = {},
+        .repeated = {},
+        .bytes_per_client = 1,
+        .connections_per_client = 1});
+  vms.run_for(seconds{1});
+  check();
+}
+
+TEST_CASE_METHOD(crowd_fixture, "vm_in_calm_serves_a_request_of_the_largest_size") {
+  // Guards against bounds that refuse what the configuration allows.
+  const std::string job = "5c0e7a21d94b0902";
+  CHECK(vms.call_job(0, "POST", job, job_of_size(largest_body), seconds{10}, {.timeout_ms = "10000"}) ==
+        http_status::ok);
+  CHECK(vms.job_state(0, job) == "queued");
+}
+
+TEST_CASE_METHOD(crowd_fixture, "vm_in_calm_refuses_a_body_over_the_limit_with_413") {
+  // Guards against a refusal that the caller cannot tell from a loss.
+  constexpr int too_large = 413;
+  CHECK(vms.call_job(0, "POST", "5c0e7a21d94b0903", job_of_size(largest_body + 1), seconds{10}) == too_large);
+}
+
+}  // namespace
+}  // namespace rhubarbpath::soak
--- a/tests/platform/edge/edge_processes.cpp
+++ b/tests/platform/edge/edge_processes.cpp
@@ -50,7 +50,7 @@
 
 }  // namespace
 
-edge_processes::edge_processes(int vms)
+edge_processes::edge_processes(int vms, vm_limits limits)
     : folder_{make_folder()},
       // Test programs that run at the same time use different loopback networks.
       network_prefix_{fmt::format("127.{}.{}", 16 + getpid() % 200, 1 + getpid() / 200 % 250)},
@@ -78,7 +78,9 @@
                               .address = added.address,
                               .zone = "zone-0",
                               .seeds = seeds,
-                              .store_address = fmt::format("{}.2:{}", network_prefix_, port)});
+                              .store_address = fmt::format("{}.2:{}", network_prefix_, port),
+                              .memory_mb = limits.memory_mb,
+                              .max_descriptors = limits.max_descriptors});
     added.process = std::make_unique<edge_process>(program_path(), settings.string(),
                                                    (folder_ / (name + ".log")).string());
     if (!added.process->start()) {
@@ -221,6 +223,14 @@
   return true;
 }
 
+int edge_processes::get_status(std::size_t vm, std::uint16_t port, const std::string& path) {
+  const auto result =
+      call(fmt::format("{}:{}", vms_.at(vm).address, port),
+           {.method = "GET", .path = path, .query = {}, .headers = {}, .body = {}}, call_timeout);
+  const auto* response = std::get_if<http_response>(&result);
+  return response == nullptr ? 0 : response->status;
+}
+
 int edge_processes::relayed_calls(std::size_t vm) {
   const std::string counter = "rhubarb_relayed_calls_total ";
   const auto result =
--- a/tests/platform/edge/edge_processes.hpp
+++ b/tests/platform/edge/edge_processes.hpp
@@ -22,10 +22,16 @@
   std::string timeout_ms;  ///< The caller's time limit, as the header has it; none if empty.
 };
 
+/// What the settings of each VM state of its limits; none if 0.
+struct vm_limits {
+  int memory_mb{0};
+  int max_descriptors{0};
+};
+
 /// A few `rhubarb-edge` processes on loopback, each with a proxy of its own before the stand-in of the store.
 class edge_processes {
  public:
-  explicit edge_processes(int vms);
+  explicit edge_processes(int vms, vm_limits limits = {});
   edge_processes(const edge_processes&) = delete;
   edge_processes(edge_processes&&) = delete;
   edge_processes& operator=(const edge_processes&) = delete;
@@ -68,6 +74,12 @@
                              const job_call_options& options = {});
   /// Sends a request as another VM would. Returns the status of the answer; 0 without one.
   int send_as_peer(std::size_t vm, const std::string& path, const std::string& body);
+  /// Sends a GET to a port of the VM. Returns the status of the answer; 0 without one.
+  [[nodiscard]] int get_status(std::size_t vm, std::uint16_t port, const std::string& path);
+  /// The IP number of the VM.
+  [[nodiscard]] const std::string& address(std::size_t vm) const { return vms_.at(vm).address; }
+  /// The id of the VM's process; 0 after its end.
+  [[nodiscard]] pid_t process_id(std::size_t vm) const { return vms_.at(vm).process->id(); }
   /// Number of store calls that the VM has relayed for others.
   [[nodiscard]] int relayed_calls(std::size_t vm);
 
--- a/tests/platform/soak/edge_process.hpp
+++ b/tests/platform/soak/edge_process.hpp
@@ -28,6 +28,8 @@
   /// Returns the wait status once after the process has ended, else `nullopt`. Does not block.
   [[nodiscard]] std::optional<int> reap();
   [[nodiscard]] bool alive() const noexcept { return pid_ > 0; }
+  /// 0 while no process runs.
+  [[nodiscard]] pid_t id() const noexcept { return pid_; }
 
  private:
   std::string program_;
--- a/tests/platform/soak/platform_documents.cpp
+++ b/tests/platform/soak/platform_documents.cpp
@@ -10,6 +10,13 @@
 using nlohmann::json;
 
 void write_settings(const std::filesystem::path& path, const vm_document& vm) {
+  json limits{{"cpuShare", 1.0}, {"cores", 1}};
+  if (vm.memory_mb > 0) {
+    limits["memoryMb"] = vm.memory_mb;
+  }
+  if (vm.max_descriptors > 0) {
+    limits["maxFds"] = vm.max_descriptors;
+  }
   const json settings{{"node", vm.name},
                       {"ip", vm.address},
                       {"zone", vm.zone},
@@ -18,7 +25,7 @@
                         {"ready", fmt::format("{}:{}", vm.address, ready_port)},
                         {"control", fmt::format("{}:{}", vm.address, peer_port)}}},
                       {"seeds", vm.seeds},
-                      {"limits", {{"cpuShare", 1.0}, {"cores", 1}}},
+                      {"limits", std::move(limits)},
                       {"bounds",
                        {{"maxHoldMs", 10000},
                         {"stopTimeoutMs", 200},
