Bound what clients make a process keep, over all its servers

Clients outside the limits ended rhubarb-edge by memory: evhttp reads on while an answer is unread, keeps a body until it is whole, and has limits for one request only.

connection_budget holds one account for all servers of a process: bytes by connection, bytes of open requests, number of connections. http_server feeds it from the buffers' callbacks and stops reading while an answer is not taken; client_limits closes what is longest without progress above a bound, and refuses a request with 503 before it begins when open requests take half of the bytes. The front takes bodies up to maxBodyBytes of the configuration (413 above).

A body of the configuration's limit (262,144 bytes) counts as 2 MiB. A connection between two requests counts as 4 KiB: 2,156 of them, all that the smallest VM may have, take 8.4 MiB. Connections: three quarters of limits.maxFds less 200, so 2,156 of 3,075 descriptors, and fewer only while the process has more than a fifth of the sockets open itself; the idlest is closed, so that a new caller is never refused.

--- a/include/rhubarbpath/state/vm_settings.hpp
+++ b/include/rhubarbpath/state/vm_settings.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -28,7 +29,10 @@
   duration worker_heartbeat_interval{std::chrono::milliseconds{1500}};
   /// A configuration must be in force this long after it was acknowledged.
   duration config_apply_limit{std::chrono::seconds{2}};
-  double remote_factor{3.0};  ///< Slowdown of a task away from its data or from its gang's rack.
+  /// Bound on what all servers of the process together keep for their clients.
+  std::uint64_t max_client_bytes{128U << 20U};
+  std::size_t max_sockets{0};  ///< 0 for the limit of the process.
+  double remote_factor{3.0};   ///< Slowdown of a task away from its data or from its gang's rack.
 
   friend bool operator==(const vm_settings&, const vm_settings&) = default;
 };
--- /dev/null
+++ b/include/rhubarbpath/transport/client_limits.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "rhubarbpath/transport/connection_budget.hpp"
+#include "rhubarbpath/transport/event_loop.hpp"
+
+namespace rhubarbpath {
+
+/// Bounds what all HTTP servers of a process together keep for their clients, and closes connections above
+/// the bounds. Its servers share it.
+class client_limits : public std::enable_shared_from_this<client_limits> {
+ public:
+  struct options {
+    /// Bytes received, in work and to be sent, over all connections.
+    std::uint64_t max_bytes{128U << 20U};
+    /// Sockets that the process may open, for clients and for its own calls; 0 for the limit of the process.
+    std::size_t max_sockets{0};
+    /// Number of connections that the process has opened itself.
+    std::function<std::size_t()> own_connections;
+    /// Counts each connection that is closed and each request that is refused.
+    std::function<void(std::string_view reason)> count;
+  };
+  /// How a server closes and measures its connections.
+  struct server_calls {
+    std::function<void(connection_budget::connection)> close;
+    /// Counts the bytes that wait in the kernel.
+    std::function<void(connection_budget::connection)> measure;
+  };
+
+  client_limits(event_loop& loop, options opts);
+
+  /// Adds a server with a share of both bounds that is its own, from 0 to 1.
+  [[nodiscard]] connection_budget::group add_server(double reserved_share, server_calls calls);
+  /// Call when the server ends.
+  void remove_server(connection_budget::group server);
+
+  [[nodiscard]] connection_budget& budget() noexcept { return budget_; }
+  /// Counts a refusal; the log gets one line a second for each reason.
+  void note(std::string_view reason);
+  /// Closes connections on the next pass of the loop if a bound is passed.
+  void check();
+
+ private:
+  [[nodiscard]] std::size_t max_client_connections() const;
+  void enforce();
+  void sweep();
+
+  event_loop& loop_;
+  options options_;
+  connection_budget budget_;
+  std::vector<server_calls> servers_;
+  std::map<std::string, std::int64_t, std::less<>> noted_;
+  bool check_posted_{false};
+  timer_handle sweep_timer_;
+};
+
+}  // namespace rhubarbpath
--- a/include/rhubarbpath/transport/http_client.hpp
+++ b/include/rhubarbpath/transport/http_client.hpp
@@ -61,6 +61,9 @@
   /// Closes all idle connections to an address, for example after one of them stopped responding.
   void drop_idle(const std::string& address);
 
+  /// Number of connections that are open, in use or idle.
+  [[nodiscard]] std::size_t open_connections() const noexcept;
+
  private:
   struct implementation;
   std::shared_ptr<implementation> implementation_;
--- a/include/rhubarbpath/transport/http_server.hpp
+++ b/include/rhubarbpath/transport/http_server.hpp
@@ -7,6 +7,7 @@
 
 #include "absl/status/status.h"
 #include "rhubarbpath/state/units.hpp"
+#include "rhubarbpath/transport/client_limits.hpp"
 #include "rhubarbpath/transport/event_loop.hpp"
 #include "rhubarbpath/transport/http.hpp"
 
@@ -14,7 +15,8 @@
 
 namespace detail {
 struct pending_reply;
-}
+struct tracked_connection;
+}  // namespace detail
 
 /// Sends the response to one request, immediately or later, at most once. Copies share the same pending
 /// response.
@@ -43,6 +45,10 @@
     /// Maximum total size of header names and values; larger requests are rejected with status 431.
     std::size_t max_header_bytes{16U << 10U};
     duration idle_timeout{std::chrono::seconds{60}};
+    /// Shared by the servers of a process; a server without has its own, with the defaults.
+    std::shared_ptr<client_limits> limits;
+    /// Share of the limits that only this server uses, from 0 to 1. The sum over the servers is at most 1.
+    double reserved_share{0};
   };
 
   http_server(event_loop& loop, options opts, handler handle);
@@ -54,6 +60,8 @@
 
   /// Returns `kUnavailable` if the address cannot be bound, for example because it is in use.
   [[nodiscard]] absl::Status listen();
+  /// Changes the limit for bodies. A larger one holds for connections that are accepted from now on.
+  void set_max_body_bytes(std::uint64_t bytes);
   /// Stops accepting connections. Established connections stay open.
   void stop_listening();
   /// Number of requests without a response, excluding those whose connection has closed.
@@ -62,6 +70,7 @@
   [[nodiscard]] std::uint64_t last_connection() const noexcept;
 
  private:
+  friend struct detail::tracked_connection;
   struct implementation;
   std::unique_ptr<implementation> implementation_;
 };
--- a/include/rhubarbpath/transport/http_status.hpp
+++ b/include/rhubarbpath/transport/http_status.hpp
@@ -11,8 +11,10 @@
 constexpr int conflict = 409;
 constexpr int gone = 410;
 constexpr int precondition_failed = 412;
+constexpr int body_too_large = 413;
 constexpr int misdirected_request = 421;
 constexpr int too_many_requests = 429;
+constexpr int headers_too_large = 431;
 constexpr int service_unavailable = 503;
 constexpr int gateway_timeout = 504;
 
--- a/src/programs/rhubarb-edge/edge_daemon.cpp
+++ b/src/programs/rhubarb-edge/edge_daemon.cpp
@@ -1,5 +1,7 @@
 #include "edge_daemon.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <csignal>
 #include <fstream>
@@ -41,6 +43,12 @@
 /// A loop that is late by this much is logged, because its VM then acts on outdated knowledge.
 constexpr duration reported_lateness{std::chrono::milliseconds{500}};
 constexpr std::size_t max_body_bytes = 4U << 20U;
+/// Readiness probes and readers of metrics send none.
+constexpr std::size_t max_probe_body_bytes = 4U << 10U;
+/// Shares of the bounds on what clients make the process keep that only one server uses. The rest is for all.
+constexpr double caller_share = 0.25;
+constexpr double peer_share = 0.25;
+constexpr double probe_share = 0.0625;
 
 /// A configuration of 1,600 queues takes 0.4 s over a link of 10 Mbit/s that carries nothing else.
 constexpr duration max_transfer_extension{std::chrono::seconds{4}};
@@ -78,6 +86,7 @@
               settings_.peer_address,
               settings_.config_apply_limit,
               [this](const config_feed::pointer& config) {
+                limit_bodies(*config);
                 if (session_ != nullptr) {
                   session_->set_config(config);
                 }
@@ -91,36 +100,51 @@
                 .own_session = [this] { return session_.get(); },
                 .owner_address = [this] { return owner_address_; },
                 .stopping = [this] { return stopping_; }}},
+      limits_{std::make_shared<client_limits>(
+          loop,
+          client_limits::options{
+              .max_bytes = settings_.max_client_bytes,
+              .max_sockets = settings_.max_sockets,
+              .own_connections =
+                  [this] { return platform_client_.open_connections() + worker_client_.open_connections(); },
+              .count =
+                  [this](std::string_view reason) {
+                    counters_.add("rhubarb_clients_limited_total", fmt::format("reason=\"{}\"", reason));
+                  }})},
       incarnation_{static_cast<std::uint64_t>(wall_clock().count())},
       started_at_{loop.now()},
       last_tick_{started_at_} {}
 
 absl::Status edge_daemon::start() {
   const auto start_server = [this](std::unique_ptr<http_server>& server, const std::string& address,
+                                   double share, std::size_t body_bytes,
                                    http_server::handler handler) -> absl::Status {
     const auto target = parse_address(address);
     if (!target.ok()) {
       return target.status();
     }
-    server = std::make_unique<http_server>(
-        loop_,
-        http_server::options{.address = target->host, .port = target->port, .max_body_bytes = max_body_bytes},
-        std::move(handler));
+    server = std::make_unique<http_server>(loop_,
+                                           http_server::options{.address = target->host,
+                                                                .port = target->port,
+                                                                .max_body_bytes = body_bytes,
+                                                                .limits = limits_,
+                                                                .reserved_share = share},
+                                           std::move(handler));
     return server->listen();
   };
   for (const auto& status :
-       {start_server(caller_server_, settings_.caller_address,
+       {start_server(caller_server_, settings_.caller_address, caller_share, fleet_config{}.max_body_bytes,
                      [this](const http_request&request, const http_responder&responder) {
                        callers_.handle(request, responder);
                      }),
-        start_server(ready_server_, settings_.ready_address,
+        start_server(ready_server_, settings_.ready_address, probe_share, max_probe_body_bytes,
                      [this](const http_request&, const http_responder&responder) { serve_ready(responder); }),
-        start_server(peer_server_, settings_.peer_address,
+        start_server(peer_server_, settings_.peer_address, peer_share, max_body_bytes,
                      [this](const http_request&request, const http_responder&responder) {
                        serve_peer(request, responder);
                      }),
         start_server(
-            metrics_server_, settings_.metrics_address,
+            metrics_server_, settings_.metrics_address, probe_share, max_probe_body_bytes,
             [this](const http_request&, const http_responder&responder) {
               const auto totals = logged();
               counters_.set("rhubarb_log_lines", {}, static_cast<double>(totals.lines));
@@ -146,6 +170,12 @@
   return absl::OkStatus();
 }
 
+void edge_daemon::limit_bodies(const fleet_config& config) {
+  if (caller_server_ != nullptr) {
+    caller_server_->set_max_body_bytes(std::min<std::uint64_t>(config.max_body_bytes, max_body_bytes));
+  }
+}
+
 // ---- peers ----
 
 void edge_daemon::greet_peers() {
--- a/src/programs/rhubarb-edge/edge_daemon.hpp
+++ b/src/programs/rhubarb-edge/edge_daemon.hpp
@@ -26,6 +26,7 @@
   [[nodiscard]] absl::Status start();
 
  private:
+  void limit_bodies(const fleet_config& config);
   void serve_peer(const http_request& request, const http_responder& responder);
   void serve_ready(const http_responder& responder) const;
   [[nodiscard]] bool ready() const;
@@ -62,6 +63,7 @@
   config_feed config_;
   owner_election election_;
   caller_api callers_;
+  std::shared_ptr<client_limits> limits_;
   std::unique_ptr<http_server> caller_server_;
   std::unique_ptr<http_server> ready_server_;
   std::unique_ptr<http_server> peer_server_;
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -124,6 +124,7 @@
   absl::flat_hash_map<std::uint64_t, std::unique_ptr<pending_call>> calls;
   absl::flat_hash_map<std::string, std::list<connection_pointer>> idle;
   absl::flat_hash_map<std::string, int> open_connections;
+  std::size_t all_open_connections{0};
 
   struct request_context {
     std::weak_ptr<implementation> client;
@@ -147,6 +148,7 @@
     evbuffer_add_cb(bufferevent_get_output(buffers), &on_output_changed, connection.get());
     evbuffer_add_cb(bufferevent_get_input(buffers), &on_input_changed, connection.get());
     ++open_connections[address];
+    ++all_open_connections;
     return connection;
   }
 
@@ -166,6 +168,7 @@
   /// Defers freeing the connection to the loop, because evhttp may still use it in the current callback.
   void close(connection_pointer connection) {
     --open_connections[connection->address];
+    --all_open_connections;
     auto shared = std::shared_ptr<pooled_connection>{std::move(connection)};
     loop.post([shared] {});
   }
@@ -380,6 +383,10 @@
   }
 }
 
+std::size_t http_client::open_connections() const noexcept {
+  return implementation_->all_open_connections;
+}
+
 void http_client::cancel(handle pending) {
   auto& self = *implementation_;
   const auto found = self.calls.find(pending);
--- a/tests/platform/crowd/crowd_test.cpp
+++ b/tests/platform/crowd/crowd_test.cpp
@@ -302,6 +302,18 @@
   CHECK(vms.job_state(0, job) == "queued");
 }
 
+TEST_CASE_METHOD(crowd_fixture, "vm_in_calm_gives_a_slow_reader_the_whole_answer") {
+  // Guards against bounds that cut off a client which takes its answer in small pieces.
+  constexpr int queues = 2000;
+  vms.put_config(queues);
+  REQUIRE(vms.uses(0, queues, start_limit));
+  const auto answer =
+      read_slowly(vms.address(0), peer_port, opening("GET", "/config", "Connection: close\r\n\r\n"));
+  const auto end_of_headers = answer.find("\r\n\r\n");
+  REQUIRE(end_of_headers != std::string::npos);
+  CHECK(answer.substr(end_of_headers + 4) == config_text(queues));
+}
+
 TEST_CASE_METHOD(crowd_fixture, "vm_in_calm_refuses_a_body_over_the_limit_with_413") {
   // Guards against a refusal that the caller cannot tell from a loss.
   constexpr int too_large = 413;
--- a/tests/platform/crowd/hostile_crowd.cpp
+++ b/tests/platform/crowd/hostile_crowd.cpp
@@ -8,10 +8,12 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <chrono>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <string_view>
+#include <thread>
 #include <utility>
 
 namespace rhubarbpath::soak {
@@ -100,6 +102,30 @@
   });
 }
 
+std::string read_slowly(const std::string& address, std::uint16_t port, const std::string& request) {
+  constexpr int receive_buffer = 4096;
+  constexpr std::size_t piece = 4096;
+  constexpr std::chrono::milliseconds pause{5};
+  sockaddr_in server{};
+  server.sin_family = AF_INET;
+  server.sin_port = htons(port);
+  inet_pton(AF_INET, address.c_str(), &server.sin_addr);
+  const int reader = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  setsockopt(reader, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof(receive_buffer));
+  std::string answer;
+  if (::connect(reader, reinterpret_cast<const sockaddr*>(&server), sizeof(server)) == 0 &&
+      send(reader, request.data(), request.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(request.size())) {
+    std::string next(piece, '\0');
+    for (ssize_t count = 1; count > 0;) {
+      std::this_thread::sleep_for(pause);
+      count = recv(reader, next.data(), next.size(), 0);
+      answer.append(next, 0, static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
+    }
+  }
+  close(reader);
+  return answer;
+}
+
 process_memory memory_of(pid_t process) {
   process_memory memory;
   std::ifstream file{fmt::format("/proc/{}/status", process)};
--- a/tests/platform/crowd/hostile_crowd.hpp
+++ b/tests/platform/crowd/hostile_crowd.hpp
@@ -49,6 +49,11 @@
   std::vector<client> clients_;
 };
 
+/// Sends `request` and reads the answer in small pieces with a pause before each, until the connection ends.
+/// The request has to ask for that end.
+[[nodiscard]] std::string read_slowly(const std::string& address, std::uint16_t port,
+                                      const std::string& request);
+
 /// Resident memory of a process in bytes, now and at its highest; 0 if it does not run.
 struct process_memory {
   std::uint64_t resident{0};
