Close large holders before callers that wait, and count parsing in steps

A caller that waits for the store keeps 6 KiB and could be closed before clients that keep megabytes, if these had made progress later. Connections that keep at most 16 KiB now go last for the bound in bytes. A single open request that takes over half of the bound no longer counts against its own connection. The bytes that parsing takes from the input are counted in steps of 4 KiB instead of twice for each header line.

--- a/include/rhubarbpath/transport/connection_budget.hpp
+++ b/include/rhubarbpath/transport/connection_budget.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <list>
@@ -17,8 +19,9 @@
 ///
 /// A connection makes progress when a request arrives whole or an answer is taken; bytes alone are none, so a
 /// client that sends slowly without end does not stay ahead of the others. Above a bound, the connection that
-/// is longest without progress is named first: among those that keep bytes for the bound in bytes, among the
-/// idle ones before these for the bound in connections.
+/// is longest without progress is named first. For the bound in bytes, those that keep much go before those
+/// that keep little, so that an ordinary caller who waits for the store stays; for the bound in connections,
+/// the idle ones go first.
 class connection_budget {
  public:
   struct options {
@@ -46,7 +49,7 @@
   [[nodiscard]] group add_group(reserve reserved);
   [[nodiscard]] connection open(group owner);
   void close(connection id);
-  /// Sets the bytes that are kept for the connection. One that keeps at most `idle_bytes` is idle.
+  /// Sets the bytes that are kept for the connection.
   void hold(connection id, std::uint64_t bytes);
   void progressed(connection id);
 
@@ -60,7 +63,7 @@
   void set_max_connections(std::size_t count) { options_.max_connections = count; }
 
   [[nodiscard]] bool within_bounds() const noexcept {
-    return bytes() <= options_.max_bytes && connections() <= options_.max_connections;
+    return within_bytes() && connections() <= options_.max_connections;
   }
   /// The connection to close next; none while the bounds are kept.
   [[nodiscard]] std::optional<excess> next_excess() const;
@@ -72,13 +75,18 @@
 
   /// What evhttp and the kernel keep for a connection between two requests.
   static constexpr std::uint64_t idle_bytes = 4U << 10U;
+  /// A connection that keeps at most this much keeps little, as one with an ordinary open request does.
+  static constexpr std::uint64_t little_bytes = 16U << 10U;
 
  private:
+  /// Longest without progress first.
   using order = std::list<connection>;
+  enum class load : std::uint8_t { idle, little, much };
+  static constexpr std::size_t load_count = 3;
   struct entry {
     group owner{0};
     std::uint64_t bytes{0};
-    bool idle{true};
+    load kept{load::idle};
     order::iterator position;
   };
   struct group_state {
@@ -87,10 +95,17 @@
     std::uint64_t admitted{0};
     std::size_t open_requests{0};
     std::size_t connections{0};
-    order idle;     ///< Longest without progress first.
-    order holding;  ///< Likewise.
+    std::array<order, load_count> by_load;
+
+    [[nodiscard]] order& with(load kept) { return by_load.at(static_cast<std::size_t>(kept)); }
   };
 
+  [[nodiscard]] static load load_of(std::uint64_t bytes) noexcept;
+  /// Open requests cannot be closed, so they count at most with what they may take.
+  [[nodiscard]] bool within_bytes() const noexcept {
+    return held_ + std::min(admitted_, options_.max_bytes / 2) <= options_.max_bytes;
+  }
+
   options options_;
   std::vector<group_state> groups_;
   absl::flat_hash_map<connection, entry> entries_;
--- a/src/transport/connection_budget.cpp
+++ b/src/transport/connection_budget.cpp
@@ -10,8 +10,8 @@
 connection_budget::connection connection_budget::open(group owner) {
   const auto id = ++last_id_;
   auto& state = groups_.at(owner);
-  const auto position = state.idle.insert(state.idle.end(), id);
-  entries_[id] = {.owner = owner, .bytes = idle_bytes, .idle = true, .position = position};
+  const auto position = state.with(load::idle).insert(state.with(load::idle).end(), id);
+  entries_[id] = {.owner = owner, .bytes = idle_bytes, .kept = load::idle, .position = position};
   state.held += idle_bytes;
   held_ += idle_bytes;
   ++state.connections;
@@ -25,7 +25,7 @@
   }
   const auto& kept = found->second;
   auto& state = groups_.at(kept.owner);
-  (kept.idle ? state.idle : state.holding).erase(kept.position);
+  state.with(kept.kept).erase(kept.position);
   state.held -= kept.bytes;
   held_ -= kept.bytes;
   --state.connections;
@@ -42,11 +42,10 @@
   state.held += bytes - kept.bytes;
   held_ += bytes - kept.bytes;
   kept.bytes = bytes;
-  if (const bool idle = bytes <= idle_bytes; idle != kept.idle) {
-    kept.idle = idle;
-    auto& from = idle ? state.holding : state.idle;
-    auto& into = idle ? state.idle : state.holding;
-    into.splice(into.end(), from, kept.position);
+  if (const auto next = load_of(bytes); next != kept.kept) {
+    auto& into = state.with(next);
+    into.splice(into.end(), state.with(kept.kept), kept.position);
+    kept.kept = next;
   }
 }
 
@@ -56,7 +55,7 @@
     return;
   }
   auto& state = groups_.at(found->second.owner);
-  auto& list = found->second.idle ? state.idle : state.holding;
+  auto& list = state.with(found->second.kept);
   list.splice(list.end(), list, found->second.position);
 }
 
@@ -80,44 +79,50 @@
   admitted_ -= bytes;
 }
 
+connection_budget::load connection_budget::load_of(std::uint64_t bytes) noexcept {
+  if (bytes <= idle_bytes) {
+    return load::idle;
+  }
+  return bytes <= little_bytes ? load::little : load::much;
+}
+
 std::optional<connection_budget::excess> connection_budget::next_excess() const {
+  const bool bytes_passed = !within_bytes();
+  if (within_bounds()) {
+    return std::nullopt;
+  }
   // The group furthest above its reserve gives way. Above a bound at least one group is above its reserve.
-  std::optional<excess> found;
-  if (bytes() > options_.max_bytes) {
-    std::uint64_t furthest = 0;
-    for (group owner = 0; owner < groups_.size(); ++owner) {
-      const auto& state = groups_[owner];
-      const auto used = state.held + state.admitted;
-      const auto above = used > state.reserved.bytes ? used - state.reserved.bytes : 0;
-      if (above > furthest && !state.holding.empty()) {
-        furthest = above;
-        found = {.owner = owner, .id = state.holding.front(), .passed = bound::bytes};
-      }
+  const group_state* furthest = nullptr;
+  std::uint64_t furthest_above = 0;
+  for (const auto& state : groups_) {
+    const std::uint64_t used = bytes_passed ? state.held + state.admitted : state.connections;
+    const std::uint64_t reserved = bytes_passed ? state.reserved.bytes : state.reserved.connections;
+    if (state.connections > 0 && used > reserved && used - reserved > furthest_above) {
+      furthest = &state;
+      furthest_above = used - reserved;
     }
   }
-  if (!found && connections() > options_.max_connections) {
-    std::size_t furthest = 0;
-    for (group owner = 0; owner < groups_.size(); ++owner) {
-      const auto& state = groups_[owner];
-      const auto above =
-          state.connections > state.reserved.connections ? state.connections - state.reserved.connections : 0;
-      if (above > furthest) {
-        furthest = above;
-        found = {.owner = owner,
-                 .id = state.idle.empty() ? state.holding.front() : state.idle.front(),
-                 .passed = bound::connections};
-      }
-    }
+  if (furthest == nullptr) {
+    return std::nullopt;
   }
-  return found;
+  const auto first_of = [&](auto begin, auto end) {
+    return std::find_if(begin, end, [](const order& each) { return !each.empty(); })->front();
+  };
+  const auto& lists = furthest->by_load;
+  return excess{
+      .owner = static_cast<group>(furthest - groups_.data()),
+      .id = bytes_passed ? first_of(lists.rbegin(), lists.rend()) : first_of(lists.begin(), lists.end()),
+      .passed = bytes_passed ? bound::bytes : bound::connections};
 }
 
 std::vector<std::pair<connection_budget::group, connection_budget::connection>> connection_budget::holders()
     const {
   std::vector<std::pair<group, connection>> found;
   for (group owner = 0; owner < groups_.size(); ++owner) {
-    for (const auto id : groups_[owner].holding) {
-      found.emplace_back(owner, id);
+    for (const auto kept : {load::little, load::much}) {
+      for (const auto id : groups_[owner].by_load.at(static_cast<std::size_t>(kept))) {
+        found.emplace_back(owner, id);
+      }
     }
   }
   return found;
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -64,6 +64,7 @@
   pending_reply* pending{nullptr};
   /// What was taken from the input for the request that is arriving, with what evhttp adds to it.
   std::uint64_t parsed_bytes{0};
+  std::uint64_t counted_parsed_bytes{0};
   std::uint64_t kernel_bytes{0};
   /// An answer is not taken whole.
   bool answering{false};
@@ -86,6 +87,7 @@
 constexpr int receive_buffer_bytes = 64 << 10;
 /// evhttp takes memory of this size for each piece of the input that it parses, such as a header line.
 constexpr std::uint64_t bytes_per_piece = 256;
+constexpr std::uint64_t parsed_step = 4U << 10U;
 /// While a request is open, its body is kept in this many forms, such as the parsed job and the store's row.
 constexpr std::uint64_t forms_of_body = 8;
 /// What evhttp and the handler keep for an open request and for each of its headers.
@@ -238,7 +240,10 @@
       // More arrives while the answer is unread; the rest waits in the kernel.
       changed->kernel_bytes = receive_buffer_bytes;
     }
-    changed->server->count(*changed);
+    // Parsing takes many small pieces; they are counted together.
+    if (info->n_added > 0 || changed->parsed_bytes >= changed->counted_parsed_bytes + parsed_step) {
+      changed->server->count(*changed);
+    }
   }
 
   static void on_output(evbuffer* output, const evbuffer_cb_info* info, void* argument) {
@@ -258,7 +263,8 @@
     }
   }
 
-  void count(const detail::tracked_connection& connection) const {
+  void count(detail::tracked_connection& connection) const {
+    connection.counted_parsed_bytes = connection.parsed_bytes;
     opts.limits->budget().hold(
         connection.id,
         connection_budget::idle_bytes + evbuffer_get_length(bufferevent_get_input(connection.stream)) +
--- a/tests/transport/connection_budget_test.cpp
+++ b/tests/transport/connection_budget_test.cpp
@@ -82,6 +82,31 @@
   CHECK(budget.bytes() == 0);
 }
 
+TEST_CASE("connection_budget_names_a_large_holder_before_a_caller_that_waits") {
+  // Guards against cutting off a caller that waits for the store while others hold megabytes.
+  connection_budget budget{{.max_bytes = 100'000, .max_connections = 10}};
+  const auto callers = budget.add_group({});
+  const auto waiting = budget.open(callers);
+  budget.hold(waiting, idle + 2'000);
+  const auto large = budget.open(callers);
+  budget.hold(large, 200'000);
+  REQUIRE(budget.next_excess());
+  CHECK(budget.next_excess()->id == large);
+}
+
+TEST_CASE("connection_budget_keeps_the_connection_of_a_single_request_above_the_bound") {
+  // Guards against closing the connection whose only request was just admitted.
+  connection_budget budget{{.max_bytes = 100'000, .max_connections = 10}};
+  const auto callers = budget.add_group({});
+  const auto id = budget.open(callers);
+  budget.hold(id, idle + 2'000);
+  CHECK(budget.admit(callers, 500'000));
+  CHECK_FALSE(budget.next_excess());
+  budget.hold(id, 60'000);
+  REQUIRE(budget.next_excess());
+  CHECK(budget.next_excess()->id == id);
+}
+
 TEST_CASE("connection_budget_ignores_connections_that_were_closed") {
   // Guards against counting a connection after its end.
   connection_budget budget{{.max_bytes = 1, .max_connections = 1}};
