Bound the directory of peers

Every address of a greeting was kept for the life of the process, so greetings with invented addresses made it grow: 15 of them with 100,000 addresses each took it to 477 MB resident (bound 120 MB) and left the port of the other VMs without an answer within 3 s. The directory now takes 4,096 addresses of 64 bytes; a full one drops those that have expired, once a second. A fleet of 300 VMs fills a thirteenth of it.

--- a/include/rhubarbpath/coordination/peer_directory.hpp
+++ b/include/rhubarbpath/coordination/peer_directory.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <map>
 #include <string>
 #include <vector>
@@ -18,6 +19,10 @@
     double processor_cores{0};  ///< Processor of this VM as a share of a core.
     /// An address expires when no VM has heard from it for this long.
     duration forget_after{std::chrono::seconds{10}};
+    /// Bounds what senders of invented lists can add. A full directory takes new addresses only in place of
+    /// expired ones.
+    std::size_t max_addresses{4096};
+    std::size_t max_address_bytes{64};
   };
   /// One peer as VMs report it to each other.
   struct peer_record {
@@ -51,7 +56,11 @@
     bool seed{false};
     bool failing{false};
   };
+  /// The entry of the address, added if there is room for it; null otherwise.
+  [[nodiscard]] entry* find_or_add(const std::string& address, instant now);
+
   options opts_;
+  instant last_purge_{};
   std::map<std::string, entry> entries_;
 };
 
--- a/src/coordination/peer_directory.cpp
+++ b/src/coordination/peer_directory.cpp
@@ -12,21 +12,40 @@
   }
 }
 
+peer_directory::entry* peer_directory::find_or_add(const std::string& address, instant now) {
+  if (const auto found = entries_.find(address); found != entries_.end()) {
+    return &found->second;
+  }
+  constexpr duration purge_interval{std::chrono::seconds{1}};
+  if (entries_.size() >= opts_.max_addresses && now - last_purge_ >= purge_interval) {
+    last_purge_ = now;
+    std::erase_if(entries_, [&](const auto& each) {
+      return !each.second.seed && now - each.second.heard > opts_.forget_after;
+    });
+  }
+  if (entries_.size() >= opts_.max_addresses || address.size() > opts_.max_address_bytes) {
+    return nullptr;
+  }
+  return &entries_[address];
+}
+
 void peer_directory::heard_from(const std::string& address, instant now) {
   if (address.empty() || address == opts_.self) {
     return;
   }
-  auto& known = entries_[address];
-  known.heard = now;
-  known.failing = false;
+  if (auto* known = find_or_add(address, now); known != nullptr) {
+    known->heard = now;
+    known->failing = false;
+  }
 }
 
 void peer_directory::merge(const std::vector<peer_record>& sightings, instant now) {
   for (const auto& each : sightings) {
     if (each.address != opts_.self && each.age >= duration::zero() && each.age <= opts_.forget_after) {
-      auto& known = entries_[each.address];
-      known.heard = std::max(known.heard, now - each.age);
-      known.processor_cores = each.processor_cores;
+      if (auto* known = find_or_add(each.address, now); known != nullptr) {
+        known->heard = std::max(known->heard, now - each.age);
+        known->processor_cores = each.processor_cores;
+      }
     }
   }
 }
--- a/tests/platform/crowd/crowd_test.cpp
+++ b/tests/platform/crowd/crowd_test.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
 #include <vector>
@@ -282,6 +283,21 @@
   check();
 }
 
+TEST_CASE_METHOD(crowd_fixture, "vm_keeps_its_bounds_under_greetings_with_invented_peers") {
+  // Guards against a directory of peers that grows with every address that a greeting names.
+  constexpr int greetings = 15;
+  constexpr int addresses_per_greeting = 100'000;
+  for (int greeting = 0; greeting < greetings; ++greeting) {
+    auto rows = nlohmann::json::array();
+    for (int i = 0; i < addresses_per_greeting; ++i) {
+      rows.push_back({fmt::format("invented-{}-{}", greeting, i), 0, 0.0});
+    }
+    const auto bytes = nlohmann::json::to_cbor(rows);
+    static_cast<void>(vms.send_as_peer(0, "/greet", {bytes.begin(), bytes.end()}));
+  }
+  check();
+}
+
 TEST_CASE_METHOD(crowd_fixture, "vm_keeps_its_bounds_under_idle_connections") {
   // Guards against connections that use up the descriptors, so that the store and callers are out of reach.
   play({.port = caller_port,
