--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -40,6 +40,32 @@
   CHECK_FALSE(decode_settings("[]").ok());
 }
 
+TEST_CASE("settings_with_limits_bound_what_clients_make_the_process_keep") {
+  // Guards against bounds that do not follow the VM, or that a missing or odd limit turns to nothing.
+  const auto with_limits = [](const std::string& limits) {
+    std::string text{settings_text};
+    const std::string cores = R"("cores":2)";
+    text.replace(text.find(cores), cores.size(), limits);
+    return decode_settings(text);
+  };
+  const auto stated = with_limits(R"("memoryMb":120,"maxFds":3075)");
+  REQUIRE(stated.ok());
+  CHECK(stated->max_client_bytes == 30U << 20U);
+  CHECK(stated->max_sockets == 2875);
+  const auto few = with_limits(R"("maxFds":100)");
+  REQUIRE(few.ok());
+  CHECK(few->max_client_bytes == vm_settings{}.max_client_bytes);
+  CHECK(few->max_sockets == 50);
+  for (const auto* odd : {R"("memoryMb":0,"maxFds":0)", R"("memoryMb":-1,"maxFds":-1)",
+                          R"("memoryMb":"x","maxFds":null)", R"("memoryMb":1e300,"maxFds":1e300)"}) {
+    INFO(odd);
+    const auto settings = with_limits(odd);
+    REQUIRE(settings.ok());
+    CHECK(settings->max_client_bytes == vm_settings{}.max_client_bytes);
+    CHECK(settings->max_sockets == 0);
+  }
+}
+
 TEST_CASE("advice_request_and_answer_match_the_wire_format") {
   const auto request =
       encode_advice_request({.step = {.job = job_id{"5c0e7a21d94b36f8"}, .occurrence = 0, .step = 1},
