--- a/include/rhubarbpath/state/vm_settings.hpp
+++ b/include/rhubarbpath/state/vm_settings.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -32,7 +33,10 @@
   /// Nothing is started in a failure domain this long after its evacuation was requested. Nothing where no
   /// evacuations are requested.
   std::optional<duration> evacuation_limit;
-  double remote_factor{3.0};  ///< Slowdown of a task away from its data or from its gang's rack.
+  /// Bound on what all servers of the process together keep for their clients.
+  std::uint64_t max_client_bytes{128U << 20U};
+  std::size_t max_sockets{0};  ///< 0 for the limit of the process.
+  double remote_factor{3.0};   ///< Slowdown of a task away from its data or from its gang's rack.
 
   friend bool operator==(const vm_settings&, const vm_settings&) = default;
 };
