--- a/tests/coordination/job_scheduler_test.cpp
+++ b/tests/coordination/job_scheduler_test.cpp
@@ -1106,11 +1106,14 @@
   int jobs = 0;
   for (int round = 0; round < 40; ++round) {
     const auto name = "j" + std::to_string(jobs++);
+    // Compilers evaluate the arguments of a call in different orders.
     const auto count = 1 + static_cast<std::uint32_t>(random.below(6));
-    fleet.submit(simulated_workers::job(
-        name, static_cast<int>(random.below(3)),
-        identical_tasks(count, 1 + static_cast<std::int64_t>(random.below(4)),
-                        milliseconds{500 + random.below(4000)}, random.below(2) == 0)));
+    const bool gang = random.below(2) == 0;
+    const milliseconds estimate{500 + random.below(4000)};
+    const auto accelerators = 1 + static_cast<std::int64_t>(random.below(4));
+    const auto priority = static_cast<int>(random.below(3));
+    fleet.submit(
+        simulated_workers::job(name, priority, identical_tasks(count, accelerators, estimate, gang)));
     const auto pick = [&] { return worker_id{"w" + std::to_string(1 + random.below(10))}; };
     switch (random.below(10)) {
       case 0:
@@ -1179,11 +1182,14 @@
   };
   int jobs = 0;
   for (int round = 0; round < 60; ++round) {
-    fleet.submit(simulated_workers::job(
-        "j" + std::to_string(jobs++), static_cast<int>(random.below(3)),
-        identical_tasks(1 + static_cast<std::uint32_t>(random.below(8)),
-                        1 + static_cast<std::int64_t>(random.below(3)),
-                        milliseconds{500 + random.below(7000)}, random.below(3) == 0)));
+    // Compilers evaluate the arguments of a call in different orders.
+    const bool gang = random.below(3) == 0;
+    const milliseconds estimate{500 + random.below(7000)};
+    const auto accelerators = 1 + static_cast<std::int64_t>(random.below(3));
+    const auto count = 1 + static_cast<std::uint32_t>(random.below(8));
+    const auto priority = static_cast<int>(random.below(3));
+    fleet.submit(simulated_workers::job("j" + std::to_string(jobs++), priority,
+                                        identical_tasks(count, accelerators, estimate, gang)));
     const auto id = pick();
     auto& worker = fleet.workers.at(id);
     switch (random.below(14)) {
