End the runs of a worker that the registry shows to have started again

Its worker had started again and was out of the owner's reach, so its runs counted until it answered or its lease passed, while the registry already named the later incarnation.

An entry with a later start now ends the runs that a report of an earlier incarnation has listed and of which each attempt to start was answered; any other run may be one of the new incarnation.

--- a/src/coordination/job_scheduler/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler/job_scheduler_impl.hpp
@@ -379,6 +379,7 @@
                                                                           const detail::member& run);
   /// Ends all runs of a worker that runs nothing any more.
   void end_all_runs(detail::worker_state& worker, const detail::run_end& end, instant now);
+  void end_runs_of_earlier_incarnations(detail::worker_state& worker, incarnation successor, instant now);
   /// A new incarnation may have carried out orders with a deadline on its predecessor's clock, and those of
   /// an earlier owner until it has reported in this term.
   void expect_unknown_lease(detail::worker_state& worker, bool has_reported, instant now);
--- a/src/coordination/job_scheduler/job_scheduler_reports.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_reports.cpp
@@ -57,6 +57,9 @@
     worker.stored_as_leaving =
         self.stored_leaving.contains(entry.id) || self.leaving_being_stored.contains(entry.id);
     worker.listed = true;
+    if (restarted_or_moved && worker.reported && worker.born < entry.born) {
+      self.end_runs_of_earlier_incarnations(worker, entry.born, now);
+    }
   }
   // A fifth of the workers at most, because the judgement may be wrong.
   constexpr double set_aside_share = 0.2;
@@ -441,6 +444,26 @@
   }
 }
 
+/// Ends what reports of earlier incarnations have listed, although the new one may be out of reach.
+void job_scheduler::implementation::end_runs_of_earlier_incarnations(worker_state& worker,
+                                                                     incarnation successor, instant now) {
+  const auto tasks = worker.tasks;
+  for (const auto& [job, parent, index] : tasks) {
+    const auto& one = parent->members[index];
+    const bool past_starting = one.phase == member_phase::running || one.phase == member_phase::stopping;
+    // With an attempt to start it that is still open, the run may be one of the new incarnation.
+    if (one.worker != &worker || !past_starting || one.listed_at == milliseconds{0} || one.open_starts > 0 ||
+        one.started_on >= successor) {
+      continue;
+    }
+    end_run(*job, *parent, index, detail::incarnation_over{.successor = successor}, now);
+    if (parent->phase == unit_phase::active) {
+      end_unit(*job, *parent, now);
+    }
+    requeue_if_ended(*job, *parent, now);
+  }
+}
+
 void job_scheduler::implementation::detect_stalls(instant now) {
   for (auto& [active_job, active_unit] : active_units) {
     auto& job = *active_job;
--- a/src/coordination/job_scheduler/run_end.hpp
+++ b/src/coordination/job_scheduler/run_end.hpp
@@ -21,7 +21,8 @@
 };
 /// A later incarnation of the worker names the run in no complete report, and all attempts to start the run
 /// were answered before. It is not stopping the run: an earlier incarnation listed the run, no stop was
-/// ordered, or the time that a stop takes has passed.
+/// ordered, or the time that a stop takes has passed. Or an earlier incarnation listed the run, all attempts
+/// to start it were answered, and the registry names a later one.
 struct incarnation_over {
   incarnation successor;
 };
--- a/tests/coordination/job_scheduler_silent_workers_test.cpp
+++ b/tests/coordination/job_scheduler_silent_workers_test.cpp
@@ -107,6 +107,22 @@
   CHECK(fleet.violations.empty());
 }
 
+TEST_CASE_METHOD(idle_fleet, "scheduler_task_of_a_worker_that_started_again_out_of_reach_runs_elsewhere") {
+  // Guards against a run that counts until its lease passes, although the registry shows that its worker has
+  // started again since.
+  fleet.submit(simulated_workers::job("a", 1, task_with_data_in("")));
+  fleet.advance(seconds{2});
+  for (auto& [id, worker] : fleet.workers) {
+    if (!worker.tasks.empty()) {
+      fleet.restart(id);
+      worker.disconnected = true;
+    }
+  }
+  REQUIRE(running_tasks_of("a") == 0);
+  CHECK(time_until_it_runs("a", seconds{120}) <= longest_stand);
+  CHECK(fleet.violations.empty());
+}
+
 TEST_CASE_METHOD(idle_fleet, "scheduler_start_without_an_answer_costs_no_other_unit_a_start_in_the_rack") {
   // Guards against starts on the neighbours of a silent worker that have not answered since.
   fleet.submit(simulated_workers::job(
