Estimate the speed of workers and place by it

Callers saw urgent jobs start at once and end after their objective: they ran on workers that need up to twice the time of others, which nothing in the scheduler knew.

worker_speed keeps an estimate for each worker, with variance and age, from ends and progress of runs compared with the same step or queue elsewhere. Placement uses it beyond its uncertainty: urgent work gets fast workers, work with slack slow ones, a gang the rack with the least slow member; space held for urgent work and preemption follow the same order.

The simulated fleet now lists a gang's progress by its slowest member, as workers do.

--- a/include/rhubarbpath/coordination/free_space_index.hpp
+++ b/include/rhubarbpath/coordination/free_space_index.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <compare>
 #include <cstdint>
 #include <optional>
@@ -9,6 +10,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/functional/function_ref.h"
+#include "rhubarbpath/coordination/worker_speed.hpp"
 #include "rhubarbpath/state/ids.hpp"
 #include "rhubarbpath/state/job_graph.hpp"
 
@@ -28,12 +30,14 @@
     resource_amounts capacity;
     bool usable{false};   ///< The worker may get new work.
     bool suspect{false};  ///< Used only for what does not fit on other workers.
+    speed_level level{speed_level::normal};
     friend bool operator==(const worker_space&, const worker_space&) = default;
   };
   /// Members of a gang, or a single task, with the same requirements.
   struct request {
     resource_amounts each;
     std::uint32_t members{1};
+    speed_order order{normal_first};
   };
   /// Number of members that a worker may take besides what its free space allows; 0 excludes the worker.
   using allowance = absl::FunctionRef<std::uint32_t(worker_slot)>;
@@ -53,10 +57,12 @@
   void set(worker_slot at, const worker_space& space);
   [[nodiscard]] const worker_space& space(worker_slot at) const { return entry_of(at).space; }
 
-  /// Best fit by free accelerators, then by free memory. Suspect workers come last.
+  /// Best fit by free accelerators, then by free memory, among the workers of the first level in the order
+  /// that has room. Suspect workers come last.
   [[nodiscard]] placement fit(const request& wanted, allowance allowed);
   /// Fits all members into one rack, the one with the fewest free accelerators, so that emptier racks remain
-  /// for larger gangs. Considers only `only_rack` unless it is empty.
+  /// for larger gangs. If the order begins with fast workers, the rack comes first whose slowest member does,
+  /// as a gang ends with it. Considers only `only_rack` unless it is empty.
   [[nodiscard]] placement fit_in_rack(const request& wanted, const std::string& only_rack, allowance allowed);
   /// Finds the workers on which the least is missing.
   [[nodiscard]] planned_placement plan(const request& wanted, allowance allowed);
@@ -83,6 +89,7 @@
   };
   struct fit_key {
     bool suspect{false};
+    speed_level level{speed_level::normal};
     std::int64_t accelerators{0};
     std::int64_t memory_mb{0};
     worker_slot at{};
@@ -96,8 +103,12 @@
     return entries_[static_cast<std::uint32_t>(at)];
   }
   [[nodiscard]] static fit_key key_of(worker_slot at, const worker_space& space);
-  [[nodiscard]] std::optional<worker_slot> best_worker(const resource_amounts& need, allowance allowed);
+  [[nodiscard]] std::optional<worker_slot> best_worker(const resource_amounts& need, const speed_order& order,
+                                                       allowance allowed);
+  /// The first rank in the order of which there are usable workers.
+  [[nodiscard]] std::size_t best_rank(const speed_order& order) const;
   [[nodiscard]] std::optional<worker_slot> emptiest_worker(const resource_amounts& need,
+                                                           const speed_order& order,
                                                            const std::vector<worker_slot>& planned,
                                                            allowance allowed);
   [[nodiscard]] placement fit_one_rack(const rack_space& rack, const request& wanted, allowance allowed);
@@ -111,6 +122,7 @@
   std::vector<rack_space> racks_;
   absl::flat_hash_map<std::string, std::uint32_t> rack_numbers_;
   std::set<fit_key> by_free_;  ///< Usable workers.
+  std::array<std::size_t, speed_levels> usable_by_level_{};
   std::set<rack_key> racks_by_free_;
   std::uint64_t visited_{0};
 };
--- a/include/rhubarbpath/coordination/job_scheduler.hpp
+++ b/include/rhubarbpath/coordination/job_scheduler.hpp
@@ -165,6 +165,8 @@
     duration stall_timeout{std::chrono::milliseconds{2500}};
     /// After a first failed run, a worker is used only as a last resort for this long.
     duration suspect_duration{std::chrono::milliseconds{3000}};
+    /// Whether placement weighs how fast workers are. Without it all of them count as even.
+    bool weigh_worker_speed{true};
     /// How long ended jobs can be queried before they are deleted.
     duration ended_job_retention{std::chrono::seconds{150}};
   };
--- a/src/coordination/job_scheduler/free_space_index.cpp
+++ b/src/coordination/job_scheduler/free_space_index.cpp
@@ -28,6 +28,7 @@
 
 free_space_index::fit_key free_space_index::key_of(worker_slot at, const worker_space& space) {
   return {.suspect = space.suspect,
+          .level = space.level,
           .accelerators = space.free.accelerators,
           .memory_mb = space.free.memory_mb,
           .at = at};
@@ -65,6 +66,8 @@
   }
   auto& rack = racks_[changed.rack];
   const auto previous_free = rack.free_accelerators;
+  usable_by_level_[static_cast<std::size_t>(changed.space.level)] -= changed.space.usable ? 1 : 0;
+  usable_by_level_[static_cast<std::size_t>(space.level)] += space.usable ? 1 : 0;
   rack.free_accelerators += open_accelerators(space) - open_accelerators(changed.space);
   rack.capacity_accelerators += (space.usable ? space.capacity.accelerators : 0) -
                                 (changed.space.usable ? changed.space.capacity.accelerators : 0);
@@ -93,27 +96,46 @@
 
 // ---- all workers ----
 
-std::optional<worker_slot> free_space_index::best_worker(const resource_amounts& need, allowance allowed) {
+std::size_t free_space_index::best_rank(const speed_order& order) const {
+  std::size_t rank = 0;
+  while (rank + 1 < order.size() && usable_by_level_[static_cast<std::size_t>(order[rank])] == 0) {
+    ++rank;
+  }
+  return rank;
+}
+
+std::optional<worker_slot> free_space_index::best_worker(const resource_amounts& need,
+                                                         const speed_order& order, allowance allowed) {
   for (const bool suspect : {false, true}) {
-    auto found = by_free_.lower_bound(
-        {.suspect = suspect, .accelerators = need.accelerators, .memory_mb = need.memory_mb});
-    while (found != by_free_.end() && found->suspect == suspect) {
-      ++visited_;
-      if (found->memory_mb < need.memory_mb) {
-        found = by_free_.lower_bound(
-            {.suspect = suspect, .accelerators = found->accelerators, .memory_mb = need.memory_mb});
+    for (const auto level : order) {
+      if (usable_by_level_[static_cast<std::size_t>(level)] == 0) {
         continue;
       }
-      if (entry_of(found->at).space.free.covers(need) && allowed(found->at) > 0) {
-        return found->at;
+      auto found = by_free_.lower_bound({.suspect = suspect,
+                                         .level = level,
+                                         .accelerators = need.accelerators,
+                                         .memory_mb = need.memory_mb});
+      while (found != by_free_.end() && found->suspect == suspect && found->level == level) {
+        ++visited_;
+        if (found->memory_mb < need.memory_mb) {
+          found = by_free_.lower_bound({.suspect = suspect,
+                                        .level = level,
+                                        .accelerators = found->accelerators,
+                                        .memory_mb = need.memory_mb});
+          continue;
+        }
+        if (entry_of(found->at).space.free.covers(need) && allowed(found->at) > 0) {
+          return found->at;
+        }
+        ++found;
       }
-      ++found;
     }
   }
   return std::nullopt;
 }
 
 std::optional<worker_slot> free_space_index::emptiest_worker(const resource_amounts& need,
+                                                             const speed_order& order,
                                                              const std::vector<worker_slot>& planned,
                                                              allowance allowed) {
   std::optional<worker_slot> best;
@@ -126,19 +148,37 @@
       room -= taken == at ? need : resource_amounts{};
     }
     const auto missing = shortfall(need, space.free);
-    if (room.covers(need) && allowed(at) > 0 && (!best || missing < best_missing)) {
+    const bool suitable = room.covers(need) && allowed(at) > 0;
+    if (suitable && (!best || missing < best_missing)) {
       best = at;
       best_missing = missing;
     }
+    return suitable;
   };
-  // The workers are in order of free accelerators within each half of the tree, so the first eligible one has
-  // the least shortfall.
-  auto end_of_sound = by_free_.lower_bound({.suspect = true, .accelerators = INT64_MIN});
-  for (auto next = std::make_reverse_iterator(end_of_sound); next != by_free_.rend() && !best; ++next) {
-    consider(next->at);
-  }
-  for (auto next = by_free_.rbegin(); next != by_free_.rend() && next->suspect && !best; ++next) {
-    consider(next->at);
+  for (const bool suspect : {false, true}) {
+    for (const auto level : order) {
+      if (usable_by_level_[static_cast<std::size_t>(level)] == 0) {
+        continue;
+      }
+      // The workers of a level are in order of free accelerators, so the first eligible one has the least
+      // shortfall.
+      const auto begin =
+          by_free_.lower_bound({.suspect = suspect, .level = level, .accelerators = INT64_MIN});
+      auto next = by_free_.upper_bound({.suspect = suspect,
+                                        .level = level,
+                                        .accelerators = INT64_MAX,
+                                        .memory_mb = INT64_MAX,
+                                        .at = worker_slot{UINT32_MAX}});
+      while (next != begin) {
+        --next;
+        if (consider(next->at)) {
+          break;
+        }
+      }
+    }
+    if (best) {
+      return best;
+    }
   }
   return best;
 }
@@ -157,7 +197,7 @@
     set(at, space);
   };
   while (where.size() < wanted.members) {
-    const auto at = best_worker(wanted.each, allowance_left);
+    const auto at = best_worker(wanted.each, wanted.order, allowance_left);
     if (!at) {
       break;
     }
@@ -178,9 +218,9 @@
     set(at, space);
   };
   while (result.where.size() < wanted.members) {
-    auto at = best_worker(wanted.each, allowed);
+    auto at = best_worker(wanted.each, wanted.order, allowed);
     if (!at) {
-      at = emptiest_worker(wanted.each, result.where, allowed);
+      at = emptiest_worker(wanted.each, wanted.order, result.where, allowed);
     }
     if (!at) {
       break;
@@ -202,6 +242,7 @@
   struct room {
     worker_slot at;
     bool suspect;
+    std::size_t rank;
     resource_amounts free;
     std::uint32_t allowance_left;
   };
@@ -213,7 +254,11 @@
       continue;
     }
     if (const auto most = allowed(at); most > 0) {
-      rooms.push_back({.at = at, .suspect = space.suspect, .free = space.free, .allowance_left = most});
+      rooms.push_back({.at = at,
+                       .suspect = space.suspect,
+                       .rank = rank_in(wanted.order, space.level),
+                       .free = space.free,
+                       .allowance_left = most});
     }
   }
   placement where;
@@ -221,8 +266,9 @@
     room* best = nullptr;
     for (auto& each : rooms) {
       if (each.allowance_left > 0 && each.free.covers(wanted.each) &&
-          (best == nullptr || std::tie(each.suspect, each.free.accelerators, each.free.memory_mb) <
-                                  std::tie(best->suspect, best->free.accelerators, best->free.memory_mb))) {
+          (best == nullptr ||
+           std::tie(each.suspect, each.rank, each.free.accelerators, each.free.memory_mb) <
+               std::tie(best->suspect, best->rank, best->free.accelerators, best->free.memory_mb))) {
         best = &each;
       }
     }
@@ -242,23 +288,36 @@
     const auto rack = find_rack(only_rack);
     return rack ? fit_one_rack(racks_[*rack], wanted, allowed) : placement{};
   }
-  placement with_suspects;
-  for (auto next = racks_by_free_.lower_bound({total_accelerators(wanted), 0}); next != racks_by_free_.end();
-       ++next) {
+  // The slowest member counts only for a unit that wants fast workers; others take the first rack.
+  const bool by_speed = wanted.order == fast_first;
+  const auto ideal = best_rank(wanted.order);
+  std::pair<bool, std::size_t> best_cost{true, SIZE_MAX};
+  placement best;
+  int fitting = 0;
+  for (auto next = racks_by_free_.lower_bound({total_accelerators(wanted), 0});
+       next != racks_by_free_.end() && fitting < max_planned_racks; ++next) {
     ++visited_;
     auto where = fit_one_rack(racks_[next->second], wanted, allowed);
     if (where.empty()) {
       continue;
     }
-    if (std::none_of(where.begin(), where.end(),
-                     [&](worker_slot at) { return entry_of(at).space.suspect; })) {
+    std::pair<bool, std::size_t> cost{false, 0};
+    for (const auto at : where) {
+      const auto& space = entry_of(at).space;
+      cost.first = cost.first || space.suspect;
+      cost.second = by_speed ? std::max(cost.second, rank_in(wanted.order, space.level)) : 0;
+    }
+    if (!cost.first && cost.second <= (by_speed ? ideal : 0)) {
       return where;
     }
-    if (with_suspects.empty()) {
-      with_suspects = std::move(where);
+    // Without a choice by speed, all racks are tried for one without suspects.
+    fitting += by_speed ? 1 : 0;
+    if (cost < best_cost) {
+      best_cost = cost;
+      best = std::move(where);
     }
   }
-  return with_suspects;
+  return best;
 }
 
 free_space_index::planned_placement free_space_index::plan_one_rack(const rack_space& rack,
@@ -266,6 +325,7 @@
                                                                     allowance allowed) {
   struct room {
     worker_slot at;
+    std::size_t rank;
     resource_amounts free;
     resource_amounts capacity;
   };
@@ -274,7 +334,10 @@
     ++visited_;
     const auto& space = entry_of(at).space;
     if (space.usable && space.capacity.covers(wanted.each) && allowed(at) > 0) {
-      rooms.push_back({.at = at, .free = space.free, .capacity = space.capacity});
+      rooms.push_back({.at = at,
+                       .rank = rank_in(wanted.order, space.level),
+                       .free = space.free,
+                       .capacity = space.capacity});
     }
   }
   planned_placement result;
@@ -283,7 +346,8 @@
     std::int64_t best_missing = 0;
     for (auto& each : rooms) {
       const auto missing = shortfall(wanted.each, each.free);
-      if (each.capacity.covers(wanted.each) && (best == nullptr || missing < best_missing)) {
+      if (each.capacity.covers(wanted.each) &&
+          (best == nullptr || std::tie(missing, each.rank) < std::tie(best_missing, best->rank))) {
         best = &each;
         best_missing = missing;
       }
--- a/src/coordination/job_scheduler/job_scheduler_held_space.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_held_space.cpp
@@ -43,10 +43,14 @@
   if (!worker.slot) {
     return;
   }
+  if (pass_time >= worker.level_due) {
+    judge_speed(worker, pass_time);
+  }
   free_space_index::worker_space space{.free = worker.entry.capacity - worker.used - worker.reserved,
                                        .capacity = worker.entry.capacity,
                                        .usable = usable(worker, pass_time),
-                                       .suspect = worker.set_aside || pass_time < worker.suspect_until};
+                                       .suspect = worker.set_aside || pass_time < worker.suspect_until,
+                                       .level = worker.level};
   if (const auto kept = held_back.find(&worker); kept != held_back.end()) {
     space.free -= kept->second;
   }
@@ -83,7 +87,8 @@
   }
   const auto& step = step_of(job, waiting);
   const free_space_index::request wanted{.each = occupied(step),
-                                         .members = static_cast<std::uint32_t>(waiting.members.size())};
+                                         .members = static_cast<std::uint32_t>(waiting.members.size()),
+                                         .order = order_for(job, waiting, now)};
   const auto allowed = [&](worker_slot at) { return allowance_on(space->at(at), job, waiting); };
   const auto planned = prefers_rack(step) ? space->index.plan_in_rack(wanted, step.data_rack, allowed)
                                           : space->index.plan(wanted, allowed);
@@ -100,11 +105,12 @@
   drop_old_arrivals(now);
   for (const auto& step : job.job.graph.steps) {
     if (step.after.empty()) {
-      urgent_arrivals.push_back({.service = job.queue->service,
-                                 .in_rack = prefers_rack(step),
-                                 .wanted = {.each = occupied(step), .members = step.count},
-                                 .at = now,
-                                 .plan = {}});
+      urgent_arrivals.push_back(
+          {.service = job.queue->service,
+           .in_rack = prefers_rack(step),
+           .wanted = {.each = occupied(step), .members = step.count, .order = fast_first},
+           .at = now,
+           .plan = {}});
     }
   }
 }
--- a/src/coordination/job_scheduler/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler/job_scheduler_impl.hpp
@@ -18,6 +18,7 @@
 #include "rhubarbpath/coordination/free_space_index.hpp"
 #include "rhubarbpath/coordination/job_scheduler.hpp"
 #include "rhubarbpath/coordination/worker_health.hpp"
+#include "rhubarbpath/coordination/worker_speed.hpp"
 #include "run_end.hpp"
 
 namespace rhubarbpath {
@@ -145,6 +146,9 @@
   int consecutive_failures{0};
   instant suspect_until{};  ///< Used only as a last resort until then, after a failed or stalled run.
   instant full_until{};     ///< Gets no new work until then, after it refused a start.
+  worker_speed::estimate speed;
+  speed_level level{speed_level::normal};  ///< By `speed`.
+  instant level_due{};                     ///< When the age of the evidence is to be looked at again.
 };
 
 /// Whether the member has this run on this worker.
@@ -247,6 +251,12 @@
                         .workers_to_fail_job = 3,
                         .initial_backoff = std::chrono::seconds{3},
                         .max_backoff = std::chrono::seconds{12}}};
+  worker_speed speeds;
+  std::size_t slow_workers{0};
+  /// Judgements are logged up to `max_logged_judgements` for each second; the others are counted.
+  instant judgements_since{};
+  int judgements_logged{0};
+  int judgements_not_logged{0};
   std::vector<scheduler_action> actions;
 
   // job_scheduler.cpp
@@ -386,6 +396,24 @@
   void repeat_stops_of_late_starts(detail::worker_state& worker, instant now);
   void detect_stalls(instant now);
 
+  // job_scheduler_speed.cpp
+  [[nodiscard]] worker_speed::run_facts run_facts_of(const detail::job_state& job,
+                                                     const detail::unit& unit) const;
+  /// The first member of a running unit was listed with progress.
+  void note_progress(detail::job_state& job, detail::unit& unit, instant now);
+  /// The unit is about to end well, and its members are still assigned.
+  void note_end(detail::job_state& job, detail::unit& unit, instant now);
+  /// How much longer runs take outside the rack that they prefer.
+  [[nodiscard]] log_ratio remote_slowness() const;
+  /// Judges the worker by its estimate.
+  void judge_speed(detail::worker_state& worker, instant now);
+  /// The order in which a unit uses workers of different speed: urgent work and work with no time to spare
+  /// the fast ones, work with slack the slow ones.
+  [[nodiscard]] speed_order order_for(const detail::job_state& job, const detail::unit& unit,
+                                      instant now) const;
+  /// How much longer than on workers of normal speed a unit takes there.
+  [[nodiscard]] log_ratio slowness_on(const std::vector<detail::worker_state*>& where, instant now) const;
+
   // job_scheduler_evacuation.cpp
   /// Takes over whether the worker drains, and when it may leave at the earliest.
   void note_drain(detail::worker_state& worker, const worker_entry& entry, instant now) const;
@@ -509,6 +537,7 @@
     detail::worker_state* worker{nullptr};
     resource_amounts free;
     std::vector<victim> victims;
+    double delay{0};  ///< How much longer runs take here, as a share.
   };
   struct preemption {
     std::vector<detail::worker_state*> where;
@@ -526,7 +555,7 @@
   using free_map = absl::flat_hash_map<const detail::worker_state*, resource_amounts>;
   [[nodiscard]] static member_plan plan_member(const std::vector<const preemptible_space*>& spaces,
                                                const free_map& free_by_worker, const resource_amounts& need,
-                                               stop_limits& limits,
+                                               stop_limits& limits, double delay_cost,
                                                absl::FunctionRef<bool(const preemptible_space&)> may_use);
   [[nodiscard]] std::optional<preemption> plan_preemption(const std::vector<const preemptible_space*>& spaces,
                                                           const detail::job_state& job,
--- a/src/coordination/job_scheduler/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_placement.cpp
@@ -314,12 +314,13 @@
   }
   const auto& step = step_of(job, placed);
   const bool rack = prefers_rack(step) && !spread;
-  unplaceable_request request{
-      .service = job.queue->service,
-      .required_label = step.required_label,
-      .data_rack = rack ? step.data_rack : std::string{},
-      .in_rack = rack,
-      .wanted = {.each = occupied(step), .members = static_cast<std::uint32_t>(placed.members.size())}};
+  unplaceable_request request{.service = job.queue->service,
+                              .required_label = step.required_label,
+                              .data_rack = rack ? step.data_rack : std::string{},
+                              .in_rack = rack,
+                              .wanted = {.each = occupied(step),
+                                         .members = static_cast<std::uint32_t>(placed.members.size()),
+                                         .order = order_for(job, placed, pass_time)}};
   if (known_unplaceable(request)) {
     return {};
   }
@@ -351,6 +352,7 @@
   starting.all_running = false;
   starting.reservation_failed = false;
   starting.wait = {};
+  starting.speed_track = {};
   std::string worker_names;
   auto& used_of_service = services[job.queue->service].used;
   for (std::size_t index = 0; index < starting.members.size(); ++index) {
@@ -363,10 +365,14 @@
     absl::StrAppend(&worker_names, index == 0 ? "" : ",", worker.entry.id.value());
   }
   invalidate_caches(where);
+  const auto slowest = std::max_element(where.begin(), where.end(), [](const auto* one, const auto* other) {
+    return one->level < other->level;
+  });
   record("unit_started", job.job.id, "placed",
          {{"step", absl::StrCat(starting.occurrence, ".", starting.step, ".", starting.number)},
           {"run", absl::StrCat(starting.run.value())},
-          {"workers", std::move(worker_names)}},
+          {"workers", std::move(worker_names)},
+          {"speed", std::string{speed_level_name((*slowest)->level)}}},
          now - starting.waiting_since);
 }
 
@@ -374,7 +380,16 @@
                                                                       instant now) {
   const auto& step = step_of(job, placed);
   const bool urgent = job.queue->priority == 0;
-  if (const auto where = choose_workers(job, placed, false); !where.empty()) {
+  if (auto where = choose_workers(job, placed, false); !where.empty()) {
+    const auto here = slowness_on(where, now);
+    const auto there = remote_slowness();
+    if (urgent && prefers_rack(step) && here > there) {
+      // Workers so slow that the run may end sooner outside its rack.
+      auto others = choose_workers(job, placed, true);
+      if (!others.empty() && slowness_on(others, now) + there < here) {
+        where = std::move(others);
+      }
+    }
     start_or_reserve(job, placed, where, now);
     return std::nullopt;
   }
--- a/src/coordination/job_scheduler/job_scheduler_preemption.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_preemption.cpp
@@ -24,13 +24,18 @@
 /// resort.
 constexpr double urgent_loss_factor = 100.0;
 
+/// Of one task, with accelerators in cores.
+double cores_of(const step_spec& step) {
+  return cores_per_accelerator * static_cast<double>(step.each.accelerators) +
+         static_cast<double>(step.each.cpu_millicores) / 1000.0;
+}
+
 /// Returns the work that is lost when the unit is stopped, in core seconds, estimated from the progress of
 /// one of its members.
 double lost_work_of(const step_spec& step, const unit& target, const member& one) {
   const double done = static_cast<double>(one.percent) / 100.0;
   const double lost_share = step.checkpointing ? lost_share_with_checkpoint : 1.0;
-  const double cores = cores_per_accelerator * static_cast<double>(step.each.accelerators) +
-                       static_cast<double>(step.each.cpu_millicores) / 1000.0;
+  const double cores = cores_of(step);
   // A preempted unit must wait and start again, which has a cost even if it has made no progress.
   constexpr double restart_seconds = 0.3;
   const double seconds =
@@ -48,6 +53,11 @@
     return result;
   }
   result.worker = &worker;
+  if (worker.level > speed_level::normal) {
+    constexpr std::chrono::milliseconds unit{1000};
+    const auto longer = scaled(unit, speeds.aged(worker.speed, pass_time).slowness) - unit;
+    result.delay = std::chrono::duration<double>{longer}.count();
+  }
   result.free = worker.entry.capacity - worker.used - worker.reserved;
   for (const auto& [victim_job, target, index] : worker.tasks) {
     if (victim_job->queue == nullptr) {
@@ -161,7 +171,7 @@
 
 job_scheduler::implementation::member_plan job_scheduler::implementation::plan_member(
     const std::vector<const preemptible_space*>& spaces, const free_map& free_by_worker,
-    const resource_amounts& need, stop_limits& limits,
+    const resource_amounts& need, stop_limits& limits, double delay_cost,
     absl::FunctionRef<bool(const preemptible_space&)> may_use) {
   member_plan best;
   for (const auto* each : spaces) {
@@ -182,6 +192,7 @@
         planned.emplace(one.target, one.job);
       }
     }
+    plan.cost.first += each->delay * delay_cost;
     plan.cost.second = free.accelerators;
     if (free.covers(need) && (best.where == nullptr || plan.cost < best.cost)) {
       best = std::move(plan);
@@ -222,12 +233,15 @@
   preemption plan;
   stop_limits limits{urgent_shares(), job, placed};
   std::map<const worker_state*, std::uint32_t> planned_tasks;
+  // What a longer run costs, in the same core seconds as the work that stops lose.
+  const double delay_cost =
+      std::chrono::duration<double>{speeds.expected(job.job.queue, step.estimate)}.count() * cores_of(step);
   const auto may_use = [&](const preemptible_space& each) {
     return step.max_per_worker == 0 ||
            tasks_of_step(*each.worker, job, placed) + planned_tasks[each.worker] < step.max_per_worker;
   };
   for (std::size_t index = 0; index < placed.members.size(); ++index) {
-    const auto chosen = plan_member(spaces, free_by_worker, need, limits, may_use);
+    const auto chosen = plan_member(spaces, free_by_worker, need, limits, delay_cost, may_use);
     if (chosen.where == nullptr) {
       return std::nullopt;
     }
--- a/src/coordination/job_scheduler/job_scheduler_reports.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_reports.cpp
@@ -155,6 +155,7 @@
     placement_due = true;
   } else if (new_incarnation) {
     update_health(worker_health::worker_removed{worker.entry.id}, now);
+    speeds.restarted(worker.speed, now);
     worker.set_aside = worker.trial = false;
     record("worker_restarted", {}, "new incarnation",
            {{"worker", worker.entry.id.value()}, {"born", absl::StrCat(report.born.value())}});
@@ -277,6 +278,9 @@
     tracked.listed_at = worker.clock;
     tracked.checkpoint = run.checkpoint;
     tracked.started_on = worker.born;
+    if (index == 0) {
+      note_progress(job, *parent, now);
+    }
     return;
   }
   const bool gang = step_of(job, *parent).gang;
@@ -288,6 +292,9 @@
     stop_stray(worker, run, parent, index, now);
     return;
   }
+  if (parent->run != run.run) {
+    parent->speed_track = {};
+  }
   parent->phase = unit_phase::active;
   parent->run = run.run;
   tracked = member{.phase = member_phase::running,
@@ -350,6 +357,9 @@
           {"run", absl::StrCat(end.run.value())}});
   const bool current =
       tracked.worker == &worker && tracked.run == end.run && tracked.phase != member_phase::none;
+  if (current && end.outcome == run_outcome::done) {
+    note_end(job, *parent, now);
+  }
   if (current) {
     end_run(job, *parent, index, listed, now);
   }
--- a/src/coordination/job_scheduler/job_units.hpp
+++ b/src/coordination/job_scheduler/job_units.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "rhubarbpath/coordination/job_scheduler.hpp"
+#include "rhubarbpath/coordination/worker_speed.hpp"
 #include "unit_wait.hpp"
 
 // The state that the job scheduler keeps of a job's tasks. It follows what runs, has failed or is next, not
@@ -68,8 +69,9 @@
   instant reserved_until{};
   /// Reserved space did not become free in time, and it has not started since.
   bool reservation_failed{false};
-  instant start_unanswered_at{};  ///< When a start of it was given up without an answer.
-  bool tracked{false};            ///< Is in `active_units` of the scheduler.
+  instant start_unanswered_at{};        ///< When a start of it was given up without an answer.
+  worker_speed::run_track speed_track;  ///< Of the current run.
+  bool tracked{false};                  ///< Is in `active_units` of the scheduler.
 };
 
 /// Numbers as few ranges.
@@ -91,6 +93,7 @@
   std::optional<instant> ready_since;  ///< When the steps that it depends on were first seen to be done.
   std::map<std::uint32_t, unit> units;
   number_set done;
+  worker_speed::reference run_length;  ///< What its runs took.
 
   /// Marks units as done; returns how many were not done before.
   std::uint32_t mark_done(const number_range& range);
--- a/tests/coordination/simulated_fleet.hpp
+++ b/tests/coordination/simulated_fleet.hpp
@@ -577,8 +577,9 @@
     if (spec != nullptr && spec->long_running) {
       return now - state.started >= startup_time ? 100 : 0;
     }
-    const auto share =
-        1.0 - static_cast<double>(state.work_left.count()) / static_cast<double>(whole.count());
+    // A gang's progress shows its slowest member.
+    const auto left = state.gang ? slowest_work_left(task, state.run) : state.work_left;
+    const auto share = 1.0 - static_cast<double>(left.count()) / static_cast<double>(whole.count());
     return static_cast<int>(99.0 * std::min(share, 1.0));
   }
 
