--- a/include/rhubarbpath/coordination/job_scheduler.hpp
+++ b/include/rhubarbpath/coordination/job_scheduler.hpp
@@ -226,6 +226,8 @@
   [[nodiscard]] std::optional<job_phase> phase(const job_id& id) const;
   /// Number of accepted jobs by queue for which no task has started.
   [[nodiscard]] std::map<queue_id, std::uint64_t> waiting_jobs() const;
+  /// Number of workers that are judged slow.
+  [[nodiscard]] std::size_t slow_workers() const;
   /// Removes and returns the jobs that ended more than `ended_job_retention` ago, so that the caller can
   /// delete their rows.
   [[nodiscard]] std::vector<job_id> take_expired(instant now);
--- a/include/rhubarbpath/coordination/worker_speed.hpp
+++ b/include/rhubarbpath/coordination/worker_speed.hpp
@@ -61,6 +61,9 @@
     log_ratio variance{720 * 720};
     instant at{};
     std::uint64_t observations{0};
+    /// The step of the last run, by its number, and what that run took here.
+    std::uint64_t last_step{0};
+    log_ratio last_length{0};
     int outlier{0};  ///< Whether the last run was far slower (1) or faster (-1) than expected.
   };
   /// The mean and variance of what runs take on a worker of normal speed.
@@ -68,6 +71,8 @@
     log_ratio mean{0};
     log_ratio variance{1000 * 1000};
     std::int64_t count{0};
+    std::uint64_t number{0};   ///< Tells steps apart.
+    log_ratio uncertainty{0};  ///< Mean variance of the estimates of the workers that it was taken from.
   };
   /// What is known of a run. It begins with each run.
   struct run_track {
@@ -103,6 +108,8 @@
   /// The estimate at `now`: evidence that ages returns towards normal.
   [[nodiscard]] estimate aged(const estimate& worker, instant now) const;
   [[nodiscard]] speed_level level_of(const estimate& worker, instant now) const;
+  /// The standard deviation of an estimate.
+  [[nodiscard]] static log_ratio deviation(const estimate& worker);
   /// What runs like this take on a worker of normal speed; the caller's estimate if none were seen.
   [[nodiscard]] duration expected(const queue_id& queue, duration caller_estimate) const;
 
@@ -130,6 +137,7 @@
 
   options opts_;
   absl::flat_hash_map<queue_id, queue_state> queues_;
+  std::uint64_t last_number_{0};
 };
 
 }  // namespace rhubarbpath
--- a/src/coordination/job_scheduler/job_scheduler.cpp
+++ b/src/coordination/job_scheduler/job_scheduler.cpp
@@ -610,6 +610,10 @@
   return counts;
 }
 
+std::size_t job_scheduler::slow_workers() const {
+  return implementation_->slow_workers;
+}
+
 std::vector<job_id> job_scheduler::take_expired(instant now) {
   auto& self = *implementation_;
   std::vector<job_id> expired;
--- a/src/coordination/job_scheduler/job_scheduler_speed.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_speed.cpp
@@ -122,7 +122,7 @@
          {{"worker", worker.entry.id.value()},
           {"level", std::string{speed_level_name(worker.level)}},
           {"time_percent", percent(current.slowness)},
-          {"deviation", absl::StrCat(current.variance)},
+          {"uncertainty_percent", percent(worker_speed::deviation(current))},
           {"observations", absl::StrCat(current.observations)},
           {"slow_workers", absl::StrCat(slow_workers)},
           {"not_logged", absl::StrCat(std::exchange(judgements_not_logged, 0))}});
--- a/src/coordination/job_scheduler/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_workers.cpp
@@ -110,6 +110,7 @@
   update_health(worker_health::worker_removed{worker.entry.id}, started_at);
   std::erase(workers_with_ends, &worker);
   space_cache.erase(&worker);
+  slow_workers -= worker.level > speed_level::normal ? 1 : 0;
   held_back.erase(&worker);
   plans.clear();
   for (auto& expected : urgent_arrivals) {
--- a/src/coordination/worker_speed.cpp
+++ b/src/coordination/worker_speed.cpp
@@ -73,6 +73,7 @@
     learn_variance(to.variance, off, known, std::min(to.count, variance_memory));
   }
   to.mean += off / to.count;
+  to.uncertainty += (known - to.uncertainty) / to.count;
 }
 
 void update(worker_speed::estimate& worker, log_ratio slowness, log_ratio variance) {
@@ -188,6 +189,10 @@
                                                        : speed_level::slow;
 }
 
+log_ratio worker_speed::deviation(const estimate& worker) {
+  return root(worker.variance);
+}
+
 void worker_speed::restarted(estimate& worker, instant now) const {
   if (worker.observations == 0) {
     return;
@@ -211,8 +216,9 @@
             .variance = queue.ratio.variance + queue.ratio.variance / queue.ratio.count};
   }
   if (step.count > 0) {
-    const prediction by_step{.mean = step.mean,
-                             .variance = queue.within_step + queue.within_step / step.count};
+    const prediction by_step{
+        .mean = step.mean,
+        .variance = queue.within_step + (queue.within_step + step.uncertainty) / step.count};
     best = by_step.variance < best.variance ? by_step : best;
   }
   return best;
@@ -287,8 +293,17 @@
   track.base = observed - slowest_of(workers);
   add(queue.length, normal, uncertainty, queue_memory);
   add(queue.ratio, normal - log_of(run.caller_estimate), uncertainty, queue_memory);
-  if (step.count > 0) {
-    learn_variance(queue.within_step, normal - step.mean, uncertainty, variance_memory);
+  step.number = step.number == 0 ? ++last_number_ : step.number;
+  if (workers.size() == 1) {
+    // Two runs of a step on one worker differ by their work only.
+    auto& worker = *workers.front();
+    if (worker.last_step == step.number) {
+      learn_variance(queue.within_step, root(square(observed - worker.last_length) / 2), 0, variance_memory);
+    } else if (step.count > 0) {
+      learn_variance(queue.within_step, normal - step.mean, uncertainty, variance_memory);
+    }
+    worker.last_step = step.number;
+    worker.last_length = observed;
   }
   constexpr std::int64_t step_memory = 1000;
   add(step, normal, uncertainty, step_memory);
--- a/src/programs/rhubarb-edge/owner_session.cpp
+++ b/src/programs/rhubarb-edge/owner_session.cpp
@@ -323,6 +323,7 @@
   scheduler_->set_wall_clock(wall_clock(), now);
   hold_or_resume_starts();
   scheduler_->tick(now);
+  deps_.counters.set("rhubarb_slow_workers", {}, static_cast<double>(scheduler_->slow_workers()));
   run_actions();
   erase_expired();
   schedule_tick();
--- a/src/protocol/log_events.cpp
+++ b/src/protocol/log_events.cpp
@@ -39,7 +39,8 @@
         "job, method, status, reason, queue, team, config_version, config_age_ms, took_ms, caller_gone"},
     log_event{"job_added", "the owner learns of a job", "job, reason, term, queue, team, units, phase"},
     log_event{"job_ended", "a job is complete, failed or cancelled", "job, reason, term, waited_ms"},
-    log_event{"unit_started", "a task or gang is placed", "job, reason, term, step, run, workers, waited_ms"},
+    log_event{"unit_started", "a task or gang is placed; `speed` is that of its slowest worker",
+              "job, reason, term, step, run, workers, speed, waited_ms"},
     log_event{"job_stands", "nothing of a job has run for 3 s or more although the turn of a task has come",
               "job, reason, term, step, runs, stands_ms, in_use_percent, workers, usable, with_room, "
               "held_back, set_aside, rack, rack_usable, rack_with_room"},
@@ -72,6 +73,12 @@
               "reason, term, worker"},
     log_event{"worker_trial", "a worker that is set aside may get one run", "reason, term, worker"},
     log_event{"worker_restored", "a worker is no longer set aside", "reason, term, worker"},
+    log_event{"worker_slow", "runs take longer on a worker than elsewhere; urgent work gets others first",
+              "reason, term, worker, level, time_percent, uncertainty_percent, observations, slow_workers, "
+              "not_logged"},
+    log_event{"worker_speed_normal", "a worker is no longer judged slow",
+              "reason, term, worker, level, time_percent, uncertainty_percent, observations, slow_workers, "
+              "not_logged"},
     log_event{"starts_held",
               "the owner starts nothing, because cancellations or a configuration may be unknown",
               "reason, jobs_age_ms"},
