--- a/include/rhubarbpath/coordination/job_scheduler.hpp
+++ b/include/rhubarbpath/coordination/job_scheduler.hpp
@@ -166,6 +166,8 @@
     duration stall_timeout{std::chrono::milliseconds{2500}};
     /// After a first failed run, a worker is used only as a last resort for this long.
     duration suspect_duration{std::chrono::milliseconds{3000}};
+    /// Whether placement weighs how fast workers are. Without it all of them count as even.
+    bool weigh_worker_speed{true};
     /// How long ended jobs can be queried before they are deleted.
     duration ended_job_retention{std::chrono::seconds{150}};
   };
@@ -228,6 +230,8 @@
   [[nodiscard]] std::optional<job_phase> phase(const job_id& id) const;
   /// Number of accepted jobs by queue for which no task has started.
   [[nodiscard]] std::map<queue_id, std::uint64_t> waiting_jobs() const;
+  /// Number of workers that are judged slow.
+  [[nodiscard]] std::size_t slow_workers() const;
   /// Removes and returns the jobs that ended more than `ended_job_retention` ago, so that the caller can
   /// delete their rows.
   [[nodiscard]] std::vector<job_id> take_expired(instant now);
