Let a few hostile clients visit the VMs of the soak

The soak had no client outside the limits. Every two seconds a few at random send requests ahead without reading the answers, send chunked bodies without end, or stay idle, at a random VM and for up to 3.5 s. Their random source is their own, so that load and faults of a seed stay. The settings state the 120 MB of the smallest VM; a process whose highest resident memory reaches them is a violation, as one that ends by itself was already. `--steady-clients` leaves clients and check out.

--- a/tests/platform/soak/edge_soak.cpp
+++ b/tests/platform/soak/edge_soak.cpp
@@ -22,6 +22,7 @@
 #include "domain_changes.hpp"
 #include "edge_process.hpp"
 #include "fault_proxy.hpp"
+#include "hostile_callers.hpp"
 #include "odd_callers.hpp"
 #include "platform_documents.hpp"
 #include "rack_changes.hpp"
@@ -51,6 +52,8 @@
 constexpr duration endless_limit{seconds{14}};
 /// The configuration must be in force on every VM within this time after the last fault.
 constexpr duration config_limit{seconds{9}};
+/// Memory of the smallest VM. No process may take more.
+constexpr int memory_mb = 120;
 
 struct soak_options {
   std::string program;
@@ -62,6 +65,7 @@
   bool service_faults{true};
   bool rack_changes{true};
   bool domain_changes{true};
+  bool hostile_callers{true};
   std::filesystem::path folder;
 };
 
@@ -115,6 +119,14 @@
           options_.seed);
       domain_changes_->plan(seconds{4}, seconds{options_.seconds});
     }
+    if (options_.hostile_callers) {
+      std::vector<std::string> addresses;
+      for (const auto& each : vms_) {
+        addresses.push_back(each.address);
+      }
+      hostile_callers_ = std::make_unique<hostile_callers>(loop_, addresses, options_.seed);
+      timers_.push_back(loop_.run_every(milliseconds{500}, [this] { check_memory(); }));
+    }
     timers_.push_back(loop_.run_every(milliseconds{50}, [this] { check_processes(); }));
     timers_.push_back(loop_.run_every(milliseconds{500}, [this] { probe_configs(); }));
     timers_.push_back(loop_.run_every(seconds{2}, [this] { configs_.write(); }));
@@ -122,6 +134,9 @@
       callers_->begin();
       odd_callers_->begin();
       standing_check_->begin();
+      if (hostile_callers_ != nullptr) {
+        hostile_callers_->begin();
+      }
     });
     schedule(seconds{3 + options_.seconds}, [this] { clear_faults(); });
     loop_.run();
@@ -142,6 +157,7 @@
     bool stopping{false};
     bool paused_while_stopping{false};
     instant stop_sent_at{};
+    pid_t reported_process{0};   ///< The last process whose memory was a violation.
     int highest_config_seen{0};  ///< Newest configuration that the current process has been seen to serve.
   };
 
@@ -245,7 +261,8 @@
          .zone = fmt::format("zone-{}", index % 2),
          .seeds = seeds,
          .store_address = fmt::format("{}.2:{}", network_prefix_,
-                                      (entry_vm.moved ? moved_store_port : proxy_port) + index)});
+                                      (entry_vm.moved ? moved_store_port : proxy_port) + index),
+         .memory_mb = memory_mb});
   }
 
   // ---- faults ----
@@ -427,6 +444,16 @@
       loop_.stop();
     }
   }
+  void check_memory() {
+    for (auto& entry_vm : vms_) {
+      const auto highest = static_cast<int>(memory_of(entry_vm.process->id()).highest >> 20U);
+      highest_memory_mb_ = std::max(highest_memory_mb_, highest);
+      if (highest >= memory_mb && entry_vm.process->id() != entry_vm.reported_process) {
+        entry_vm.reported_process = entry_vm.process->id();
+        violation(fmt::format("MEMORY: {} took {} MB, allowed {}", entry_vm.name, highest, memory_mb));
+      }
+    }
+  }
   void handle_process_end(vm& entry_vm, int status) {
     const bool clean = WIFEXITED(status) && WEXITSTATUS(status) == 0;
     if (!entry_vm.killed && !(entry_vm.stopping && clean)) {
@@ -451,6 +478,9 @@
     faults_cleared_ = true;
     callers_->stop_submitting();
     odd_callers_->stop_submitting();
+    if (hostile_callers_ != nullptr) {
+      hostile_callers_->stop();
+    }
     store_.faults = {};
     for (std::size_t i = 0; i < fleet_.size(); ++i) {
       fleet_.faults(i) = {};
@@ -513,8 +543,9 @@
     for (const auto& each : violations_) {
       std::cout << "VIOLATION " << each << "\n";
     }
-    std::cout << fmt::format("seed {}: {}, {} runs, {}, {} violations\n", options_.seed, callers_->summary(),
-                             fleet_.runs(), standing_check_->summary(), violations_.size());
+    std::cout << fmt::format("seed {}: {}, {} runs, {}, at most {} MB, {} violations\n", options_.seed,
+                             callers_->summary(), fleet_.runs(), standing_check_->summary(),
+                             highest_memory_mb_, violations_.size());
     return violations_.empty() ? 0 : 1;
   }
 
@@ -540,9 +571,11 @@
   std::unique_ptr<worker_changes> worker_changes_;
   std::unique_ptr<rack_changes> rack_changes_;
   std::unique_ptr<domain_changes> domain_changes_;
+  std::unique_ptr<hostile_callers> hostile_callers_;
   std::vector<timer_handle> timers_;
   std::vector<std::string> violations_;
   int config_version_at_clear_{0};
+  int highest_memory_mb_{0};
   bool faults_cleared_{false};
   bool shutting_down_{false};
 };
@@ -566,6 +599,8 @@
     TCLAP::SwitchArg steady_racks{"", "steady-racks", "no rack is disturbed, and no job cares where it runs",
                                   command};
     TCLAP::SwitchArg steady_domains{"", "steady-domains", "no failure domain is evacuated", command};
+    TCLAP::SwitchArg steady_clients{"", "steady-clients",
+                                    "no client sends without end, and memory is not checked", command};
     TCLAP::ValueArg<std::string> folder{"",     "folder", "folder for logs and settings", true, "",
                                         "path", command};
     command.parse(argc, argv);
@@ -579,6 +614,7 @@
                                        .service_faults = !steady_service.getValue(),
                                        .rack_changes = !steady_racks.getValue(),
                                        .domain_changes = !steady_domains.getValue(),
+                                       .hostile_callers = !steady_clients.getValue(),
                                        .folder = folder.getValue()}};
     return soak.run();
   } catch (const TCLAP::ArgException& error) {
