Bound what clients make rhubarb-entry and rhubarb-scheduler keep

The base of both daemons now makes the one client_limits of the process: a quarter of 128 MB, descriptors less those for its own calls and links, refusals counted in rhubarb_clients_limited_total. Links of peers are not bounded.

--- a/src/programs/rhubarb-entry/entry_daemon.hpp
+++ b/src/programs/rhubarb-entry/entry_daemon.hpp
@@ -23,6 +23,7 @@
   [[nodiscard]] std::optional<vm_list_entry> peer_hint(const listed_vm& vm) const override;
   void on_drain() override;
   void update_metrics() override;
+  [[nodiscard]] std::size_t own_connections() const override { return services_.open_connections(); }
 
   void connect_schedulers();
   void finish_drain();
--- a/src/programs/rhubarb-entry/service_endpoint.hpp
+++ b/src/programs/rhubarb-entry/service_endpoint.hpp
@@ -42,6 +42,8 @@
   /// Key ranges that this VM has not handed over after it left the view.
   [[nodiscard]] std::size_t untransferred_ranges() const { return intents_.untransferred_ranges(); }
   [[nodiscard]] std::size_t in_progress() const { return callers_.size() + calls_.size(); }
+  /// Connections to targets.
+  [[nodiscard]] std::size_t open_connections() const noexcept { return targets_.open_connections(); }
 
  private:
   struct waiting_caller {
--- a/src/programs/rhubarb-scheduler/scheduler_daemon.hpp
+++ b/src/programs/rhubarb-scheduler/scheduler_daemon.hpp
@@ -44,6 +44,7 @@
   [[nodiscard]] std::optional<vm_list_entry> peer_hint(const listed_vm& vm) const override;
   void on_drain() override;
   void update_metrics() override;
+  [[nodiscard]] std::size_t own_connections() const override { return workers_http_.open_connections(); }
 
   void feed(domain_slot& slot, const domain_owner_event& event);
   void feed_all(const domain_owner_event& event);
--- a/src/programs/shared/daemon_base.cpp
+++ b/src/programs/shared/daemon_base.cpp
@@ -1,5 +1,6 @@
 #include "daemon_base.hpp"
 
+#include <fmt/format.h>
 #include <signal.h>
 
 #include <chrono>
@@ -17,9 +18,13 @@
 /// Time in which the last answers and the news of leaving reach the network before the loop ends.
 constexpr duration linger = std::chrono::milliseconds{100};
 
-http_server::options server_options(const std::string& address) {
+/// A quarter of the memory that a daemon may take.
+constexpr std::uint64_t max_client_bytes = (std::uint64_t{128} << 20U) / 4;
+
+http_server::options server_options(const std::string& address, std::shared_ptr<client_limits> limits) {
   const auto parsed = parse_address(address);
   http_server::options opts;
+  opts.limits = std::move(limits);
   if (parsed.ok()) {
     opts.address = parsed->host;
     opts.port = parsed->port;
@@ -76,8 +81,18 @@
                       log(log_level::error, "a newer process has this VM's id");
                       exit_now(1);
                     }}},
+      limits_{std::make_shared<client_limits>(
+          loop_,
+          client_limits::options{
+              .max_bytes = max_client_bytes,
+              .own_connections =
+                  [this] { return store_http_.open_connections() + mesh_.links() + own_connections(); },
+              .count =
+                  [this](std::string_view reason) {
+                    metrics_.add("rhubarb_clients_limited_total", fmt::format("reason=\"{}\"", reason));
+                  }})},
       http_{
-          loop_, server_options(options_.http_address),
+          loop_, server_options(options_.http_address, limits_),
           [this](const http_request& request, const http_responder& reply) { handle_http(request, reply); }} {
 }
 
--- a/src/programs/shared/daemon_base.hpp
+++ b/src/programs/shared/daemon_base.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -9,6 +10,7 @@
 #include "cluster_node.hpp"
 #include "daemon_settings.hpp"
 #include "peer_mesh.hpp"
+#include "rhubarbpath/transport/client_limits.hpp"
 #include "rhubarbpath/transport/http_client.hpp"
 #include "rhubarbpath/transport/http_server.hpp"
 #include "rhubarbpath/transport/metrics.hpp"
@@ -53,6 +55,8 @@
   virtual void on_drain() = 0;
   /// Gauges that are read when `/metrics` is.
   virtual void update_metrics() = 0;
+  /// Connections that the daemon has opened, apart from those to the store and to its peers.
+  [[nodiscard]] virtual std::size_t own_connections() const { return 0; }
 
   /// Tells the peers and ends the loop.
   void exit_now(int status);
@@ -74,6 +78,7 @@
   void poll_vm_list();
   void begin_drain();
 
+  std::shared_ptr<client_limits> limits_;
   http_server http_;
   timer_handle vm_list_timer_;
   timer_handle exit_timer_;
--- a/src/programs/shared/peer_mesh.hpp
+++ b/src/programs/shared/peer_mesh.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -36,6 +37,8 @@
   void broadcast(const peer::message& message);
   /// Opens a link if there is none.
   void connect(const vm_id& to, const std::string& address);
+  /// Number of links, opened here or by peers.
+  [[nodiscard]] std::size_t links() const noexcept { return links_.size(); }
 
  private:
   struct link_state {
