Name the limits on clients in the table of log events

The test now also reads the source that logs it. A connection that is to be closed before its turn of the loop has learnt evhttp's side is now closed and counted alike.

--- a/src/protocol/log_events.cpp
+++ b/src/protocol/log_events.cpp
@@ -12,6 +12,11 @@
     log_event{"stopping", "SIGTERM or SIGINT arrived", "open_calls"},
     log_event{"stopped", "the process exits", "open_calls"},
     log_event{"settings_reloaded", "the settings file changed", "store"},
+    log_event{
+        "clients_limited",
+        "in the last second connections were closed or requests refused because clients kept too much; one "
+        "line for each reason",
+        "reason, count, kept_bytes, connections"},
     log_event{"settings_rejected", "the settings file is wrong; the settings before stay", "reason"},
     log_event{"config_in_force", "a configuration takes effect", "version, revision, queues, source"},
     log_event{"config_path_lost", "a read or watch of the configuration failed after one that succeeded",
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -274,6 +274,7 @@
   }
 
   void close(connection_budget::connection id) {
+    attach(id);
     if (const auto found = connections.find(id);
         found != connections.end() && found->second->raw != nullptr) {
       found->second->closing = true;
--- a/tests/protocol/log_events_test.cpp
+++ b/tests/protocol/log_events_test.cpp
@@ -29,19 +29,23 @@
   return names;
 }
 
-/// Event names passed to `log` and `record` in the sources of rhubarb-edge and its scheduler.
+/// Event names passed to `log` and `record` in the sources of rhubarb-edge, its scheduler and its limits on
+/// clients.
 std::set<std::string> written_events() {
   std::set<std::string> names;
   // A conditional expression may pass one of two names, so every name before the first brace is collected.
   const std::regex call{R"((?:\blog|\brecord)\(([^;{]*))"};
   const std::regex name{R"re("([a-z]+(?:_[a-z]+)*)")re"};
-  for (const auto* folder : {"src/programs/rhubarb-edge", "src/coordination/job_scheduler"}) {
+  struct searched {
+    const char* folder;
+    const char* prefix;  ///< Of the names of the files.
+  };
+  for (const auto& [folder, prefix] : {searched{"src/programs/rhubarb-edge", ""},
+                                       searched{"src/coordination/job_scheduler", "job_scheduler"},
+                                       searched{"src/transport", "client_limits"}}) {
     for (const auto& entry : std::filesystem::directory_iterator{source_folder / folder}) {
       const auto file = entry.path().filename().string();
-      const bool is_searched =
-          entry.path().extension() == ".cpp" &&
-          (std::string{folder} != "src/coordination/job_scheduler" || file.starts_with("job_scheduler"));
-      if (!is_searched) {
+      if (entry.path().extension() != ".cpp" || !file.starts_with(prefix)) {
         continue;
       }
       const auto text = read_file(entry.path());
