--- a/src/coordination/job_scheduler/job_scheduler_reports.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_reports.cpp
@@ -57,6 +57,9 @@
     worker.stored_as_leaving =
         self.stored_leaving.contains(entry.id) || self.leaving_being_stored.contains(entry.id);
     worker.listed = true;
+    if (restarted_or_moved && worker.reported && worker.born < entry.born) {
+      self.end_runs_of_earlier_incarnations(worker, entry.born, now);
+    }
   }
   // A fifth of the workers at most, because the judgement may be wrong.
   constexpr double set_aside_share = 0.2;
@@ -156,6 +159,7 @@
     placement_due = true;
   } else if (new_incarnation) {
     update_health(worker_health::worker_removed{worker.entry.id}, now);
+    speeds.restarted(worker.speed, now);
     worker.set_aside = worker.trial = false;
     record("worker_restarted", {}, "new incarnation",
            {{"worker", worker.entry.id.value()}, {"born", absl::StrCat(report.born.value())}});
@@ -278,6 +282,9 @@
     tracked.listed_at = worker.clock;
     tracked.checkpoint = run.checkpoint;
     tracked.started_on = worker.born;
+    if (index == 0) {
+      note_progress(job, *parent, now);
+    }
     return;
   }
   const bool gang = step_of(job, *parent).gang;
@@ -289,6 +296,9 @@
     stop_stray(worker, run, parent, index, now);
     return;
   }
+  if (parent->run != run.run) {
+    parent->speed_track = {};
+  }
   parent->phase = unit_phase::active;
   parent->run = run.run;
   tracked = member{.phase = member_phase::running,
@@ -351,6 +361,9 @@
           {"run", absl::StrCat(end.run.value())}});
   const bool current =
       tracked.worker == &worker && tracked.run == end.run && tracked.phase != member_phase::none;
+  if (current && end.outcome == run_outcome::done) {
+    note_end(job, *parent, now);
+  }
   if (current) {
     end_run(job, *parent, index, listed, now);
   }
@@ -442,6 +455,26 @@
   }
 }
 
+/// Ends what reports of earlier incarnations have listed, although the new one may be out of reach.
+void job_scheduler::implementation::end_runs_of_earlier_incarnations(worker_state& worker,
+                                                                     incarnation successor, instant now) {
+  const auto tasks = worker.tasks;
+  for (const auto& [job, parent, index] : tasks) {
+    const auto& one = parent->members[index];
+    const bool past_starting = one.phase == member_phase::running || one.phase == member_phase::stopping;
+    // With an attempt to start it that is still open, the run may be one of the new incarnation.
+    if (one.worker != &worker || !past_starting || one.listed_at == milliseconds{0} || one.open_starts > 0 ||
+        one.started_on >= successor) {
+      continue;
+    }
+    end_run(*job, *parent, index, detail::incarnation_over{.successor = successor}, now);
+    if (parent->phase == unit_phase::active) {
+      end_unit(*job, *parent, now);
+    }
+    requeue_if_ended(*job, *parent, now);
+  }
+}
+
 void job_scheduler::implementation::detect_stalls(instant now) {
   for (auto& [active_job, active_unit] : active_units) {
     auto& job = *active_job;
