--- a/include/rhubarbpath/transport/client_limits.hpp
+++ b/include/rhubarbpath/transport/client_limits.hpp
@@ -10,13 +10,14 @@
 #include <vector>
 
 #include "rhubarbpath/transport/connection_budget.hpp"
+#include "rhubarbpath/transport/connection_guard.hpp"
 #include "rhubarbpath/transport/event_loop.hpp"
 
 namespace rhubarbpath {
 
 /// Bounds what all HTTP servers of a process together keep for their clients, and closes connections above
 /// the bounds. Its servers share it.
-class client_limits : public std::enable_shared_from_this<client_limits> {
+class client_limits : public connection_guard, public std::enable_shared_from_this<client_limits> {
  public:
   struct options {
     /// Bytes received, in work and to be sent, over all connections.
@@ -28,27 +29,23 @@
     /// Counts each connection that is closed and each request that is refused.
     std::function<void(std::string_view reason)> count;
   };
-  /// How a server closes and measures its connections.
-  struct server_calls {
-    std::function<void(connection_budget::connection)> close;
-    /// Counts the bytes that wait in the kernel.
-    std::function<void(connection_budget::connection)> measure;
-  };
-
   client_limits(event_loop& loop, options opts);
 
-  /// Adds a server with a share of both bounds that is its own, from 0 to 1.
-  [[nodiscard]] connection_budget::group add_server(double reserved_share, server_calls calls);
-  /// Call when the server ends.
-  void remove_server(connection_budget::group server);
+  [[nodiscard]] group add_server(double reserved_share, server_calls calls) override;
+  void remove_server(group server) override;
 
-  [[nodiscard]] connection_budget& budget() noexcept { return budget_; }
+  [[nodiscard]] connection open(group server) override;
+  void close(connection id) override;
+  void hold(connection id, std::uint64_t bytes) override;
+  void progressed(connection id) override;
+  [[nodiscard]] bool admit(group server, std::uint64_t bytes) override;
+  void finish(group server, std::uint64_t bytes) override;
   /// Counts a refusal; the log gets one line a second for each reason.
-  void note(std::string_view reason);
-  /// Closes connections on the next pass of the loop if a bound is passed.
-  void check();
+  void note(std::string_view reason) override;
 
  private:
+  /// Closes connections on the next pass of the loop if a bound is passed.
+  void check();
   [[nodiscard]] std::size_t max_client_connections() const;
   void enforce();
   void sweep();
--- a/include/rhubarbpath/transport/http_server.hpp
+++ b/include/rhubarbpath/transport/http_server.hpp
@@ -7,7 +7,7 @@
 
 #include "absl/status/status.h"
 #include "rhubarbpath/state/units.hpp"
-#include "rhubarbpath/transport/client_limits.hpp"
+#include "rhubarbpath/transport/connection_guard.hpp"
 #include "rhubarbpath/transport/event_loop.hpp"
 #include "rhubarbpath/transport/http.hpp"
 
@@ -45,8 +45,8 @@
     /// Maximum total size of header names and values; larger requests are rejected with status 431.
     std::size_t max_header_bytes{16U << 10U};
     duration idle_timeout{std::chrono::seconds{60}};
-    /// Shared by the servers of a process; a server without has its own, with the defaults.
-    std::shared_ptr<client_limits> limits;
+    /// Shared by the servers of a process; null for a server without limits.
+    std::shared_ptr<connection_guard> limits;
     /// Share of the limits that only this server uses, from 0 to 1. The sum over the servers is at most 1.
     double reserved_share{0};
   };
--- a/src/programs/rhubarb-edge/edge_daemon.hpp
+++ b/src/programs/rhubarb-edge/edge_daemon.hpp
@@ -11,6 +11,7 @@
 #include "rhubarbpath/coordination/peer_directory.hpp"
 #include "rhubarbpath/state/random.hpp"
 #include "rhubarbpath/state/vm_settings.hpp"
+#include "rhubarbpath/transport/client_limits.hpp"
 #include "rhubarbpath/transport/http_server.hpp"
 #include "store_access.hpp"
 
--- a/src/transport/client_limits.cpp
+++ b/src/transport/client_limits.cpp
@@ -40,7 +40,7 @@
       budget_{{.max_bytes = options_.max_bytes, .max_connections = max_client_connections()}},
       sweep_timer_{loop.run_every(sweep_interval, [this] { sweep(); })} {}
 
-connection_budget::group client_limits::add_server(double reserved_share, server_calls calls) {
+connection_guard::group client_limits::add_server(double reserved_share, server_calls calls) {
   const auto share = [&](auto whole) {
     return static_cast<decltype(whole)>(static_cast<double>(whole) * reserved_share);
   };
@@ -49,7 +49,7 @@
       {.bytes = share(options_.max_bytes), .connections = share(options_.max_sockets * 3 / 4)});
 }
 
-void client_limits::remove_server(connection_budget::group server) {
+void client_limits::remove_server(group server) {
   servers_.at(server) = {};
 }
 
@@ -62,6 +62,37 @@
   return std::clamp(left, sockets / 4, sockets * 3 / 4);
 }
 
+connection_guard::connection client_limits::open(group server) {
+  const auto id = budget_.open(server);
+  check();
+  return id;
+}
+
+void client_limits::close(connection id) {
+  budget_.close(id);
+}
+
+void client_limits::hold(connection id, std::uint64_t bytes) {
+  budget_.hold(id, bytes);
+  check();
+}
+
+void client_limits::progressed(connection id) {
+  budget_.progressed(id);
+}
+
+bool client_limits::admit(group server, std::uint64_t bytes) {
+  if (!budget_.admit(server, bytes)) {
+    return false;
+  }
+  check();
+  return true;
+}
+
+void client_limits::finish(group server, std::uint64_t bytes) {
+  budget_.finish(server, bytes);
+}
+
 void client_limits::note(std::string_view reason) {
   if (options_.count) {
     options_.count(reason);
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -27,8 +27,8 @@
   /// Null once the connection has closed or the response was sent.
   tracked_connection* connection{nullptr};
   std::shared_ptr<std::size_t> in_progress;
-  std::shared_ptr<client_limits> limits;
-  connection_budget::group server{0};
+  std::shared_ptr<connection_guard> limits;
+  connection_guard::group server{0};
   std::uint64_t admitted_bytes{0};
   bool admitted{false};
 
@@ -40,7 +40,7 @@
   /// Closes the connection of a request that was never answered.
   ~pending_reply() {
     if (admitted) {
-      limits->budget().finish(server, admitted_bytes);
+      limits->finish(server, admitted_bytes);
     }
     auto* raw = std::exchange(request, nullptr);
     if (raw == nullptr) {
@@ -57,7 +57,7 @@
 /// What a server knows of one connection. Lives until evhttp closes the connection.
 struct tracked_connection {
   http_server::implementation* server{nullptr};
-  connection_budget::connection id{0};
+  connection_guard::connection id{0};
   std::uint64_t number{0};  ///< As in `http_request::connection`.
   bufferevent* stream{nullptr};
   evhttp_connection* raw{nullptr};
@@ -151,6 +151,27 @@
 
 }  // namespace
 
+namespace {
+
+/// For a server without limits.
+class no_limits final : public connection_guard {
+ public:
+  group add_server(double /*reserved_share*/, server_calls /*calls*/) override { return 0; }
+  void remove_server(group /*server*/) override {}
+  connection open(group /*server*/) override { return ++last_id_; }
+  void close(connection /*id*/) override {}
+  void hold(connection /*id*/, std::uint64_t /*bytes*/) override {}
+  void progressed(connection /*id*/) override {}
+  bool admit(group /*server*/, std::uint64_t /*bytes*/) override { return true; }
+  void finish(group /*server*/, std::uint64_t /*bytes*/) override {}
+  void note(std::string_view /*reason*/) override {}
+
+ private:
+  connection last_id_{0};
+};
+
+}  // namespace
+
 struct http_server::implementation {
   options opts;
   handler handle;
@@ -162,8 +183,8 @@
   event_loop* loop{nullptr};
   bool destroying{false};
   std::uint64_t last_connection{0};
-  connection_budget::group group{0};
-  absl::flat_hash_map<connection_budget::connection, std::unique_ptr<detail::tracked_connection>> connections;
+  connection_guard::group group{0};
+  absl::flat_hash_map<connection_guard::connection, std::unique_ptr<detail::tracked_connection>> connections;
   absl::flat_hash_map<bufferevent*, detail::tracked_connection*> by_stream;
 
   [[nodiscard]] std::size_t read_limit() const {
@@ -184,7 +205,7 @@
   void track(bufferevent* stream) {
     auto added = std::make_unique<detail::tracked_connection>();
     added->server = this;
-    added->id = opts.limits->budget().open(group);
+    added->id = opts.limits->open(group);
     added->number = ++last_connection;
     added->stream = stream;
     by_stream[stream] = added.get();
@@ -201,7 +222,7 @@
   }
 
   /// Learns evhttp's connection, which is the argument of the callbacks that evhttp has set.
-  void attach(connection_budget::connection id) {
+  void attach(connection_guard::connection id) {
     const auto found = connections.find(id);
     if (found == connections.end() || found->second->raw != nullptr) {
       return;
@@ -211,7 +232,6 @@
     bufferevent_getcb(added->stream, nullptr, nullptr, nullptr, &argument);
     added->raw = static_cast<evhttp_connection*>(argument);
     evhttp_connection_set_closecb(added->raw, &on_closed, added);
-    opts.limits->check();
   }
 
   static void on_closed(evhttp_connection* /*raw*/, void* argument) {
@@ -226,7 +246,7 @@
     }
     evbuffer_remove_cb(bufferevent_get_input(closed->stream), &on_input, closed);
     evbuffer_remove_cb(bufferevent_get_output(closed->stream), &on_output, closed);
-    self->opts.limits->budget().close(closed->id);
+    self->opts.limits->close(closed->id);
     self->by_stream.erase(closed->stream);
     self->connections.erase(closed->id);
   }
@@ -259,21 +279,20 @@
     }
     changed->server->count(*changed);
     if (info->n_deleted > 0) {
-      changed->server->opts.limits->budget().progressed(changed->id);
+      changed->server->opts.limits->progressed(changed->id);
     }
   }
 
   void count(detail::tracked_connection& connection) const {
     connection.counted_parsed_bytes = connection.parsed_bytes;
-    opts.limits->budget().hold(
-        connection.id,
-        connection_budget::idle_bytes + evbuffer_get_length(bufferevent_get_input(connection.stream)) +
-            evbuffer_get_length(bufferevent_get_output(connection.stream)) + connection.parsed_bytes +
-            connection.kernel_bytes + (connection.pending != nullptr ? bytes_per_request : 0));
-    opts.limits->check();
+    opts.limits->hold(connection.id, connection_budget::idle_bytes +
+                                         evbuffer_get_length(bufferevent_get_input(connection.stream)) +
+                                         evbuffer_get_length(bufferevent_get_output(connection.stream)) +
+                                         connection.parsed_bytes + connection.kernel_bytes +
+                                         (connection.pending != nullptr ? bytes_per_request : 0));
   }
 
-  void close(connection_budget::connection id) {
+  void close(connection_guard::connection id) {
     attach(id);
     if (const auto found = connections.find(id);
         found != connections.end() && found->second->raw != nullptr) {
@@ -283,7 +302,7 @@
   }
 
   /// evhttp does not read while a request is open, so what its client sends meanwhile waits in the kernel.
-  void measure(connection_budget::connection id) {
+  void measure(connection_guard::connection id) {
     const auto found = connections.find(id);
     if (found == connections.end()) {
       return;
@@ -316,7 +335,7 @@
     request.connection = connection.number;
     // The open request counts from here on.
     connection.parsed_bytes = 0;
-    opts.limits->budget().progressed(connection.id);
+    opts.limits->progressed(connection.id);
     count(connection);
     if (header_bytes(request.headers) > opts.max_header_bytes) {
       opts.limits->note("request refused: headers");
@@ -328,7 +347,7 @@
       responder.send({.status = http_status::body_too_large,
                       .headers = {},
                       .body = "the body is larger than the limit\n"});
-    } else if (const auto bytes = kept_bytes(request); !opts.limits->budget().admit(group, bytes)) {
+    } else if (const auto bytes = kept_bytes(request); !opts.limits->admit(group, bytes)) {
       opts.limits->note("request refused: bytes");
       responder.send({.status = http_status::service_unavailable,
                       .headers = {{"Retry-After", "1"}},
@@ -336,7 +355,6 @@
     } else {
       pending->admitted = true;
       pending->admitted_bytes = bytes;
-      opts.limits->check();
       handle(std::move(request), responder);
     }
   }
@@ -379,7 +397,7 @@
   implementation_->handle = std::move(handle);
   implementation_->loop = &loop;
   if (implementation_->opts.limits == nullptr) {
-    implementation_->opts.limits = std::make_shared<client_limits>(loop, client_limits::options{});
+    implementation_->opts.limits = std::make_shared<no_limits>();
   }
   implementation_->group = implementation_->opts.limits->add_server(
       implementation_->opts.reserved_share,
