--- a/include/rhubarbpath/coordination/worker_speed.hpp
+++ b/include/rhubarbpath/coordination/worker_speed.hpp
@@ -58,7 +58,7 @@
   /// Of one worker: the logarithm of its slowness, its variance, and when they were observed last.
   struct estimate {
     log_ratio slowness{0};
-    log_ratio variance{720 * 720};
+    log_ratio variance{log_ratio{720} * 720};
     instant at{};
     std::uint64_t observations{0};
     /// The step of the last run, by its number, and what that run took here.
@@ -69,7 +69,7 @@
   /// The mean and variance of what runs take on a worker of normal speed.
   struct reference {
     log_ratio mean{0};
-    log_ratio variance{1000 * 1000};
+    log_ratio variance{log_ratio{1000} * 1000};
     std::int64_t count{0};
     std::uint64_t number{0};   ///< Tells steps apart.
     log_ratio uncertainty{0};  ///< Mean variance of the estimates of the workers that it was taken from.
@@ -119,7 +119,7 @@
     reference length;
     reference ratio;
     /// Variance of runs of one step.
-    log_ratio within_step{500 * 500};
+    log_ratio within_step{log_ratio{500} * 500};
   };
   struct prediction {
     log_ratio mean{0};
--- a/src/coordination/worker_speed.cpp
+++ b/src/coordination/worker_speed.cpp
@@ -16,12 +16,12 @@
 constexpr std::chrono::milliseconds long_interval{900};
 /// A change of rate within a run from which the worker is taken to have changed, besides rounding.
 constexpr log_ratio least_change = 300;
-constexpr log_ratio change_variance = 150 * 150;
+constexpr log_ratio change_variance = log_ratio{150} * 150;
 /// A difference that far beyond the deviation, squared, is an outlier.
 constexpr log_ratio outlier_square = 9;
 /// Bounds of the variance of references, so that neither a few alike runs nor odd ones decide it.
-constexpr log_ratio least_variance = 100 * 100;
-constexpr log_ratio most_variance = 2000 * 2000;
+constexpr log_ratio least_variance = log_ratio{100} * 100;
+constexpr log_ratio most_variance = log_ratio{2000} * 2000;
 /// Runs after which the mean of a queue forgets.
 constexpr std::int64_t queue_memory = 64;
 constexpr std::int64_t variance_memory = 32;
@@ -91,7 +91,7 @@
     return 0;
   }
   auto value = static_cast<std::uint64_t>(us);
-  const int whole = std::bit_width(value) - 1;
+  const auto whole = static_cast<int>(std::bit_width(value)) - 1;
   constexpr int unit_bits = 30;
   value = whole > unit_bits ? value >> (whole - unit_bits) : value << (unit_bits - whole);
   log_ratio part = 0;
@@ -102,7 +102,7 @@
     part = part * 2 + (over ? 1 : 0);
     value >>= over ? 1 : 0;
   }
-  return whole * 1000 + part * 1000 / (1 << part_bits);
+  return log_ratio{whole} * 1000 + part * 1000 / (1 << part_bits);
 }
 
 duration scaled(duration span, log_ratio ratio) {
