--- a/include/rhubarbpath/transport/client_limits.hpp
+++ b/include/rhubarbpath/transport/client_limits.hpp
@@ -15,6 +15,9 @@
 
 namespace rhubarbpath {
 
+/// How many of a process's descriptors sockets may use; the others are for files.
+[[nodiscard]] std::size_t sockets_of(std::size_t descriptors);
+
 /// Bounds what all HTTP servers of a process together keep for their clients, and closes connections above
 /// the bounds. Its servers share it.
 class client_limits : public connection_guard, public std::enable_shared_from_this<client_limits> {
--- a/src/transport/client_limits.cpp
+++ b/src/transport/client_limits.cpp
@@ -13,8 +13,6 @@
 namespace {
 
 constexpr duration sweep_interval{std::chrono::seconds{1}};
-/// Descriptors that are no sockets.
-constexpr std::size_t file_descriptors = 200;
 
 std::size_t sockets_of_process() {
   constexpr std::size_t unlimited = 1U << 20U;
@@ -22,8 +20,7 @@
   if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur > unlimited) {
     return unlimited;
   }
-  const auto count = static_cast<std::size_t>(limit.rlim_cur);
-  return count > 2 * file_descriptors ? count - file_descriptors : count / 2;
+  return sockets_of(static_cast<std::size_t>(limit.rlim_cur));
 }
 
 client_limits::options with_process_limit(client_limits::options opts) {
@@ -34,6 +31,11 @@
 
 }  // namespace
 
+std::size_t sockets_of(std::size_t descriptors) {
+  constexpr std::size_t file_descriptors = 200;
+  return descriptors > 2 * file_descriptors ? descriptors - file_descriptors : descriptors / 2;
+}
+
 client_limits::client_limits(event_loop& loop, options opts)
     : loop_{loop},
       options_{with_process_limit(std::move(opts))},
