Show what jobs inside the body limit make an owner keep

Ten tests start rhubarb-edge with the limits of the smallest VM (120 MB) and one worker, submit a few jobs that are inside the limit for a body, and check that the process lives, stays within its memory, tells the truth about what it refuses, and that another team's job is stored and run afterwards.

owner_in_calm_runs_every_step_of_a_large_job passes and stays as a guard for bounds on what one pass looks at.

--- /dev/null
+++ b/tests/platform/crowd/job_crowd_test.cpp
@@ -0,0 +1,219 @@
+#include <fmt/format.h>
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <limits>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "crowd_fixture.hpp"
+
+// Callers whose jobs are inside the limit for a body and make the owner keep or compute many times what they
+// sent: the process goes on within its memory, refuses truthfully or serves, and another team is served.
+
+namespace rhubarbpath::soak {
+namespace {
+
+/// As many tasks without resources as a step may have.
+const soak_step endless_tasks{.count = std::numeric_limits<int>::max(), .run_time = std::chrono::hours{1}};
+const std::string plain_step = R"({"count":1,"cpu":100,"memMb":1,"estimateMs":900})";
+
+/// A job with as many steps as fit into the largest body. `members` follow the list of steps.
+std::string largest_job(const std::function<std::string(int)>& step, const std::string& members = {}) {
+  const std::string end = "]" + members + "}";
+  std::string body = R"({"spec":"x","steps":[)" + step(0);
+  for (int number = 1;; ++number) {
+    const auto next = "," + step(number);
+    if (body.size() + next.size() + end.size() > largest_body) {
+      return body + end;
+    }
+    body += next;
+  }
+}
+
+std::string largest_job(const std::string& step, const std::string& members = {}) {
+  return largest_job([&](int) { return step; }, members);
+}
+
+class job_crowd_fixture : public crowd_fixture {
+ public:
+  job_crowd_fixture() { vms.add_worker(); }
+
+  /// Submits a job of the first team. It has to be stored or refused; what is refused must not be known. The
+  /// worker runs the tasks of `steps` and rejects those of others.
+  int submit(const std::string& body, const std::vector<soak_step>& steps = {}) {
+    constexpr int too_large = 413;
+    static const std::set<int> allowed{http_status::ok, http_status::bad_request, too_large,
+                                       http_status::too_many_requests, http_status::service_unavailable};
+    const auto id = fmt::format("5c0e7a21d95b{:04x}", submitted_++);
+    vms.workers().register_job(id, steps);
+    const auto status = vms.call_job(0, "POST", id, body, seconds{20}, {.timeout_ms = "20000"});
+    CAPTURE(id, body.substr(0, 100));
+    CHECK(allowed.contains(status));
+    if (status != http_status::ok) {
+      CHECK(vms.call_job(0, "GET", id, {}, seconds{20}, {.timeout_ms = "20000"}) == http_status::gone);
+    }
+    return status;
+  }
+
+  /// Gives the owner time to take up what was accepted and to place it.
+  void settle() {
+    constexpr int looks = 60;
+    for (int i = 0; i < looks && vms.alive(0); ++i) {
+      vms.run_for(milliseconds{50});
+      look();
+    }
+  }
+
+  /// Checks the bounds, and that a job of the other team is stored, runs and ends.
+  void check_jobs() {
+    settle();
+    check();
+    const auto id = fmt::format("5c0e7a21d96b{:04x}", submitted_++);
+    vms.workers().register_job(id, {{.count = 1, .cpu = 100, .run_time = milliseconds{200}}});
+    CHECK(answers([&] {
+      return vms.call_job(0, "POST", id, R"({"spec":"y","steps":[{"count":1,"cpu":100,"estimateMs":200}]})",
+                          seconds{20},
+                          {.key = "key-b", .queue = urgent_queue, .timeout_ms = "20000"}) == http_status::ok;
+    }));
+    // Long enough for the slowest machine; an owner that hangs never starts it.
+    constexpr int most_looks = 1200;
+    for (int i = 0; i < most_looks && vms.alive(0) && !vms.workers().all_done(id); ++i) {
+      vms.run_for(milliseconds{50});
+      look();
+    }
+    CHECK(vms.workers().all_done(id));
+    check();
+  }
+
+  /// Restarts the VM, which takes up what the store holds.
+  void restart() {
+    vms.kill(0);
+    vms.start(0);
+    REQUIRE(vms.all_use(1, start_limit));
+  }
+
+ private:
+  int submitted_{0};
+};
+
+TEST_CASE_METHOD(job_crowd_fixture, "owner_keeps_its_bounds_under_jobs_with_many_steps") {
+  // Guards against accepted work that takes more memory than the owner has, one owner after the other.
+  constexpr int jobs = 20;
+  const auto body = largest_job(plain_step);
+  for (int i = 0; i < jobs; ++i) {
+    submit(body);
+  }
+  check_jobs();
+  restart();
+  check_jobs();
+}
+
+TEST_CASE_METHOD(job_crowd_fixture, "owner_keeps_its_bounds_under_jobs_of_the_smallest_steps") {
+  // Guards against the same where a step takes few bytes of the request.
+  constexpr int jobs = 3;
+  const auto body = largest_job(R"({"count":1})");
+  for (int i = 0; i < jobs; ++i) {
+    submit(body);
+  }
+  check_jobs();
+}
+
+TEST_CASE_METHOD(job_crowd_fixture, "vm_keeps_its_bounds_under_a_job_of_empty_steps") {
+  // Guards against forms of a request, between its body and its row, that take hundreds of times its bytes.
+  submit(largest_job("{}"));
+  check_jobs();
+}
+
+TEST_CASE_METHOD(job_crowd_fixture, "owner_keeps_its_bounds_under_overlapping_occurrences_of_many_steps") {
+  // Guards against steps that are kept once for each occurrence that is due.
+  submit(largest_job(plain_step, R"(,"repeatCount":100000,"startAtMs":1000,"intervalMs":1)"));
+  check_jobs();
+}
+
+TEST_CASE_METHOD(job_crowd_fixture, "owner_keeps_its_bounds_under_many_gangs") {
+  // Guards against the members of all gangs that could start, kept before any of them starts.
+  submit(largest_job(R"({"count":4096,"cpu":100,"gang":true})"));
+  check_jobs();
+}
+
+TEST_CASE_METHOD(job_crowd_fixture, "owner_keeps_its_bounds_under_tasks_without_resources") {
+  // Guards against tasks that fit into any worker in any number.
+  submit(R"({"spec":"x","steps":[{"count":4294967295}]})", {endless_tasks});
+  check_jobs();
+}
+
+TEST_CASE_METHOD(job_crowd_fixture, "owner_keeps_its_bounds_under_urgent_tasks_without_resources") {
+  // Guards against space that is planned for tasks that take none.
+  const std::string body = R"({"spec":"x","steps":[{"count":4294967295}]})";
+  const std::string id = "5c0e7a21d97b0001";
+  vms.workers().register_job(id, {endless_tasks});
+  CHECK(vms.call_job(0, "POST", id, body, seconds{20}, {.queue = urgent_queue}) != 0);
+  // Plans for urgent work are made when other work waits.
+  submit(R"({"spec":"x","steps":[{"count":100,"cpu":8000}]})",
+         {{.count = 100, .cpu = 8000, .run_time = std::chrono::hours{1}}});
+  check_jobs();
+}
+
+TEST_CASE_METHOD(job_crowd_fixture, "owner_keeps_its_bounds_under_steps_that_all_differ") {
+  // Guards against placement passes whose cost grows with the square of the steps.
+  constexpr int jobs = 3;
+  for (int i = 0; i < jobs; ++i) {
+    submit(largest_job([&](int number) {
+      return fmt::format(R"({{"count":1,"cpu":100,"requiredLabel":"label-{}-{}"}})", i, number);
+    }));
+  }
+  check_jobs();
+}
+
+TEST_CASE_METHOD(job_crowd_fixture, "owner_keeps_its_bounds_under_large_payloads_of_many_tasks") {
+  // Guards against a payload that is kept once for each of its start orders.
+  submit(fmt::format(R"({{"spec":"{}","steps":[{{"count":8000,"cpu":1,"estimateMs":60000}}]}})",
+                     std::string(900'000, 'x')));
+  check_jobs();
+}
+
+TEST_CASE_METHOD(job_crowd_fixture, "owner_keeps_its_bounds_under_large_jobs_cancelled_at_once") {
+  // Guards against jobs that have ended and are kept whole until they expire.
+  constexpr int jobs = 60;
+  const auto body = largest_job(plain_step);
+  for (int i = 0; i < jobs; ++i) {
+    const auto id = fmt::format("5c0e7a21d98b{:04x}", i);
+    if (vms.call_job(0, "POST", id, body, seconds{20}, {.timeout_ms = "20000"}) == http_status::ok) {
+      CHECK(answers([&] { return vms.call_job(0, "DELETE", id, {}, seconds{20}) == http_status::ok; }));
+    }
+    look();
+  }
+  check_jobs();
+  restart();
+  check_jobs();
+}
+
+TEST_CASE_METHOD(job_crowd_fixture, "owner_in_calm_runs_every_step_of_a_large_job") {
+  // Guards against bounds on what is looked at in one pass that leave a part of a job behind for good.
+  constexpr int steps = 3000;
+  const std::string id = "5c0e7a21d99b0001";
+  std::string body = R"({"spec":"x","steps":[)";
+  soak_job registered;
+  for (int number = 0; number < steps; ++number) {
+    // The last step depends on the first one only; the others have no order.
+    const bool last = number == steps - 1;
+    body += fmt::format(R"({}{{"count":1,"cpu":100,"memMb":1,"estimateMs":50{}}})", number == 0 ? "" : ",",
+                        last ? R"(,"after":[0])" : "");
+    registered.push_back({.count = 1, .cpu = 100, .memory_mb = 1, .run_time = milliseconds{50}});
+  }
+  vms.workers().register_job(id, registered);
+  CHECK(vms.call_job(0, "POST", id, body + "]}", seconds{20}) == http_status::ok);
+  constexpr int most_looks = 2400;
+  for (int i = 0; i < most_looks && vms.alive(0) && !vms.workers().all_done(id); ++i) {
+    vms.run_for(milliseconds{50});
+    look();
+  }
+  CHECK(vms.workers().all_done(id));
+  CHECK(answers([&] { return vms.job_state(0, id) == "complete"; }));
+  check_jobs();
+}
+
+}  // namespace
+}  // namespace rhubarbpath::soak
