Keep state only of the steps that were looked at

What callers saw: one job of 19,000 steps whose occurrences overlap ended the owner; one owner after the other took it up. Jobs of many steps held the loop.

Cause: an occurrence kept 200 bytes for each of its steps from the time it was due, 256 occurrences at a time, and an ended job kept its graph until it expired. order_for walked all steps for each unit that was placed.

Change: an occurrence keeps four bytes for a step that was not looked at, and drops the state of a step that is done; 65,536 steps are open at most where more than one occurrence is. Ended jobs drop their graph. What follows a step is computed once when the job is added, and the critical path from it.

--- a/src/coordination/job_scheduler/job_scheduler.cpp
+++ b/src/coordination/job_scheduler/job_scheduler.cpp
@@ -12,6 +12,42 @@
 using detail::unit_phase;
 using detail::worker_state;
 
+namespace detail {
+
+std::vector<duration> times_after(const job_graph& graph) {
+  std::vector<duration> times(graph.steps.size(), duration::zero());
+  for (auto step = graph.steps.size(); step > 0; --step) {
+    const auto& waiting = graph.steps[step - 1];
+    for (const auto before : waiting.after) {
+      times[before] = std::max(times[before], waiting.estimate + times[step - 1]);
+    }
+  }
+  return times;
+}
+
+job_state::job_state(const accepted_job& accepted)
+    : job{accepted},
+      units{accepted.graph},
+      time_after{times_after(accepted.graph)},
+      lasts{std::any_of(accepted.graph.steps.begin(), accepted.graph.steps.end(),
+                        [](const step_spec& step) { return step.long_running; })} {}
+
+duration job_state::critical_path() const {
+  duration longest{};
+  for (std::size_t step = 0; step < time_after.size(); ++step) {
+    longest = std::max(longest, job.graph.steps[step].estimate + time_after[step]);
+  }
+  return longest;
+}
+
+void job_state::release_graph() {
+  units.clear();
+  job.graph = {};
+  time_after = {};
+}
+
+}  // namespace detail
+
 // ---- jobs ----
 
 void job_scheduler::implementation::record(std::string_view event, const job_id& job, std::string reason,
@@ -78,8 +114,13 @@
 }
 
 void job_scheduler::implementation::mark_waiting(job_state& job, const unit& waiting) {
-  if (auto* step = job.units.find_step(waiting.occurrence, waiting.step); step != nullptr) {
+  auto* occurrence = job.units.find_occurrence(waiting.occurrence);
+  if (occurrence == nullptr) {
+    return;
+  }
+  if (auto* step = occurrence->find(waiting.step); step != nullptr) {
     step->first_waiting = std::min(step->first_waiting, waiting.number);
+    occurrence->first_unplaced = std::min(occurrence->first_unplaced, waiting.step);
   }
 }
 
@@ -112,22 +153,6 @@
   }
 }
 
-duration job_scheduler::implementation::critical_path_length(const job_graph& graph) const {
-  std::vector<duration> finish(graph.steps.size(), duration::zero());
-  duration longest{};
-  for (std::size_t step = 0; step < graph.steps.size(); ++step) {
-    duration earliest_start{};
-    for (const auto before : graph.steps[step].after) {
-      if (before < step) {
-        earliest_start = std::max(earliest_start, finish[before]);
-      }
-    }
-    finish[step] = earliest_start + graph.steps[step].estimate;
-    longest = std::max(longest, finish[step]);
-  }
-  return longest;
-}
-
 job_progress job_scheduler::implementation::progress_of(const job_state& job) {
   job_progress progress{
       .job = job.job.id, .phase = job.phase, .units = {}, .done = {}, .done_occurrences = {}};
@@ -164,13 +189,13 @@
       return false;
     }
     for (const auto& [number, occurrence] : job.units.open_occurrences()) {
-      for (const auto& step : occurrence.steps) {
+      for (const auto& [step_number, step] : occurrence.steps) {
         for (const auto& [unit_number, each] : step.units) {
           forget_unit(job, each, now);
         }
       }
     }
-    job.units.clear();
+    job.release_graph();
     return true;
   });
 }
@@ -190,7 +215,7 @@
   tickets.forget(job.job.id);
   record("job_ended", job.job.id, std::string{phase_name(phase)}, {}, now - job.added_at);
   for (auto& [number, occurrence] : job.units.open_occurrences()) {
-    for (auto& step : occurrence.steps) {
+    for (auto& [step_number, step] : occurrence.steps) {
       for (auto& [unit_number, each] : step.units) {
         update_health(worker_health::job_removed{detail::health_key(job, each)}, now);
         end_unit(job, each, now);
@@ -485,11 +510,14 @@
   const auto submitted_at = now - std::clamp(std::chrono::duration_cast<duration>(waited), duration::zero(),
                                              duration{std::chrono::minutes{10}});
   const double stretch = state.queue == nullptr ? 1.0 : state.queue->stretch;
-  const auto critical_path = static_cast<double>(self.critical_path_length(job.graph).count());
+  const auto critical_path = static_cast<double>(state.critical_path().count());
   state.objective = submitted_at + duration{static_cast<std::int64_t>(critical_path * stretch)} +
                     (state.queue == nullptr ? duration::zero() : state.queue->target);
+  const auto unit_count = state.units.count();
+  const auto kind = detail::kind_of(state);
   if (is_terminal(state.phase)) {
     state.ended_at = now;
+    state.release_graph();
   } else {
     self.open_jobs[job.id] = &state;
     if (!inherited) {
@@ -504,9 +532,9 @@
       "job_added", job.id, inherited ? "inherited" : "new",
       {{"queue", job.queue.value()},
        {"team", job.team.value()},
-       {"units", absl::StrCat(state.units.count())},
+       {"units", absl::StrCat(unit_count)},
        {"phase", std::string{phase_name(state.phase)}},
-       {"kind", std::string{detail::kind_of(job.graph)}},
+       {"kind", std::string{kind}},
        {"tasks", absl::StrCat(detail::task_count(job.graph))},
        {"age_ms", detail::millis_text(now - submitted_at)},
        {"chain_ms", absl::StrCat(static_cast<std::int64_t>(critical_path / 1000.0))},
--- a/src/coordination/job_scheduler/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler/job_scheduler_impl.hpp
@@ -53,12 +53,22 @@
 /// single lost answer does not count.
 constexpr int out_of_use_after_failed_renewals = 3;
 
+/// By step, how long the longest chain of steps takes that wait for it, by their estimates.
+[[nodiscard]] std::vector<duration> times_after(const job_graph& graph);
+
 struct job_state {
-  explicit job_state(const accepted_job& accepted) : job{accepted}, units{accepted.graph} {}
+  explicit job_state(const accepted_job& accepted);
+
+  /// The least time that an occurrence takes, by the estimates of its steps.
+  [[nodiscard]] duration critical_path() const;
+  /// Drops what only a job needs that has not ended.
+  void release_graph();
 
   accepted_job job;
   const queue_config* queue{nullptr};
   job_units units;
+  std::vector<duration> time_after;  ///< By step, as `times_after` has it.
+  bool lasts{false};                 ///< Has tasks that last until the job is cancelled.
   job_phase phase{job_phase::queued};
   job_phase stored_phase{job_phase::queued};
   bool has_started_task{false};
@@ -163,10 +173,8 @@
 }
 
 /// "timed" jobs and "lasting" ones, whose steps last until they are cancelled, have no objective as a whole.
-inline std::string_view kind_of(const job_graph& graph) {
-  const bool lasting = std::any_of(graph.steps.begin(), graph.steps.end(),
-                                   [](const step_spec& step) { return step.long_running; });
-  return graph.occurrences > 0 ? "timed" : lasting ? "lasting" : "once";
+inline std::string_view kind_of(const job_state& job) {
+  return job.job.graph.occurrences > 0 ? "timed" : job.lasts ? "lasting" : "once";
 }
 
 /// Tasks of one occurrence.
@@ -312,7 +320,6 @@
   /// Opens the occurrences that are due.
   void open_due_occurrences(detail::job_state& job, instant now) const;
   void apply_progress(detail::job_state& job, const job_progress& progress, instant now) const;
-  [[nodiscard]] duration critical_path_length(const job_graph& graph) const;
   void mark_dirty(detail::job_state& job);
   void end_job(detail::job_state& job, job_phase phase, instant now);
   void complete_unit(detail::job_state& job, detail::unit& unit, instant now);
@@ -468,6 +475,9 @@
     detail::occurrence_state* occurrence{nullptr};
     std::uint32_t step{0};
     std::uint32_t number{0};
+
+    /// Null if the unit has not been considered yet.
+    [[nodiscard]] const detail::unit* unit_if_any() const;
   };
   /// Logs why jobs stand: they have nothing running although a task's turn has come.
   void report_standing_jobs(instant now);
--- a/src/coordination/job_scheduler/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_placement.cpp
@@ -46,7 +46,7 @@
                                                std::uint32_t step) {
   const auto& after = job.job.graph.steps[step].after;
   return std::all_of(after.begin(), after.end(),
-                     [&](std::uint32_t before) { return occurrence.steps[before].units_left == 0; });
+                     [&](std::uint32_t before) { return occurrence.left[before] == 0; });
 }
 
 /// Returns the accelerators that each team's urgent work uses, and the team's guarantee.
@@ -101,9 +101,9 @@
     }
     open_due_occurrences(job, now);
     for (auto& [number, occurrence] : job.units.open_occurrences()) {
-      for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-        auto& state = occurrence.steps[step];
-        if (state.first_waiting < state.unit_count && step_ready(job, occurrence, step)) {
+      for (std::uint32_t step = 0; step < occurrence.left.size(); ++step) {
+        if (occurrence.has_waiting(step) && step_ready(job, occurrence, step)) {
+          auto& state = job.units.open_step(occurrence, step);
           state.ready_since = state.ready_since.value_or(now);
           waiting.push_back({.job = &job,
                              .occurrence = &occurrence,
@@ -150,7 +150,7 @@
 void job_scheduler::implementation::place_step(const waiting_step& waiting, instant now) {
   auto& job = *waiting.job;
   auto& occurrence = *waiting.occurrence;
-  auto& step = occurrence.steps[waiting.step];
+  auto& step = job.units.open_step(occurrence, waiting.step);
   if (occurrence.inherited && recovery) {
     return;
   }
--- a/src/coordination/job_scheduler/job_scheduler_preemption.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_preemption.cpp
@@ -208,9 +208,10 @@
   if (spec.max_unavailable == 0) {
     return std::numeric_limits<std::uint32_t>::max();
   }
-  const auto* state = job.units.find_occurrence(occurrence);
+  // A step with a task that may be stopped has state.
+  const auto& state = job.units.find_occurrence(occurrence)->steps.at(step);
   std::uint32_t available = 0;
-  for (const auto& [number, each] : state->steps[step].units) {
+  for (const auto& [number, each] : state.units) {
     // A task is at work once it has started up completely.
     constexpr int whole = 100;
     available += static_cast<std::uint32_t>(std::count_if(
--- a/src/coordination/job_scheduler/job_scheduler_speed.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_speed.cpp
@@ -130,8 +130,7 @@
 
 speed_order job_scheduler::implementation::order_for(const job_state& job, const unit& placed,
                                                      instant now) const {
-  const auto& steps = job.job.graph.steps;
-  const auto& step = steps[placed.step];
+  const auto& step = step_of(job, placed);
   if (job.queue->priority == 0) {
     return fast_first;
   }
@@ -140,18 +139,7 @@
   }
   const auto expected = speeds.expected(job.job.queue, step.estimate);
   // The steps that wait for this one need their time too.
-  duration later{};
-  std::vector<duration> until(steps.size());
-  for (std::size_t index = placed.step + 1; index < steps.size(); ++index) {
-    for (const auto before : steps[index].after) {
-      const bool chained = before == placed.step || until[before] > duration::zero();
-      if (chained) {
-        until[index] = std::max(until[index], until[before] + steps[index].estimate);
-      }
-    }
-    later = std::max(later, until[index]);
-  }
-  const auto allowed = job.objective - now - later;
+  const auto allowed = job.objective - now - job.time_after[placed.step];
   if (allowed < expected && allowed + (job.objective - job.added_at) * 2 >= expected) {
     return fast_first;
   }
--- a/src/coordination/job_scheduler/job_scheduler_standing.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_standing.cpp
@@ -59,18 +59,25 @@
 
 std::optional<job_scheduler::implementation::standing_unit> job_scheduler::implementation::find_standing_unit(
     job_state& job, bool has_running_task) {
+  if (has_running_task && !job.lasts) {
+    return std::nullopt;
+  }
   for (auto& [occurrence_number, occurrence] : job.units.open_occurrences()) {
-    for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-      const auto& state = occurrence.steps[step];
+    for (std::uint32_t step = 0; step < occurrence.left.size(); ++step) {
       const bool lasting = job.job.graph.steps[step].long_running;
       // Each task that lasts must run, whatever else of the job does.
-      if (state.units_left == 0 || (has_running_task && !lasting) || !step_ready(job, occurrence, step)) {
+      if (occurrence.left[step] == 0 || (has_running_task && !lasting) ||
+          !step_ready(job, occurrence, step)) {
         continue;
       }
-      for (auto number = state.next_open(0); number < state.unit_count;
-           number = state.next_open(number + 1)) {
-        const auto found = state.units.find(number);
-        if (found == state.units.end() || !runs(found->second)) {
+      const auto* state = occurrence.find(step);
+      if (state == nullptr) {
+        return standing_unit{.occurrence = &occurrence, .step = step, .number = 0};
+      }
+      for (auto number = state->next_open(0); number < state->unit_count;
+           number = state->next_open(number + 1)) {
+        const auto found = state->units.find(number);
+        if (found == state->units.end() || !runs(found->second)) {
           return standing_unit{.occurrence = &occurrence, .step = step, .number = number};
         }
       }
@@ -79,15 +86,23 @@
   return std::nullopt;
 }
 
+const unit* job_scheduler::implementation::standing_unit::unit_if_any() const {
+  const auto* state = std::as_const(*occurrence).find(step);
+  if (state == nullptr) {
+    return nullptr;
+  }
+  const auto found = state->units.find(number);
+  return found == state->units.end() ? nullptr : &found->second;
+}
+
 detail::unit_wait job_scheduler::implementation::wait_of(const job_state& job,
                                                          const standing_unit& standing) const {
   if (job.queue == nullptr) {
     return detail::unknown_queue{};
   }
-  const auto& units = standing.occurrence->steps[standing.step].units;
-  const auto found = units.find(standing.number);
-  if (found != units.end()) {
-    const auto& each = found->second;
+  const auto* found = standing.unit_if_any();
+  if (found != nullptr) {
+    const auto& each = *found;
     const auto assigned = std::find_if(each.members.begin(), each.members.end(),
                                        [](const member& one) { return one.phase != member_phase::none; });
     if (assigned != each.members.end()) {
@@ -114,7 +129,7 @@
   if (starts_held) {
     return detail::starts_are_held{};
   }
-  return found == units.end() ? detail::unit_wait{} : found->second.wait;
+  return found == nullptr ? detail::unit_wait{} : found->wait;
 }
 
 void job_scheduler::implementation::report_standing_jobs(instant now) {
@@ -200,13 +215,12 @@
   }
   // Doubles, so that the volume is bounded for each job.
   job.next_stand_report = now + stands;
-  const auto& state = standing.occurrence->steps[standing.step];
-  const auto found = state.units.find(standing.number);
+  const auto* found = standing.unit_if_any();
   const auto wait = usable_count == 0 && evacuated > 0 ? detail::unit_wait{detail::only_evacuated_workers{}}
                                                        : wait_of(job, standing);
   record("job_stands", job.job.id, describe(wait),
          {{"step", absl::StrCat(standing.occurrence->number, ".", standing.step, ".", standing.number)},
-          {"runs", absl::StrCat(found == state.units.end() ? 0 : found->second.run.value())},
+          {"runs", absl::StrCat(found == nullptr ? 0 : found->run.value())},
           {"stands_ms", absl::StrCat(duration_cast<milliseconds>(stands).count())},
           {"in_use_percent", absl::StrCat(in_use)},
           {"workers", absl::StrCat(listed)},
--- a/src/coordination/job_scheduler/job_units.cpp
+++ b/src/coordination/job_scheduler/job_units.cpp
@@ -16,9 +16,35 @@
 std::uint32_t step_state::mark_done(const number_range& range) {
   const auto before = boost::icl::cardinality(done);
   add_range(done, range);
-  const auto added = static_cast<std::uint32_t>(boost::icl::cardinality(done) - before);
+  return static_cast<std::uint32_t>(boost::icl::cardinality(done) - before);
+}
+
+const step_state* occurrence_state::find(std::uint32_t step) const {
+  const auto found = steps.find(step);
+  return found == steps.end() ? nullptr : &found->second;
+}
+
+step_state* occurrence_state::find(std::uint32_t step) {
+  const auto found = steps.find(step);
+  return found == steps.end() ? nullptr : &found->second;
+}
+
+bool occurrence_state::has_waiting(std::uint32_t step) const {
+  const auto* state = find(step);
+  return left[step] > 0 && (state == nullptr || state->first_waiting < state->unit_count);
+}
+
+void occurrence_state::mark_done(std::uint32_t step, const number_range& range) {
+  const auto added = steps.at(step).mark_done(range);
+  left[step] -= added;
   units_left -= added;
-  return added;
+}
+
+void occurrence_state::close_if_done(std::uint32_t step) {
+  const auto found = steps.find(step);
+  if (left[step] == 0 && found != steps.end() && found->second.units.empty()) {
+    steps.erase(found);
+  }
 }
 
 std::uint32_t step_state::next_open(std::uint32_t number) const {
@@ -46,8 +72,9 @@
     opened.inherited = inherited;
     opened.opened_at = now;
     opened.units_left = units_per_occurrence_;
+    opened.left.reserve(shapes_.size());
     for (const auto& shape : shapes_) {
-      opened.steps.push_back({.unit_count = shape.units, .units_left = shape.units, .units = {}, .done = {}});
+      opened.left.push_back(shape.units);
     }
   }
   return opened;
@@ -55,7 +82,9 @@
 
 void job_units::open_due(std::uint64_t due_count, bool inherited, instant now) {
   const auto end = std::min<std::uint64_t>(due_count, occurrence_count_);
-  while (next_occurrence_ < end && open_.size() < max_open_occurrences) {
+  const auto most = std::clamp<std::size_t>(max_open_steps / std::max<std::size_t>(1, shapes_.size()), 1,
+                                            max_open_occurrences);
+  while (next_occurrence_ < end && open_.size() < most) {
     const auto done = done_occurrences_.find(next_occurrence_);
     next_occurrence_ = done == done_occurrences_.end() ? next_occurrence_ : done->upper();
     if (next_occurrence_ >= end) {
@@ -77,7 +106,7 @@
 
 step_state* job_units::find_step(std::uint32_t occurrence, std::uint32_t step) {
   auto* found = find_occurrence(occurrence);
-  return found == nullptr || step >= found->steps.size() ? nullptr : &found->steps[step];
+  return found == nullptr ? nullptr : found->find(step);
 }
 
 unit* job_units::find(std::uint32_t occurrence, std::uint32_t step, std::uint32_t number) {
@@ -99,11 +128,18 @@
     return nullptr;
   }
   auto& in = open(occurrence, inherited, now);
-  return in.steps[step].next_open(number) == number ? &create(in, step, number) : nullptr;
+  return in.left[step] > 0 && open_step(in, step).next_open(number) == number ? &create(in, step, number)
+                                                                              : nullptr;
+}
+
+step_state& job_units::open_step(occurrence_state& in, std::uint32_t step) {
+  return in.steps.try_emplace(step, step_state{.unit_count = shapes_[step].units, .units = {}, .done = {}})
+      .first->second;
 }
 
 unit& job_units::create(occurrence_state& in, std::uint32_t step, std::uint32_t number) {
-  const auto [place, inserted] = in.steps[step].units.try_emplace(number);
+  auto& state = open_step(in, step);
+  const auto [place, inserted] = state.units.try_emplace(number);
   auto& created = place->second;
   if (inserted) {
     const auto& shape = shapes_[step];
@@ -113,7 +149,7 @@
     created.first_index = shape.gang ? 0 : number;
     created.members.resize(shape.members);
     created.inherited = in.inherited;
-    created.waiting_since = in.steps[step].ready_since.value_or(in.opened_at);
+    created.waiting_since = state.ready_since.value_or(in.opened_at);
   }
   return created;
 }
@@ -124,7 +160,11 @@
     return;
   }
   auto& occurrence = open(done.occurrence, inherited, now);
-  occurrence.units_left -= occurrence.steps[done.step].mark_done(done.units);
+  if (occurrence.left[done.step] > 0) {
+    static_cast<void>(open_step(occurrence, done.step));
+    occurrence.mark_done(done.step, done.units);
+    occurrence.close_if_done(done.step);
+  }
   finish_if_done(occurrence);
 }
 
@@ -140,7 +180,7 @@
 void job_units::complete(unit& done) {
   auto& occurrence = open_.at(done.occurrence);
   done.phase = unit_phase::done;
-  occurrence.units_left -= occurrence.steps[done.step].mark_done({.first = done.number, .last = done.number});
+  occurrence.mark_done(done.step, {.first = done.number, .last = done.number});
   if (occurrence.units_left == 0) {
     mark_occurrences_done({.first = done.occurrence, .last = done.occurrence});
   }
@@ -148,13 +188,21 @@
 
 void job_units::release(const unit& done) {
   auto& occurrence = open_.at(done.occurrence);
-  occurrence.steps[done.step].units.erase(done.number);
+  const auto step = done.step;
+  occurrence.steps.at(step).units.erase(done.number);
+  occurrence.close_if_done(step);
   finish_if_done(occurrence);
 }
 
+void job_units::clear() {
+  open_.clear();
+  shapes_ = {};
+  done_occurrences_ = {};
+}
+
 void job_units::finish_if_done(occurrence_state& occurrence) {
   const bool has_units = std::any_of(occurrence.steps.begin(), occurrence.steps.end(),
-                                     [](const step_state& step) { return !step.units.empty(); });
+                                     [](const auto& step) { return !step.second.units.empty(); });
   if (occurrence.units_left == 0 && !has_units) {
     mark_occurrences_done({.first = occurrence.number, .last = occurrence.number});
     open_.erase(occurrence.number);
@@ -186,11 +234,19 @@
     if (is_done(number)) {
       continue;
     }
-    for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-      for (const auto& range : ranges_of(occurrence.steps[step].done)) {
+    for (std::uint32_t step = 0; step < occurrence.left.size(); ++step) {
+      const auto* state = occurrence.find(step);
+      if (state == nullptr) {
+        if (occurrence.left[step] == 0 && shapes_[step].units > 0) {
+          progress.done.push_back(
+              {.occurrence = number, .step = step, .units = {.first = 0, .last = shapes_[step].units - 1}});
+        }
+        continue;
+      }
+      for (const auto& range : ranges_of(state->done)) {
         progress.done.push_back({.occurrence = number, .step = step, .units = range});
       }
-      for (const auto& [unit_number, each] : occurrence.steps[step].units) {
+      for (const auto& [unit_number, each] : state->units) {
         if (each.phase != unit_phase::done && (!each.failed_runs.empty() || !each.checkpoint.empty())) {
           progress.units.push_back({.occurrence = number,
                                     .step = step,
--- a/src/coordination/job_scheduler/job_units.hpp
+++ b/src/coordination/job_scheduler/job_units.hpp
@@ -87,7 +87,6 @@
 /// names it, until it is done and has left its workers.
 struct step_state {
   std::uint32_t unit_count{0};
-  std::uint32_t units_left{0};  ///< Not done yet.
   /// No unit before this number is waiting. Moves back when a unit is returned to waiting.
   std::uint32_t first_waiting{0};
   std::optional<instant> ready_since;  ///< When the steps that it depends on were first seen to be done.
@@ -101,13 +100,27 @@
   [[nodiscard]] std::uint32_t next_open(std::uint32_t number) const;
 };
 
-/// One occurrence of a job's steps, from its due time until all its units are done.
+/// One occurrence of a job's steps, from its due time until all its units are done. It keeps the state of the
+/// steps that were considered or have units; of all others only how many units are left.
 struct occurrence_state {
   std::uint32_t number{0};
   bool inherited{false};  ///< A previous owner may have started its units.
   instant opened_at{};
-  std::vector<step_state> steps;
+  std::vector<std::uint32_t> left;  ///< By step, the units that are not done.
+  std::map<std::uint32_t, step_state> steps;
+  /// No step before this one has a waiting unit. Moves back when a unit is returned to waiting.
+  std::uint32_t first_unplaced{0};
   std::uint64_t units_left{0};
+
+  /// Null for a step without state.
+  [[nodiscard]] const step_state* find(std::uint32_t step) const;
+  [[nodiscard]] step_state* find(std::uint32_t step);
+  /// Whether a unit of the step is waiting, or has not been considered yet.
+  [[nodiscard]] bool has_waiting(std::uint32_t step) const;
+  /// Marks units as done.
+  void mark_done(std::uint32_t step, const number_range& range);
+  /// Deletes the state of a step that is done and whose units have left their workers.
+  void close_if_done(std::uint32_t step);
 };
 
 /// The tasks of one job. References to units stay valid until `release`.
@@ -117,8 +130,8 @@
 
   /// Opens an occurrence. The reference is valid until the occurrence is done.
   occurrence_state& open(std::uint32_t occurrence, bool inherited, instant now);
-  /// Opens the next occurrences that are due, at most `max_open_occurrences` at a time, so that a job with a
-  /// short interval, or one that was not served for long, costs no more memory than others.
+  /// Opens the next occurrences that are due, within `max_open_occurrences` and `max_open_steps`, so that a
+  /// job with a short interval, or one that was not served for long, costs no more memory than others.
   void open_due(std::uint64_t due_count, bool inherited, instant now);
   [[nodiscard]] occurrence_state* find_occurrence(std::uint32_t occurrence);
   [[nodiscard]] const occurrence_state* find_occurrence(std::uint32_t occurrence) const;
@@ -128,13 +141,22 @@
   unit* find_or_create(std::uint32_t occurrence, std::uint32_t step, std::uint32_t number, bool inherited,
                        instant now);
   unit& create(occurrence_state& in, std::uint32_t step, std::uint32_t number);
+  /// Returns the state of a step and creates it if needed.
+  step_state& open_step(occurrence_state& in, std::uint32_t step);
+  /// The units of a step, and the members of each.
+  struct step_shape {
+    std::uint32_t units{0};
+    std::uint32_t members{0};
+    bool gang{false};
+  };
+  [[nodiscard]] const step_shape& shape(std::uint32_t step) const { return shapes_[step]; }
   void mark_done(const done_units& done, bool inherited, instant now);
   void mark_occurrences_done(const number_range& occurrences);
   void complete(unit& done);
   /// Deletes a unit that is done, and its occurrence if nothing is left of it.
   void release(const unit& done);
-  /// Deletes everything. Nothing may refer to a unit of the job.
-  void clear() { open_.clear(); }
+  /// Deletes everything of a job that has ended. Nothing may refer to one of its units.
+  void clear();
 
   [[nodiscard]] std::map<std::uint32_t, occurrence_state>& open_occurrences() noexcept { return open_; }
   [[nodiscard]] bool all_done() const noexcept { return occurrences_left_ == 0; }
@@ -144,6 +166,8 @@
   void describe(job_progress& progress) const;
 
   static constexpr std::size_t max_open_occurrences = 256;
+  /// Steps of all open occurrences together, as far as more than one is open.
+  static constexpr std::size_t max_open_steps = 65'536;
 
  private:
   void finish_if_done(occurrence_state& occurrence);
@@ -151,11 +175,6 @@
     return boost::icl::contains(done_occurrences_, occurrence);
   }
 
-  struct step_shape {
-    std::uint32_t units{0};
-    std::uint32_t members{0};  ///< Of each unit.
-    bool gang{false};
-  };
   std::vector<step_shape> shapes_;
   std::uint64_t units_per_occurrence_{0};
   std::uint32_t occurrence_count_{1};
