Bound the tasks on workers that an owner keeps, for each team

What callers saw: one job of one step, 60 bytes, whose 4,294,967,295 tasks need no resources ended the owner and each next one, and no port answered meanwhile.

Cause: tasks without resources fit into any worker in any number, and a placement pass started all of them.

Change: the owner keeps at most max_tasks tasks on workers (65,536). A team may have as many as are left for all others: alone it gets half, and however many teams take all they can, some are left for the next. Units that wait for this say so (team_has_most_tasks).

--- a/include/rhubarbpath/coordination/job_scheduler.hpp
+++ b/include/rhubarbpath/coordination/job_scheduler.hpp
@@ -168,6 +168,9 @@
     duration suspect_duration{std::chrono::milliseconds{3000}};
     /// Whether placement weighs how fast workers are. Without it all of them count as even.
     bool weigh_worker_speed{true};
+    /// Tasks on workers, reserved ones included, that the owner keeps the state of. A team may have as many
+    /// as are left for all others, so one team takes half of them at most, and some are always left.
+    std::size_t max_tasks{65'536};
     /// How long ended jobs can be queried before they are deleted.
     duration ended_job_retention{std::chrono::seconds{150}};
   };
--- a/src/coordination/job_scheduler/job_scheduler.cpp
+++ b/src/coordination/job_scheduler/job_scheduler.cpp
@@ -229,7 +229,7 @@
     return;
   }
   if (done.phase == unit_phase::reserved) {
-    release_reservation(done, occupied(step_of(job, done)));
+    release_reservation(job, done);
   }
   job.units.complete(done);
   done.checkpoint.clear();
@@ -265,7 +265,7 @@
 
 void job_scheduler::implementation::end_unit(job_state& job, unit& ending, instant now) {
   if (ending.phase == unit_phase::reserved) {
-    release_reservation(ending, occupied(step_of(job, ending)));
+    release_reservation(job, ending);
     ending.phase = unit_phase::waiting;
     mark_waiting(job, ending);
     return;
@@ -331,6 +331,7 @@
   worker.used -= occupied(step_of(job, parent));
   std::erase(worker.tasks, detail::assigned_task{.job = &job, .parent = &parent, .index = index});
   --job.assigned_members;
+  count_tasks(job, -1);
   placement_due = true;
   ended = member{};
 }
@@ -340,6 +341,7 @@
   worker.used += occupied(step_of(job, parent));
   worker.tasks.push_back({.job = &job, .parent = &parent, .index = index});
   ++job.assigned_members;
+  count_tasks(job, 1);
   track(job, parent);
 }
 
--- a/src/coordination/job_scheduler/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler/job_scheduler_impl.hpp
@@ -280,6 +280,9 @@
   instant next_expiry{};
   instant next_stand_check{};
   std::size_t reserved_units{0};
+  /// Members in every phase but `none`.
+  std::size_t task_count{0};
+  absl::flat_hash_map<team_id, std::size_t> task_count_by_team;
   ticket_book tickets{{}};
   worker_health health{{.failures_to_set_aside = 3,
                         .workers_to_fail_job = 3,
@@ -540,7 +543,10 @@
   void reserve(detail::job_state& job, detail::unit& unit, const placement& where, instant now);
   void start_unit(detail::job_state& job, detail::unit& unit, const placement& where, instant now);
   void start_reserved(instant now);
-  void release_reservation(detail::unit& unit, const resource_amounts& each);
+  void release_reservation(const detail::job_state& job, detail::unit& unit);
+  /// Whether the job's team may have that many tasks more on workers.
+  [[nodiscard]] bool may_add_tasks(const detail::job_state& job, std::size_t count) const;
+  void count_tasks(const detail::job_state& job, std::ptrdiff_t change);
 
   // job_scheduler_held_space.cpp
   /// Brings the indexes up to date with all workers at the begin of a pass.
--- a/src/coordination/job_scheduler/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_placement.cpp
@@ -173,6 +173,10 @@
       all_placed = false;
       continue;
     }
+    if (!may_add_tasks(job, each.members.size())) {
+      each.wait = detail::team_has_most_tasks{};
+      return;
+    }
     if (const auto wait = place(job, each, now)) {
       each.wait = *wait;
       if (!std::exchange(asked, true)) {
@@ -532,6 +536,18 @@
          !fits_an_empty_rack(job, placed);
 }
 
+bool job_scheduler::implementation::may_add_tasks(const job_state& job, std::size_t count) const {
+  const auto found = task_count_by_team.find(job.job.team);
+  const auto own = found == task_count_by_team.end() ? 0 : found->second;
+  const auto left = opts.max_tasks - std::min(opts.max_tasks, task_count);
+  return own == 0 ? count <= left : own + count <= left - std::min(left, count);
+}
+
+void job_scheduler::implementation::count_tasks(const job_state& job, std::ptrdiff_t change) {
+  task_count += static_cast<std::size_t>(change);
+  task_count_by_team[job.job.team] += static_cast<std::size_t>(change);
+}
+
 void job_scheduler::implementation::start_or_reserve(job_state& job, unit& placed, const placement& where,
                                                      instant now) {
   bool all_reported = true;
@@ -561,11 +577,13 @@
     worker.reserved += need;
     worker.reserved_tasks.push_back({.job = &job, .parent = &placed, .index = index});
   }
+  count_tasks(job, static_cast<std::ptrdiff_t>(placed.members.size()));
   track(job, placed);
   invalidate_caches(where);
 }
 
-void job_scheduler::implementation::release_reservation(unit& placed, const resource_amounts& each) {
+void job_scheduler::implementation::release_reservation(const job_state& job, unit& placed) {
+  const auto each = occupied(step_of(job, placed));
   for (auto& one : placed.members) {
     if (one.phase != member_phase::reserved) {
       continue;
@@ -573,6 +591,7 @@
     one.worker->reserved -= each;
     std::erase_if(one.worker->reserved_tasks, [&](const auto& task) { return task.parent == &placed; });
     one = member{};
+    count_tasks(job, -1);
   }
   --reserved_units;
   placement_due = true;
@@ -603,7 +622,7 @@
       free = free && (one.worker->entry.capacity - one.worker->used).covers(needed[one.worker]);
     }
     if (lost || free) {
-      release_reservation(*each, need);
+      release_reservation(*job, *each);
       each->phase = unit_phase::waiting;
       each->reservation_failed = lost;
       mark_waiting(*job, *each);
--- a/src/coordination/job_scheduler/unit_wait.cpp
+++ b/src/coordination/job_scheduler/unit_wait.cpp
@@ -23,6 +23,9 @@
   std::string operator()(const only_evacuated_workers& /*wait*/) const {
     return "all workers for it are in evacuated failure domains";
   }
+  std::string operator()(const team_has_most_tasks& /*wait*/) const {
+    return "its team has as many tasks on workers as it may have";
+  }
   std::string operator()(const no_free_space& /*wait*/) const { return "no allowed worker has space"; }
   std::string operator()(const stops_unfinished& wait) const {
     return absl::StrCat("preempted runs on ", wait.worker.value(), " have not ended");
--- a/src/coordination/job_scheduler/unit_wait.hpp
+++ b/src/coordination/job_scheduler/unit_wait.hpp
@@ -29,6 +29,8 @@
 struct only_evacuated_workers {};
 /// No allowed worker has free space that is not held back.
 struct no_free_space {};
+/// The owner keeps as many tasks of the team on workers as the team may have.
+struct team_has_most_tasks {};
 /// Space is reserved on this worker, where preempted runs have not ended yet.
 struct stops_unfinished {
   worker_id worker;
@@ -46,9 +48,10 @@
   worker_id worker;
 };
 
-using unit_wait = std::variant<not_considered, starts_are_held, unknown_queue, recovery_unfinished,
-                               run_of_previous_owner, rack_is_full, only_evacuated_workers, no_free_space,
-                               stops_unfinished, report_awaited, start_unconfirmed, earlier_run_unfinished>;
+using unit_wait =
+    std::variant<not_considered, starts_are_held, unknown_queue, recovery_unfinished, run_of_previous_owner,
+                 rack_is_full, only_evacuated_workers, no_free_space, team_has_most_tasks, stops_unfinished,
+                 report_awaited, start_unconfirmed, earlier_run_unfinished>;
 
 /// The reason for the log.
 [[nodiscard]] std::string describe(const unit_wait& wait);
