Bound what a placement pass considers

What callers saw: one job of 27,000 gangs took 3.5 GB and the process hung; three jobs whose 21,000 steps each differ left no caller an answer in five tries.

Cause: a pass made a unit, with all members of a gang, for each step whose turn had come, and searched space for each. Searches in vain were compared with all earlier ones, so that a pass grew with the square of the steps.

Change: a pass considers 1,024 steps and 8,192 tasks of a job, from the first step with a waiting unit on; that one can always run once those before it are done, so none is left behind. Searches in vain are bounded for each team, and a pass with over 512 of them is followed by a pause in proportion.

owner_keeps_its_bounds_under_many_gangs and ..._under_steps_that_all_differ failed and pass; owner_in_calm_runs_every_step_of_a_large_job still passes.

--- a/src/coordination/job_scheduler/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler/job_scheduler_impl.hpp
@@ -504,6 +504,11 @@
   [[nodiscard]] static bool step_ready(const detail::job_state& job,
                                        const detail::occurrence_state& occurrence, std::uint32_t step);
   [[nodiscard]] std::vector<waiting_step> waiting_steps(instant now);
+  /// Adds the job's steps whose turn has come, within the bounds for one job.
+  void add_waiting_steps(detail::job_state& job, std::vector<waiting_step>& waiting, instant now);
+  /// Whether the team's units that did not fit have taken as much of the pass as they may.
+  [[nodiscard]] bool pass_used_up(const team_id& team) const;
+  void note_search(const detail::job_state& job, std::size_t cost);
   [[nodiscard]] int rank_of(const detail::job_state& job, const step_spec& step, instant now) const;
   void run_placement_pass(instant now);
   void place_step(const waiting_step& waiting, instant now);
@@ -661,6 +666,9 @@
   /// Results of `fits_an_empty_rack`, until the next list of workers.
   absl::flat_hash_map<rack_need, bool> empty_rack_fits;
 
+  /// Searches for space in vain during this pass, weighed by their cost.
+  std::size_t searches{0};
+  absl::flat_hash_map<team_id, std::size_t> searches_by_team;
   instant pass_time{};  ///< When the last placement pass began. Tickets must be valid at this time.
   std::vector<unplaceable_request> unplaceable;
   /// Space that is held back for waiting gangs during one placement pass.
--- a/src/coordination/job_scheduler/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_placement.cpp
@@ -20,6 +20,18 @@
 /// Interval of placement passes without an event. Bounds how late a unit is placed that becomes ready with
 /// time.
 constexpr duration recheck_interval{std::chrono::milliseconds{50}};
+/// One pass considers this many steps of a job and this many tasks in them, from the first step with a
+/// waiting unit on, and looks at this many steps to find them. The first such step can always run once the
+/// steps before it are done, so none is left behind.
+constexpr std::size_t max_steps_considered = 1024;
+constexpr std::size_t max_tasks_considered = 8192;
+constexpr std::size_t max_steps_scanned = 4096;
+/// Bound on the searches in vain for one team during a pass.
+constexpr std::size_t max_searches = 4096;
+/// Searches of a pass without a pause after it, and the pause for each further one, so that the owner serves
+/// others in between.
+constexpr std::size_t free_searches = 512;
+constexpr duration pause_per_search{std::chrono::microseconds{50}};
 /// A job with nothing running waits for better space up to this long while half of the fleet is free. The
 /// users accept 3 s; the rest is for the start.
 constexpr duration max_stand_with_room{std::chrono::milliseconds{2000}};
@@ -91,6 +103,47 @@
   return (ends <= job.objective + time_allowed * 2 ? late : too_late_to_help) + priority;
 }
 
+void job_scheduler::implementation::add_waiting_steps(job_state& job, std::vector<waiting_step>& waiting,
+                                                      instant now) {
+  std::size_t considered = 0;
+  std::size_t tasks = 0;
+  for (auto& [number, occurrence] : job.units.open_occurrences()) {
+    const auto step_count = static_cast<std::uint32_t>(occurrence.left.size());
+    auto& first = occurrence.first_unplaced;
+    while (first < step_count && !occurrence.has_waiting(first)) {
+      ++first;
+    }
+    const auto end = static_cast<std::uint32_t>(std::min<std::size_t>(step_count, first + max_steps_scanned));
+    for (auto step = first; step < end; ++step) {
+      if (considered >= max_steps_considered || tasks >= max_tasks_considered) {
+        return;
+      }
+      if (!occurrence.has_waiting(step) || !step_ready(job, occurrence, step)) {
+        continue;
+      }
+      auto& state = job.units.open_step(occurrence, step);
+      state.ready_since = state.ready_since.value_or(now);
+      ++considered;
+      tasks += job.units.shape(step).members;
+      waiting.push_back({.job = &job,
+                         .occurrence = &occurrence,
+                         .step = step,
+                         .rank = rank_of(job, job.job.graph.steps[step], now),
+                         .objective = job.objective});
+    }
+  }
+}
+
+bool job_scheduler::implementation::pass_used_up(const team_id& team) const {
+  const auto found = searches_by_team.find(team);
+  return found != searches_by_team.end() && found->second >= max_searches;
+}
+
+void job_scheduler::implementation::note_search(const job_state& job, std::size_t cost) {
+  searches += cost;
+  searches_by_team[job.job.team] += cost;
+}
+
 std::vector<job_scheduler::implementation::waiting_step> job_scheduler::implementation::waiting_steps(
     instant now) {
   std::vector<waiting_step> waiting;
@@ -100,19 +153,7 @@
       continue;
     }
     open_due_occurrences(job, now);
-    for (auto& [number, occurrence] : job.units.open_occurrences()) {
-      for (std::uint32_t step = 0; step < occurrence.left.size(); ++step) {
-        if (occurrence.has_waiting(step) && step_ready(job, occurrence, step)) {
-          auto& state = job.units.open_step(occurrence, step);
-          state.ready_since = state.ready_since.value_or(now);
-          waiting.push_back({.job = &job,
-                             .occurrence = &occurrence,
-                             .step = step,
-                             .rank = rank_of(job, job.job.graph.steps[step], now),
-                             .objective = job.objective});
-        }
-      }
-    }
+    add_waiting_steps(job, waiting, now);
   }
   std::stable_sort(waiting.begin(), waiting.end(), [](const waiting_step& left, const waiting_step& right) {
     return std::tie(left.rank, left.objective) < std::tie(right.rank, right.objective);
@@ -132,6 +173,8 @@
   held_back.clear();
   held_back_total = {};
   unplaceable.clear();
+  searches = 0;
+  searches_by_team.clear();
   previous_plans = std::exchange(plans, {});
   refresh_spaces(now);
   space_cache.clear();
@@ -141,7 +184,13 @@
     if (each.rank > 0 && !std::exchange(urgent_placed, true)) {
       hold_back_for_urgent(now);
     }
-    place_step(each, now);
+    if (!pass_used_up(each.job->job.team)) {
+      place_step(each, now);
+    }
+  }
+  if (searches > free_searches) {
+    next_placement += pause_per_search * (searches - free_searches);
+    next_recheck = std::max(next_recheck, next_placement);
   }
 }
 
@@ -336,6 +385,9 @@
   for (const auto at : slots) {
     where.push_back(&space->at(at));
   }
+  if (where.empty()) {
+    note_search(job, 1);
+  }
   // With an adviser, a limit for each worker or earlier failures, a request fails for reasons of its own.
   if (where.empty() && !job.queue->adviser && step.max_per_worker == 0 && placed.failed_runs.empty()) {
     unplaceable.push_back(std::move(request));
--- a/src/coordination/job_scheduler/job_scheduler_preemption.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_preemption.cpp
@@ -222,6 +222,9 @@
   return spec.max_unavailable - std::min(spec.max_unavailable, unavailable);
 }
 
+/// A search that also looks at what runs, in units of one for free space.
+constexpr std::size_t preemption_cost = 8;
+
 /// Greedily finds a worker for every member with little lost work. Returns nothing if not all fit.
 std::optional<job_scheduler::implementation::preemption> job_scheduler::implementation::plan_preemption(
     const std::vector<const preemptible_space*>& spaces, const job_state& job, const unit& placed) {
@@ -309,6 +312,7 @@
     consider();
   }
   if (!best) {
+    note_search(job, preemption_cost);
     return false;
   }
   // The victims may have members on workers outside the plan.
