Plan and start the tasks of one team beside those of others

What callers saw: an urgent job of 4,294,967,295 tasks without resources ended the owner (1,821 MB) as soon as other work waited. With tasks bounded, the urgent job of another team still did not start: each pass filled the worker's queue of starts again for the first team.

Cause: space was planned for as many tasks as a step has, also for tasks that need no space. Starts to a worker are sent in order, two at a time, and nothing bounded how many wait there.

Change: space is kept for 64 urgent arrivals at most, none of them with more tasks than a gang may have. A worker that has 64 starts of a team to confirm gets no more of that team; those of other teams are counted apart.

--- a/src/coordination/job_scheduler/job_scheduler.cpp
+++ b/src/coordination/job_scheduler/job_scheduler.cpp
@@ -335,6 +335,7 @@
   placement_due = true;
   ended = member{};
 }
+  set_phase(job, ended, member_phase::none);
 
 void job_scheduler::implementation::assign_member(job_state& job, unit& parent, std::size_t index) {
   auto& worker = *parent.members[index].worker;
--- a/src/coordination/job_scheduler/job_scheduler_held_space.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_held_space.cpp
@@ -18,6 +18,8 @@
 /// them at most.
 constexpr duration urgent_window{std::chrono::milliseconds{1000}};
 constexpr double max_urgent_share = 0.15;
+/// The arrivals for which space is kept at most. A plan is made for each of them.
+constexpr std::size_t max_urgent_arrivals = 64;
 /// Maximum share of all resources that is held back for waiting gangs.
 constexpr double max_held_back_share = 0.25;
 
@@ -104,7 +106,11 @@
   }
   drop_old_arrivals(now);
   for (const auto& step : job.job.graph.steps) {
-    if (step.after.empty()) {
+    if (urgent_arrivals.size() >= max_urgent_arrivals) {
+      return;
+    }
+    // More tasks than a gang may have do not arrive at once, and those that take nothing need no space.
+    if (step.after.empty() && step.count <= max_gang_members && occupied(step) != resource_amounts{}) {
       urgent_arrivals.push_back(
           {.service = job.queue->service,
            .in_rack = prefers_rack(step),
--- a/src/coordination/job_scheduler/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler/job_scheduler_impl.hpp
@@ -115,6 +115,8 @@
   resource_amounts reserved;
   std::vector<assigned_task> tasks;
   std::vector<assigned_task> reserved_tasks;  ///< For which `reserved` is.
+  /// How many of them the worker has not confirmed, by team.
+  absl::flat_hash_map<team_id, std::size_t> starting;
   /// Position in the index of its service; empty until the worker is listed.
   std::optional<worker_slot> slot;
   bool stored{false};  ///< Its id is in the stored set of workers, so it may get orders.
@@ -168,6 +170,21 @@
 }
 
 /// Whole milliseconds, for the log.
+/// Changes the phase of a member of the job that is on a worker.
+inline void set_phase(const job_state& job, member& one, member_phase phase) {
+  const bool was_starting = one.phase == member_phase::starting;
+  one.phase = phase;
+  if (was_starting == (phase == member_phase::starting)) {
+    return;
+  }
+  auto& starting = one.worker->starting;
+  if (!was_starting) {
+    ++starting[job.job.team];
+  } else if (--starting[job.job.team] == 0) {
+    starting.erase(job.job.team);
+  }
+}
+
 inline std::string millis_text(duration value) {
   return absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
 }
@@ -521,6 +538,8 @@
   [[nodiscard]] std::uint32_t allowance_on(const detail::worker_state& worker, const detail::job_state& job,
                                            const detail::unit& unit) const;
   [[nodiscard]] std::string ticket_for(const detail::worker_state& worker, const detail::job_state& job,
+  /// Whether the worker has as many starts of the job's team to confirm as it may have.
+  [[nodiscard]] static bool starts_enough(const detail::worker_state& worker, const detail::job_state& job);
                                        const detail::unit& unit) const;
   /// Asks the adviser about more workers when a unit does not fit on those with a valid ticket.
   void ask_adviser(const detail::job_state& job, const detail::unit& unit, instant now);
--- a/src/coordination/job_scheduler/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_placement.cpp
@@ -32,6 +32,9 @@
 /// others in between.
 constexpr std::size_t free_searches = 512;
 constexpr duration pause_per_search{std::chrono::microseconds{50}};
+/// A worker with as many starts of a team that it has not confirmed gets no further ones of that team. They
+/// are sent in order, so the tasks of others would wait behind them.
+constexpr std::size_t max_starting = 64;
 /// A job with nothing running waits for better space up to this long while half of the fleet is free. The
 /// users accept 3 s; the rest is for the start.
 constexpr duration max_stand_with_room{std::chrono::milliseconds{2000}};
@@ -268,6 +271,11 @@
 
 }  // namespace
 
+bool job_scheduler::implementation::starts_enough(const worker_state& worker, const job_state& job) {
+  const auto found = worker.starting.find(job.job.team);
+  return found != worker.starting.end() && found->second >= max_starting;
+}
+
 std::string job_scheduler::implementation::ticket_for(const worker_state& worker, const job_state& job,
                                                       const unit& placed) const {
   return tickets.ticket(step_ref_of(job, placed), candidate_of(worker), pass_time).value_or("");
@@ -278,7 +286,7 @@
   const auto& step = step_of(job, placed);
   // The attempts of a unit are limited, so one that failed before is used for a trial only if it stands.
   const bool no_trial = worker.set_aside && !placed.failed_runs.empty() && !may_risk_trial(job, placed);
-  if (!detail::has_required_label(worker, step) || no_trial ||
+  if (starts_enough(worker, job) || !detail::has_required_label(worker, step) || no_trial ||
       (job.queue->adviser && ticket_for(worker, job, placed).empty())) {
     return 0;
   }
@@ -377,7 +385,11 @@
   if (known_unplaceable(request)) {
     return {};
   }
-  const auto allowed = [&](worker_slot at) { return allowance_on(space->at(at), job, placed); };
+  bool starts_limited = false;
+  const auto allowed = [&](worker_slot at) {
+    starts_limited = starts_limited || starts_enough(space->at(at), job);
+    return allowance_on(space->at(at), job, placed);
+  };
   const auto slots = rack ? space->index.fit_in_rack(request.wanted, step.data_rack, allowed)
                           : space->index.fit(request.wanted, allowed);
   placement where;
@@ -388,8 +400,10 @@
   if (where.empty()) {
     note_search(job, 1);
   }
-  // With an adviser, a limit for each worker or earlier failures, a request fails for reasons of its own.
-  if (where.empty() && !job.queue->adviser && step.max_per_worker == 0 && placed.failed_runs.empty()) {
+  // With an adviser, a limit for each worker or earlier failures, a request fails for reasons of its own, and
+  // with many starts for those of its team.
+  if (where.empty() && !starts_limited && !job.queue->adviser && step.max_per_worker == 0 &&
+      placed.failed_runs.empty()) {
     unplaceable.push_back(std::move(request));
   }
   return where;
@@ -431,7 +445,8 @@
     auto& worker = *where[index];
     used_of_service += occupied(step_of(job, starting));
     starting.members[index] =
-        member{.phase = member_phase::starting, .worker = &worker, .run = starting.run, .checkpoint = {}};
+        member{.phase = member_phase::reserved, .worker = &worker, .run = starting.run, .checkpoint = {}};
+    set_phase(job, starting.members[index], member_phase::starting);
     assign_member(job, starting, index);
     order_start(job, starting, index, now);
     absl::StrAppend(&worker_names, index == 0 ? "" : ",", worker.entry.id.value());
--- a/src/coordination/job_scheduler/job_scheduler_reports.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_reports.cpp
@@ -267,7 +267,7 @@
   if (tracked.phase != member_phase::none && tracked.phase != member_phase::reserved &&
       tracked.worker == &worker && tracked.run == run.run) {
     if (tracked.phase == member_phase::starting) {
-      tracked.phase = member_phase::running;
+      set_phase(job, tracked, member_phase::running);
       tracked.answer_pending = false;
       job.has_started_task = true;
     }
--- a/src/coordination/job_scheduler/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_workers.cpp
@@ -432,7 +432,7 @@
 void job_scheduler::implementation::order_stop(job_state& job, unit& parent, std::size_t index) {
   auto& stopping = parent.members[index];
   if (stopping.phase != member_phase::stopping) {
-    stopping.phase = member_phase::stopping;
+    set_phase(job, stopping, member_phase::stopping);
     stopping.attempts = 0;
   }
   stopping.confirmed_at = instant{};
@@ -504,7 +504,7 @@
     self.start_rejected(job, *parent, index, refused == nullptr ? start_refused{} : *refused, now);
     return;
   }
-  started.phase = member_phase::running;
+  set_phase(job, started, member_phase::running);
   started.confirmed_at = now;
   started.worker->answered_at = order.address;
   job.has_started_task = true;
