Share a job's payload and encode orders when they are sent

What callers saw: one job of 900 KB payload and 8,000 tasks took 4.3 GB of the owner, and no port answered.

Cause: each start order kept the payload three times, and its encoded form, while it waited for its turn on the worker.

owner_keeps_its_bounds_under_large_payloads_of_many_tasks failed and passes.

--- a/include/rhubarbpath/coordination/job_scheduler.hpp
+++ b/include/rhubarbpath/coordination/job_scheduler.hpp
@@ -66,7 +66,7 @@
   std::string address;
   task_ref task;
   run_number run;
-  std::string payload;
+  std::shared_ptr<const std::string> payload;
   std::string checkpoint;
   std::string ticket;                        ///< From the adviser, for queues that need one.
   std::chrono::milliseconds lease_until{0};  ///< On the worker's clock.
--- a/src/coordination/job_scheduler/job_scheduler.cpp
+++ b/src/coordination/job_scheduler/job_scheduler.cpp
@@ -29,6 +29,7 @@
     : job{accepted},
       units{accepted.graph},
       time_after{times_after(accepted.graph)},
+      payload{std::make_shared<const std::string>(std::move(job.graph.payload))},
       lasts{std::any_of(accepted.graph.steps.begin(), accepted.graph.steps.end(),
                         [](const step_spec& step) { return step.long_running; })} {}
 
@@ -44,6 +45,7 @@
   units.clear();
   job.graph = {};
   time_after = {};
+  payload.reset();
 }
 
 }  // namespace detail
@@ -333,9 +335,9 @@
   --job.assigned_members;
   count_tasks(job, -1);
   placement_due = true;
+  set_phase(job, ended, member_phase::none);
   ended = member{};
 }
-  set_phase(job, ended, member_phase::none);
 
 void job_scheduler::implementation::assign_member(job_state& job, unit& parent, std::size_t index) {
   auto& worker = *parent.members[index].worker;
--- a/src/coordination/job_scheduler/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler/job_scheduler_impl.hpp
@@ -67,8 +67,9 @@
   accepted_job job;
   const queue_config* queue{nullptr};
   job_units units;
-  std::vector<duration> time_after;  ///< By step, as `times_after` has it.
-  bool lasts{false};                 ///< Has tasks that last until the job is cancelled.
+  std::vector<duration> time_after;            ///< By step, as `times_after` has it.
+  std::shared_ptr<const std::string> payload;  ///< Shared by all its start orders.
+  bool lasts{false};                           ///< Has tasks that last until the job is cancelled.
   job_phase phase{job_phase::queued};
   job_phase stored_phase{job_phase::queued};
   bool has_started_task{false};
@@ -114,9 +115,9 @@
   resource_amounts used;
   resource_amounts reserved;
   std::vector<assigned_task> tasks;
-  std::vector<assigned_task> reserved_tasks;  ///< For which `reserved` is.
   /// How many of them the worker has not confirmed, by team.
   absl::flat_hash_map<team_id, std::size_t> starting;
+  std::vector<assigned_task> reserved_tasks;  ///< For which `reserved` is.
   /// Position in the index of its service; empty until the worker is listed.
   std::optional<worker_slot> slot;
   bool stored{false};  ///< Its id is in the stored set of workers, so it may get orders.
@@ -169,7 +170,6 @@
   return one.worker != nullptr && one.run == run && one.worker->entry.id == worker;
 }
 
-/// Whole milliseconds, for the log.
 /// Changes the phase of a member of the job that is on a worker.
 inline void set_phase(const job_state& job, member& one, member_phase phase) {
   const bool was_starting = one.phase == member_phase::starting;
@@ -185,6 +185,7 @@
   }
 }
 
+/// Whole milliseconds, for the log.
 inline std::string millis_text(duration value) {
   return absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
 }
@@ -537,9 +538,9 @@
   /// Number of members of the unit's step that the worker may take, apart from its free space.
   [[nodiscard]] std::uint32_t allowance_on(const detail::worker_state& worker, const detail::job_state& job,
                                            const detail::unit& unit) const;
-  [[nodiscard]] std::string ticket_for(const detail::worker_state& worker, const detail::job_state& job,
   /// Whether the worker has as many starts of the job's team to confirm as it may have.
   [[nodiscard]] static bool starts_enough(const detail::worker_state& worker, const detail::job_state& job);
+  [[nodiscard]] std::string ticket_for(const detail::worker_state& worker, const detail::job_state& job,
                                        const detail::unit& unit) const;
   /// Asks the adviser about more workers when a unit does not fit on those with a valid ticket.
   void ask_adviser(const detail::job_state& job, const detail::unit& unit, instant now);
--- a/src/coordination/job_scheduler/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_workers.cpp
@@ -412,7 +412,7 @@
       .address = worker.entry.address,
       .task = task_of(job, parent, index),
       .run = starting.run,
-      .payload = job.job.graph.payload,
+      .payload = job.payload,
       .checkpoint = parent.checkpoint,
       .ticket = job.queue != nullptr && job.queue->adviser ? ticket_for(worker, job, parent) : std::string{},
       .lease_until = lease});
--- a/src/programs/rhubarb-edge/owner_session.cpp
+++ b/src/programs/rhubarb-edge/owner_session.cpp
@@ -421,7 +421,7 @@
       continue;
     }
     ++channel.in_flight;
-    deps_.workers.call(address, request, opts_.order_timeout,
+    deps_.workers.call(address, request(), opts_.order_timeout,
                        [weak = weak_from_this(), worker, address = address,
                         done = std::move(done)](const http_result& result) {
                          const auto self = weak.lock();
@@ -444,21 +444,23 @@
 
 void owner_session::perform(const start_order& order) {
   deps_.counters.add("rhubarb_orders_total", "order=\"start\"");
-  enqueue_order(order.worker, {.address = order.address,
-                               .request = platform::encode_order(order, opts_.term),
-                               .done =
-                                   [this, order](const http_result& result) {
-                                     scheduler_->start_answered(order, platform::decode_start_answer(result),
-                                                                deps_.loop.now());
-                                   },
-                               .wanted = [this, order] { return scheduler_->start_still_needed(order); },
-                               .starts_task = true});
+  const auto shared = std::make_shared<const start_order>(order);
+  enqueue_order(order.worker,
+                {.address = order.address,
+                 .request = [this, shared] { return platform::encode_order(*shared, opts_.term); },
+                 .done =
+                     [this, shared](const http_result& result) {
+                       scheduler_->start_answered(*shared, platform::decode_start_answer(result),
+                                                  deps_.loop.now());
+                     },
+                 .wanted = [this, shared] { return scheduler_->start_still_needed(*shared); },
+                 .starts_task = true});
 }
 
 void owner_session::perform(const stop_order& order) {
   deps_.counters.add("rhubarb_orders_total", "order=\"stop\"");
   enqueue_order(order.worker, {.address = order.address,
-                               .request = platform::encode_order(order, opts_.term),
+                               .request = [this, order] { return platform::encode_order(order, opts_.term); },
                                .done =
                                    [this, order](const http_result& result) {
                                      scheduler_->stop_answered(order, platform::decode_stop_answer(result),
--- a/src/programs/rhubarb-edge/owner_session.hpp
+++ b/src/programs/rhubarb-edge/owner_session.hpp
@@ -68,7 +68,8 @@
  private:
   struct queued_order {
     std::string address;
-    http_request request;
+    /// Called when it is sent, because an encoded order takes a multiple of the memory.
+    std::function<http_request()> request;
     std::function<void(const http_result&)> done;
     std::function<bool()> wanted;  ///< Checked immediately before sending; on false the order is dropped.
     bool starts_task{false};
