Refuse jobs that no row of the store can hold

What callers saw: one body of 333,000 empty steps took 277 MB of the VM that accepted it, and was answered with 504. So were jobs of 83,000 small steps, on every repetition: the store takes 1 MiB for a value, and refused the row.

Cause: a job was decoded, built as a tree and encoded before anything asked for its size, and a refusal of the store that cannot end was taken for one that may.

The row is encoded step by step, and a submission keeps the row in place of the graph.

vm_keeps_its_bounds_under_a_job_of_empty_steps and owner_keeps_its_bounds_under_jobs_of_the_smallest_steps failed and pass.

--- a/include/rhubarbpath/state/job_graph.hpp
+++ b/include/rhubarbpath/state/job_graph.hpp
@@ -74,6 +74,15 @@
 /// Members of a gang, at most. All of them must start at the same time.
 constexpr std::uint32_t max_gang_members = 4096;
 
+/// What a caller may submit. Stored jobs may exceed it, as earlier versions accepted more.
+constexpr std::size_t max_payload_bytes = 4000;
+constexpr std::size_t max_label_bytes = 256;
+/// No more fit into a row of the store, which takes 19 bytes for the smallest step.
+constexpr std::size_t max_steps = 55'000;
+
+/// Returns `kResourceExhausted` if a part of the job is larger than a caller may submit.
+[[nodiscard]] absl::Status check_size(const job_graph& graph);
+
 /// Returns `kInvalidArgument` unless the job can be scheduled: steps depend on earlier steps only, and
 /// counts, resources and times are in range.
 [[nodiscard]] absl::Status check(const job_graph& graph);
--- a/include/rhubarbpath/state/vm_settings.hpp
+++ b/include/rhubarbpath/state/vm_settings.hpp
@@ -35,8 +35,9 @@
   std::optional<duration> evacuation_limit;
   /// Bound on what all servers of the process together keep for their clients.
   std::uint64_t max_client_bytes{128U << 20U};
-  std::size_t max_sockets{0};  ///< 0 for the limit of the process.
-  double remote_factor{3.0};   ///< Slowdown of a task away from its data or from its gang's rack.
+  std::size_t max_row_bytes{std::size_t{1} << 20U};  ///< Largest value of a row of the store.
+  std::size_t max_sockets{0};                        ///< 0 for the limit of the process.
+  double remote_factor{3.0};  ///< Slowdown of a task away from its data or from its gang's rack.
 
   friend bool operator==(const vm_settings&, const vm_settings&) = default;
 };
--- a/src/programs/rhubarb-edge/caller_api.cpp
+++ b/src/programs/rhubarb-edge/caller_api.cpp
@@ -66,7 +66,7 @@
 
 struct caller_api::submission {
   pending_call_ptr call;
-  accepted_job job;
+  std::string row;  ///< Of the job, as it is stored.
 };
 
 void caller_api::answer(const pending_call_ptr& call, int status, std::string body, std::string_view reason,
@@ -203,18 +203,27 @@
 
 void caller_api::submit(const pending_call_ptr& call, const http_request& request) {
   auto graph = platform::decode_job(request.body);
+  if (absl::IsResourceExhausted(graph.status())) {
+    answer(call, http_status::body_too_large, {}, "a part of the job is too large");
+    return;
+  }
   if (!graph.ok()) {
     answer(call, http_status::bad_request, {}, std::string{graph.status().message()});
     return;
   }
+  const accepted_job accepted{.id = call->job,
+                              .queue = call->queue,
+                              .team = call->team,
+                              .accepted_at = wall_clock(),
+                              .graph = *std::move(graph),
+                              .terms = call->terms};
   auto job = std::make_shared<submission>();
   job->call = call;
-  job->job = {.id = call->job,
-              .queue = call->queue,
-              .team = call->team,
-              .accepted_at = wall_clock(),
-              .graph = *std::move(graph),
-              .terms = call->terms};
+  job->row = encode_accepted_job(accepted);
+  if (job->row.size() > deps_.max_row_bytes) {
+    answer(call, http_status::body_too_large, {}, "the job is larger than a row of the store");
+    return;
+  }
   try_submit(job);
 }
 
@@ -229,18 +238,19 @@
     retry_or_fail(job->call, [this, job] { try_submit(job); });
     return;
   }
-  const auto key = keys::job(job->job.id);
+  const auto& id = job->call->job;
+  const auto key = keys::job(id);
   // A cancellation may have overtaken this write, or an attempt of it that the store executes late.
-  kv_commit commit{.expected = {{.key = key, .changed = revision{}},
-                                {.key = keys::cancel(job->job.id), .changed = revision{}}},
-                   .puts = {{.key = key, .value = encode_accepted_job(job->job)}},
-                   .erases = {}};
+  kv_commit commit{
+      .expected = {{.key = key, .changed = revision{}}, {.key = keys::cancel(id), .changed = revision{}}},
+      .puts = {{.key = key, .value = job->row}},
+      .erases = {}};
   deps_.store.call(std::move(commit), [this, job](const kv_result& result) {
     const auto& call = job->call;
     if (std::holds_alternative<kv_committed>(result)) {
       answer(call, http_status::ok, {}, "stored");
     } else if (const auto* conflict = std::get_if<kv_conflict>(&result)) {
-      const auto* stored = find_item(conflict->items, keys::job(job->job.id));
+      const auto* stored = find_item(conflict->items, keys::job(call->job));
       if (stored == nullptr) {
         answer(call, http_status::gone, {}, "cancelled before it was stored");
       } else if (belongs_to_another_team(*stored, call->team)) {
--- a/src/programs/rhubarb-edge/caller_api.hpp
+++ b/src/programs/rhubarb-edge/caller_api.hpp
@@ -30,6 +30,7 @@
     std::function<owner_session*()> own_session;
     /// Returns the owner's peer address, or an empty string when it is unknown.
     std::function<std::string()> owner_address;
+    std::size_t max_row_bytes{0};  ///< Largest value that the store takes.
     /// Returns true once the process is shutting down; responses then close their connections.
     std::function<bool()> stopping;
   };
--- a/src/programs/rhubarb-edge/edge_daemon.cpp
+++ b/src/programs/rhubarb-edge/edge_daemon.cpp
@@ -99,6 +99,7 @@
                 .config = config_,
                 .own_session = [this] { return session_.get(); },
                 .owner_address = [this] { return owner_address_; },
+                .max_row_bytes = settings_.max_row_bytes,
                 .stopping = [this] { return stopping_; }}},
       limits_{std::make_shared<client_limits>(
           loop,
--- a/src/protocol/job_rows.cpp
+++ b/src/protocol/job_rows.cpp
@@ -21,6 +21,22 @@
   return {bytes.begin(), bytes.end()};
 }
 
+/// Appends the head of a CBOR array (RFC 8949, 3.1) of that many elements.
+void append_array_header(std::string& row, std::size_t size) {
+  constexpr unsigned array_type = 0x80;
+  constexpr unsigned four_bytes_follow = 0x1a;
+  constexpr std::size_t largest_in_head = 23;
+  constexpr int bits_per_byte = 8;
+  if (size <= largest_in_head) {
+    row += static_cast<char>(array_type | size);
+    return;
+  }
+  row += static_cast<char>(array_type | four_bytes_follow);
+  for (int shift = 3 * bits_per_byte; shift >= 0; shift -= bits_per_byte) {
+    row += static_cast<char>(size >> static_cast<unsigned>(shift));
+  }
+}
+
 json encode_step(const step_spec& step) {
   return json::array({step.count, step.each.cpu_millicores, step.each.memory_mb, step.each.accelerators,
                       step.estimate.count(), step.after, step.checkpointing, step.gang, step.same_rack,
@@ -101,17 +117,26 @@
 }  // namespace
 
 std::string encode_accepted_job(const accepted_job& job) {
-  json steps = json::array();
+  // The tree of all steps would take many times the bytes of the row.
+  constexpr std::size_t fields = 9;
+  std::string row;
+  append_array_header(row, job.terms ? fields + 1 : fields);
+  for (const json& field : {json(job.id.value()), json(job.queue.value()), json(job.team.value()),
+                            json(job.accepted_at.count()), json(job.graph.payload)}) {
+    row += to_bytes(field);
+  }
+  append_array_header(row, job.graph.steps.size());
   for (const auto& step : job.graph.steps) {
-    steps.push_back(encode_step(step));
+    row += to_bytes(encode_step(step));
+  }
+  for (const json& field :
+       {json(job.graph.occurrences), json(job.graph.first_due.count()), json(job.graph.interval.count())}) {
+    row += to_bytes(field);
   }
-  json row = json::array({job.id.value(), job.queue.value(), job.team.value(), job.accepted_at.count(),
-                          job.graph.payload, std::move(steps), job.graph.occurrences,
-                          job.graph.first_due.count(), job.graph.interval.count()});
   if (job.terms) {
-    row.push_back(encode_terms(*job.terms));
+    row += to_bytes(encode_terms(*job.terms));
   }
-  return to_bytes(row);
+  return row;
 }
 
 absl::StatusOr<accepted_job> decode_accepted_job(std::string_view bytes) {
--- a/src/state/job_graph.cpp
+++ b/src/state/job_graph.cpp
@@ -1,6 +1,7 @@
 #include "rhubarbpath/state/job_graph.hpp"
 
 #include <algorithm>
+#include <string>
 
 #include "absl/strings/str_cat.h"
 
@@ -58,4 +59,20 @@
   return absl::OkStatus();
 }
 
+absl::Status check_size(const job_graph& graph) {
+  const auto error = [](const std::string& what, std::size_t most) {
+    return absl::ResourceExhaustedError(absl::StrCat(what, " must not be longer than ", most));
+  };
+  if (graph.payload.size() > max_payload_bytes) {
+    return error("the payload", max_payload_bytes);
+  }
+  if (graph.steps.size() > max_steps) {
+    return error("the list of steps", max_steps);
+  }
+  const bool long_label = std::any_of(graph.steps.begin(), graph.steps.end(), [](const step_spec& step) {
+    return std::max({step.required_label.size(), step.data_rack.size(), step.image.size()}) > max_label_bytes;
+  });
+  return long_label ? error("a label, rack or image", max_label_bytes) : absl::OkStatus();
+}
+
 }  // namespace rhubarbpath
