Bound accepted work by memory, for each team, before it is acknowledged

What callers saw: 20 jobs of 19,000 steps, all answered with 200, took 399 MB of the owner and of each next one, on VMs of 120 MB; a GET took up to seconds. 60 such jobs, each cancelled at once, took 302 MB.

Cause: a job that is stored is taken up by every owner, and nothing asked what it costs there before it was stored. Only the owner knows the jobs of all VMs.

Change: work_budget counts on the owner what jobs cost, by team. A team may have as much as is left for all others. The owner publishes the teams that are full in a row beside its own, which all VMs watch already; in calm nothing is written or sent. VMs refuse further jobs of such a team with 429 and a Retry-After of 2 to 9 s, spread by the job's id. Since 429 says that the job never runs, they look for its row first and answer a repetition of a stored job with 200. Before a job that costs over 64 KiB is stored, its VM asks the owner, which sets the bytes aside. The default, 30 MiB, is the same on all VMs of 120 MB or more.

New: crowds at three VMs whose owners are killed in turn, a repetition while its team is refused, and a team that cancels and is served again. Worker stand-ins run the tasks of the hostile jobs now instead of rejecting them.

--- a/include/rhubarbpath/coordination/job_scheduler.hpp
+++ b/include/rhubarbpath/coordination/job_scheduler.hpp
@@ -12,6 +12,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
 #include "rhubarbpath/coordination/ticket_book.hpp"
+#include "rhubarbpath/coordination/work_budget.hpp"
 #include "rhubarbpath/state/fleet.hpp"
 
 namespace rhubarbpath {
@@ -168,9 +169,12 @@
     duration suspect_duration{std::chrono::milliseconds{3000}};
     /// Whether placement weighs how fast workers are. Without it all of them count as even.
     bool weigh_worker_speed{true};
-    /// Tasks on workers, reserved ones included, that the owner keeps the state of. A team may have as many
-    /// as are left for all others, so one team takes half of them at most, and some are always left.
+    /// Tasks on workers, reserved ones included, that the owner keeps the state of. A team may have as many as
+    /// are left for all others: the first that takes all it can gets half, the next a quarter.
     std::size_t max_tasks{65'536};
+    /// What jobs that have not expired may make the owner keep, by `cost_of`. Jobs that were stored are taken
+    /// up in any case.
+    std::uint64_t max_work_bytes{30U << 20U};
     /// How long ended jobs can be queried before they are deleted.
     duration ended_job_retention{std::chrono::seconds{150}};
   };
@@ -202,6 +206,12 @@
   void add_job(const accepted_job& job, const std::optional<job_progress>& progress, bool inherited,
                instant now);
   void cancel_job(const job_id& id, instant now);
+  /// Sets aside what a job costs that is about to be stored, as `work_budget::reserve`.
+  [[nodiscard]] bool reserve_work(const job_id& job, const team_id& team, std::uint64_t bytes, instant now);
+  /// Teams whose jobs take as much as they may. Further jobs of theirs should not be accepted.
+  [[nodiscard]] const std::set<team_id>& full_teams() const;
+  /// Bytes that the jobs cost that have not expired.
+  [[nodiscard]] std::uint64_t work_bytes() const;
   /// While held, no task is started and no unanswered start is repeated, because cancellations may be
   /// unknown; renewals and stops go on. Returns whether this changes anything.
   bool hold_starts(bool hold);
--- a/include/rhubarbpath/protocol/job_rows.hpp
+++ b/include/rhubarbpath/protocol/job_rows.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,6 +19,8 @@
 
 [[nodiscard]] std::string encode_worker_ids(const std::vector<worker_id>& workers);
 [[nodiscard]] absl::StatusOr<std::vector<worker_id>> decode_worker_ids(std::string_view bytes);
+[[nodiscard]] std::string encode_team_ids(const std::set<team_id>& teams);
+[[nodiscard]] absl::StatusOr<std::set<team_id>> decode_team_ids(std::string_view bytes);
 [[nodiscard]] std::string encode_leaving_workers(const std::vector<leaving_worker>& workers);
 [[nodiscard]] absl::StatusOr<std::vector<leaving_worker>> decode_leaving_workers(std::string_view bytes);
 
--- a/include/rhubarbpath/state/vm_settings.hpp
+++ b/include/rhubarbpath/state/vm_settings.hpp
@@ -33,6 +33,11 @@
   /// Nothing is started in a failure domain this long after its evacuation was requested. Nothing where no
   /// evacuations are requested.
   std::optional<duration> evacuation_limit;
+  /// Bound on what accepted jobs make the owner keep. The same on all VMs with 120 MB or more, as each may be
+  /// the next owner.
+  std::uint64_t max_work_bytes{30U << 20U};
+  /// Tasks on workers that the owner keeps the state of.
+  std::size_t max_tasks{65'536};
   /// Bound on what all servers of the process together keep for their clients.
   std::uint64_t max_client_bytes{128U << 20U};
   std::size_t max_row_bytes{std::size_t{1} << 20U};  ///< Largest value of a row of the store.
--- a/src/coordination/job_scheduler/job_scheduler.cpp
+++ b/src/coordination/job_scheduler/job_scheduler.cpp
@@ -27,6 +27,7 @@
 
 job_state::job_state(const accepted_job& accepted)
     : job{accepted},
+      cost{cost_of(accepted.graph)},
       units{accepted.graph},
       time_after{times_after(accepted.graph)},
       payload{std::make_shared<const std::string>(std::move(job.graph.payload))},
@@ -197,11 +198,17 @@
         }
       }
     }
-    job.release_graph();
+    release_graph(job);
     return true;
   });
 }
 
+void job_scheduler::implementation::release_graph(job_state& job) {
+  job.release_graph();
+  work.remove(job.job.team, job.counted_bytes - job.cost.ended);
+  job.counted_bytes = job.cost.ended;
+}
+
 void job_scheduler::implementation::mark_dirty(job_state& job) {
   job.dirty = true;
   dirty.insert(job.job.id);
@@ -503,6 +510,8 @@
   }
   auto& state = self.jobs.try_emplace(job.id, job).first->second;
   self.attach_queue(state);
+  self.work.add(job.id, job.team, state.cost.open);
+  state.counted_bytes = state.cost.open;
   state.added_at = now;
   state.inherited = inherited;
   if (progress) {
@@ -522,7 +531,7 @@
   const auto kind = detail::kind_of(state);
   if (is_terminal(state.phase)) {
     state.ended_at = now;
-    state.release_graph();
+    self.release_graph(state);
   } else {
     self.open_jobs[job.id] = &state;
     if (!inherited) {
@@ -553,6 +562,19 @@
   }
 }
 
+bool job_scheduler::reserve_work(const job_id& job, const team_id& team, std::uint64_t bytes, instant now) {
+  auto& self = *implementation_;
+  return self.jobs.contains(job) || self.work.reserve(job, team, bytes, now);
+}
+
+const std::set<team_id>& job_scheduler::full_teams() const {
+  return implementation_->work.full_teams();
+}
+
+std::uint64_t job_scheduler::work_bytes() const {
+  return implementation_->work.bytes();
+}
+
 bool job_scheduler::hold_starts(bool hold) {
   auto& self = *implementation_;
   self.placement_due = self.placement_due || self.starts_held;
@@ -662,10 +684,12 @@
     return expired;
   }
   self.next_expiry = now + expiry_interval;
+  self.work.expire(now);
   for (auto found = self.jobs.begin(); found != self.jobs.end();) {
     auto& job = found->second;
     if (is_terminal(job.stored_phase) && !job.dirty && now - job.ended_at > self.opts.ended_job_retention &&
         job.units.empty()) {
+      self.work.remove(job.job.team, job.counted_bytes);
       expired.push_back(found->first);
       self.open_jobs.erase(found->first);
       self.jobs.erase(found++);
--- a/src/coordination/job_scheduler/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler/job_scheduler_impl.hpp
@@ -65,6 +65,8 @@
   void release_graph();
 
   accepted_job job;
+  work_cost cost;
+  std::uint64_t counted_bytes{0};  ///< What of `cost` the budget of the scheduler counts now.
   const queue_config* queue{nullptr};
   job_units units;
   std::vector<duration> time_after;            ///< By step, as `times_after` has it.
@@ -246,7 +248,7 @@
 
 struct job_scheduler::implementation {
   implementation(options chosen, owner_term own_term, instant now)
-      : opts{chosen}, term{own_term}, started_at{now}, recovery_ends{now} {}
+      : opts{chosen}, term{own_term}, started_at{now}, recovery_ends{now}, work{chosen.max_work_bytes} {}
 
   options opts;
   owner_term term;
@@ -277,6 +279,7 @@
   std::set<worker_id> expected_workers;
   bool recovery{false};
   instant recovery_ends;
+  work_budget work;
   instant recovery_not_before{};
   std::set<job_id> dirty;
   bool storing{false};
@@ -341,6 +344,8 @@
   /// Opens the occurrences that are due.
   void open_due_occurrences(detail::job_state& job, instant now) const;
   void apply_progress(detail::job_state& job, const job_progress& progress, instant now) const;
+  /// Drops what only a job needs that has not ended.
+  void release_graph(detail::job_state& job);
   void mark_dirty(detail::job_state& job);
   void end_job(detail::job_state& job, job_phase phase, instant now);
   void complete_unit(detail::job_state& job, detail::unit& unit, instant now);
--- a/src/programs/rhubarb-edge/caller_api.cpp
+++ b/src/programs/rhubarb-edge/caller_api.cpp
@@ -31,6 +31,8 @@
 /// Time limit for the owner's answer, which comes from memory.
 constexpr duration owner_timeout{std::chrono::milliseconds{250}};
 constexpr int retry_after_seconds = 1;
+/// Jobs that cost the owner less are stored without asking it for room.
+constexpr std::uint64_t max_unreserved_bytes = 64U << 10U;
 constexpr std::int64_t default_timeout_ms = 3000;
 /// A longer timeout counts as this one, so that the deadline cannot overflow.
 constexpr std::int64_t max_timeout_ms = 600'000;
@@ -67,6 +69,7 @@
 struct caller_api::submission {
   pending_call_ptr call;
   std::string row;  ///< Of the job, as it is stored.
+  std::uint64_t work_bytes{0};
 };
 
 void caller_api::answer(const pending_call_ptr& call, int status, std::string body, std::string_view reason,
@@ -202,6 +205,10 @@
 // ---- submit ----
 
 void caller_api::submit(const pending_call_ptr& call, const http_request& request) {
+  if (deps_.full_teams().contains(call->team)) {
+    refuse_unless_stored(call);
+    return;
+  }
   auto graph = platform::decode_job(request.body);
   if (absl::IsResourceExhausted(graph.status())) {
     answer(call, http_status::body_too_large, {}, "a part of the job is too large");
@@ -224,7 +231,71 @@
     answer(call, http_status::body_too_large, {}, "the job is larger than a row of the store");
     return;
   }
-  try_submit(job);
+  job->work_bytes = cost_of(accepted.graph).open;
+  reserve_and_submit(job);
+}
+
+void caller_api::reserve_and_submit(const std::shared_ptr<submission>& job) {
+  const auto& call = job->call;
+  if (job->work_bytes <= max_unreserved_bytes) {
+    try_submit(job);
+    return;
+  }
+  if (auto* session = deps_.own_session(); session != nullptr) {
+    reservation_answered(job, session->reserve_work(call->job, call->team, job->work_bytes));
+    return;
+  }
+  const auto owner = deps_.owner_address();
+  if (owner.empty()) {
+    reservation_answered(job, std::nullopt);
+    return;
+  }
+  const http_request owner_request{.method = "POST",
+                                   .path = fmt::format("{}reserve/{}", owner_path, call->job.value()),
+                                   .query = {},
+                                   .headers = {},
+                                   .body = fmt::format("{} {}", job->work_bytes, call->team.value())};
+  deps_.peers.call(owner, owner_request, owner_timeout, [this, job, owner](const http_result& result) {
+    const auto* response = std::get_if<http_response>(&result);
+    if (response == nullptr) {
+      deps_.peers.drop_idle(owner);
+    }
+    const int status = response == nullptr ? 0 : response->status;
+    reservation_answered(job, status == http_status::ok                  ? std::optional{true}
+                              : status == http_status::too_many_requests ? std::optional{false}
+                                                                         : std::nullopt);
+  });
+}
+
+void caller_api::reservation_answered(const std::shared_ptr<submission>& job, std::optional<bool> granted) {
+  if (!granted) {
+    retry_or_fail(job->call, [this, job] { reserve_and_submit(job); });
+  } else if (*granted) {
+    try_submit(job);
+  } else {
+    refuse_unless_stored(job->call);
+  }
+}
+
+void caller_api::refuse_unless_stored(const pending_call_ptr& call) {
+  deps_.store.call(kv_get{.key = keys::job(call->job)}, [this, call](const kv_result& result) {
+    const auto* items = std::get_if<kv_items>(&result);
+    if (items == nullptr) {
+      // The job may have been stored by an earlier attempt.
+      call->may_be_stored = true;
+      retry_or_fail(call, [this, call] { refuse_unless_stored(call); });
+    } else if (items->items.empty()) {
+      // Spread by the id, so that those that are refused together do not return together.
+      constexpr int spread_seconds = 8;
+      const auto spread = static_cast<int>(std::hash<std::string>{}(call->job.value()) % spread_seconds);
+      answer(call, http_status::too_many_requests, {}, "the team has as many jobs as it may",
+             2 * retry_after_seconds + spread);
+    } else if (belongs_to_another_team(items->items.front(), call->team)) {
+      answer(call, http_status::conflict, {}, "another team has a job with this id");
+    } else {
+      answer(call, http_status::ok, {}, "stored before");
+    }
+  });
 }
 
 void caller_api::try_submit(const std::shared_ptr<submission>& job) {
@@ -417,13 +488,26 @@
 }
 
 void caller_api::handle_peer(const http_request& request, const http_responder& responder) {
-  const auto* session = deps_.own_session();
+  auto* session = deps_.own_session();
   const std::vector<std::string> parts = absl::StrSplit(request.path.substr(owner_path.size()), '/');
   constexpr std::size_t part_count = 2;
   if (session == nullptr || parts.size() != part_count) {
     responder.send({.status = http_status::service_unavailable, .headers = {}, .body = {}});
     return;
   }
+  if (parts[0] == "reserve") {
+    const std::pair<std::string, std::string> words = absl::StrSplit(request.body, absl::MaxSplits(' ', 1));
+    std::uint64_t bytes = 0;
+    const auto granted = absl::SimpleAtoi(words.first, &bytes)
+                             ? session->reserve_work(job_id{parts[1]}, team_id{words.second}, bytes)
+                             : std::nullopt;
+    responder.send({.status = !granted   ? http_status::service_unavailable
+                              : *granted ? http_status::ok
+                                         : http_status::too_many_requests,
+                    .headers = {},
+                    .body = {}});
+    return;
+  }
   if (parts[0] == "queue") {
     const auto count = session->waiting_jobs(queue_id{parts[1]});
     responder.send({.status = count ? http_status::ok : http_status::service_unavailable,
--- a/src/programs/rhubarb-edge/caller_api.hpp
+++ b/src/programs/rhubarb-edge/caller_api.hpp
@@ -2,6 +2,8 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 
 #include "config_feed.hpp"
@@ -31,6 +33,8 @@
     /// Returns the owner's peer address, or an empty string when it is unknown.
     std::function<std::string()> owner_address;
     std::size_t max_row_bytes{0};  ///< Largest value that the store takes.
+    /// Teams whose jobs take as much of the owner as they may.
+    std::function<const std::set<team_id>&()> full_teams;
     /// Returns true once the process is shutting down; responses then close their connections.
     std::function<bool()> stopping;
   };
@@ -51,7 +55,12 @@
   void route(const pending_call_ptr& call, const http_request& request);
   void start(const pending_call_ptr& call, const http_request& request);
   void submit(const pending_call_ptr& call, const http_request& request);
+  /// Asks the owner for room before a large job is stored. What small jobs take is known soon enough.
+  void reserve_and_submit(const std::shared_ptr<submission>& job);
+  void reservation_answered(const std::shared_ptr<submission>& job, std::optional<bool> granted);
   void try_submit(const std::shared_ptr<submission>& job);
+  /// Refuses a job for which there is no room, unless an earlier attempt has stored it.
+  void refuse_unless_stored(const pending_call_ptr& call);
   void cancel(const pending_call_ptr& call);
   /// Stores the cancellation. `known` says whether the job is stored; if not, it never will be.
   void try_cancel(const pending_call_ptr& call, bool known);
--- a/src/programs/rhubarb-edge/edge_daemon.cpp
+++ b/src/programs/rhubarb-edge/edge_daemon.cpp
@@ -100,6 +100,7 @@
                 .own_session = [this] { return session_.get(); },
                 .owner_address = [this] { return owner_address_; },
                 .max_row_bytes = settings_.max_row_bytes,
+                .full_teams = [this]() -> const std::set<team_id>& { return full_teams_; },
                 .stopping = [this] { return stopping_; }}},
       limits_{std::make_shared<client_limits>(
           loop,
@@ -256,6 +257,7 @@
       ownership_revision_ = items->as_of;
       ownership_ = {};
       owner_address_.clear();
+      full_teams_.clear();
       apply_ownership(items->items);
       watch_ownership();
       return;
@@ -298,6 +300,13 @@
       }
       ownership_.term = owner_term{term};
       ownership_.term_revision = item.changed;
+    } else if (item.key == keys::full_teams) {
+      auto teams = decode_team_ids(item.value);
+      if (!teams.ok()) {
+        log(log_level::error, "team_row_unreadable", {{"reason", std::string{teams.status().message()}}});
+        continue;
+      }
+      full_teams_ = *std::move(teams);
     } else if (item.key == keys::owner) {
       const auto owner = decode_owner(item.value);
       if (!owner.ok()) {
@@ -438,6 +447,8 @@
   scheduler.heartbeat_interval = settings_.worker_heartbeat_interval;
   scheduler.drain_time = settings_.worker_drain_time;
   scheduler.remote_factor = settings_.remote_factor;
+  scheduler.max_tasks = settings_.max_tasks;
+  scheduler.max_work_bytes = settings_.max_work_bytes;
   const auto term = action.term;
   session_ = std::make_shared<owner_session>(
       owner_session::options{.term = term,
--- a/src/programs/rhubarb-edge/edge_daemon.hpp
+++ b/src/programs/rhubarb-edge/edge_daemon.hpp
@@ -74,6 +74,7 @@
   bool initial_ownership_reported_{
       false};  ///< Whether rows read before the first configuration were reported.
   std::string owner_address_;
+  std::set<team_id> full_teams_;  ///< As the owner has published them.
   incarnation incarnation_;
   instant started_at_;
   instant last_tick_;  ///< Last run of the election timer.
--- a/src/programs/rhubarb-edge/owner_session.cpp
+++ b/src/programs/rhubarb-edge/owner_session.cpp
@@ -47,6 +47,7 @@
 
 void owner_session::start() {
   follow_evacuations();
+  read_full_teams();
   load();
 }
 
@@ -347,6 +348,8 @@
   deps_.counters.set("rhubarb_slow_workers", {}, static_cast<double>(scheduler_->slow_workers()));
   run_actions();
   erase_expired();
+  deps_.counters.set("rhubarb_work_bytes", {}, static_cast<double>(scheduler_->work_bytes()));
+  publish_full_teams();
   schedule_tick();
 }
 
@@ -675,8 +678,73 @@
   }
 }
 
+void owner_session::read_full_teams() {
+  deps_.store.call(kv_get{.key = keys::full_teams}, [weak = weak_from_this()](const kv_result& result) {
+    const auto self = weak.lock();
+    if (self == nullptr || self->stopped_) {
+      return;
+    }
+    const auto* items = std::get_if<kv_items>(&result);
+    if (items == nullptr) {
+      self->run_later(retry_pause, [self] { self->read_full_teams(); });
+      return;
+    }
+    self->published_teams_.emplace();
+    if (!items->items.empty()) {
+      self->teams_revision_ = items->items.front().changed;
+      const auto teams = decode_team_ids(items->items.front().value);
+      if (teams.ok()) {
+        self->published_teams_ = *teams;
+      } else {
+        log(log_level::error, "team_row_unreadable", {{"reason", std::string{teams.status().message()}}});
+      }
+    }
+    self->publish_full_teams();
+  });
+}
+
+void owner_session::publish_full_teams() {
+  if (stopped_ || !loaded_ || !published_teams_ || publishing_teams_ ||
+      *published_teams_ == scheduler_->full_teams()) {
+    return;
+  }
+  publishing_teams_ = true;
+  const auto& teams = scheduler_->full_teams();
+  kv_commit commit{.expected = {{.key = keys::owner, .changed = opts_.owner_row},
+                                {.key = keys::full_teams, .changed = teams_revision_}},
+                   .puts = {{.key = keys::full_teams, .value = encode_team_ids(teams)}},
+                   .erases = {}};
+  deps_.store.call(std::move(commit), [weak = weak_from_this(), teams](const kv_result& result) {
+    const auto self = weak.lock();
+    if (self == nullptr || self->stopped_) {
+      return;
+    }
+    self->publishing_teams_ = false;
+    if (const auto* committed = std::get_if<kv_committed>(&result)) {
+      std::string names;
+      for (const auto& team : teams) {
+        names += (names.empty() ? "" : ",") + team.value();
+      }
+      log(log_level::warning, "full_teams_changed",
+          {{"teams", names}, {"work_bytes", static_cast<std::int64_t>(self->scheduler_->work_bytes())}});
+      self->teams_revision_ = committed->at;
+      self->published_teams_ = teams;
+      self->publish_full_teams();
+      return;
+    }
+    // After a conflict the row is read again; a write of an earlier owner, or one without an answer, came
+    // first. A session that is no longer the owner learns that from its other writes.
+    self->published_teams_.reset();
+    self->run_later(retry_pause, [self] { self->read_full_teams(); });
+  });
+}
+
 // ---- queries ----
 
+std::optional<bool> owner_session::reserve_work(const job_id& job, const team_id& team, std::uint64_t bytes) {
+  return loaded_ ? std::optional{scheduler_->reserve_work(job, team, bytes, deps_.loop.now())} : std::nullopt;
+}
+
 std::optional<job_phase> owner_session::phase(const job_id& id) const {
   return loaded_ ? scheduler_->phase(id) : std::nullopt;
 }
--- a/src/programs/rhubarb-edge/owner_session.hpp
+++ b/src/programs/rhubarb-edge/owner_session.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "config_feed.hpp"
@@ -63,6 +64,9 @@
   /// Returns `nullopt` while the jobs are being loaded.
   [[nodiscard]] std::optional<std::uint64_t> waiting_jobs(const queue_id& queue) const;
   [[nodiscard]] bool loaded() const noexcept { return loaded_; }
+  /// Whether a job of this cost may be stored; the cost is then set aside for it. Returns `nullopt` while the
+  /// jobs are being loaded.
+  [[nodiscard]] std::optional<bool> reserve_work(const job_id& job, const team_id& team, std::uint64_t bytes);
   [[nodiscard]] owner_term term() const noexcept { return opts_.term; }
 
  private:
@@ -112,6 +116,10 @@
   void write_progress();
   void write_workers();
   void erase_expired();
+  /// Reads which teams the last owner found full.
+  void read_full_teams();
+  /// Tells all VMs which teams are full, if that has changed.
+  void publish_full_teams();
   /// Nothing may be started while cancellations, evacuations or a newer configuration may be unknown. Empty
   /// otherwise.
   [[nodiscard]] std::string_view reason_to_hold_starts() const;
@@ -136,6 +144,9 @@
   /// Cancellations of jobs that were never stored, with the time at which they were read. They keep a write
   /// of the job that is executed late from taking effect.
   std::map<job_id, instant> lone_cancellations_;
+  std::optional<std::set<team_id>> published_teams_;  ///< Nothing until read.
+  revision teams_revision_;
+  bool publishing_teams_{false};
   std::map<std::string, std::string> ignored_entries_;  ///< The reason, by key.
   std::deque<job_progress> unsaved_progress_;
   std::size_t rows_in_commit_{0};  ///< Rows at the front of `unsaved_progress_` that are being written.
--- a/src/programs/rhubarb-edge/store_keys.hpp
+++ b/src/programs/rhubarb-edge/store_keys.hpp
@@ -13,6 +13,8 @@
 inline const std::string owner = "rhubarb/owner/now";
 /// Number of the latest ownership term; not attached to a lease.
 inline const std::string term = "rhubarb/owner/term";
+/// Teams whose jobs take as much of the owner as they may. Written by the owner, when that changes.
+inline const std::string full_teams = "rhubarb/owner/full-teams";
 /// Ids of the workers that may be running tasks.
 inline const std::string workers = "rhubarb/workers";
 /// Those of them that get no new work, with the tasks that may run there. Written together with `workers`,
--- a/src/protocol/job_rows.cpp
+++ b/src/protocol/job_rows.cpp
@@ -268,6 +268,24 @@
   });
 }
 
+std::string encode_team_ids(const std::set<team_id>& teams) {
+  json ids = json::array();
+  for (const auto& id : teams) {
+    ids.push_back(id.value());
+  }
+  return to_bytes(ids);
+}
+
+absl::StatusOr<std::set<team_id>> decode_team_ids(std::string_view bytes) {
+  return decode_row<std::set<team_id>>(bytes, "team row", [](const json& row) {
+    std::set<team_id> ids;
+    for (const auto& id : row) {
+      ids.emplace(id.get<std::string>());
+    }
+    return ids;
+  });
+}
+
 std::string encode_leaving_workers(const std::vector<leaving_worker>& workers) {
   json rows = json::array();
   for (const auto& each : workers) {
--- a/src/protocol/log_events.cpp
+++ b/src/protocol/log_events.cpp
@@ -17,6 +17,12 @@
         "in the last second connections were closed or requests refused because clients kept too much; one "
         "line for each reason",
         "reason, count, kept_bytes, connections"},
+    log_event{
+        "full_teams_changed",
+        "the teams whose jobs take as much of the owner as they may; further jobs of theirs are refused "
+        "with 429",
+        "teams, work_bytes"},
+    log_event{"team_row_unreadable", "the stored list of these teams cannot be read", "reason"},
     log_event{"settings_rejected", "the settings file is wrong; the settings before stay", "reason"},
     log_event{"config_in_force", "a configuration takes effect", "version, revision, queues, source"},
     log_event{"config_path_lost", "a read or watch of the configuration failed after one that succeeded",
--- a/tests/platform/crowd/crowd_test.cpp
+++ b/tests/platform/crowd/crowd_test.cpp
@@ -247,5 +247,14 @@
   CHECK(vms.call_job(0, "POST", "5c0e7a21d94b0903", job_of_size(largest_body + 1), seconds{10}) == too_large);
 }
 
+TEST_CASE_METHOD(crowd_fixture, "vm_in_calm_lets_a_client_read_the_refusal_of_a_body_far_over_the_limit") {
+  // Guards against a connection that is reset while the client still sends, which hides the refusal.
+  const std::string body(8 * megabyte, 'x');
+  const auto answer =
+      send_whole(vms.address(0), caller_port,
+                 opening("POST", job_path, fmt::format("Content-Length: {}\r\n\r\n", body.size())), body);
+  CHECK(answer.substr(0, answer.find(' ', 9)) == "HTTP/1.1 413");
+}
+
 }  // namespace
 }  // namespace rhubarbpath::soak
--- a/tests/platform/crowd/hostile_crowd.cpp
+++ b/tests/platform/crowd/hostile_crowd.cpp
@@ -126,6 +126,37 @@
   return answer;
 }
 
+std::string send_whole(const std::string& address, std::uint16_t port, const std::string& head,
+                       const std::string& body) {
+  sockaddr_in server{};
+  server.sin_family = AF_INET;
+  server.sin_port = htons(port);
+  inet_pton(AF_INET, address.c_str(), &server.sin_addr);
+  const int client = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const timeval patience{.tv_sec = 5, .tv_usec = 0};
+  setsockopt(client, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
+  setsockopt(client, SOL_SOCKET, SO_SNDTIMEO, &patience, sizeof(patience));
+  std::string answer;
+  if (::connect(client, reinterpret_cast<const sockaddr*>(&server), sizeof(server)) == 0) {
+    const auto request = head + body;
+    for (std::size_t sent = 0; sent < request.size();) {
+      const auto taken = send(client, request.data() + sent, request.size() - sent, MSG_NOSIGNAL);
+      if (taken <= 0) {
+        break;
+      }
+      sent += static_cast<std::size_t>(taken);
+    }
+    constexpr std::size_t piece = 4096;
+    std::string next(piece, '\0');
+    for (ssize_t count = 1; count > 0;) {
+      count = recv(client, next.data(), next.size(), 0);
+      answer.append(next, 0, static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
+    }
+  }
+  close(client);
+  return answer;
+}
+
 process_memory memory_of(pid_t process) {
   process_memory memory;
   std::ifstream file{fmt::format("/proc/{}/status", process)};
--- a/tests/platform/crowd/hostile_crowd.hpp
+++ b/tests/platform/crowd/hostile_crowd.hpp
@@ -54,6 +54,11 @@
 [[nodiscard]] std::string read_slowly(const std::string& address, std::uint16_t port,
                                       const std::string& request);
 
+/// Sends the head and the whole body of a request, as far as the server takes them, and then reads the answer
+/// until the connection ends, as many HTTP clients do. Gives up after a few seconds without progress.
+[[nodiscard]] std::string send_whole(const std::string& address, std::uint16_t port, const std::string& head,
+                                     const std::string& body);
+
 /// Resident memory of a process in bytes, now and at its highest; 0 if it does not run.
 struct process_memory {
   std::uint64_t resident{0};
--- a/tests/platform/crowd/job_crowd_test.cpp
+++ b/tests/platform/crowd/job_crowd_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <functional>
 #include <limits>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -19,6 +20,9 @@
 const soak_step endless_tasks{.count = std::numeric_limits<int>::max(), .run_time = std::chrono::hours{1}};
 const std::string plain_step = R"({"count":1,"cpu":100,"memMb":1,"estimateMs":900})";
 
+/// What a worker makes of `plain_step`, for as many steps as fit into a body.
+const soak_job plain_tasks(20'000, {.count = 1, .cpu = 100, .memory_mb = 1, .run_time = milliseconds{900}});
+
 /// A job with as many steps as fit into the largest body. `members` follow the list of steps.
 std::string largest_job(const std::function<std::string(int)>& step, const std::string& members = {}) {
   const std::string end = "]" + members + "}";
@@ -42,7 +46,7 @@
 
   /// Submits a job of the first team. It has to be stored or refused; what is refused must not be known. The
   /// worker runs the tasks of `steps` and rejects those of others.
-  int submit(const std::string& body, const std::vector<soak_step>& steps = {}) {
+  int submit(const std::string& body, const soak_job& steps = {}) {
     constexpr int too_large = 413;
     static const std::set<int> allowed{http_status::ok, http_status::bad_request, too_large,
                                        http_status::too_many_requests, http_status::service_unavailable};
@@ -103,7 +107,7 @@
   constexpr int jobs = 20;
   const auto body = largest_job(plain_step);
   for (int i = 0; i < jobs; ++i) {
-    submit(body);
+    submit(body, plain_tasks);
   }
   check_jobs();
   restart();
@@ -180,6 +184,7 @@
   const auto body = largest_job(plain_step);
   for (int i = 0; i < jobs; ++i) {
     const auto id = fmt::format("5c0e7a21d98b{:04x}", i);
+    vms.workers().register_job(id, plain_tasks);
     if (vms.call_job(0, "POST", id, body, seconds{20}, {.timeout_ms = "20000"}) == http_status::ok) {
       CHECK(answers([&] { return vms.call_job(0, "DELETE", id, {}, seconds{20}) == http_status::ok; }));
     }
@@ -190,6 +195,126 @@
   check_jobs();
 }
 
+TEST_CASE_METHOD(job_crowd_fixture, "vm_answers_what_is_stored_with_success_while_its_team_is_refused") {
+  // Guards against "never runs" as the answer to a repetition of a job that is stored.
+  const auto body = largest_job(plain_step);
+  CHECK(submit(body, plain_tasks) == http_status::ok);
+  int refused = http_status::ok;
+  constexpr int most_jobs = 20;
+  for (int i = 0; i < most_jobs && refused == http_status::ok; ++i) {
+    refused = submit(body, plain_tasks);
+  }
+  CHECK(refused == http_status::too_many_requests);
+  CHECK(answers([&] {
+    return vms.call_job(0, "POST", "5c0e7a21d95b0000", body, seconds{20}, {.timeout_ms = "20000"}) ==
+           http_status::ok;
+  }));
+  check_jobs();
+}
+
+TEST_CASE_METHOD(job_crowd_fixture, "team_that_was_refused_is_served_after_it_cancels") {
+  // Guards against a team that stays refused when its jobs have ended and expired.
+  const auto body = largest_job(plain_step);
+  int stored = 0;
+  constexpr int most_jobs = 20;
+  while (stored < most_jobs && submit(body, plain_tasks) == http_status::ok) {
+    ++stored;
+  }
+  REQUIRE(stored > 0);
+  REQUIRE(stored < most_jobs);
+  for (int i = 0; i < stored; ++i) {
+    CHECK(answers([&] {
+      return vms.call_job(0, "DELETE", fmt::format("5c0e7a21d95b{:04x}", i), {}, seconds{20}) ==
+             http_status::ok;
+    }));
+  }
+  settle();
+  CHECK(answers([&] { return submit(body, plain_tasks) == http_status::ok; }));
+  check_jobs();
+}
+
+/// Three processes of the smallest VM. Jobs reach all of them, and one of them is the owner.
+class job_crowds_fixture {
+ public:
+  job_crowds_fixture() {
+    REQUIRE(vms.all_use(1, start_limit));
+    vms.add_worker();
+  }
+
+  /// Checks all processes, and that a job of the other team is served at each of them.
+  void check(const std::string& id_prefix) {
+    for (std::size_t vm = 0; vm < vms.size(); ++vm) {
+      CAPTURE(vm);
+      REQUIRE(vms.alive(vm));
+      const auto id = id_prefix + fmt::format("{:04x}", vm);
+      vms.workers().register_job(id, {{.count = 1, .cpu = 100, .run_time = milliseconds{200}}});
+      int status = 0;
+      constexpr int tries = 20;
+      for (int i = 0; i < tries && status != http_status::ok; ++i) {
+        status = vms.call_job(vm, "POST", id, R"({"steps":[{"count":1,"cpu":100,"estimateMs":200}]})",
+                              seconds{20}, {.key = "key-b", .queue = urgent_queue, .timeout_ms = "5000"});
+        vms.run_for(milliseconds{500});
+      }
+      CHECK(status == http_status::ok);
+      constexpr int most_looks = 1200;
+      for (int i = 0; i < most_looks && !vms.workers().all_done(id); ++i) {
+        vms.run_for(milliseconds{50});
+      }
+      CHECK(vms.workers().all_done(id));
+    }
+    for (std::size_t vm = 0; vm < vms.size(); ++vm) {
+      CAPTURE(vm);
+      REQUIRE(vms.alive(vm));
+      CHECK(memory_of(vms.process_id(vm)).highest < memory_limit);
+      CHECK(open_descriptors(vms.process_id(vm)) < static_cast<std::size_t>(smallest_vm.max_descriptors));
+    }
+  }
+
+  edge_processes vms{3, smallest_vm};
+};
+
+TEST_CASE_METHOD(job_crowds_fixture, "each_next_owner_keeps_its_bounds_under_crowds_at_all_vms") {
+  // Guards against a bound that only the owner knows, and against owners that end one after the other.
+  std::vector<std::unique_ptr<hostile_crowd>> crowds;
+  const auto body = largest_job(plain_step);
+  constexpr int rounds = 6;
+  constexpr std::size_t clients = 4;
+  for (int round = 0; round < rounds; ++round) {
+    for (std::size_t vm = 0; vm < vms.size(); ++vm) {
+      for (std::size_t client = 0; client < clients; ++client) {
+        const auto id = fmt::format("5c0e7a21d9a{:01x}{:02x}{:02x}", round, vm, client);
+        vms.workers().register_job(id, plain_tasks);
+        hostile_load load{
+            .port = caller_port,
+            .clients = 1,
+            .opening = opening("POST", "/jobs/" + id,
+                               fmt::format("Content-Type: application/json\r\nTimeout-Ms: 20000\r\n"
+                                           "Content-Length: {}\r\n\r\n{}",
+                                           body.size(), body)),
+            .repeated = {},
+            .bytes_per_client = 2 * megabyte,
+            .connections_per_client = 1};
+        crowds.push_back(std::make_unique<hostile_crowd>(vms.address(vm), std::move(load)));
+      }
+    }
+    constexpr int steps = 60;
+    for (int step = 0; step < steps; ++step) {
+      for (auto& crowd : crowds) {
+        crowd->step();
+      }
+      vms.run_for(milliseconds{5});
+    }
+  }
+  check("5c0e7a21d9b0");
+  for (std::size_t vm = 0; vm < vms.size(); ++vm) {
+    vms.kill(vm);
+    vms.run_for(seconds{5});
+    vms.start(vm);
+    REQUIRE(vms.all_use(1, start_limit));
+    check(fmt::format("5c0e7a21d9c{:01x}", vm));
+  }
+}
+
 TEST_CASE_METHOD(job_crowd_fixture, "owner_in_calm_runs_every_step_of_a_large_job") {
   // Guards against bounds on what is looked at in one pass that leave a part of a job behind for good.
   constexpr int steps = 3000;
