Store progress beside a job whose row the store refuses

What callers saw: with one job whose tasks all failed, the other team's job ran to its end and stayed "running"; no progress of any job was stored any more. Shown with a store of 8,000-byte values and 4,000 tasks; with 1 MiB it takes about as many failing tasks as a team may have on a large VM.

Cause: a progress row names each task that failed or has a checkpoint. Above the largest value the store refuses the row, the owner repeats the write for good, and the rows of all other jobs wait behind it.

Change: a row that would be too large names only what is done, which must be known to keep tasks from running twice; attempts and checkpoints of the rest are lost with a change of the owner, and progress_shortened says so. A commit of several rows carries at most the bytes of one large one.

--- a/src/programs/rhubarb-edge/edge_daemon.cpp
+++ b/src/programs/rhubarb-edge/edge_daemon.cpp
@@ -455,6 +455,7 @@
                              .owner_row = action.owner_row,
                              .scheduler = scheduler,
                              .adviser_address = settings_.adviser_address,
+                             .max_row_bytes = settings_.max_row_bytes,
                              .evacuation_limit = settings_.evacuation_limit},
       owner_session::dependencies{
           .loop = loop_,
--- a/src/programs/rhubarb-edge/owner_session.cpp
+++ b/src/programs/rhubarb-edge/owner_session.cpp
@@ -548,6 +548,24 @@
   write_progress();
 }
 
+std::string owner_session::encode_within_row(const job_progress& progress) {
+  auto value = encode_job_progress(progress);
+  if (value.size() <= opts_.max_row_bytes) {
+    return value;
+  }
+  // The store would refuse the row for good, and with it those of other jobs. What is done must be stored;
+  // the next owner does without the attempts and checkpoints of what is not.
+  auto shortened = progress;
+  shortened.units.clear();
+  if (jobs_with_short_rows_.insert(progress.job).second) {
+    log(log_level::warning, "progress_shortened",
+        {{"job", progress.job.value()},
+         {"units", static_cast<std::int64_t>(progress.units.size())},
+         {"row_bytes", static_cast<std::int64_t>(value.size())}});
+  }
+  return encode_job_progress(shortened);
+}
+
 void owner_session::write_progress() {
   if (unsaved_progress_.empty()) {
     scheduler_->stored(deps_.loop.now());
@@ -558,14 +576,21 @@
   constexpr std::size_t jobs_per_commit = (max_commit_entries - 1) / 2;
   kv_commit commit;
   commit.expected.push_back({.key = keys::owner, .changed = opts_.owner_row});
-  rows_in_commit_ = std::min(jobs_per_commit, unsaved_progress_.size());
-  for (std::size_t index = 0; index < rows_in_commit_; ++index) {
-    const auto& row = unsaved_progress_[index];
+  const auto most_rows = std::min(jobs_per_commit, unsaved_progress_.size());
+  std::size_t bytes = 0;
+  for (rows_in_commit_ = 0; rows_in_commit_ < most_rows; ++rows_in_commit_) {
+    const auto& row = unsaved_progress_[rows_in_commit_];
+    auto value = encode_within_row(row);
+    bytes += value.size();
+    // Several large rows together could take longer than a call may.
+    if (rows_in_commit_ > 0 && bytes > opts_.max_row_bytes) {
+      break;
+    }
     const auto key = keys::progress(row.job);
     // The condition on the row itself prevents an older write that is executed late from overwriting this
     // one.
     commit.expected.push_back({.key = key, .changed = progress_revisions_[row.job]});
-    commit.puts.push_back({.key = key, .value = encode_job_progress(row)});
+    commit.puts.push_back({.key = key, .value = std::move(value)});
   }
   deps_.store.call(std::move(commit), [weak = weak_from_this()](const kv_result& result) {
     const auto self = weak.lock();
@@ -668,6 +693,7 @@
       commit.erases.push_back(keys::cancel(expired[index]));
       commit.erases.push_back(keys::progress(expired[index]));
       progress_revisions_.erase(expired[index]);
+      jobs_with_short_rows_.erase(expired[index]);
     }
     deps_.store.call(std::move(commit), [](const kv_result& result) {
       if (!std::holds_alternative<kv_committed>(result)) {
--- a/src/programs/rhubarb-edge/owner_session.hpp
+++ b/src/programs/rhubarb-edge/owner_session.hpp
@@ -28,6 +28,7 @@
     revision owner_row;  ///< Revision of the owner row; every write of the term is conditional on it.
     job_scheduler::options scheduler;
     std::string adviser_address;
+    std::size_t max_row_bytes{std::size_t{1} << 20U};  ///< Largest value that the store takes.
     /// Nothing is started in a failure domain this long after its evacuation was requested. Empty where
     /// evacuations are not requested; then no requests are read.
     std::optional<duration> evacuation_limit;
@@ -114,6 +115,8 @@
   void perform(const advice_request& request);
   void perform(const decision_record& decision);
   void write_progress();
+  /// Encodes the row of a job. Where it would be larger than a row of the store, it names only what is done.
+  [[nodiscard]] std::string encode_within_row(const job_progress& progress);
   void write_workers();
   void erase_expired();
   /// Reads which teams the last owner found full.
@@ -149,6 +152,7 @@
   bool publishing_teams_{false};
   std::map<std::string, std::string> ignored_entries_;  ///< The reason, by key.
   std::deque<job_progress> unsaved_progress_;
+  std::set<job_id> jobs_with_short_rows_;  ///< Logged as such.
   std::size_t rows_in_commit_{0};  ///< Rows at the front of `unsaved_progress_` that are being written.
   store_workers worker_set_;
   std::map<worker_id, worker_channel> channels_;
--- a/src/protocol/log_events.cpp
+++ b/src/protocol/log_events.cpp
@@ -22,6 +22,9 @@
         "the teams whose jobs take as much of the owner as they may; further jobs of theirs are refused "
         "with 429",
         "teams, work_bytes"},
+    log_event{"progress_shortened",
+              "the progress of a job fits into no row of the store; only what is done is stored of it",
+              "job, units, row_bytes"},
     log_event{"team_row_unreadable", "the stored list of these teams cannot be read", "reason"},
     log_event{"settings_rejected", "the settings file is wrong; the settings before stay", "reason"},
     log_event{"config_in_force", "a configuration takes effect", "version, revision, queues, source"},
--- a/tests/platform/crowd/job_crowd_test.cpp
+++ b/tests/platform/crowd/job_crowd_test.cpp
@@ -233,6 +233,41 @@
   check_jobs();
 }
 
+/// A store with small values, so that few tasks make a row too large.
+class small_rows_fixture {
+ public:
+  small_rows_fixture() {
+    REQUIRE(vms.all_use(1, start_limit));
+    vms.add_worker();
+    vms.add_worker();
+  }
+
+  edge_processes vms{1, {.memory_mb = 120, .max_descriptors = 400, .value_bytes = 8000}};
+};
+
+TEST_CASE_METHOD(small_rows_fixture, "owner_stores_progress_beside_a_job_whose_progress_fits_into_no_row") {
+  // Guards against one job whose row the store refuses, and behind which no progress of any job is stored.
+  vms.workers().faults(0).failed_starts_percent = 100;
+  vms.workers().faults(1).failed_starts_percent = 100;
+  const std::string hostile = "5c0e7a21d95c0001";
+  vms.workers().register_job(hostile, {{.count = 4000, .cpu = 1, .run_time = seconds{1}}});
+  CHECK(vms.call_job(0, "POST", hostile, R"({"spec":"x","steps":[{"count":4000,"cpu":1,"estimateMs":1000}]})",
+                     seconds{20}) == http_status::ok);
+  vms.run_for(seconds{8});
+  vms.workers().faults(0).failed_starts_percent = 0;
+  vms.workers().faults(1).failed_starts_percent = 0;
+  const std::string id = "5c0e7a21d95c0002";
+  vms.workers().register_job(id, {{.count = 1, .cpu = 100, .run_time = milliseconds{200}}});
+  CHECK(vms.call_job(0, "POST", id, R"({"steps":[{"count":1,"cpu":100,"estimateMs":200}]})", seconds{20},
+                     {.key = "key-b", .queue = urgent_queue}) == http_status::ok);
+  constexpr int most_looks = 600;
+  for (int i = 0; i < most_looks && vms.alive(0) && vms.job_state(0, id) != "complete"; ++i) {
+    vms.run_for(milliseconds{100});
+  }
+  CHECK(vms.job_state(0, id) == "complete");
+  CHECK(memory_of(vms.process_id(0)).highest < memory_limit);
+}
+
 /// Three processes of the smallest VM. Jobs reach all of them, and one of them is the owner.
 class job_crowds_fixture {
  public:
--- a/tests/platform/edge/edge_processes.cpp
+++ b/tests/platform/edge/edge_processes.cpp
@@ -60,6 +60,9 @@
   // A process that is killed or that gives up an answer closes its connection while a stand-in writes to it.
   std::signal(SIGPIPE, SIG_IGN);
   put_config(1);
+  if (limits.value_bytes > 0) {
+    store_.max_value_bytes = static_cast<std::size_t>(limits.value_bytes);
+  }
   require(store_.listen());
   std::vector<std::string> seeds;
   for (int i = 0; i < std::min(3, vms); ++i) {
@@ -80,7 +83,8 @@
                               .seeds = seeds,
                               .store_address = fmt::format("{}.2:{}", network_prefix_, port),
                               .memory_mb = limits.memory_mb,
-                              .max_descriptors = limits.max_descriptors});
+                              .max_descriptors = limits.max_descriptors,
+                              .value_bytes = limits.value_bytes});
     added.process = std::make_unique<edge_process>(program_path(), settings.string(),
                                                    (folder_ / (name + ".log")).string());
     if (!added.process->start()) {
--- a/tests/platform/edge/edge_processes.hpp
+++ b/tests/platform/edge/edge_processes.hpp
@@ -26,6 +26,7 @@
 struct vm_limits {
   int memory_mb{0};
   int max_descriptors{0};
+  int value_bytes{0};  ///< Largest value of the store.
 };
 
 /// A few `rhubarb-edge` processes on loopback, each with a proxy of its own before the stand-in of the store.
--- a/tests/platform/soak/platform_documents.cpp
+++ b/tests/platform/soak/platform_documents.cpp
@@ -17,25 +17,28 @@
   if (vm.max_descriptors > 0) {
     limits["maxFds"] = vm.max_descriptors;
   }
-  const json settings{{"node", vm.name},
-                      {"ip", vm.address},
-                      {"zone", vm.zone},
-                      {"bindings",
-                       {{"front", fmt::format("{}:{}", vm.address, caller_port)},
-                        {"ready", fmt::format("{}:{}", vm.address, ready_port)},
-                        {"control", fmt::format("{}:{}", vm.address, peer_port)}}},
-                      {"seeds", vm.seeds},
-                      {"limits", std::move(limits)},
-                      {"bounds",
-                       {{"maxHoldMs", 10000},
-                        {"stopTimeoutMs", 200},
-                        {"drainMs", 2000},
-                        {"remoteFactor", 3},
-                        {"graceS", 6},
-                        {"configApplyMs", 2000},
-                        {"evacuateMs", evacuation_limit.count()}}},
-                      {"controlMode", "request"},
-                      {"platform", {{"address", vm.store_address}}}};
+  json settings{{"node", vm.name},
+                {"ip", vm.address},
+                {"zone", vm.zone},
+                {"bindings",
+                 {{"front", fmt::format("{}:{}", vm.address, caller_port)},
+                  {"ready", fmt::format("{}:{}", vm.address, ready_port)},
+                  {"control", fmt::format("{}:{}", vm.address, peer_port)}}},
+                {"seeds", vm.seeds},
+                {"limits", std::move(limits)},
+                {"bounds",
+                 {{"maxHoldMs", 10000},
+                  {"stopTimeoutMs", 200},
+                  {"drainMs", 2000},
+                  {"remoteFactor", 3},
+                  {"graceS", 6},
+                  {"configApplyMs", 2000},
+                  {"evacuateMs", evacuation_limit.count()}}},
+                {"controlMode", "request"},
+                {"platform", {{"address", vm.store_address}}}};
+  if (vm.value_bytes > 0) {
+    settings["platform"]["valueBytes"] = vm.value_bytes;
+  }
   auto temporary_path = path;
   temporary_path += ".next";
   std::ofstream{temporary_path} << settings.dump(1);
--- a/tests/platform/soak/platform_documents.hpp
+++ b/tests/platform/soak/platform_documents.hpp
@@ -29,6 +29,7 @@
   std::string store_address;
   int memory_mb{0};        ///< Memory limit of the process; left out if 0.
   int max_descriptors{0};  ///< Left out if 0.
+  int value_bytes{0};      ///< Largest value of the store; left out if 0.
 };
 
 /// Replaces the settings file at `path` in one step, so that no process reads a partial file.
--- a/tests/platform/soak/store_stand_in.cpp
+++ b/tests/platform/soak/store_stand_in.cpp
@@ -16,8 +16,6 @@
 constexpr duration tick_period{std::chrono::milliseconds{25}};
 constexpr std::uint64_t percent_range = 100;
 constexpr std::size_t page_size = 500;
-/// A value has at most 1 MiB, which base64 lengthens by a third.
-constexpr std::size_t max_encoded_value = (std::size_t{1} << 20U) / 3 * 4 + 4;
 constexpr std::size_t page_bytes = 1U << 20U;
 
 /// Returns the percent-decoded value of one query parameter, or an empty string when it is absent.
@@ -202,7 +200,7 @@
     return json_response(412, {{"items", std::move(current)}, {"asOf", revision_}});
   }
   for (const auto& each : body.value("put", json::array())) {
-    if (each.value("value", "").size() > max_encoded_value) {
+    if (each.value("value", "").size() > max_value_bytes / 3 * 4 + 4) {
       return json_response(400, json::object());
     }
     const auto id = each.value("lease", std::uint64_t{0});
--- a/tests/platform/soak/store_stand_in.hpp
+++ b/tests/platform/soak/store_stand_in.hpp
@@ -43,6 +43,8 @@
   void compact();
   [[nodiscard]] bool contains(const std::string& key) const { return rows_.contains(key); }
 
+  /// The largest value in bytes; base64 lengthens it by a third on the wire.
+  std::size_t max_value_bytes{std::size_t{1} << 20U};
   store_faults faults;
   /// Changes the faults after `delay`.
   void run_later(duration delay, std::function<void(store_faults&)> change) {
