Name the bounds on one job once, for placement and for its cost

cost_of repeated the numbers by which placement and job_units bound what they keep of a job; a change of one would have made the estimate wrong. They are in job_bounds now.

--- a/src/coordination/job_scheduler/job_scheduler.cpp
+++ b/src/coordination/job_scheduler/job_scheduler.cpp
@@ -19,7 +19,10 @@
   for (auto step = graph.steps.size(); step > 0; --step) {
     const auto& waiting = graph.steps[step - 1];
     for (const auto before : waiting.after) {
-      times[before] = std::max(times[before], waiting.estimate + times[step - 1]);
+      // A dependency on a later step is never met.
+      if (before < step - 1) {
+        times[before] = std::max(times[before], waiting.estimate + times[step - 1]);
+      }
     }
   }
   return times;
--- a/src/coordination/job_scheduler/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_placement.cpp
@@ -20,11 +20,8 @@
 /// Interval of placement passes without an event. Bounds how late a unit is placed that becomes ready with
 /// time.
 constexpr duration recheck_interval{std::chrono::milliseconds{50}};
-/// One pass considers this many steps of a job and this many tasks in them, from the first step with a
-/// waiting unit on, and looks at this many steps to find them. The first such step can always run once the
-/// steps before it are done, so none is left behind.
-constexpr std::size_t max_steps_considered = 1024;
-constexpr std::size_t max_tasks_considered = 8192;
+/// A pass looks at this many steps of a job, from the first one with a waiting unit on, to find those that it
+/// considers. That first one can always run once the steps before it are done, so none is left behind.
 constexpr std::size_t max_steps_scanned = 4096;
 /// Bound on the searches in vain for one team during a pass.
 constexpr std::size_t max_searches = 4096;
@@ -118,7 +115,7 @@
     }
     const auto end = static_cast<std::uint32_t>(std::min<std::size_t>(step_count, first + max_steps_scanned));
     for (auto step = first; step < end; ++step) {
-      if (considered >= max_steps_considered || tasks >= max_tasks_considered) {
+      if (considered >= job_bounds::considered_steps || tasks >= job_bounds::considered_tasks) {
         return;
       }
       if (!occurrence.has_waiting(step) || !step_ready(job, occurrence, step)) {
--- a/src/coordination/job_scheduler/job_units.cpp
+++ b/src/coordination/job_scheduler/job_units.cpp
@@ -82,8 +82,8 @@
 
 void job_units::open_due(std::uint64_t due_count, bool inherited, instant now) {
   const auto end = std::min<std::uint64_t>(due_count, occurrence_count_);
-  const auto most = std::clamp<std::size_t>(max_open_steps / std::max<std::size_t>(1, shapes_.size()), 1,
-                                            max_open_occurrences);
+  const auto most = std::clamp<std::size_t>(job_bounds::open_steps / std::max<std::size_t>(1, shapes_.size()),
+                                            1, max_open_occurrences);
   while (next_occurrence_ < end && open_.size() < most) {
     const auto done = done_occurrences_.find(next_occurrence_);
     next_occurrence_ = done == done_occurrences_.end() ? next_occurrence_ : done->upper();
--- a/src/coordination/job_scheduler/job_units.hpp
+++ b/src/coordination/job_scheduler/job_units.hpp
@@ -130,8 +130,8 @@
 
   /// Opens an occurrence. The reference is valid until the occurrence is done.
   occurrence_state& open(std::uint32_t occurrence, bool inherited, instant now);
-  /// Opens the next occurrences that are due, within `max_open_occurrences` and `max_open_steps`, so that a
-  /// job with a short interval, or one that was not served for long, costs no more memory than others.
+  /// Opens the next occurrences that are due, within `max_open_occurrences` and `job_bounds::open_steps`, so
+  /// that a job with a short interval, or one that was not served for long, costs no more memory than others.
   void open_due(std::uint64_t due_count, bool inherited, instant now);
   [[nodiscard]] occurrence_state* find_occurrence(std::uint32_t occurrence);
   [[nodiscard]] const occurrence_state* find_occurrence(std::uint32_t occurrence) const;
@@ -166,8 +166,6 @@
   void describe(job_progress& progress) const;
 
   static constexpr std::size_t max_open_occurrences = 256;
-  /// Steps of all open occurrences together, as far as more than one is open.
-  static constexpr std::size_t max_open_steps = 65'536;
 
  private:
   void finish_if_done(occurrence_state& occurrence);
--- a/src/coordination/work_budget.cpp
+++ b/src/coordination/work_budget.cpp
@@ -11,12 +11,10 @@
 /// A step that is looked at for placement with its first unit, and a member of a gang.
 constexpr std::uint64_t considered_step_bytes = 768;
 constexpr std::uint64_t member_bytes = 224;
-/// As many steps and tasks of a job as one placement pass considers.
-constexpr std::uint64_t max_steps_considered = 1024;
-constexpr std::uint64_t max_tasks_considered = 8192 + max_gang_members;
-/// What is kept of a step in each open occurrence, and open steps of a job as far as it has more occurrences.
+/// The last gang that is considered may go beyond the bound.
+constexpr std::uint64_t max_members = job_bounds::considered_tasks + max_gang_members;
+/// What is kept of a step in each open occurrence.
 constexpr std::uint64_t open_step_bytes = 4;
-constexpr std::uint64_t max_open_steps = 65'536;
 /// A step apart from its specification: its shape, and how long the steps after it take.
 constexpr std::uint64_t step_index_bytes = 20;
 constexpr std::uint64_t stored_step_bytes = 32;
@@ -34,11 +32,12 @@
     gang_members += step.gang ? step.count : 0;
   }
   const auto occurrences = std::max<std::uint64_t>(1, graph.occurrences);
-  const auto open_steps = std::max(steps, std::min(steps * occurrences, max_open_steps));
+  const auto open_steps =
+      std::max(steps, std::min<std::uint64_t>(steps * occurrences, job_bounds::open_steps));
   const auto stored = job_bytes + text + steps * stored_step_bytes + dependencies * sizeof(std::uint32_t);
   return {.open = stored + steps * (sizeof(step_spec) + step_index_bytes) + open_steps * open_step_bytes +
-                  std::min(open_steps, max_steps_considered) * considered_step_bytes +
-                  std::min(gang_members * occurrences, max_tasks_considered) * member_bytes,
+                  std::min<std::uint64_t>(open_steps, job_bounds::considered_steps) * considered_step_bytes +
+                  std::min(gang_members * occurrences, max_members) * member_bytes,
           .ended = stored};
 }
 
