Reserve work only for known teams and large jobs

What callers saw: 60 requests to the port of the other VMs, each with a team name of 3 MB, took 201 MB of the owner on a VM of 120 MB. Reservations of one byte would have grown in number without bound.

Cause: the budget kept an entry for each team that was asked about, also when it refused, and the handler took any name, id and amount.

Change: the owner grants reservations only for ids of jobs, for teams of the configuration, and for amounts that need one; the budget keeps entries only for teams that have something.

owner_keeps_its_bounds_under_reservations_of_invented_teams failed on the commit before, and passes.

--- a/src/coordination/work_budget.cpp
+++ b/src/coordination/work_budget.cpp
@@ -48,7 +48,9 @@
     return true;
   }
   const auto left = max_bytes_ - std::min(max_bytes_, bytes_);
-  if (bytes > left || bytes_by_team_[team] + bytes > left - bytes) {
+  const auto held = bytes_by_team_.find(team);
+  const auto own = held == bytes_by_team_.end() ? 0 : held->second;
+  if (bytes > left || own + bytes > left - bytes) {
     return false;
   }
   if (found != reservations_.end()) {
@@ -84,7 +86,10 @@
 
 void work_budget::change(const team_id& team, std::int64_t bytes) {
   bytes_ += static_cast<std::uint64_t>(bytes);
-  bytes_by_team_[team] += static_cast<std::uint64_t>(bytes);
+  if ((bytes_by_team_[team] += static_cast<std::uint64_t>(bytes)) == 0) {
+    full_teams_.erase(team);
+    bytes_by_team_.erase(team);
+  }
   const auto left = max_bytes_ - std::min(max_bytes_, bytes_);
   for (const auto& [each, own] : bytes_by_team_) {
     if (own > left) {
--- a/src/programs/rhubarb-edge/caller_api.cpp
+++ b/src/programs/rhubarb-edge/caller_api.cpp
@@ -487,6 +487,13 @@
                    });
 }
 
+bool caller_api::knows_team(const team_id& team) const {
+  const auto& config = deps_.config.current();
+  return team.empty() ||
+         (config != nullptr && std::any_of(config->teams.begin(), config->teams.end(),
+                                           [&](const team_config& each) { return each.id == team; }));
+}
+
 void caller_api::handle_peer(const http_request& request, const http_responder& responder) {
   auto* session = deps_.own_session();
   const std::vector<std::string> parts = absl::StrSplit(request.path.substr(owner_path.size()), '/');
@@ -498,9 +505,11 @@
   if (parts[0] == "reserve") {
     const std::pair<std::string, std::string> words = absl::StrSplit(request.body, absl::MaxSplits(' ', 1));
     std::uint64_t bytes = 0;
-    const auto granted = absl::SimpleAtoi(words.first, &bytes)
-                             ? session->reserve_work(job_id{parts[1]}, team_id{words.second}, bytes)
-                             : std::nullopt;
+    // Other VMs ask for large jobs of teams that the configuration names, and for jobs without a team.
+    const bool valid = absl::SimpleAtoi(words.first, &bytes) && bytes > max_unreserved_bytes &&
+                       is_job_id(job_id{parts[1]}) && knows_team(team_id{words.second});
+    const auto granted =
+        valid ? session->reserve_work(job_id{parts[1]}, team_id{words.second}, bytes) : std::nullopt;
     responder.send({.status = !granted   ? http_status::service_unavailable
                               : *granted ? http_status::ok
                                          : http_status::too_many_requests,
--- a/src/programs/rhubarb-edge/caller_api.hpp
+++ b/src/programs/rhubarb-edge/caller_api.hpp
@@ -68,6 +68,7 @@
   void answer_phase_from_store(const pending_call_ptr& call);
   void answer_phase_from_job_row(const pending_call_ptr& call);
   void answer_waiting_count(const pending_call_ptr& call);
+  [[nodiscard]] bool knows_team(const team_id& team) const;
   /// Sends the response to a caller, with its log line and metrics. `reason` must be from a fixed set of
   /// texts unless `status` is 400, because it becomes a metric label.
   void answer(const pending_call_ptr& call, int status, std::string body, std::string_view reason,
--- a/tests/platform/crowd/job_crowd_test.cpp
+++ b/tests/platform/crowd/job_crowd_test.cpp
@@ -195,6 +195,18 @@
   check_jobs();
 }
 
+TEST_CASE_METHOD(job_crowd_fixture, "owner_keeps_its_bounds_under_reservations_of_invented_teams") {
+  // Guards against the port of the other VMs as a way to make the owner keep names, or refuse a team.
+  constexpr int reservations = 60;
+  const std::string long_name(3 * megabyte, 'x');
+  for (int i = 0; i < reservations; ++i) {
+    vms.send_as_peer(0, fmt::format("/owner/reserve/invented-{}", i),
+                     fmt::format("{} {}{}", i % 2 == 0 ? 100'000 : 1'000'000'000, i, long_name));
+    look();
+  }
+  check_jobs();
+}
+
 TEST_CASE_METHOD(job_crowd_fixture, "vm_answers_what_is_stored_with_success_while_its_team_is_refused") {
   // Guards against "never runs" as the answer to a repetition of a job that is stored.
   const auto body = largest_job(plain_step);
