Build the commit of progress rows in a function of its own

The linter refuses write_progress, which has grown beyond its bound. No change of behaviour; the tests of progress rows and of owners that are killed in turn pass.

--- a/src/programs/rhubarb-edge/owner_session.cpp
+++ b/src/programs/rhubarb-edge/owner_session.cpp
@@ -566,12 +566,7 @@
   return encode_job_progress(shortened);
 }
 
-void owner_session::write_progress() {
-  if (unsaved_progress_.empty()) {
-    scheduler_->stored(deps_.loop.now());
-    run_actions();
-    return;
-  }
+kv_commit owner_session::next_progress_commit() {
   // A commit has one condition on the owner row and, for each job, one condition and one put.
   constexpr std::size_t jobs_per_commit = (max_commit_entries - 1) / 2;
   kv_commit commit;
@@ -592,7 +587,16 @@
     commit.expected.push_back({.key = key, .changed = progress_revisions_[row.job]});
     commit.puts.push_back({.key = key, .value = std::move(value)});
   }
-  deps_.store.call(std::move(commit), [weak = weak_from_this()](const kv_result& result) {
+  return commit;
+}
+
+void owner_session::write_progress() {
+  if (unsaved_progress_.empty()) {
+    scheduler_->stored(deps_.loop.now());
+    run_actions();
+    return;
+  }
+  deps_.store.call(next_progress_commit(), [weak = weak_from_this()](const kv_result& result) {
     const auto self = weak.lock();
     if (self == nullptr || self->stopped_) {
       return;
--- a/src/programs/rhubarb-edge/owner_session.hpp
+++ b/src/programs/rhubarb-edge/owner_session.hpp
@@ -115,6 +115,8 @@
   void perform(const advice_request& request);
   void perform(const decision_record& decision);
   void write_progress();
+  /// The next rows of `unsaved_progress_`, as many as one commit takes; sets `rows_in_commit_`.
+  [[nodiscard]] kv_commit next_progress_commit();
   /// Encodes the row of a job. Where it would be larger than a row of the store, it names only what is done.
   [[nodiscard]] std::string encode_within_row(const job_progress& progress);
   void write_workers();
