Look up and answer once what was looked up and answered twice

From a reading of the whole change; no change of behaviour: - open_step made a new step state, with its maps, for each unit of a pass that it only had to find; it looks first. - A search asked each worker twice whether a team has enough starts there; it asks again only where the worker takes nothing. - A member that starts was set to "reserved" for a moment; it is set to "none". - The answer to a submission whose id has a row stood twice; answer_stored serves both.

test_coordination (296 cases), four process tests of jobs, lint of the three files, formatter and layers pass. The other tests were not run on this commit.

--- a/src/coordination/job_scheduler/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_placement.cpp
@@ -384,8 +384,9 @@
   }
   bool starts_limited = false;
   const auto allowed = [&](worker_slot at) {
-    starts_limited = starts_limited || starts_enough(space->at(at), job);
-    return allowance_on(space->at(at), job, placed);
+    const auto allowance = allowance_on(space->at(at), job, placed);
+    starts_limited = starts_limited || (allowance == 0 && starts_enough(space->at(at), job));
+    return allowance;
   };
   const auto slots = rack ? space->index.fit_in_rack(request.wanted, step.data_rack, allowed)
                           : space->index.fit(request.wanted, allowed);
@@ -442,7 +443,7 @@
     auto& worker = *where[index];
     used_of_service += occupied(step_of(job, starting));
     starting.members[index] =
-        member{.phase = member_phase::reserved, .worker = &worker, .run = starting.run, .checkpoint = {}};
+        member{.phase = member_phase::none, .worker = &worker, .run = starting.run, .checkpoint = {}};
     set_phase(job, starting.members[index], member_phase::starting);
     assign_member(job, starting, index);
     order_start(job, starting, index, now);
--- a/src/coordination/job_scheduler/job_units.cpp
+++ b/src/coordination/job_scheduler/job_units.cpp
@@ -133,6 +133,9 @@
 }
 
 step_state& job_units::open_step(occurrence_state& in, std::uint32_t step) {
+  if (auto* found = in.find(step); found != nullptr) {
+    return *found;
+  }
   return in.steps.try_emplace(step, step_state{.unit_count = shapes_[step].units, .units = {}, .done = {}})
       .first->second;
 }
--- a/src/programs/rhubarb-edge/caller_api.cpp
+++ b/src/programs/rhubarb-edge/caller_api.cpp
@@ -290,14 +290,20 @@
       const auto spread = static_cast<int>(std::hash<std::string>{}(call->job.value()) % spread_seconds);
       answer(call, http_status::too_many_requests, {}, "the team has as many jobs as it may",
              2 * retry_after_seconds + spread);
-    } else if (belongs_to_another_team(items->items.front(), call->team)) {
-      answer(call, http_status::conflict, {}, "another team has a job with this id");
     } else {
-      answer(call, http_status::ok, {}, "stored before");
+      answer_stored(call, items->items.front());
     }
   });
 }
 
+void caller_api::answer_stored(const pending_call_ptr& call, const kv_item& row) {
+  if (belongs_to_another_team(row, call->team)) {
+    answer(call, http_status::conflict, {}, "another team has a job with this id");
+  } else {
+    answer(call, http_status::ok, {}, "stored before");
+  }
+}
+
 void caller_api::try_submit(const std::shared_ptr<submission>& job) {
   const auto advice = job->call->may_be_stored ? write_gate::advice::send : deps_.store.new_write_advice();
   if (advice == write_gate::advice::refuse) {
@@ -324,10 +330,8 @@
       const auto* stored = find_item(conflict->items, keys::job(call->job));
       if (stored == nullptr) {
         answer(call, http_status::gone, {}, "cancelled before it was stored");
-      } else if (belongs_to_another_team(*stored, call->team)) {
-        answer(call, http_status::conflict, {}, "another team has a job with this id");
       } else {
-        answer(call, http_status::ok, {}, "stored before");
+        answer_stored(call, *stored);
       }
     } else {
       call->may_be_stored = call->may_be_stored || !std::holds_alternative<kv_refused>(result);
--- a/src/programs/rhubarb-edge/caller_api.hpp
+++ b/src/programs/rhubarb-edge/caller_api.hpp
@@ -59,6 +59,8 @@
   void reserve_and_submit(const std::shared_ptr<submission>& job);
   void reservation_answered(const std::shared_ptr<submission>& job, std::optional<bool> granted);
   void try_submit(const std::shared_ptr<submission>& job);
+  /// Answers the submission of a job whose id has a row.
+  void answer_stored(const pending_call_ptr& call, const kv_item& row);
   /// Refuses a job for which there is no room, unless an earlier attempt has stored it.
   void refuse_unless_stored(const pending_call_ptr& call);
   void cancel(const pending_call_ptr& call);
