--- a/tests/platform/edge/edge_processes.cpp
+++ b/tests/platform/edge/edge_processes.cpp
@@ -63,6 +63,7 @@
   if (limits.value_bytes > 0) {
     store_.max_value_bytes = static_cast<std::size_t>(limits.value_bytes);
   }
+  store_.limit_rates(limits.rates);
   require(store_.listen());
   std::vector<std::string> seeds;
   for (int i = 0; i < std::min(3, vms); ++i) {
@@ -84,7 +85,8 @@
                               .store_address = fmt::format("{}.2:{}", network_prefix_, port),
                               .memory_mb = limits.memory_mb,
                               .max_descriptors = limits.max_descriptors,
-                              .value_bytes = limits.value_bytes});
+                              .value_bytes = limits.value_bytes,
+                              .rates = limits.rates});
     added.process = std::make_unique<edge_process>(program_path(), settings.string(),
                                                    (folder_ / (name + ".log")).string());
     if (!added.process->start()) {
--- a/tests/platform/edge/edge_processes.hpp
+++ b/tests/platform/edge/edge_processes.hpp
@@ -27,6 +27,7 @@
   int memory_mb{0};
   int max_descriptors{0};
   int value_bytes{0};  ///< Largest value of the store.
+  store_rates rates;
 };
 
 /// A few `rhubarb-edge` processes on loopback, each with a proxy of its own before the stand-in of the store.
@@ -39,6 +40,7 @@
   edge_processes& operator=(edge_processes&&) = delete;
   ~edge_processes();
 
+  [[nodiscard]] event_loop& loop() noexcept { return loop_; }
   [[nodiscard]] store_stand_in& store() noexcept { return store_; }
   /// Adds a worker without a proxy.
   void add_worker();
--- a/tests/platform/soak/platform_documents.cpp
+++ b/tests/platform/soak/platform_documents.cpp
@@ -39,6 +39,12 @@
   if (vm.value_bytes > 0) {
     settings["platform"]["valueBytes"] = vm.value_bytes;
   }
+  if (vm.rates.reads > 0) {
+    settings["platform"]["readsPerS"] = vm.rates.reads;
+  }
+  if (vm.rates.writes > 0) {
+    settings["platform"]["writesPerS"] = vm.rates.writes;
+  }
   auto temporary_path = path;
   temporary_path += ".next";
   std::ofstream{temporary_path} << settings.dump(1);
--- a/tests/platform/soak/platform_documents.hpp
+++ b/tests/platform/soak/platform_documents.hpp
@@ -21,6 +21,12 @@
 /// No start may happen in a failure domain later than this after its evacuation was requested.
 constexpr std::chrono::milliseconds evacuation_limit{5000};
 
+/// Calls that the store takes from all VMs together in a second; no limit if 0.
+struct store_rates {
+  int reads{0};
+  int writes{0};
+};
+
 struct vm_document {
   std::string name;
   std::string address;  ///< IP number of the VM.
@@ -30,6 +36,7 @@
   int memory_mb{0};        ///< Memory limit of the process; left out if 0.
   int max_descriptors{0};  ///< Left out if 0.
   int value_bytes{0};      ///< Largest value of the store; left out if 0.
+  store_rates rates;       ///< Left out if 0.
 };
 
 /// Replaces the settings file at `path` in one step, so that no process reads a partial file.
--- a/tests/platform/soak/store_stand_in.cpp
+++ b/tests/platform/soak/store_stand_in.cpp
@@ -77,7 +77,39 @@
   history_.clear();
 }
 
+bool store_stand_in::any_call_given_up() {
+  return std::erase_if(unanswered_, [](const http_responder& reply) { return !reply.open(); }) > 0;
+}
+
+void store_stand_in::limit_rates(store_rates rates) {
+  reads_ = {.per_second = static_cast<double>(rates.reads), .left = static_cast<double>(rates.reads)};
+  writes_ = {.per_second = static_cast<double>(rates.writes), .left = static_cast<double>(rates.writes)};
+  last_refill_ = loop_.now();
+}
+
+bool store_stand_in::within_rates(const http_request& request) {
+  const auto now = loop_.now();
+  const std::chrono::duration<double> passed = now - std::exchange(last_refill_, now);
+  for (auto* each : {&reads_, &writes_}) {
+    each->left = std::min(each->per_second, each->left + passed.count() * each->per_second);
+  }
+  // The renewal of a lease counts as a tenth of a read.
+  constexpr double renewal = 0.1;
+  const bool renews = request.path.starts_with("/api/kv-keep/");
+  auto& kind = renews || request.method == "GET" ? reads_ : writes_;
+  const double cost = renews ? renewal : 1.0;
+  if (kind.per_second > 0 && kind.left < cost) {
+    return false;
+  }
+  kind.left -= cost;
+  return true;
+}
+
 void store_stand_in::handle(const http_request& request, const http_responder& reply) {
+  if (!within_rates(request)) {
+    reply.send({.status = 429, .headers = {}, .body = {}});
+    return;
+  }
   const auto draw_fault = [&](int percent) {
     return percent > 0 && random_.below(percent_range) < static_cast<std::uint64_t>(percent);
   };
@@ -91,6 +123,11 @@
     unanswered_.push_back(reply);
     return;
   }
+  if (!faults.unanswered_watches.empty() && request.path == "/api/kv-watch" &&
+      query_value(request.query, "prefix") == faults.unanswered_watches) {
+    unanswered_.push_back(reply);
+    return;
+  }
   const bool is_write = request.method != "GET";
   if (is_write && draw_fault(faults.late_writes_percent)) {
     unanswered_.push_back(reply);
--- a/tests/platform/soak/store_stand_in.hpp
+++ b/tests/platform/soak/store_stand_in.hpp
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "platform_documents.hpp"
 #include "rhubarbpath/state/random.hpp"
 #include "rhubarbpath/transport/event_loop.hpp"
 #include "rhubarbpath/transport/http_server.hpp"
@@ -27,6 +28,7 @@
   int late_writes_percent{0};          ///< Executed up to 3.5 s later, never answered.
   bool config_unanswered{false};       ///< Calls for the configuration get no answer; others do.
   bool evacuations_unanswered{false};  ///< The same for requests to evacuate a failure domain.
+  std::string unanswered_watches;      ///< Watches of this prefix get no answer; none if empty.
   int refused_percent{0};              ///< Answered with 429 or 503 and not executed.
 };
 
@@ -41,6 +43,10 @@
   void erase(const std::string& key);
   /// Discards the event history, so that watches from an earlier revision are answered with 410.
   void compact();
+  /// Refuses calls above these rates with 429; none are refused for a rate of 0.
+  void limit_rates(store_rates rates);
+  /// Whether the client of an unanswered call has closed its connection since this was asked last.
+  [[nodiscard]] bool any_call_given_up();
   [[nodiscard]] bool contains(const std::string& key) const { return rows_.contains(key); }
 
   /// The largest value in bytes; base64 lengthens it by a third on the wire.
@@ -76,7 +82,15 @@
   };
   using answer = http_response;
 
+  /// Calls of one kind that may still be served at once.
+  struct allowance {
+    double per_second{0};  ///< 0 for no limit.
+    double left{0};
+  };
+
   void handle(const http_request& request, const http_responder& reply);
+  /// Counts a call. Returns false if there have been too many.
+  [[nodiscard]] bool within_rates(const http_request& request);
   [[nodiscard]] answer execute(const http_request& request);
   [[nodiscard]] answer read_one(const http_request& request) const;
   [[nodiscard]] answer read_range(const http_request& request) const;
@@ -101,6 +115,9 @@
   std::map<std::uint64_t, lease> leases_;
   std::uint64_t next_lease_{100};
   std::vector<watcher> watchers_;
+  allowance reads_;
+  allowance writes_;
+  instant last_refill_{};
   std::vector<http_responder> unanswered_;  ///< Keeps the connections of unanswered calls open.
   instant last_advance_{};
   http_server server_;
