Take no watch without an answer for an outage of the store

Cause: a watch of the ownership rows lasts up to 3.45 s. If its answer was lost, write_gate heard of a failure seconds later, while all other calls had been answered. If one more answer was lost within the next 0.2 s, the gate took that for 0.3 s without an answer and refused the job. In the test, the first loss is that of the round before, 3.45 s earlier.

Evidence: job_is_stored_when_a_lost_watch_ends_just_before_other_answers_are_lost leaves these watches without an answer and loses answers for 0.3 s as soon as the VM gives one up.

A watch without an answer no longer counts; the read that follows it does, as for the direct path. A refused watch counts as before.

--- a/src/programs/rhubarb-edge/store_access.cpp
+++ b/src/programs/rhubarb-edge/store_access.cpp
@@ -181,7 +181,9 @@
   if (!std::holds_alternative<kv_unknown>(result) && !std::holds_alternative<kv_refused>(result)) {
     last_answer_ = loop_.now();
     gate_.answered();
-  } else {
+  } else if (!std::holds_alternative<kv_watch>(call->request) || std::holds_alternative<kv_refused>(result)) {
+    // The answer to a watch may have been lost seconds ago, while other calls were answered. The read that
+    // follows shows whether the store answers now.
     gate_.failed(loop_.now());
   }
   call->done(std::move(result));
--- a/tests/platform/edge/store_writes_test.cpp
+++ b/tests/platform/edge/store_writes_test.cpp
@@ -1,3 +1,5 @@
+#include <fmt/format.h>
+
 #include <catch2/catch.hpp>
 #include <chrono>
 
@@ -66,5 +68,33 @@
   }
 }
 
+TEST_CASE("job_is_stored_when_a_lost_watch_ends_just_before_other_answers_are_lost") {
+  // Guards against a watch whose answer was lost seconds ago as evidence that the store does not answer now:
+  // with the loss of one more answer, the job was refused.
+  edge_processes vms{1};
+  REQUIRE(vms.all_use(1, seconds{20}));
+  vms.run_for(seconds{2});
+  auto& store = vms.store();
+  store.faults.unanswered_watches = "rhubarb/owner/";
+  constexpr int jobs = 3;
+  for (int number = 0; number < jobs; ++number) {
+    CAPTURE(number);
+    static_cast<void>(store.any_call_given_up());
+    constexpr int most_looks = 2000;
+    bool given_up = false;
+    for (int i = 0; i < most_looks && !given_up; ++i) {
+      vms.run_for(milliseconds{5});
+      given_up = store.any_call_given_up();
+    }
+    REQUIRE(given_up);
+    store.faults.lost_answers_percent = 100;
+    store.run_later(milliseconds{300}, [](store_faults& faults) { faults.lost_answers_percent = 0; });
+    CHECK(vms.call_job(0, "POST", fmt::format("5c0e7a21d94b06{:02x}", number),
+                       R"({"steps":[{"count":1,"cpu":100,"estimateMs":200}]})", seconds{5},
+                       {.timeout_ms = "5000"}) == http_status::ok);
+    vms.run_for(seconds{3});
+  }
+}
+
 }  // namespace
 }  // namespace rhubarbpath::soak
