Bound the calls to the store that a VM makes for its callers

Callers of other teams saw 503 for their jobs, twenty times in a row, and what was stored stood for up to a minute, while 20 clients sent small jobs, queries or cancellations as fast as they were answered, each request inside the limits and with a timeout of 0.3 s. No process ended.

Cause: the store takes a limited number of calls from all VMs together, and each request of a caller made up to two. One VM used up the rate alone, so the store answered 429 to the owner's calls and to those of every other VM. The stand-in of the store had no rates, so no test could show it.

caller_rate_limit takes three quarters of the rates that the settings state, leaves each team as much as it leaves the others, and halves with each refusal of the store for its rate, because a VM does not know how many others have callers. A submission above it is looked up and refused with 429; other calls get 504, which promises nothing. The Retry-After of both is spread.

--- a/include/rhubarbpath/state/kv.hpp
+++ b/include/rhubarbpath/state/kv.hpp
@@ -94,6 +94,7 @@
 /// The store refused the call without any effect.
 struct kv_refused {
   std::string reason;
+  bool rate_limited{false};  ///< There were too many calls, of this VM or of all together.
 };
 /// No answer came; a write may have taken effect, or may still take effect while its condition holds.
 struct kv_unknown {
--- a/src/programs/rhubarb-edge/caller_api.cpp
+++ b/src/programs/rhubarb-edge/caller_api.cpp
@@ -33,6 +33,9 @@
 constexpr int retry_after_seconds = 1;
 /// Jobs that cost the owner less are stored without asking it for room.
 constexpr std::uint64_t max_unreserved_bytes = 64U << 10U;
+/// Reasons of refusals with 429.
+constexpr std::string_view full_team = "the team has as many jobs as it may";
+constexpr std::string_view too_many_submissions = "the team submits too many jobs at a time";
 constexpr std::int64_t default_timeout_ms = 3000;
 /// A longer timeout counts as this one, so that the deadline cannot overflow.
 constexpr std::int64_t max_timeout_ms = 600'000;
@@ -43,6 +46,12 @@
   return found == items.end() ? nullptr : &*found;
 }
 
+/// Seconds, spread by the id, so that those that are refused together do not return together.
+int spread_retry_after(const job_id& job) {
+  constexpr int spread_seconds = 8;
+  return 2 * retry_after_seconds + static_cast<int>(std::hash<std::string>{}(job.value()) % spread_seconds);
+}
+
 /// Whether the row is a job of another team. Calls of queues that are open to all have no team.
 bool belongs_to_another_team(const kv_item& row, const team_id& team) {
   const auto job = decode_accepted_job(row.value);
@@ -202,11 +211,38 @@
   deps_.loop.run_detached(retry_pause, std::move(retry));
 }
 
+bool caller_api::try_call_store(const pending_call_ptr& call, kv_request request,
+                                store_access::callback done) {
+  const bool writes = std::holds_alternative<kv_commit>(request);
+  auto& limit = writes ? writes_ : reads_;
+  if (!limit.take(call->team, deps_.loop.now())) {
+    return false;
+  }
+  deps_.store.call(
+      std::move(request), [this, &limit, writes, done = std::move(done)](const kv_result& result) {
+        const auto* refused = std::get_if<kv_refused>(&result);
+        if (refused != nullptr && refused->rate_limited && limit.exceeded(deps_.loop.now())) {
+          log(log_level::warning, "store_rate_exceeded",
+              {{"calls", std::string{writes ? "writes" : "reads"}}, {"callers_per_second", limit.rate()}});
+        }
+        done(result);
+      });
+  return true;
+}
+
+void caller_api::call_store(const pending_call_ptr& call, kv_request request, store_access::callback done) {
+  if (!try_call_store(call, std::move(request), std::move(done))) {
+    // Not 429, which would say that the job never runs.
+    answer(call, http_status::gateway_timeout, {}, "too many calls of the team",
+           spread_retry_after(call->job));
+  }
+}
+
 // ---- submit ----
 
 void caller_api::submit(const pending_call_ptr& call, const http_request& request) {
   if (deps_.full_teams().contains(call->team)) {
-    refuse_unless_stored(call);
+    refuse_unless_stored(call, full_team);
     return;
   }
   auto graph = platform::decode_job(request.body);
@@ -273,23 +309,19 @@
   } else if (*granted) {
     try_submit(job);
   } else {
-    refuse_unless_stored(job->call);
+    refuse_unless_stored(job->call, full_team);
   }
 }
 
-void caller_api::refuse_unless_stored(const pending_call_ptr& call) {
-  deps_.store.call(kv_get{.key = keys::job(call->job)}, [this, call](const kv_result& result) {
+void caller_api::refuse_unless_stored(const pending_call_ptr& call, std::string_view reason) {
+  call_store(call, kv_get{.key = keys::job(call->job)}, [this, call, reason](const kv_result& result) {
     const auto* items = std::get_if<kv_items>(&result);
     if (items == nullptr) {
       // The job may have been stored by an earlier attempt.
       call->may_be_stored = true;
-      retry_or_fail(call, [this, call] { refuse_unless_stored(call); });
+      retry_or_fail(call, [this, call, reason] { refuse_unless_stored(call, reason); });
     } else if (items->items.empty()) {
-      // Spread by the id, so that those that are refused together do not return together.
-      constexpr int spread_seconds = 8;
-      const auto spread = static_cast<int>(std::hash<std::string>{}(call->job.value()) % spread_seconds);
-      answer(call, http_status::too_many_requests, {}, "the team has as many jobs as it may",
-             2 * retry_after_seconds + spread);
+      answer(call, http_status::too_many_requests, {}, reason, spread_retry_after(call->job));
     } else {
       answer_stored(call, items->items.front());
     }
@@ -322,7 +354,7 @@
       .expected = {{.key = key, .changed = revision{}}, {.key = keys::cancel(id), .changed = revision{}}},
       .puts = {{.key = key, .value = job->row}},
       .erases = {}};
-  deps_.store.call(std::move(commit), [this, job](const kv_result& result) {
+  const bool called = try_call_store(job->call, std::move(commit), [this, job](const kv_result& result) {
     const auto& call = job->call;
     if (std::holds_alternative<kv_committed>(result)) {
       answer(call, http_status::ok, {}, "stored");
@@ -338,12 +370,20 @@
       retry_or_fail(call, [this, job] { try_submit(job); });
     }
   });
+  if (called) {
+    return;
+  }
+  if (job->call->may_be_stored) {
+    retry_or_fail(job->call, [this, job] { try_submit(job); });
+  } else {
+    refuse_unless_stored(job->call, too_many_submissions);
+  }
 }
 
 // ---- cancel ----
 
 void caller_api::cancel(const pending_call_ptr& call) {
-  deps_.store.call(kv_list{.prefix = keys::job(call->job)}, [this, call](const kv_result& result) {
+  call_store(call, kv_list{.prefix = keys::job(call->job)}, [this, call](const kv_result& result) {
     const auto* items = std::get_if<kv_items>(&result);
     if (items == nullptr) {
       // Nothing was written, but the caller must not mistake a refusal for "no such job".
@@ -374,7 +414,7 @@
     // more.
     commit.expected.push_back({.key = keys::job(call->job), .changed = revision{}});
   }
-  deps_.store.call(std::move(commit), [this, call, known](const kv_result& result) {
+  call_store(call, std::move(commit), [this, call, known](const kv_result& result) {
     if (std::holds_alternative<kv_committed>(result)) {
       known ? answer(call, http_status::ok, {}, "cancellation stored")
             : answer(call, http_status::gone, {}, "no such job; it will not be accepted");
@@ -425,7 +465,7 @@
 }
 
 void caller_api::answer_phase_from_store(const pending_call_ptr& call) {
-  deps_.store.call(kv_get{.key = keys::progress(call->job)}, [this, call](const kv_result& result) {
+  call_store(call, kv_get{.key = keys::progress(call->job)}, [this, call](const kv_result& result) {
     const auto* items = std::get_if<kv_items>(&result);
     if (items == nullptr) {
       call->may_be_stored = true;
@@ -443,7 +483,7 @@
 }
 
 void caller_api::answer_phase_from_job_row(const pending_call_ptr& call) {
-  deps_.store.call(kv_get{.key = keys::job(call->job)}, [this, call](const kv_result& result) {
+  call_store(call, kv_get{.key = keys::job(call->job)}, [this, call](const kv_result& result) {
     const auto* items = std::get_if<kv_items>(&result);
     if (items == nullptr) {
       call->may_be_stored = true;
--- a/src/programs/rhubarb-edge/edge_daemon.cpp
+++ b/src/programs/rhubarb-edge/edge_daemon.cpp
@@ -49,6 +49,8 @@
 constexpr double caller_share = 0.25;
 constexpr double peer_share = 0.25;
 constexpr double probe_share = 0.0625;
+/// Share of the store's rate for callers. The rest is for what the VMs call it for themselves.
+constexpr double caller_store_share = 0.75;
 
 /// A configuration of 1,600 queues takes 0.4 s over a link of 10 Mbit/s that carries nothing else.
 constexpr duration max_transfer_extension{std::chrono::seconds{4}};
@@ -100,6 +102,8 @@
                 .own_session = [this] { return session_.get(); },
                 .owner_address = [this] { return owner_address_; },
                 .max_row_bytes = settings_.max_row_bytes,
+                .max_read_rate = settings_.store_reads_per_second * caller_store_share,
+                .max_write_rate = settings_.store_writes_per_second * caller_store_share,
                 .full_teams = [this]() -> const std::set<team_id>& { return full_teams_; },
                 .stopping = [this] { return stopping_; }}},
       limits_{std::make_shared<client_limits>(
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -83,6 +83,23 @@
   }
 }
 
+TEST_CASE("settings_state_the_rates_of_the_store") {
+  // Guards against bounds on callers that do not follow the store, or that an odd rate turns to nothing.
+  const std::string address = R"("address":"10.200.1.7:8524")";
+  const auto with_rates = [&](const std::string& rates) {
+    std::string text{settings_text};
+    text.replace(text.find(address), address.size(), address + rates);
+    return decode_settings(text);
+  };
+  CHECK(with_rates(R"(,"readsPerS":900,"writesPerS":90)")->store_reads_per_second == 900);
+  CHECK(with_rates(R"(,"readsPerS":900,"writesPerS":90)")->store_writes_per_second == 90);
+  for (const auto* odd : {"", R"(,"readsPerS":0,"writesPerS":-1)", R"(,"readsPerS":"x","writesPerS":null)"}) {
+    INFO(odd);
+    CHECK(with_rates(odd)->store_reads_per_second == vm_settings{}.store_reads_per_second);
+    CHECK(with_rates(odd)->store_writes_per_second == vm_settings{}.store_writes_per_second);
+  }
+}
+
 TEST_CASE("advice_request_and_answer_match_the_wire_format") {
   const auto request =
       encode_advice_request({.step = {.job = job_id{"5c0e7a21d94b36f8"}, .occurrence = 0, .step = 1},
@@ -375,6 +392,8 @@
       kv_commit{.expected = {{"k", revision{}}}, .puts = {{"k", "v", {}}}, .erases = {}};
   CHECK(std::holds_alternative<kv_refused>(decode_store_response(commit, make_response(503, ""))));
   CHECK(std::holds_alternative<kv_refused>(decode_store_response(commit, make_response(429, ""))));
+  CHECK(std::get<kv_refused>(decode_store_response(commit, make_response(429, ""))).rate_limited);
+  CHECK_FALSE(std::get<kv_refused>(decode_store_response(commit, make_response(503, ""))).rate_limited);
   CHECK(std::holds_alternative<kv_unknown>(decode_store_response(commit, make_response(500, ""))));
   CHECK(std::holds_alternative<kv_unknown>(
       decode_store_response(commit, http_call_failed{.bytes_sent = true, .timed_out = true, .reason = {}})));
