Play floods of readers in the soak, with the rates of a small site's store

The soak's store took any number of calls, and its hostile callers read no answers, so nothing there competed for the store.

--- a/tests/platform/crowd/reading_crowd.cpp
+++ b/tests/platform/crowd/reading_crowd.cpp
@@ -30,15 +30,21 @@
   client_.call(address_, load_.request(next_number_++), patience, [this](const http_result& result) {
     const auto* response = std::get_if<http_response>(&result);
     ++answers_[response == nullptr ? 0 : response->status];
-    if (response != nullptr) {
+    if (response == nullptr) {
+      send_later(reconnect_pause);
+    } else if (load_.pause > duration::zero()) {
+      send_later(load_.pause);
+    } else {
+      send_next();
+    }
+  });
+}
+
+void reading_crowd::send_later(duration delay) {
+  loop_.run_detached(delay, [this, alive = std::weak_ptr<bool>{alive_}] {
+    if (!alive.expired()) {
       send_next();
-      return;
     }
-    loop_.run_detached(reconnect_pause, [this, alive = std::weak_ptr<bool>{alive_}] {
-      if (!alive.expired()) {
-        send_next();
-      }
-    });
   });
 }
 
--- a/tests/platform/crowd/reading_crowd.hpp
+++ b/tests/platform/crowd/reading_crowd.hpp
@@ -12,11 +12,12 @@
 
 struct reading_load {
   int clients{20};
+  duration pause{};  ///< Of each client, between an answer and its next request.
   /// Makes the request with this number; numbers rise from 0.
   std::function<http_request(int)> request;
 };
 
-/// Clients that read each answer and send the next request at once, until destruction.
+/// Clients that read each answer before they send the next request, until destruction.
 class reading_crowd {
  public:
   /// `address` is the IP number and port of a server.
@@ -27,6 +28,7 @@
 
  private:
   void send_next();
+  void send_later(duration delay);
 
   event_loop& loop_;
   std::string address_;
--- a/tests/platform/soak/edge_soak.cpp
+++ b/tests/platform/soak/edge_soak.cpp
@@ -39,6 +39,8 @@
 using std::chrono::seconds;
 
 constexpr std::uint16_t store_port = 8524;
+/// Of the store of a small site.
+constexpr store_rates rates{.reads = 2000, .writes = 400};
 constexpr std::uint16_t moved_store_port = 8624;
 constexpr std::uint16_t proxy_port = 9000;
 constexpr std::uint16_t worker_port = 9100;
@@ -180,6 +182,7 @@
     trace_.open(options_.folder / "soak.txt");
     started_at_ = loop_.now();
     configs_.write();
+    store_.limit_rates(rates);
     if (auto status = store_.listen(); !status.ok()) {
       return status;
     }
@@ -262,7 +265,8 @@
          .seeds = seeds,
          .store_address = fmt::format("{}.2:{}", network_prefix_,
                                       (entry_vm.moved ? moved_store_port : proxy_port) + index),
-         .memory_mb = memory_mb});
+         .memory_mb = memory_mb,
+         .rates = rates});
   }
 
   // ---- faults ----
--- a/tests/platform/soak/hostile_callers.cpp
+++ b/tests/platform/soak/hostile_callers.cpp
@@ -49,6 +49,20 @@
   }
 }
 
+/// Requests at a rate that leaves the loop of the stand-ins to them.
+reading_load random_flood(random_source& random) {
+  const std::string method = random.below(2) == 0 ? "GET" : "DELETE";
+  const auto first = random.below(1U << 30U);
+  return {.pause = milliseconds{10}, .request = [method, first](int number) {
+            return http_request{
+                .method = method,
+                .path = fmt::format("/jobs/5c0e{:012x}", first + static_cast<std::uint64_t>(number)),
+                .query = {},
+                .headers = {{"Host", std::string{caller_host}}, {"Key", "key-a"}, {"Timeout-Ms", "300"}},
+                .body = {}};
+          }};
+}
+
 }  // namespace
 
 hostile_callers::hostile_callers(event_loop& loop, std::vector<std::string> addresses, std::uint64_t seed)
@@ -67,16 +81,24 @@
 
 void hostile_callers::act() {
   const auto& address = addresses_[random_.below(addresses_.size())];
-  auto load = random_load(random_);
-  const auto length = milliseconds{500 + random_.below(3000)};
-  visits_.push_back(
-      {.crowd = std::make_unique<hostile_crowd>(address, std::move(load)), .until = loop_.now() + length});
+  const auto until = loop_.now() + milliseconds{500 + random_.below(3000)};
+  constexpr std::uint64_t kinds = 4;
+  if (random_.below(kinds) == 0) {
+    visits_.push_back({.readers = std::make_unique<reading_crowd>(
+                           loop_, fmt::format("{}:{}", address, caller_port), random_flood(random_)),
+                       .until = until});
+  } else {
+    visits_.push_back(
+        {.crowd = std::make_unique<hostile_crowd>(address, random_load(random_)), .until = until});
+  }
 }
 
 void hostile_callers::step() {
   std::erase_if(visits_, [now = loop_.now()](const visit& each) { return now >= each.until; });
   for (const auto& each : visits_) {
-    static_cast<void>(each.crowd->step());
+    if (each.crowd != nullptr) {
+      static_cast<void>(each.crowd->step());
+    }
   }
 }
 
--- a/tests/platform/soak/hostile_callers.hpp
+++ b/tests/platform/soak/hostile_callers.hpp
@@ -6,14 +6,16 @@
 #include <vector>
 
 #include "../crowd/hostile_crowd.hpp"
+#include "../crowd/reading_crowd.hpp"
 #include "rhubarbpath/state/random.hpp"
 #include "rhubarbpath/transport/event_loop.hpp"
 
 namespace rhubarbpath::soak {
 
 /// A few clients that keep to no limit, at random VMs for a few seconds each: requests sent ahead whose
-/// answers stay unread, chunked bodies without end, idle connections. Has a random source of its own, so that
-/// the load and the faults of a seed stay the same.
+/// answers stay unread, chunked bodies without end, idle connections, and floods of queries and cancellations
+/// of unknown jobs whose answers are read. Has a random source of its own, so that the load and the faults of
+/// a seed stay the same.
 class hostile_callers {
  public:
   /// `addresses` are the IP numbers of the VMs.
@@ -25,7 +27,8 @@
 
  private:
   struct visit {
-    std::unique_ptr<hostile_crowd> crowd;
+    std::unique_ptr<hostile_crowd> crowd;    ///< Null while others visit.
+    std::unique_ptr<reading_crowd> readers;  ///< Likewise.
     instant until{};
   };
 
