List no more of a failure domain's log at a time than one answer holds

Callers of rhubarb-entry got no answer about jobs of a failure domain for as long as its log was large: after its owner was killed, no other process owned it (120 s were waited for), and nothing was logged.

Cause: the next owner listed 200 rows of the log at a time. A row may have 256,000 bytes, 341 KB in base64, and an answer 4 MiB; the same list was sent again and again.

--- a/include/rhubarbpath/coordination/domain_log.hpp
+++ b/include/rhubarbpath/coordination/domain_log.hpp
@@ -86,7 +86,9 @@
     duration retention{60'000'000};
     /// 24 h; a submission repeated within this time is deduplicated.
     duration ended_job_retention{86'400'000'000};
-    int replay_page{200};
+    /// Rows that are listed at a time. As many of the largest must fit into one answer of the store, which is
+    /// 4 MiB in base64.
+    int replay_page{10};
     duration successor_poll_interval{100'000};
     duration delete_interval{50'000};  ///< Minimum interval between two deletions of covered rows.
   };
--- a/src/coordination/domain_log.cpp
+++ b/src/coordination/domain_log.cpp
@@ -535,9 +535,8 @@
   if (head_revision_ == revision{}) {
     return;  // There is no snapshot, so no row is covered.
   }
-  constexpr int row_page = 200;
-  constexpr int part_page = 4;  // The size of a part is close to the value limit.
-  const int limit = garbage_prefix_ == row_prefix() ? row_page : part_page;
+  constexpr int part_page = 3;  // The size of a part is close to the value limit.
+  const int limit = garbage_prefix_ == row_prefix() ? options_.replay_page : part_page;
   store_list list{.prefix = garbage_prefix_, .start = garbage_start_, .limit = limit};
   garbage_call_ = make_call(std::move(list), store_priority::background, out);
 }
