Bound the jobs that rhubarb-scheduler keeps

A crowd of callers of rhubarb-entry, each request inside the limits, took rhubarb-scheduler over its 128 MB (docs/design.md 1.6) within 10 s; after 30 s and 6,110 jobs it stood at 240 MB and accepted none of any team.

The unit test checks that the next owner, which reads the log, refuses too.

work_budget counts the jobs of all failure domains of a process. cost_of, which knows the jobs of rhubarb-edge, gets a file of its own. The refusal is final for the attempt: with a Retry-After the entry VM would repeat it itself until the caller's time has passed.

--- a/include/rhubarbpath/coordination/domain_owner.hpp
+++ b/include/rhubarbpath/coordination/domain_owner.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -17,6 +18,7 @@
 #include "rhubarbpath/coordination/placement_policy.hpp"
 #include "rhubarbpath/coordination/store_session.hpp"
 #include "rhubarbpath/coordination/tick.hpp"
+#include "rhubarbpath/coordination/work_budget.hpp"
 #include "rhubarbpath/state/document.hpp"
 #include "rhubarbpath/state/ids.hpp"
 #include "rhubarbpath/state/job.hpp"
@@ -126,8 +128,9 @@
     gang_controller::options gangs;  ///< The epoch and the call ids are set when the log is opened.
   };
 
-  domain_owner(options opts, const log_value_codec& codec, placement_policy& placement,
-               random_source& random);
+  /// `kept_jobs` bounds the jobs of all failure domains of a process together.
+  domain_owner(options opts, const log_value_codec& codec, placement_policy& placement, random_source& random,
+               work_budget& kept_jobs);
   void handle(const domain_owner_event& event, instant now, std::vector<domain_owner_action>& out);
   [[nodiscard]] std::optional<instant> next_deadline() const;
 
@@ -206,6 +209,12 @@
   void apply_decision(const job_end_decided& decision, instant now, actions& out);
   void apply_decision(const worker_set_aside_decided& decision, instant now, actions& out);
   void apply_decision(const worker_restore_decided& decision, instant now, actions& out);
+  /// Replaces the projected state, and counts its jobs in place of those before.
+  void project(domain_state state);
+  /// Forgets the jobs that ended before `horizon`.
+  void forget_old_jobs(instant horizon);
+  /// Why a new job is refused at once; empty if it is not.
+  [[nodiscard]] std::string_view reason_to_refuse(const job_spec& spec) const;
   void append(const log_entry& entry, std::optional<commit_effect> effect, instant now, actions& out);
   void run_effect(const accepted_effect& effect, instant now, actions& out);
   void run_effect(const ended_effect& effect, instant now, actions& out);
@@ -227,6 +236,7 @@
   const log_value_codec* codec_;
   placement_policy* placement_;
   random_source* random_;
+  work_budget* kept_jobs_;
   lease_keeper lease_;
   std::optional<domain_log> log_;
   std::optional<gang_controller> gangs_;
--- a/include/rhubarbpath/coordination/job_scheduler.hpp
+++ b/include/rhubarbpath/coordination/job_scheduler.hpp
@@ -13,6 +13,7 @@
 #include "absl/container/flat_hash_set.h"
 #include "rhubarbpath/coordination/ticket_book.hpp"
 #include "rhubarbpath/coordination/work_budget.hpp"
+#include "rhubarbpath/coordination/work_cost.hpp"
 #include "rhubarbpath/state/fleet.hpp"
 
 namespace rhubarbpath {
--- a/include/rhubarbpath/coordination/work_budget.hpp
+++ b/include/rhubarbpath/coordination/work_budget.hpp
@@ -1,30 +1,14 @@
 #pragma once
 
-#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <set>
 
-#include "rhubarbpath/state/fleet.hpp"
+#include "rhubarbpath/state/ids.hpp"
+#include "rhubarbpath/state/units.hpp"
 
 namespace rhubarbpath {
 
-/// Bounds on what an owner keeps of one job at a time.
-struct job_bounds {
-  /// Steps, and tasks in them, that one placement pass considers.
-  static constexpr std::size_t considered_steps = 1024;
-  static constexpr std::size_t considered_tasks = 8192;
-  /// Steps of all open occurrences together, as far as more than one is open.
-  static constexpr std::size_t open_steps = 65'536;
-};
-
-/// What a job makes its owner keep, in bytes.
-struct work_cost {
-  std::uint64_t open{0};   ///< While it has not ended.
-  std::uint64_t ended{0};  ///< Until it expires. Its row stays, and each next owner reads it.
-};
-[[nodiscard]] work_cost cost_of(const job_graph& graph);
-
 /// Bounds the bytes that the jobs of all teams make an owner keep. A team may have as much as is left for all
 /// others: the first that takes all it can gets half of the whole, the next a quarter, and some is left for
 /// each further one. Reads no clock.
--- a/src/coordination/domain_owner.cpp
+++ b/src/coordination/domain_owner.cpp
@@ -20,6 +20,13 @@
   return state == job_state::starting || state == job_state::running || state == job_state::stopping;
 }
 
+/// What a job takes beside its command.
+constexpr std::uint64_t job_bytes = 1024;
+
+std::uint64_t kept_bytes(const job_spec& spec) {
+  return job_bytes + spec.command.size();
+}
+
 domain_owner::options with_derived_options(domain_owner::options opts) {
   const auto prefix = absl::StrCat("/env/", opts.environment, "/domains/", opts.failure_domain.value());
   opts.log.prefix = prefix;
@@ -36,11 +43,12 @@
 }  // namespace
 
 domain_owner::domain_owner(options opts, const log_value_codec& codec, placement_policy& placement,
-                           random_source& random)
+                           random_source& random, work_budget& kept_jobs)
     : options_{with_derived_options(std::move(opts))},
       codec_{&codec},
       placement_{&placement},
       random_{&random},
+      kept_jobs_{&kept_jobs},
       lease_{options_.lease, random},
       next_log_call_{offset_call(options_.first_call, log_call_offset)},
       next_worker_call_{offset_call(options_.first_call, worker_call_offset)} {}
@@ -66,7 +74,7 @@
   expire_answers(now, out);
   if (gangs_ && next_announcement_ <= now) {
     next_announcement_ = now + options_.announce_interval;
-    forget_ended_jobs(projected_state_, now - options_.log.ended_job_retention);
+    forget_old_jobs(now - options_.log.ended_job_retention);
     out.emplace_back(owner_announced{.failure_domain = options_.failure_domain,
                                      .current_epoch = current_epoch(),
                                      .owner = options_.self,
@@ -74,6 +82,38 @@
   }
 }
 
+// Jobs that are kept.
+
+void domain_owner::project(domain_state state) {
+  for (const auto& [id, job] : projected_state_.jobs) {
+    kept_jobs_->remove(job.spec.team, kept_bytes(job.spec));
+  }
+  projected_state_ = std::move(state);
+  for (const auto& [id, job] : projected_state_.jobs) {
+    kept_jobs_->add(id, job.spec.team, kept_bytes(job.spec));
+  }
+}
+
+void domain_owner::forget_old_jobs(instant horizon) {
+  for (const auto& [id, ended_at] : projected_state_.ended) {
+    const auto found = projected_state_.jobs.find(id);
+    if (ended_at < horizon && found != projected_state_.jobs.end()) {
+      kept_jobs_->remove(found->second.spec.team, kept_bytes(found->second.spec));
+    }
+  }
+  forget_ended_jobs(projected_state_, horizon);
+}
+
+std::string_view domain_owner::reason_to_refuse(const job_spec& spec) const {
+  if (spec.command.size() > options_.max_command_bytes) {
+    return "the command is too long";
+  }
+  if (kept_jobs_->full_teams().contains(spec.team)) {
+    return "the team has as many jobs as are kept for it";
+  }
+  return {};
+}
+
 // Job messages.
 
 void domain_owner::on(const job_submitted& event, instant now, actions& out) {
@@ -86,8 +126,9 @@
     return;
   }
   const bool pending = projected_state_.jobs.contains(event.job);
-  if (!pending && event.spec.command.size() > options_.max_command_bytes) {
-    auto refused = refusal("the command is too long");
+  const auto reason = pending ? std::string_view{} : reason_to_refuse(event.spec);
+  if (!reason.empty()) {
+    auto refused = refusal(std::string{reason});
     refused.retry_after.reset();
     answer(event.from, event.job, std::move(refused), out);
     return;
@@ -106,6 +147,7 @@
     return;
   }
   append(job_accepted{.job = event.job, .spec = event.spec, .at = now}, accepted_effect{event.job}, now, out);
+  kept_jobs_->add(event.job, event.spec.team, kept_bytes(event.spec));
   if (placement_initialized_) {
     placement_->job_accepted(projected_state_.jobs.at(event.job), now);
   }
@@ -320,7 +362,7 @@
 // Log.
 
 void domain_owner::on_log(const log_opened& event, instant now, actions& out) {
-  projected_state_ = log_->state();
+  project(log_->state());
   auto opts = options_.gangs;
   opts.current_epoch = event.opened;
   opts.first_call = next_worker_call_;
@@ -585,7 +627,7 @@
   gangs_.reset();
   pending_effects_.clear();
   requested_stops_.clear();
-  projected_state_ = {};
+  project({});
   hand_over_deadline_.reset();
   placement_initialized_ = false;
   lease_uncertain_ = false;
--- a/src/programs/rhubarb-edge/caller_api.cpp
+++ b/src/programs/rhubarb-edge/caller_api.cpp
@@ -12,6 +12,7 @@
 #include "platform/job_wire.hpp"
 #include "rhubarbpath/coordination/config_decision.hpp"
 #include "rhubarbpath/coordination/queue_routes.hpp"
+#include "rhubarbpath/coordination/work_cost.hpp"
 #include "rhubarbpath/transport/http_status.hpp"
 #include "rhubarbpath/transport/log.hpp"
 #include "rhubarbpath/transport/wall_clock.hpp"
--- a/src/programs/rhubarb-scheduler/scheduler_daemon.cpp
+++ b/src/programs/rhubarb-scheduler/scheduler_daemon.cpp
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr duration document_check_interval = std::chrono::milliseconds{200};
+/// A job takes up to two and a half times its bytes; a daemon may take 128 MB.
+constexpr std::uint64_t max_kept_job_bytes = 32U << 20U;
 
 daemon_base::options base_options(const daemon_settings& settings) {
   daemon_base::options opts{
@@ -66,7 +68,8 @@
              .self_incarnation = daemon.options_.self.id.incarnation},
             daemon.codec_,
             placement,
-            daemon.random_},
+            daemon.random_,
+            daemon.kept_jobs_},
       store_client{daemon.store_.add_client(
           [this, &daemon](const store_call_result& result) { daemon.feed(*this, result); })},
       timer{daemon.loop_, [this, &daemon] { daemon.feed(*this, tick{}); }} {}
@@ -74,6 +77,7 @@
 scheduler_daemon::scheduler_daemon(const daemon_settings& settings)
     : daemon_base{settings, base_options(settings)},
       workers_http_{loop_, {}},
+      kept_jobs_{max_kept_job_bytes},
       document_timer_{loop_.run_every(document_check_interval, [this] { check_document(); })} {}
 
 void scheduler_daemon::on_peer_message(const member_info& from, const peer::message& message) {
--- a/src/programs/rhubarb-scheduler/scheduler_daemon.hpp
+++ b/src/programs/rhubarb-scheduler/scheduler_daemon.hpp
@@ -64,6 +64,7 @@
 
   http_client workers_http_;
   cbor_log_codec codec_;
+  work_budget kept_jobs_;
   std::map<failure_domain_id, std::unique_ptr<domain_slot>> domains_;
   std::map<worker_id, std::string> addresses_;
   bool document_outdated_{false};
--- a/tests/coordination/domain_owner_test.cpp
+++ b/tests/coordination/domain_owner_test.cpp
@@ -233,6 +233,33 @@
   CHECK(world.state_of("job") == job_state::cancelled);
 }
 
+// Guards against accepted jobs that take all memory of one owner after the other, and against a team's jobs
+// that leave none for those of others.
+TEST_CASE("domain_owner_team_with_many_jobs_is_refused_by_the_next_owner_too") {
+  constexpr std::uint64_t bytes_of_twenty_jobs = 20 * 1027;
+  domain_simulation world{37, 3, false};
+  world.max_job_bytes = bytes_of_twenty_jobs;
+  for (const auto* name : {"s0", "s1", "s2"}) {
+    world.crash(name);
+    world.start(name);
+  }
+  REQUIRE(world.wait_for_owner(epoch{}, takeover_bound));
+  const auto submit_many = [&](const std::string& prefix, const team_id& team) {
+    const auto before = world.accepted.size();
+    for (int i = 0; i < 30; ++i) {
+      world.submit(world.owner()->vm().value(), prefix + std::to_string(i), 1, 5 * second, team);
+    }
+    world.run(10 * second);
+    return world.accepted.size() - before;
+  };
+  CHECK(submit_many("first", team_id{"t"}) == 11);
+  const auto before = world.owner()->part().current_epoch();
+  world.crash(world.owner()->vm().value());
+  REQUIRE(world.wait_for_owner(before, takeover_bound));
+  CHECK(submit_many("again", team_id{"t"}) == 0);
+  CHECK(submit_many("other", team_id{"u"}) == 5);
+}
+
 // Guards against a job that is refused for good by a document that may be outdated, although the newest one
 // has its team.
 TEST_CASE("domain_owner_refuses_no_job_by_a_document_that_may_be_outdated") {
--- a/tests/coordination/simulated_domain.hpp
+++ b/tests/coordination/simulated_domain.hpp
@@ -198,6 +198,7 @@
   domain_simulation* simulation_;
   vm_id vm_;
   std::unique_ptr<placement_policy> placement_;
+  work_budget kept_jobs_;
   bool drained_{false};
 };
 
@@ -258,8 +259,9 @@
     }
   }
 
-  void submit(const std::string& process, const std::string& job, int members, duration run_time) {
-    job_spec spec{.team = team_id{"t"},
+  void submit(const std::string& process, const std::string& job, int members, duration run_time,
+              const team_id& team = team_id{"t"}) {
+    job_spec spec{.team = team,
                   .job_class = class_id{"batch"},
                   .shape = {.accelerators_per_member = 8, .members = members, .within = proximity::rack}};
     spec.declared_run_time = run_time;
@@ -384,6 +386,7 @@
   std::uint64_t starts{0};
   double worker_loss{0};
   duration detection_delay{1'500'000};
+  std::uint64_t max_job_bytes{std::uint64_t{1} << 30U};  ///< Of processes that start from now on.
   duration longest_partial{};
 
  private:
@@ -446,7 +449,8 @@
 inline owner_process::owner_process(domain_simulation& world, const std::string& name, std::uint64_t start)
     : simulated_process{world.queue, world.store, vm_id{name}, incarnation{start}},
       simulation_{&world},
-      vm_{name} {
+      vm_{name},
+      kept_jobs_{world.max_job_bytes} {
   domain_owner::options opts{.failure_domain = failure_domain_id{"fd"},
                              .environment = "test",
                              .self = vm_id{name},
@@ -457,7 +461,7 @@
   } else {
     placement_ = std::make_unique<first_fit>();
   }
-  part_ = std::make_unique<domain_owner>(std::move(opts), shared_codec(), *placement_, random());
+  part_ = std::make_unique<domain_owner>(std::move(opts), shared_codec(), *placement_, random(), kept_jobs_);
 }
 
 inline void owner_process::on_action(domain_owner_action& action) {
--- a/tests/coordination/work_budget_test.cpp
+++ b/tests/coordination/work_budget_test.cpp
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 #include <string>
 
+#include "rhubarbpath/coordination/work_cost.hpp"
+
 namespace rhubarbpath {
 namespace {
 
