Move five seeds that stand no more out of KNOWN-RED

Played on: 12 of the 17 seeds still fail. 142, 201, 320, 658 and 686 pass; their faults were not traced, so they may only play another history since the bounds on placement passes.

--- a/tests/coordination/job_scheduler_standing_random_test.cpp
+++ b/tests/coordination/job_scheduler_standing_random_test.cpp
@@ -52,16 +52,17 @@
 
 TEST_CASE("scheduler_no_job_stands_with_room_for_it_with_the_seeds_that_once_failed") {
   // Guards against the faults that these seeds found.
-  check_seeds(some_if_sanitized(
-      {11,  14,  15,  16,  17,  22,  23,  26,  34,  36,  42,  43,  44,  45,  51,  55,  63,  64,  67,  70,
-       75,  86,  91,  93,  96,  97,  98,  104, 106, 115, 119, 126, 130, 132, 137, 141, 145, 147, 150, 154,
-       158, 160, 163, 166, 167, 177, 186, 189, 191, 193, 207, 208, 211, 215, 217, 224, 225, 226, 233, 239,
-       240, 242, 246, 253, 255, 267, 272, 283, 284, 287, 290, 291, 295, 300, 368, 442, 490, 512}));
+  check_seeds(
+      some_if_sanitized({11,  14,  15,  16,  17,  22,  23,  26,  34,  36,  42,  43,  44,  45,  51,  55,  63,
+                         64,  67,  70,  75,  86,  91,  93,  96,  97,  98,  104, 106, 115, 119, 126, 130, 132,
+                         137, 141, 145, 147, 150, 154, 158, 160, 163, 166, 167, 177, 186, 189, 191, 193, 207,
+                         208, 211, 215, 217, 224, 225, 226, 233, 239, 240, 242, 246, 253, 255, 267, 272, 283,
+                         284, 287, 290, 291, 295, 300, 368, 442, 490, 512, 142, 201, 320, 658, 686}));
 }
 
 TEST_CASE("scheduler_no_job_stands_with_room_for_it_with_the_seeds_that_fail") {
   // Guards against the same; the seeds that still find a fault, all of 1 to 300 and some above.
-  check_seeds({58, 82, 142, 197, 201, 209, 293, 320, 348, 493, 617, 636, 637, 658, 659, 686, 710});
+  check_seeds({58, 82, 197, 209, 293, 348, 493, 617, 636, 637, 659, 710});
 }
 
 }  // namespace
