--- a/tests/platform/crowd/store_share_test.cpp
+++ b/tests/platform/crowd/store_share_test.cpp
@@ -41,15 +41,16 @@
 
 class store_share_fixture {
  public:
-  explicit store_share_fixture(int vms_of_site) : vms{vms_of_site, vm_with_slow_store} {
+  explicit store_share_fixture(int vms_of_site, vm_limits limits = vm_with_slow_store)
+      : vms{vms_of_site, limits} {
     REQUIRE(vms.all_use(1, start_limit));
     vms.add_worker();
     // An owner is there, and a worker that it uses.
     run_job("5c0e7a21da000000");
   }
 
-  /// Sends crowds of the same kind to all VMs. While they send, and after it, jobs of the other team are
-  /// stored, run and end.
+  /// Sends crowds of the same kind to all VMs. While they send, the VMs are ready, and jobs of the other team
+  /// are stored, run and end; so is one after it.
   void play_and_check(const std::function<http_request(int)>& request) {
     std::vector<std::unique_ptr<reading_crowd>> crowds;
     for (std::size_t vm = 0; vm < vms.size(); ++vm) {
@@ -62,6 +63,7 @@
     for (int round = 1; round <= rounds; ++round) {
       vms.run_for(seconds{2});
       run_job(job_number("5c0e7a21da1", round));
+      CHECK(all_ready());
     }
     std::string answers;
     for (const auto& crowd : crowds) {
@@ -85,6 +87,22 @@
   edge_processes vms;
 
  private:
+  /// Whether the balancer would keep sending callers to each VM, as one that probes a few times.
+  bool all_ready() {
+    constexpr int tries = 5;
+    for (std::size_t vm = 0; vm < vms.size(); ++vm) {
+      int status = 0;
+      for (int i = 0; i < tries && status != http_status::ok; ++i) {
+        vms.run_for(milliseconds{i == 0 ? 0 : 1000});
+        status = vms.get_status(vm, ready_port, "/api/ready");
+      }
+      if (status != http_status::ok) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   /// Submits a job of the other team, as a caller that tries again at each VM in turn.
   void run_job(const std::string& id) {
     CAPTURE(id);
@@ -116,6 +134,14 @@
   three_vms_fixture() : store_share_fixture{3} {}
 };
 
+/// With the rates of a small site.
+class small_site_fixture : public store_share_fixture {
+ public:
+  small_site_fixture()
+      : store_share_fixture{
+            1, {.memory_mb = 120, .max_descriptors = 400, .rates = {.reads = 2000, .writes = 400}}} {}
+};
+
 http_request query_of_unknown_job(int number) {
   return job_request("GET", normal_queue, job_number("5c0e7a21db", number));
 }
@@ -155,6 +181,29 @@
   play_and_check(job_for_no_worker);
 }
 
+TEST_CASE_METHOD(small_site_fixture, "owner_keeps_its_bounds_under_a_flood_of_jobs_below_the_reservation") {
+  // Guards against jobs that are stored without asking the owner, faster than it learns that a team is full.
+  std::string steps = R"({"count":9,"cpu":100,"requiredLabel":"none"})";
+  constexpr int most_steps = 50;
+  for (int step = 1; step < most_steps; ++step) {
+    steps += "," + steps.substr(0, steps.find('}') + 1);
+  }
+  play_and_check([&](int number) {
+    auto request = job_for_no_worker(number);
+    request.body = R"({"spec":"x","steps":[)" + steps + "]}";
+    return request;
+  });
+}
+
+TEST_CASE_METHOD(small_site_fixture, "vm_keeps_its_bounds_under_clients_that_connect_for_each_request") {
+  // Guards against connections whose end is noticed later than the next ones come.
+  play_and_check([](int number) {
+    auto request = query_of_unknown_job(number);
+    request.headers.emplace_back("Connection", "close");
+    return request;
+  });
+}
+
 TEST_CASE_METHOD(three_vms_fixture, "vms_serve_other_callers_under_floods_of_queries_at_all_of_them") {
   // Guards against bounds that each VM keeps alone and that together are above what the store takes.
   play_and_check(query_of_unknown_job);
