--- a/include/rhubarbpath/state/vm_settings.hpp
+++ b/include/rhubarbpath/state/vm_settings.hpp
@@ -21,7 +21,8 @@
   std::string metrics_address;     ///< Serves counters and histograms as text.
   std::vector<std::string> seeds;  ///< Peer addresses of some VMs; may be outdated.
   std::string store_address;
-  double store_reads_per_second{2000};  ///< That the store takes from all VMs together.
+  /// Calls that the store takes from all VMs together.
+  double store_reads_per_second{2000};
   double store_writes_per_second{400};
   std::string adviser_address;  ///< Empty when no queue has an adviser.
   double processor_cores{1.0};  ///< Share of a core times its relative speed.
