--- a/src/programs/rhubarb-scheduler/scheduler_daemon.cpp
+++ b/src/programs/rhubarb-scheduler/scheduler_daemon.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 constexpr duration document_check_interval = std::chrono::milliseconds{200};
-/// A job takes up to two and a half times its bytes; a daemon may take 128 MB.
+/// A job takes about three times its bytes; a daemon may take 128 MB.
 constexpr std::uint64_t max_kept_job_bytes = 32U << 20U;
 
 daemon_base::options base_options(const daemon_settings& settings) {
--- a/src/protocol/log_events.cpp
+++ b/src/protocol/log_events.cpp
@@ -37,6 +37,11 @@
               "peer, reason"},
     log_event{"loop_late", "the event loop ran its timers late", "late_ms"},
     log_event{"config_rejected", "a configuration cannot be read; the one before stays", "reason"},
+    log_event{
+        "store_rate_exceeded",
+        "the store refused a caller's call because of its rate; the VM makes fewer for its callers from "
+        "now on",
+        "calls, callers_per_second"},
     log_event{"store_direct_lost", "the store refuses this VM or does not answer it", "reason"},
     log_event{"store_direct_regained", "the store answers this VM again", "reason"},
     log_event{"relay_without_time_limit", "another VM asked for a store call without a limit", ""},
