Let the crowd tests share the check of another team's job

store_share_test had written the check of job_crowd_test again, and each function of hostile_crowd the address of its socket. The assertions, tries and waits stay; a caller whose job was stored at once no longer waits 0.5 s.

--- a/tests/platform/crowd/crowd_fixture.hpp
+++ b/tests/platform/crowd/crowd_fixture.hpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
@@ -36,6 +37,28 @@
   return opening("GET", path, "\r\n");
 }
 
+/// Checks that a job of the second team, which no crowd belongs to, is stored, runs and ends. Its caller
+/// tries again, each time at the VM that `vm_of_try` names.
+inline void check_other_team_is_served(edge_processes& vms, const std::string& id,
+                                       const std::function<std::size_t(int)>& vm_of_try) {
+  CAPTURE(id);
+  vms.workers().register_job(id, {{.count = 1, .cpu = 100, .run_time = milliseconds{200}}});
+  constexpr int tries = 20;
+  int status = 0;
+  for (int i = 0; i < tries && status != http_status::ok; ++i) {
+    status = vms.call_job(vm_of_try(i), "POST", id, R"({"steps":[{"count":1,"cpu":100,"estimateMs":200}]})",
+                          seconds{20}, {.key = "key-b", .queue = urgent_queue, .timeout_ms = "5000"});
+    vms.run_for(milliseconds{status == http_status::ok ? 0 : 500});
+  }
+  CHECK(status == http_status::ok);
+  // Long enough for the slowest machine; an owner that hangs never starts it.
+  constexpr int most_looks = 1200;
+  for (int i = 0; i < most_looks && !vms.workers().all_done(id); ++i) {
+    vms.run_for(milliseconds{50});
+  }
+  CHECK(vms.workers().all_done(id));
+}
+
 /// One `rhubarb-edge` process of the smallest VM, and the crowds that send to it.
 class crowd_fixture {
  public:
--- a/tests/platform/crowd/hostile_crowd.cpp
+++ b/tests/platform/crowd/hostile_crowd.cpp
@@ -22,6 +22,14 @@
 
 constexpr std::size_t bytes_per_step = 256U << 10U;
 
+sockaddr_in socket_address(const std::string& address, std::uint16_t port) {
+  sockaddr_in result{};
+  result.sin_family = AF_INET;
+  result.sin_port = htons(port);
+  inet_pton(AF_INET, address.c_str(), &result.sin_addr);
+  return result;
+}
+
 }  // namespace
 
 hostile_crowd::hostile_crowd(const std::string& address, hostile_load load)
@@ -40,10 +48,7 @@
 }
 
 void hostile_crowd::connect(client& target) {
-  sockaddr_in server{};
-  server.sin_family = AF_INET;
-  server.sin_port = htons(load_.port);
-  inet_pton(AF_INET, address_.c_str(), &server.sin_addr);
+  const auto server = socket_address(address_, load_.port);
   target.socket = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   ++target.connections;
   target.sent_on_connection = 0;
@@ -106,10 +111,7 @@
   constexpr int receive_buffer = 4096;
   constexpr std::size_t piece = 4096;
   constexpr std::chrono::milliseconds pause{5};
-  sockaddr_in server{};
-  server.sin_family = AF_INET;
-  server.sin_port = htons(port);
-  inet_pton(AF_INET, address.c_str(), &server.sin_addr);
+  const auto server = socket_address(address, port);
   const int reader = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   setsockopt(reader, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof(receive_buffer));
   std::string answer;
@@ -128,10 +130,7 @@
 
 std::string send_whole(const std::string& address, std::uint16_t port, const std::string& head,
                        const std::string& body) {
-  sockaddr_in server{};
-  server.sin_family = AF_INET;
-  server.sin_port = htons(port);
-  inet_pton(AF_INET, address.c_str(), &server.sin_addr);
+  const auto server = socket_address(address, port);
   const int client = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const timeval patience{.tv_sec = 5, .tv_usec = 0};
   setsockopt(client, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
--- a/tests/platform/crowd/job_crowd_test.cpp
+++ b/tests/platform/crowd/job_crowd_test.cpp
@@ -293,21 +293,7 @@
     for (std::size_t vm = 0; vm < vms.size(); ++vm) {
       CAPTURE(vm);
       REQUIRE(vms.alive(vm));
-      const auto id = id_prefix + fmt::format("{:04x}", vm);
-      vms.workers().register_job(id, {{.count = 1, .cpu = 100, .run_time = milliseconds{200}}});
-      int status = 0;
-      constexpr int tries = 20;
-      for (int i = 0; i < tries && status != http_status::ok; ++i) {
-        status = vms.call_job(vm, "POST", id, R"({"steps":[{"count":1,"cpu":100,"estimateMs":200}]})",
-                              seconds{20}, {.key = "key-b", .queue = urgent_queue, .timeout_ms = "5000"});
-        vms.run_for(milliseconds{500});
-      }
-      CHECK(status == http_status::ok);
-      constexpr int most_looks = 1200;
-      for (int i = 0; i < most_looks && !vms.workers().all_done(id); ++i) {
-        vms.run_for(milliseconds{50});
-      }
-      CHECK(vms.workers().all_done(id));
+      check_other_team_is_served(vms, id_prefix + fmt::format("{:04x}", vm), [vm](int) { return vm; });
     }
     for (std::size_t vm = 0; vm < vms.size(); ++vm) {
       CAPTURE(vm);
--- a/tests/platform/crowd/store_share_test.cpp
+++ b/tests/platform/crowd/store_share_test.cpp
@@ -105,22 +105,8 @@
 
   /// Submits a job of the other team, as a caller that tries again at each VM in turn.
   void run_job(const std::string& id) {
-    CAPTURE(id);
-    vms.workers().register_job(id, {{.count = 1, .cpu = 100, .run_time = milliseconds{200}}});
-    constexpr int tries = 20;
-    int status = 0;
-    for (int i = 0; i < tries && status != http_status::ok; ++i) {
-      status = vms.call_job(static_cast<std::size_t>(i) % vms.size(), "POST", id,
-                            R"({"steps":[{"count":1,"cpu":100,"estimateMs":200}]})", seconds{20},
-                            {.key = "key-b", .queue = urgent_queue, .timeout_ms = "5000"});
-      vms.run_for(milliseconds{status == http_status::ok ? 0 : 500});
-    }
-    CHECK(status == http_status::ok);
-    constexpr int most_looks = 1200;
-    for (int i = 0; i < most_looks && !vms.workers().all_done(id); ++i) {
-      vms.run_for(milliseconds{50});
-    }
-    CHECK(vms.workers().all_done(id));
+    check_other_team_is_served(vms, id,
+                               [this](int number) { return static_cast<std::size_t>(number) % vms.size(); });
   }
 };
 
