Keep the rule on a team's share, and three other pieces, in one place

Behaviour is unchanged: - work_budget, may_add_tasks and caller_rate_limit had the rule "as much as is left for all others" each; leaves_as_much_for_others has it now - domain_owner walked the ended jobs twice to forget them; forget_ended_jobs returns what it forgot - rows of team ids are encoded and decoded by the code of those of worker ids - the two places that take no watch without an answer for evidence ask one function, with the reason beside it

--- a/include/rhubarbpath/coordination/caller_rate_limit.hpp
+++ b/include/rhubarbpath/coordination/caller_rate_limit.hpp
@@ -15,8 +15,8 @@
   /// `max_rate` and `rate` are calls in a second.
   explicit caller_rate_limit(double max_rate);
 
-  /// Takes one call of a team. In each second a team may take as much as is left for all others: the first
-  /// that takes all it can gets half of the rate. Returns false if the call must not be made.
+  /// Takes one call of a team, within its share of this second as `leaves_as_much_for_others` has it. Returns
+  /// false if the call must not be made.
   [[nodiscard]] bool take(const team_id& team, instant now);
   /// The store refused a call because of its rate. Returns true if that lowers the rate for callers.
   bool exceeded(instant now);
--- a/include/rhubarbpath/coordination/domain_state.hpp
+++ b/include/rhubarbpath/coordination/domain_state.hpp
@@ -27,8 +27,8 @@
 /// state, for example if a placement has an attempt number that is not newer.
 bool apply(const log_entry& entry, domain_state& state);
 
-/// Removes jobs that ended before `horizon`, so that the size of snapshots stays bounded.
-void forget_ended_jobs(domain_state& state, instant horizon);
+/// Removes jobs that ended before `horizon`, so that the size of snapshots stays bounded. Returns them.
+std::vector<job_record> forget_ended_jobs(domain_state& state, instant horizon);
 
 /// A state and the last log row that is applied in it.
 struct domain_snapshot {
--- a/include/rhubarbpath/coordination/job_scheduler.hpp
+++ b/include/rhubarbpath/coordination/job_scheduler.hpp
@@ -170,8 +170,8 @@
     duration suspect_duration{std::chrono::milliseconds{3000}};
     /// Whether placement weighs how fast workers are. Without it all of them count as even.
     bool weigh_worker_speed{true};
-    /// Tasks on workers, reserved ones included, that the owner keeps the state of. A team may have as many
-    /// as are left for all others: the first that takes all it can gets half, the next a quarter.
+    /// Tasks on workers, reserved ones included, that the owner keeps the state of. The share of each team is
+    /// as `leaves_as_much_for_others` has it; its first unit needs room only.
     std::size_t max_tasks{65'536};
     /// What jobs that have not expired may make the owner keep, by `cost_of`. Jobs that were stored are taken
     /// up in any case.
--- a/include/rhubarbpath/coordination/work_budget.hpp
+++ b/include/rhubarbpath/coordination/work_budget.hpp
@@ -9,9 +9,8 @@
 
 namespace rhubarbpath {
 
-/// Bounds the bytes that the jobs of all teams make an owner keep. A team may have as much as is left for all
-/// others: the first that takes all it can gets half of the whole, the next a quarter, and some is left for
-/// each further one. Reads no clock.
+/// Bounds the bytes that the jobs of all teams make an owner keep, and the share of each team as
+/// `leaves_as_much_for_others` has it. Reads no clock.
 class work_budget {
  public:
   explicit work_budget(std::uint64_t max_bytes) : max_bytes_{max_bytes} {}
@@ -38,6 +37,7 @@
     std::uint64_t bytes{0};
     instant expires_at{};
   };
+  [[nodiscard]] std::uint64_t bytes_left() const noexcept;
   void change(const team_id& team, std::int64_t bytes);
 
   std::uint64_t max_bytes_;
--- a/src/coordination/caller_rate_limit.cpp
+++ b/src/coordination/caller_rate_limit.cpp
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <utility>
 
+#include "rhubarbpath/coordination/fair_share.hpp"
+
 namespace rhubarbpath {
 
 namespace {
@@ -38,7 +40,7 @@
 bool caller_rate_limit::take(const team_id& team, instant now) {
   advance(now);
   auto& own = taken_by_team_[team];
-  if (own + 1 > rate_ - taken_ - 1) {
+  if (!leaves_as_much_for_others(own, 1.0, rate_ - taken_)) {
     return false;
   }
   ++own;
--- a/src/coordination/domain_owner.cpp
+++ b/src/coordination/domain_owner.cpp
@@ -95,13 +95,9 @@
 }
 
 void domain_owner::forget_old_jobs(instant horizon) {
-  for (const auto& [id, ended_at] : projected_state_.ended) {
-    const auto found = projected_state_.jobs.find(id);
-    if (ended_at < horizon && found != projected_state_.jobs.end()) {
-      kept_jobs_->remove(found->second.spec.team, kept_bytes(found->second.spec));
-    }
+  for (const auto& job : forget_ended_jobs(projected_state_, horizon)) {
+    kept_jobs_->remove(job.spec.team, kept_bytes(job.spec));
   }
-  forget_ended_jobs(projected_state_, horizon);
 }
 
 std::string_view domain_owner::reason_to_refuse(const job_spec& spec) const {
--- a/src/coordination/domain_state.cpp
+++ b/src/coordination/domain_state.cpp
@@ -1,6 +1,7 @@
 #include "rhubarbpath/coordination/domain_state.hpp"
 
 #include <iterator>
+#include <utility>
 #include <variant>
 
 namespace rhubarbpath {
@@ -92,15 +93,19 @@
   return std::visit(entry_applier{&state}, entry);
 }
 
-void forget_ended_jobs(domain_state& state, instant horizon) {
+std::vector<job_record> forget_ended_jobs(domain_state& state, instant horizon) {
+  std::vector<job_record> forgotten;
   for (auto ended = state.ended.begin(); ended != state.ended.end();) {
     if (ended->second >= horizon) {
       ++ended;
       continue;
     }
-    state.jobs.erase(ended->first);
+    if (auto job = state.jobs.extract(ended->first); !job.empty()) {
+      forgotten.push_back(std::move(job.mapped()));
+    }
     ended = state.ended.erase(ended);
   }
+  return forgotten;
 }
 
 }  // namespace rhubarbpath
--- a/src/coordination/job_scheduler/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_placement.cpp
@@ -2,6 +2,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "job_scheduler_impl.hpp"
+#include "rhubarbpath/coordination/fair_share.hpp"
 
 namespace rhubarbpath {
 
@@ -605,7 +606,8 @@
   const auto found = task_count_by_team.find(job.job.team);
   const auto own = found == task_count_by_team.end() ? 0 : found->second;
   const auto left = opts.max_tasks - std::min(opts.max_tasks, task_count);
-  return own == 0 ? count <= left : own + count <= left - std::min(left, count);
+  // The first unit of a team may take all that is left, so that a large gang can run at all.
+  return own == 0 ? count <= left : leaves_as_much_for_others(own, count, left);
 }
 
 void job_scheduler::implementation::count_tasks(const job_state& job, std::ptrdiff_t change) {
--- a/src/coordination/work_budget.cpp
+++ b/src/coordination/work_budget.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "rhubarbpath/coordination/fair_share.hpp"
+
 namespace rhubarbpath {
 
 bool work_budget::reserve(const job_id& job, const team_id& team, std::uint64_t bytes, instant now) {
@@ -10,10 +12,9 @@
     found->second.expires_at = now + reservation_lifetime;
     return true;
   }
-  const auto left = max_bytes_ - std::min(max_bytes_, bytes_);
   const auto held = bytes_by_team_.find(team);
   const auto own = held == bytes_by_team_.end() ? 0 : held->second;
-  if (bytes > left || own + bytes > left - bytes) {
+  if (!leaves_as_much_for_others(own, bytes, bytes_left())) {
     return false;
   }
   if (found != reservations_.end()) {
@@ -47,13 +48,17 @@
   });
 }
 
+std::uint64_t work_budget::bytes_left() const noexcept {
+  return max_bytes_ - std::min(max_bytes_, bytes_);
+}
+
 void work_budget::change(const team_id& team, std::int64_t bytes) {
   bytes_ += static_cast<std::uint64_t>(bytes);
   if ((bytes_by_team_[team] += static_cast<std::uint64_t>(bytes)) == 0) {
     full_teams_.erase(team);
     bytes_by_team_.erase(team);
   }
-  const auto left = max_bytes_ - std::min(max_bytes_, bytes_);
+  const auto left = bytes_left();
   for (const auto& [each, own] : bytes_by_team_) {
     if (own > left) {
       full_teams_.insert(each);
--- a/src/programs/rhubarb-edge/store_access.cpp
+++ b/src/programs/rhubarb-edge/store_access.cpp
@@ -37,6 +37,13 @@
   return !std::holds_alternative<kv_commit>(request) && !std::holds_alternative<kv_grant>(request);
 }
 
+/// Such a watch tells nothing about the path: the store leaves watches unanswered while it compacts its
+/// history, and the answer may have been lost seconds ago, while other calls were answered. The watch's owner
+/// then reads the rows again, and that read detects a broken path.
+bool is_unanswered_watch(const kv_request& request, const kv_result& result) {
+  return std::holds_alternative<kv_watch>(request) && std::holds_alternative<kv_unknown>(result);
+}
+
 }  // namespace
 
 struct store_access::pending_call {
@@ -106,9 +113,7 @@
                  if (unknown != nullptr && unknown->timed_out) {
                    client_.drop_idle(address);
                  }
-                 if (unknown != nullptr && std::holds_alternative<kv_watch>(call->request)) {
-                   // The store also leaves a watch unanswered while it compacts its history. The watch's
-                   // owner then reads the rows again, and that read detects a broken path.
+                 if (is_unanswered_watch(call->request, result)) {
                    finish(call, std::move(result));
                    return;
                  }
@@ -181,9 +186,7 @@
   if (!std::holds_alternative<kv_unknown>(result) && !std::holds_alternative<kv_refused>(result)) {
     last_answer_ = loop_.now();
     gate_.answered();
-  } else if (!std::holds_alternative<kv_watch>(call->request) || std::holds_alternative<kv_refused>(result)) {
-    // The answer to a watch may have been lost seconds ago, while other calls were answered. The read that
-    // follows shows whether the store answers now.
+  } else if (!is_unanswered_watch(call->request, result)) {
     gate_.failed(loop_.now());
   }
   call->done(std::move(result));
--- a/src/protocol/job_rows.cpp
+++ b/src/protocol/job_rows.cpp
@@ -114,6 +114,26 @@
   }
 }
 
+template <class Ids>
+std::string encode_ids(const Ids& ids) {
+  json row = json::array();
+  for (const auto& id : ids) {
+    row.push_back(id.value());
+  }
+  return to_bytes(row);
+}
+
+template <class Ids>
+absl::StatusOr<Ids> decode_ids(std::string_view bytes, std::string_view what) {
+  return decode_row<Ids>(bytes, what, [](const json& row) {
+    Ids ids;
+    for (const auto& id : row) {
+      ids.insert(ids.end(), typename Ids::value_type{id.get<std::string>()});
+    }
+    return ids;
+  });
+}
+
 }  // namespace
 
 std::string encode_accepted_job(const accepted_job& job) {
@@ -251,39 +271,19 @@
 }
 
 std::string encode_worker_ids(const std::vector<worker_id>& workers) {
-  json ids = json::array();
-  for (const auto& id : workers) {
-    ids.push_back(id.value());
-  }
-  return to_bytes(ids);
+  return encode_ids(workers);
 }
 
 absl::StatusOr<std::vector<worker_id>> decode_worker_ids(std::string_view bytes) {
-  return decode_row<std::vector<worker_id>>(bytes, "worker row", [](const json& row) {
-    std::vector<worker_id> ids;
-    for (const auto& id : row) {
-      ids.emplace_back(id.get<std::string>());
-    }
-    return ids;
-  });
+  return decode_ids<std::vector<worker_id>>(bytes, "worker row");
 }
 
 std::string encode_team_ids(const std::set<team_id>& teams) {
-  json ids = json::array();
-  for (const auto& id : teams) {
-    ids.push_back(id.value());
-  }
-  return to_bytes(ids);
+  return encode_ids(teams);
 }
 
 absl::StatusOr<std::set<team_id>> decode_team_ids(std::string_view bytes) {
-  return decode_row<std::set<team_id>>(bytes, "team row", [](const json& row) {
-    std::set<team_id> ids;
-    for (const auto& id : row) {
-      ids.emplace(id.get<std::string>());
-    }
-    return ids;
-  });
+  return decode_ids<std::set<team_id>>(bytes, "team row");
 }
 
 std::string encode_leaving_workers(const std::vector<leaving_worker>& workers) {
