--- /dev/null
+++ b/review/standin-2/cases.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <string>
+
+namespace rhubarbpath::review {
+
+/// The rule of the case was broken, it held, or the case could not run.
+enum class verdict { held = 0, broken = 1, not_run = 2 };
+
+// Each case writes its record to `folder`. Without `trouble` it does the same without the disruption.
+
+/// A large urgent gang is accepted while the service is full of small tasks.
+[[nodiscard]] verdict run_gang_case(const std::string& folder, bool trouble);
+/// The worker of a task that lasts leaves while a gang waits for room.
+[[nodiscard]] verdict run_lasting_case(const std::string& folder, bool trouble);
+/// A worker drains while half of the orders to start get no answer.
+[[nodiscard]] verdict run_drain_case(const std::string& folder, bool trouble);
+
+}  // namespace rhubarbpath::review
