--- a/review/standin-2/cases.hpp
+++ b/review/standin-2/cases.hpp
@@ -13,6 +13,11 @@
 [[nodiscard]] verdict run_gang_case(const std::string& folder, bool trouble);
 /// The worker of a task that lasts leaves while a gang waits for room.
 [[nodiscard]] verdict run_lasting_case(const std::string& folder, bool trouble);
+/// The worker of a task that lasts leaves at short notice, and the owner is killed before it has moved the
+/// task.
+[[nodiscard]] verdict run_takeover_case(const std::string& folder, bool trouble);
+/// An idle worker starts again under its id while an order to start that it left unanswered is on its way.
+[[nodiscard]] verdict run_incarnation_case(const std::string& folder, bool trouble);
 /// A worker drains while half of the orders to start get no answer.
 [[nodiscard]] verdict run_drain_case(const std::string& folder, bool trouble);
 
--- a/review/standin-2/lasting_case.cpp
+++ b/review/standin-2/lasting_case.cpp
@@ -68,6 +68,36 @@
   return nullptr;
 }
 
+/// Watches for `length` whether the lasting task runs, and returns how long it stood at most: from 6 s after
+/// its last run on, in calm, with room for two of it or more.
+duration longest_stand(site& area, const std::string& leaving, instant disturbed_at, duration length) {
+  const auto end = area.loop().now() + length;
+  auto last_run_at = area.loop().now();
+  std::optional<instant> stands_since;
+  duration longest{};
+  while (area.loop().now() < end) {
+    area.run_for(milliseconds{50});
+    const auto now = area.loop().now();
+    const bool runs = worker_of(area, lasting_task) != nullptr;
+    last_run_at = runs ? now : last_run_at;
+    const bool calm = now - disturbed_at >= seconds{4};
+    const bool stands = !runs && calm && now - last_run_at >= seconds{6} && room(area, leaving) >= 2;
+    stands_since = stands ? stands_since.value_or(now) : std::optional<instant>{};
+    longest = std::max(longest, stands ? now - *stands_since : duration::zero());
+  }
+  area.write(
+      fmt::format("the lasting task stood for {:.1f} s from 6 s after its last run on, in calm, with room "
+                  "for two of it or more",
+                  std::chrono::duration<double>(longest).count()));
+  return longest;
+}
+
+void leave(site& area, worker& leaving) {
+  area.write(leaving.settings().id + " leaves");
+  leaving.crash();
+  area.store().erase("servers/" + leaving.settings().id);
+}
+
 }  // namespace
 
 verdict run_lasting_case(const std::string& folder, bool trouble) {
@@ -80,13 +110,11 @@
   const step_plan most{.each = {.cpu = 2000, .memory_mb = 100, .accelerators = 5}, .run_time = seconds{100}};
   const step_plan gang{
       .each = {.cpu = 1000, .memory_mb = 100, .accelerators = 4}, .run_time = seconds{5}, .gang_members = 2};
+  const step_plan lasting{.each = lasting_need, .run_time = {}, .lasts = true};
   // 14 workers are full, and two have three accelerators left, of which the lasting task takes one.
   for (const auto& each : {submission{.queue = normal_prefix, .job = full_job, .count = 14, .plan = whole},
                            submission{.queue = normal_prefix, .job = half_job, .count = 2, .plan = most},
-                           submission{.queue = batch_prefix,
-                           .job = lasting_job,
-                           .count = 1,
-                           .plan = {.each = lasting_need, .lasts = true}},
+                           submission{.queue = batch_prefix, .job = lasting_job, .count = 1, .plan = lasting},
                            submission{.queue = normal_prefix, .job = gang_job, .count = 2, .plan = gang}}) {
     if (!submit(area, each)) {
       return verdict::not_run;
@@ -98,37 +126,49 @@
     area.write("the lasting task does not run before the disruption");
     return verdict::not_run;
   }
-  const auto home_id = home->settings().id;
-  auto disturbed_at = area.loop().now();
+  std::string leaving;
   if (trouble) {
-    area.write(home_id + " drains");
+    leaving = home->settings().id;
+    area.write(leaving + " drains");
     home->drain(seconds{4});
     area.run_for(seconds{5});
-    area.write(home_id + " leaves");
-    home->crash();
-    area.store().erase("servers/" + home_id);
-    disturbed_at = area.loop().now();
+    leave(area, *home);
   }
-  const auto begun_at = area.loop().now();
-  auto last_run_at = begun_at;
-  std::optional<instant> stands_since;
-  duration longest{};
-  while (area.loop().now() - begun_at < seconds{45}) {
-    area.run_for(milliseconds{50});
-    const auto now = area.loop().now();
-    const bool runs = worker_of(area, lasting_task) != nullptr;
-    last_run_at = runs ? now : last_run_at;
-    const bool calm = now - disturbed_at >= seconds{4};
-    const bool stands =
-        !runs && calm && now - last_run_at >= seconds{6} && room(area, trouble ? home_id : "") >= 2;
-    stands_since = stands ? stands_since.value_or(now) : std::optional<instant>{};
-    longest = std::max(longest, stands ? now - *stands_since : duration::zero());
+  return longest_stand(area, leaving, area.loop().now(), seconds{45}) >= seconds{3} ? verdict::broken
+                                                                                    : verdict::held;
+}
+
+verdict run_takeover_case(const std::string& folder, bool trouble) {
+  site area{{.vms = 3, .workers = 16}, folder};
+  if (!area.all_serve(seconds{20})) {
+    return verdict::not_run;
   }
-  area.write(
-      fmt::format("the lasting task stood for {:.1f} s from 6 s after its last run on, in calm, with room "
-                  "for two of it or more",
-                  std::chrono::duration<double>(longest).count()));
-  return longest >= seconds{3} ? verdict::broken : verdict::held;
+  area.run_for(seconds{3});
+  const step_plan lasting{.each = lasting_need, .run_time = {}, .lasts = true};
+  if (!submit(area, {.queue = normal_prefix, .job = lasting_job, .count = 1, .plan = lasting})) {
+    return verdict::not_run;
+  }
+  area.run_for(seconds{4});
+  auto* const home = worker_of(area, lasting_task);
+  const auto owner = area.owner();
+  if (home == nullptr || !owner) {
+    return verdict::not_run;
+  }
+  std::string leaving;
+  if (trouble) {
+    leaving = home->settings().id;
+    area.write(leaving + " drains, and is gone in 2 s");
+    home->drain(seconds{2});
+    area.run_for(milliseconds{20});
+    area.kill(*owner);
+    area.run_for(milliseconds{1980});
+    leave(area, *home);
+    if (!area.start(*owner)) {
+      return verdict::not_run;
+    }
+  }
+  return longest_stand(area, leaving, area.loop().now(), seconds{25}) >= seconds{3} ? verdict::broken
+                                                                                    : verdict::held;
 }
 
 }  // namespace rhubarbpath::review
--- a/review/standin-2/site.cpp
+++ b/review/standin-2/site.cpp
@@ -64,18 +64,26 @@
     const int rack = i / opts.workers_per_rack;
     workers_.push_back(std::make_unique<worker>(
         loop_, store_, work_,
-        worker::options{.id = fmt::format("w{:02}", i),
-                        .address = prefix_ + ".3",
-                        .port = static_cast<std::uint16_t>(worker_port + i),
-                        .zone = fmt::format("zone-{}", rack % 2),
-                        .rack = fmt::format("r{}-{}", rack % 2, rack / 2),
-                        .service = i < opts.workers ? "lendbook" : "wax-sort",
-                        .capacity = {.cpu = 32'000, .memory_mb = 131'072, .accelerators = 8},
-                        .guards_capacity = opts.guards_capacity,
-                        .heartbeat = milliseconds{1500},
-                        .stop_time = milliseconds{190},
-                        .longest_lease = seconds{10}}));
+        worker::options{
+            .id = fmt::format("w{:02}", i),
+            .address = prefix_ + ".3",
+            .port = static_cast<std::uint16_t>(worker_port + i),
+            .advertised_address = fmt::format("{}.{}:{}", prefix_, opts.proxies ? 4 : 3, worker_port + i),
+            .zone = fmt::format("zone-{}", rack % 2),
+            .rack = fmt::format("r{}-{}", rack % 2, rack / 2),
+            .service = i < opts.workers ? "lendbook" : "wax-sort",
+            .capacity = {.cpu = 32'000, .memory_mb = 131'072, .accelerators = 8},
+            .guards_capacity = opts.guards_capacity,
+            .heartbeat = milliseconds{1500},
+            .stop_time = milliseconds{190},
+            .longest_lease = seconds{10}}));
     require(workers_.back()->listen(), "a worker cannot listen");
+    if (opts.proxies) {
+      const auto port = static_cast<std::uint16_t>(worker_port + i);
+      proxies_.push_back(std::make_unique<delaying_proxy>(loop_, prefix_ + ".4", port,
+                                                          fmt::format("{}.3:{}", prefix_, port)));
+      require(proxies_.back()->listen(), "a proxy cannot listen");
+    }
   }
   auto first = config(1);
   first["services"][0]["admissionControl"] = opts.guards_capacity;
--- a/review/standin-2/site.hpp
+++ b/review/standin-2/site.hpp
@@ -12,6 +12,7 @@
 #include "../../tests/platform/soak/edge_process.hpp"
 #include "../../tests/platform/soak/fault_proxy.hpp"
 #include "../../tests/platform/soak/store_stand_in.hpp"
+#include "delaying_proxy.hpp"
 #include "rhubarbpath/transport/http_client.hpp"
 #include "worker.hpp"
 
@@ -35,6 +36,7 @@
   int workers_per_rack{6};
   int other_workers{0};  ///< Of the second service.
   bool guards_capacity{true};
+  bool proxies{false};  ///< One before each worker.
 };
 
 /// A small deployment on loopback with the settings of tutu-loan: `rhubarb-edge` processes, a store, workers,
@@ -53,6 +55,7 @@
   [[nodiscard]] work_record& work() noexcept { return work_; }
   [[nodiscard]] const work_record& work() const noexcept { return work_; }
   [[nodiscard]] worker& worker_at(std::size_t number) { return *workers_.at(number); }
+  [[nodiscard]] delaying_proxy& proxy_of(std::size_t number) { return *proxies_.at(number); }
   [[nodiscard]] std::size_t worker_count() const noexcept { return workers_.size(); }
   [[nodiscard]] std::size_t vm_count() const noexcept { return vms_.size(); }
 
@@ -107,6 +110,7 @@
   soak::store_stand_in store_;
   work_record work_;
   std::vector<std::unique_ptr<worker>> workers_;
+  std::vector<std::unique_ptr<delaying_proxy>> proxies_;
   http_client client_;
   std::vector<entry_vm> vms_;
   timer_handle tick_;
--- a/review/standin-2/worker.cpp
+++ b/review/standin-2/worker.cpp
@@ -114,7 +114,7 @@
   next_entry_at_ = now + opts_.heartbeat;
   entry_expires_at_ = now + 3 * opts_.heartbeat;
   json entry{{"service", opts_.service},
-             {"address", fmt::format("{}:{}", opts_.address, opts_.port)},
+             {"address", opts_.advertised_address},
              {"zone", opts_.zone},
              {"version", "v1"},
              {"slots", 8},
--- a/review/standin-2/worker.hpp
+++ b/review/standin-2/worker.hpp
@@ -62,6 +62,7 @@
     std::string id;
     std::string address;  ///< IP number.
     std::uint16_t port{0};
+    std::string advertised_address;  ///< With its port, as the entry has it.
     std::string zone;
     std::string rack;
     std::string service;
