--- a/review/standin-2/cases.hpp
+++ b/review/standin-2/cases.hpp
@@ -21,4 +21,8 @@
 /// A worker drains while half of the orders to start get no answer.
 [[nodiscard]] verdict run_drain_case(const std::string& folder, bool trouble);
 
+/// Not one of the five: the owner is killed, a job that fills workers without `admissionControl` is
+/// cancelled.
+[[nodiscard]] verdict run_limit_case(const std::string& folder, bool trouble);
+
 }  // namespace rhubarbpath::review
--- a/review/standin-2/gang_case.cpp
+++ b/review/standin-2/gang_case.cpp
@@ -15,7 +15,7 @@
 using std::chrono::seconds;
 
 constexpr int worker_total = 48;
-constexpr int small_tasks = 8000;
+constexpr int small_tasks = 16'000;
 constexpr int gang_members = 1024;
 const std::string small_job = "00000000000000f1";
 const std::string gang_job = "00000000000000a2";
@@ -49,14 +49,10 @@
          area.run_until([&] { return running_tasks(area) >= nearly_all; }, seconds{25});
 }
 
-/// Submits a job to the idle service, at one VM after the other as clients do. Returns whether it was
-/// accepted.
-bool submit_to_other_service(site& area) {
-  area.work().plans[other_job + ".0"] = {.each = {.cpu = 1000, .memory_mb = 800}, .run_time = seconds{2}};
-  const std::string body = R"({"spec":"x","steps":[{"count":2,"cpu":1000,"memMb":800,"estimateMs":2000}]})";
+/// Submits a job at one VM after the other, as clients do without an answer. Returns whether it was accepted.
+bool submit(site& area, const std::string& path, const std::string& body) {
   for (std::size_t attempt = 0; attempt < 4 * area.vm_count(); ++attempt) {
-    if (area.call(attempt % area.vm_count(), "POST", std::string{other_prefix} + other_job, "key-south", body)
-            .status == 200) {
+    if (area.call(attempt % area.vm_count(), "POST", path, "key-south", body).status == 200) {
       return true;
     }
     area.run_for(milliseconds{500});
@@ -64,6 +60,22 @@
   return false;
 }
 
+bool submit_gang(site& area) {
+  area.work().plans[gang_job + ".0"] = {
+      .each = {.cpu = 1000, .memory_mb = 800}, .run_time = seconds{2}, .gang_members = gang_members};
+  return submit(
+      area, std::string{urgent_prefix} + gang_job,
+      fmt::format(
+          R"({{"spec":"x","steps":[{{"count":{},"cpu":1000,"memMb":800,"estimateMs":2000,"gang":true}}]}})",
+          gang_members));
+}
+
+bool submit_to_other_service(site& area) {
+  area.work().plans[other_job + ".0"] = {.each = {.cpu = 1000, .memory_mb = 800}, .run_time = seconds{2}};
+  return submit(area, std::string{other_prefix} + other_job,
+                R"({"spec":"x","steps":[{"count":2,"cpu":1000,"memMb":800,"estimateMs":2000}]})");
+}
+
 /// One readiness probe of each VM. Returns how many were not answered in time.
 int probe(site& area) {
   int unanswered = 0;
@@ -90,16 +102,8 @@
     return verdict::not_run;
   }
   area.write(fmt::format("{} tasks run", running_tasks(area)));
-  if (trouble) {
-    area.work().plans[gang_job + ".0"] = {
-        .each = {.cpu = 1000, .memory_mb = 800}, .run_time = seconds{2}, .gang_members = gang_members};
-    const std::string step =
-        fmt::format(R"({{"count":{},"cpu":1000,"memMb":800,"estimateMs":2000,"gang":true}})", gang_members);
-    if (area.call(1, "POST", std::string{urgent_prefix} + gang_job, "key-south",
-                  fmt::format(R"({{"spec":"x","steps":[{}]}})", step))
-            .status != 200) {
-      return verdict::not_run;
-    }
+  if (trouble && !submit_gang(area)) {
+    return verdict::not_run;
   }
   area.run_for(seconds{1});
   if (!submit_to_other_service(area)) {
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -9,11 +9,9 @@
 int main(int argc, char** argv) {
   using namespace rhubarbpath::review;
   const std::map<std::string, std::function<verdict(const std::string&, bool)>> cases{
-      {"gang", run_gang_case},
-      {"lasting", run_lasting_case},
-      {"drain", run_drain_case},
-      {"incarnation", run_incarnation_case},
-      {"takeover", run_takeover_case}};
+      {"gang", run_gang_case},         {"lasting", run_lasting_case},
+      {"drain", run_drain_case},       {"incarnation", run_incarnation_case},
+      {"takeover", run_takeover_case}, {"limit", run_limit_case}};
   const auto found = argc == 4 ? cases.find(argv[1]) : cases.end();
   if (found == cases.end()) {
     std::cerr << "usage: review_case NAME FOLDER 0|1\n";
