--- a/review/standin-2/site.hpp
+++ b/review/standin-2/site.hpp
@@ -9,11 +9,11 @@
 #include <string>
 #include <vector>
 
-#include "../../tests/platform/soak/edge_process.hpp"
 #include "../../tests/platform/soak/fault_proxy.hpp"
 #include "../../tests/platform/soak/store_stand_in.hpp"
 #include "delaying_proxy.hpp"
 #include "rhubarbpath/transport/http_client.hpp"
+#include "vm_process.hpp"
 #include "worker.hpp"
 
 namespace rhubarbpath::review {
@@ -94,7 +94,7 @@
     std::string name;
     std::string address;
     std::unique_ptr<soak::fault_proxy> store_proxy;
-    std::unique_ptr<soak::edge_process> process;
+    std::unique_ptr<vm_process> process;
   };
   [[nodiscard]] answer get(const std::string& address, const std::string& path, const std::string& query,
                            duration patience);
