--- a/review/standin-3/main.cpp
+++ b/review/standin-3/main.cpp
@@ -10,10 +10,11 @@
 int main(int argc, char** argv) {
   using namespace rhubarbpath::review;
   const std::map<std::string, verdict (*)(const std::filesystem::path&, bool)> cases{
-      {"adviser_moves", &adviser_moves},           {"kind_changes", &kind_changes},
-      {"lasting_after_flap", &lasting_after_flap}, {"lasting_after_handover", &lasting_after_handover},
-      {"too_many_away", &too_many_away},           {"queued_at_drain", &queued_at_drain},
-      {"cancelled_in_gap", &cancelled_in_gap}};
+      {"adviser_moves", &adviser_moves},
+      {"gang_with_advice", &gang_with_advice},
+      {"kind_changes", &kind_changes},
+      {"lasting_after_flap", &lasting_after_flap},
+      {"too_many_away", &too_many_away}};
   const auto found = argc == 3 ? cases.find(argv[1]) : cases.end();
   if (found == cases.end()) {
     std::cerr << "usage: review_case NAME RECORD\n";
