--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
-# Case 12: DRAIN, a worker drains while starts for it are queued.
+# Case 12: LOST, a queue gets an adviser, and a gang that needs 20 workers never starts.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/rhubarb-edge ] && [ -x build-review-3/review_case ] || exit 2
-build-review-3/review_case queued_at_drain review/12/record.txt
+build-review-3/review_case gang_with_advice review/12/record.txt
 code=$?
 [ "$code" -le 1 ] && exit "$code"
 exit 2
