Ask for the tickets of a whole gang at once

One call about 20 workers takes 600 ms.

Cause: the ticket book did not know which workers a unit needs at the same time. It cut each call to a share of the validity and asked a step's calls one after the other, so the first tickets of a gang expired before its last ones came.

Change: the scheduler learns first which workers are allowed, which does not expire, then asks for the tickets of just the workers of one placement and reserves their space meanwhile. All its calls form a round that no other step interrupts, and one call is open at a time, so that none waits behind another while its validity runs. Steps take turns. Tickets that the terms leave no time for are used right after their call; if workers refuse them, the step pauses. job_stands names what a job waits for.

The simulated workers ask for the ticket of the order's own step and queue, and the simulated adviser counts the validity from the call, from its handling or from its answer, gives no answer after the call's timeout, and can be away.

--- a/include/rhubarbpath/coordination/ticket_book.hpp
+++ b/include/rhubarbpath/coordination/ticket_book.hpp
@@ -38,27 +38,39 @@
   friend bool operator==(const granted_ticket&, const granted_ticket&) = default;
 };
 
-/// Caches the adviser's answers by step and worker. Whether a worker may run a step changes only with its
-/// incarnation, but tickets expire.
+/// What the adviser has said about a worker for a step. It changes only with the worker's incarnation.
+enum class permission { unknown, refused, allowed };
+
+/// Caches the adviser's answers by step and worker, and decides which step the adviser is asked about next.
+///
+/// The adviser handles one call of this VM at a time, and a call takes longer the more workers it names. One
+/// call is open at a time, so that the wait for another one does not use up the validity of its tickets. All
+/// calls that a step needs at once form a round, which no other step interrupts.
 ///
-/// The adviser handles one call of this VM at a time, and a call takes longer the more workers it names.
-/// Calls therefore name few workers, and few calls are open at once. The caller asks for its most urgent
-/// steps first.
+/// The platform does not say from when the validity of a ticket counts. It is counted from the call, less a
+/// margin for the start order. Terms that leave no time then are still met if the adviser counts from its
+/// answer, so in any case a ticket may be used for a short time after the round that it came with.
 class ticket_book {
  public:
   struct options {
-    /// Two open calls keep the adviser busy while a response is in transit; more would only queue there.
-    std::size_t open_calls{2};
     std::size_t min_workers_per_call{6};
     std::size_t max_workers_per_call{100};  ///< The adviser's limit.
-    /// Wait before a step is asked about again after a call that failed or was refused.
-    duration retry_pause{std::chrono::milliseconds{300}};
+    /// Pause of a step after a call that failed, and after workers refused the tickets of two rounds in a
+    /// row. Doubles with each further time in a row.
+    duration step_pause{std::chrono::milliseconds{300}};
+    duration max_step_pause{std::chrono::milliseconds{2400}};
+    /// Pause of all calls after one that failed. Doubles with each further one in a row.
+    duration failure_pause{std::chrono::milliseconds{100}};
+    duration max_failure_pause{std::chrono::milliseconds{1600}};
     /// A ticket that expires within this time is not used, because a start order takes up to 400 ms to
-    /// arrive.
+    /// arrive. Also how long a ticket may be used after its round whatever its age.
     duration validity_margin{std::chrono::milliseconds{500}};
-    /// Added to the adviser's processing time to get the call timeout; covers the network and the calls
-    /// queued before this one.
+    /// From the adviser's answer until the starts are ordered.
+    duration answer_delay{std::chrono::milliseconds{50}};
+    /// Added to the adviser's processing time to get the call timeout; covers the network.
     duration call_margin{std::chrono::milliseconds{1000}};
+    /// Each time after this many turns, the step is next that has waited longest, whatever its rank.
+    std::uint64_t turns_by_rank{3};
   };
   /// One incarnation of a worker, from its start to its next restart.
   struct candidate {
@@ -68,46 +80,127 @@
 
   explicit ticket_book(options opts) : opts_{opts} {}
 
-  /// Returns a valid ticket to start tasks of the step on the worker, or nothing if there is none.
-  [[nodiscard]] std::optional<std::string> ticket(const step_ref& step, const candidate& on,
-                                                  instant now) const;
-  /// Returns a call about those of `candidates` (in order of preference) that have no valid answer yet, or
-  /// nothing if no call is needed or allowed now. `workers_needed` is the number of workers that the step
-  /// needs now.
-  [[nodiscard]] std::optional<advice_request> ask(const step_ref& step, const adviser_config& adviser,
-                                                  const std::vector<candidate>& candidates,
-                                                  std::size_t workers_needed, instant now);
-  /// Stores the adviser's answer; `granted` has no value if the call failed.
-  void answered(const step_ref& step, const std::optional<std::vector<granted_ticket>>& granted, instant now);
+  [[nodiscard]] permission permission_for(const step_ref& step, const candidate& on) const;
+  /// Whether there is a ticket that a start on the worker may use now.
+  [[nodiscard]] bool has_ticket(const step_ref& step, const candidate& on, instant now) const;
+  /// The latest ticket for the worker, which may have expired; empty if there is none.
+  [[nodiscard]] std::string latest_ticket(const step_ref& step, const candidate& on) const;
+
+  /// How long the adviser takes for a round about that many workers.
+  [[nodiscard]] duration round_time(const adviser_config& adviser, std::size_t workers) const;
+  /// Whether the tickets of such a round are valid for long enough if they count from the call.
+  [[nodiscard]] bool in_time(const adviser_config& adviser, std::size_t workers) const;
+  /// Whether all tickets of such a round can be valid at the same time, if they count from the answer.
+  [[nodiscard]] bool can_be_valid_together(const adviser_config& adviser, std::size_t workers) const;
+  /// Number of workers for one call when the step needs `needed` of which it is not known whether they are
+  /// allowed: more, because some may be refused. Their tickets still come in time, unless it is more
+  /// important to learn which workers are allowed.
+  [[nodiscard]] std::size_t call_size(const adviser_config& adviser, std::size_t needed,
+                                      bool learn_first) const;
+  /// The same for workers that are known to be allowed, of which the step can use `useful`.
+  [[nodiscard]] std::size_t useful_call_size(const adviser_config& adviser, std::size_t useful) const;
+
+  /// Whether a call may be made now. A call about a step also needs that its pause is over.
+  [[nodiscard]] bool may_call(instant now) const { return !round_ && now >= not_before_; }
+  [[nodiscard]] bool is_paused(const step_ref& step, instant now) const;
+  /// A step that needs advice. Lower ranks are more urgent.
+  struct want {
+    step_ref step;
+    int rank{0};
+    std::size_t number{0};  ///< For the caller.
+  };
+  /// Sorts by whose turn it is: by rank and then by who has waited longest, but now and then only by the
+  /// wait, so that urgent steps cannot keep the others from being asked about.
+  void sort_by_turn(std::vector<want>& wants);
+  /// The step had its turn without a call. Others come before it.
+  void pass_turn(const step_ref& step);
+  /// Begins a round about these workers, at least one, and returns its first call. Only if `may_call`.
+  /// `spare` says that the step needs fewer of them than it asks about; their tickets are used only if they
+  /// come in time for sure.
+  [[nodiscard]] advice_request ask(const step_ref& step, const adviser_config& adviser,
+                                   std::vector<candidate> workers, bool spare, instant now);
+  /// Stores the adviser's answer; `granted` has no value if the call failed. Returns the next call of the
+  /// round, if there is one.
+  [[nodiscard]] std::optional<advice_request> answered(
+      const step_ref& step, const std::optional<std::vector<granted_ticket>>& granted, instant now);
   /// Discards the ticket after a worker refused a start because of it.
-  void ticket_refused(const step_ref& step, const worker_id& worker);
+  void ticket_refused(const step_ref& step, const worker_id& worker, instant now);
+  /// A worker accepted a start of the step.
+  void ticket_accepted(const step_ref& step);
   /// Drops everything about a job.
   void forget(const job_id& job);
 
+  /// Whether a round about the step is open.
+  [[nodiscard]] bool is_asking(const step_ref& step) const { return round_ && round_->step == step; }
+  /// Whether the adviser has refused a worker for the step.
+  [[nodiscard]] bool has_refused(const step_ref& step) const;
+  /// Whether the last call about the step failed.
+  [[nodiscard]] bool call_failed(const step_ref& step) const;
+  struct round_facts {
+    std::size_t workers{0};
+    adviser_config terms;
+  };
+  /// The last round, if workers have refused tickets of two rounds or more in a row.
+  [[nodiscard]] std::optional<round_facts> refused_round(const step_ref& step) const;
+
  private:
   struct verdict {
     incarnation born;
     bool may_run{false};
     std::string ticket;
-    instant valid_until{};
+    instant usable_until{};
+    instant valid_until{};  ///< If the validity counts from the answer.
+    std::uint64_t round{0};
   };
   struct advice_state {
     std::map<worker_id, verdict> workers;
-    std::vector<candidate> asked;  ///< Workers of the open call; empty if no call is open.
-    instant asked_at{};
-    duration validity{};
     instant not_before{};
+    int failed_calls{0};  ///< In a row.
+    /// Rounds in a row of which a worker refused a ticket, and the last of them.
+    int refused_rounds{0};
+    std::uint64_t last_refused_round{0};
+    round_facts last_round;
+  };
+  struct round {
+    step_ref step;
+    adviser_config terms;
+    std::vector<candidate> asked;     ///< In the open call.
+    std::vector<candidate> to_ask;    ///< In the calls after it.
+    std::vector<worker_id> answered;  ///< In the calls before it.
+    instant asked_at{};
+    std::uint64_t number{0};
+    bool spare{false};
   };
+
+  [[nodiscard]] const verdict* find(const step_ref& step, const candidate& on) const;
   /// A quarter of a short validity, so that its tickets can be used at all.
   [[nodiscard]] duration margin_of(duration validity) const {
     return std::min(opts_.validity_margin, validity / 4);
   }
-  [[nodiscard]] std::size_t most_workers_in_time(const adviser_config& adviser) const;
-  [[nodiscard]] bool needs_call(const advice_state& advice, const candidate& about, instant now) const;
+  /// How long tickets may be used after their round whatever their age.
+  [[nodiscard]] duration time_to_use(duration validity) const {
+    return std::min(opts_.validity_margin, validity - margin_of(validity));
+  }
+  [[nodiscard]] std::size_t calls_of(std::size_t workers) const {
+    return (workers + opts_.max_workers_per_call - 1) / opts_.max_workers_per_call;
+  }
+  /// Of one call, if its tickets have to be valid for `left` after the answer; 0 if they never are.
+  [[nodiscard]] std::size_t most_workers(const adviser_config& adviser, duration left) const;
+  /// A call about so many workers takes no longer than twice the adviser's time for a call.
+  [[nodiscard]] std::size_t efficient_call_size(const adviser_config& adviser) const;
+  /// The next call of the open round.
+  [[nodiscard]] advice_request next_call(instant now);
+  void finish_round(instant now);
 
   options opts_;
   std::map<step_ref, advice_state> steps_;
-  std::size_t open_calls_{0};
+  std::optional<round> round_;
+  std::uint64_t rounds_{0};
+  int failed_calls_{0};  ///< In a row, of all steps.
+  instant not_before_{};
+  /// Steps that need advice, by when they last had a turn.
+  std::map<step_ref, std::uint64_t> waiting_;
+  std::uint64_t turns_{0};
 };
 
 }  // namespace rhubarbpath
--- a/src/coordination/job_scheduler/job_scheduler_held_space.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_held_space.cpp
@@ -80,6 +80,7 @@
                                                                                   instant now) {
   const auto kept = previous_plans.find(&waiting);
   if (kept != previous_plans.end() && now - kept->second.planned_at < plan_lifetime) {
+    kept->second.held = false;
     return std::move(kept->second);
   }
   kept_plan plan{.where = {}, .planned_at = now};
@@ -91,7 +92,9 @@
   const free_space_index::request wanted{.each = occupied(step),
                                          .members = static_cast<std::uint32_t>(waiting.members.size()),
                                          .order = order_for(job, waiting, now)};
-  const auto allowed = [&](worker_slot at) { return allowance_on(space->at(at), job, waiting); };
+  const auto allowed = [&](worker_slot at) {
+    return allowance_on(space->at(at), job, waiting, advice_level::allowed);
+  };
   const auto planned = prefers_rack(step) ? space->index.plan_in_rack(wanted, step.data_rack, allowed)
                                           : space->index.plan(wanted, allowed);
   for (const auto at : planned.where) {
@@ -160,11 +163,30 @@
   const auto released = std::exchange(held_back, {});
   held_back_total = {};
   unplaceable.clear();
+  for (auto& [waiting, plan] : plans) {
+    plan.held = false;
+  }
   for (const auto& [worker, amounts] : released) {
     refresh_space(workers.at(worker->entry.id));
   }
 }
 
+void job_scheduler::implementation::set_held(kept_plan& plan, const resource_amounts& need, bool held) {
+  if (std::exchange(plan.held, held) == held) {
+    return;
+  }
+  for (auto* worker : plan.where) {
+    if (held) {
+      held_back[worker] += need;
+      held_back_total += need;
+    } else {
+      held_back[worker] -= need;
+      held_back_total -= need;
+    }
+    refresh_space(*worker);
+  }
+}
+
 /// Holds back space for a gang that does not fit now, so that work behind it in the order cannot use it.
 /// Without this, small units take space as it becomes free, and large gangs starve.
 void job_scheduler::implementation::hold_back_space(const job_state& job, const unit& waiting, instant now) {
@@ -173,12 +195,8 @@
            .covers(needed_by_all(need, waiting.members.size()))) {
     return;
   }
-  const auto& plan = plans[&waiting] = plan_gang(job, waiting, now);
-  for (auto* worker : plan.where) {
-    held_back[worker] += need;
-    held_back_total += need;
-    refresh_space(*worker);
-  }
+  auto& plan = plans[&waiting] = plan_gang(job, waiting, now);
+  set_held(plan, need, true);
 }
 
 }  // namespace rhubarbpath
--- a/src/coordination/job_scheduler/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler/job_scheduler_impl.hpp
@@ -522,6 +522,12 @@
     instant objective{};
   };
   using placement = std::vector<detail::worker_state*>;
+  /// What the adviser must have said about a worker for a placement, on queues that have an adviser.
+  enum class advice_level {
+    not_refused,  ///< The placement needs an answer first.
+    allowed,      ///< The placement needs new tickets first.
+    has_ticket    ///< The placement may start now.
+  };
   /// Number of occurrences that are due.
   [[nodiscard]] std::uint64_t due_count(const job_graph& graph, instant now) const;
   [[nodiscard]] static bool step_ready(const detail::job_state& job,
@@ -542,19 +548,17 @@
   [[nodiscard]] bool usable(const detail::worker_state& worker, instant now) const;
   /// Number of members of the unit's step that the worker may take, apart from its free space.
   [[nodiscard]] std::uint32_t allowance_on(const detail::worker_state& worker, const detail::job_state& job,
-                                           const detail::unit& unit) const;
+                                           const detail::unit& unit,
+                                           advice_level level = advice_level::has_ticket) const;
   /// Whether the worker has as many starts of the job's team to confirm as it may have.
   [[nodiscard]] static bool starts_enough(const detail::worker_state& worker, const detail::job_state& job);
-  [[nodiscard]] std::string ticket_for(const detail::worker_state& worker, const detail::job_state& job,
-                                       const detail::unit& unit) const;
-  /// Asks the adviser about more workers when a unit does not fit on those with a valid ticket.
-  void ask_adviser(const detail::job_state& job, const detail::unit& unit, instant now);
   [[nodiscard]] detail::service_space* space_for(const detail::job_state& job);
   /// Number of tasks of the unit's step that the worker has or that have reserved space there.
   [[nodiscard]] std::uint32_t tasks_of_step(const detail::worker_state& worker, const detail::job_state& job,
                                             const detail::unit& unit) const;
   /// `spread` allows several racks, or a rack without the data.
-  [[nodiscard]] placement choose_workers(const detail::job_state& job, const detail::unit& unit, bool spread);
+  [[nodiscard]] placement choose_workers(const detail::job_state& job, const detail::unit& unit, bool spread,
+                                         advice_level level = advice_level::has_ticket);
   /// Whether the unit has waited long enough for its preferred rack.
   [[nodiscard]] bool may_spread(const detail::job_state& job, const detail::unit& unit, instant now);
   /// Whether a listed rack could hold the whole unit if all of the rack were free.
@@ -578,6 +582,70 @@
   [[nodiscard]] bool may_add_tasks(const detail::job_state& job, std::size_t count) const;
   void count_tasks(const detail::job_state& job, std::ptrdiff_t change);
 
+  // job_scheduler_advice.cpp
+  /// What to ask the adviser about for a unit. Each worker is in one of the first two lists at most.
+  struct advice_plan {
+    placement needed;    ///< That the unit lacks for a place.
+    placement spare;     ///< In case that others are refused, or for more units of the step.
+    placement reserved;  ///< Where the unit starts with the tickets, one worker for each member; or empty.
+  };
+  /// A unit that could not be placed in this pass, of a queue that has an adviser.
+  struct advice_want {
+    detail::job_state* job{nullptr};
+    detail::unit* waiting{nullptr};
+    int rank{0};
+  };
+  [[nodiscard]] permission permission_on(const detail::worker_state& worker, const detail::job_state& job,
+                                         const detail::unit& unit) const;
+  [[nodiscard]] bool advice_permits(const detail::worker_state& worker, const detail::job_state& job,
+                                    const detail::unit& unit, advice_level level) const;
+  /// The ticket for a start; empty for queues without an adviser.
+  [[nodiscard]] std::string ticket_for(const detail::worker_state& worker, const detail::job_state& job,
+                                       const detail::unit& unit) const;
+  /// Whether each member of a unit that has reserved space may be started, as far as tickets go.
+  [[nodiscard]] bool all_have_tickets(const detail::job_state& job, const detail::unit& unit,
+                                      instant now) const;
+  void want_advice(detail::job_state& job, detail::unit& unit, int rank, instant now);
+  /// Asks the adviser about one of `advice_wants`, at the end of a placement pass.
+  void ask_adviser(instant now);
+  /// Asks for what keeps the unit from being placed. A gang reserves its space while it waits for its
+  /// tickets. Returns false, and sets the unit's `wait`, if there is nothing to ask.
+  bool ask_about(detail::job_state& job, detail::unit& unit, instant now);
+  /// Renews tickets for workers without free space, so that the unit starts at once when there is some.
+  bool ask_ahead(const detail::job_state& job, const detail::unit& unit, instant now);
+  /// Asks for the tickets that a unit with reserved space lacks, because they expired while it waited.
+  void renew_tickets(detail::job_state& job, detail::unit& unit, instant now);
+  void begin_round(const detail::job_state& job, const detail::unit& unit, const advice_plan& plan,
+                   std::string reason, instant now);
+  /// After an answer the units of the step are placed at once, while their tickets are fresh. After a call
+  /// that failed, space is not reserved for long.
+  void end_pauses(const step_ref& step, bool answered, instant now);
+  [[nodiscard]] advice_plan plan_advice(detail::job_state& job, const detail::unit& unit, instant now);
+  /// The tickets for a gang that has space on workers that are known to be allowed.
+  [[nodiscard]] std::optional<advice_plan> plan_gang_tickets(const detail::job_state& job,
+                                                             const detail::unit& unit, instant now);
+  /// Workers for the unit that have free space, in its rack or, if it may, elsewhere.
+  [[nodiscard]] placement find_space(const detail::job_state& job, const detail::unit& unit,
+                                     advice_level level, instant now);
+  /// As few workers for the unit as possible. All are in the rack unless it is empty.
+  [[nodiscard]] placement find_space_on_few(const detail::job_state& job, const detail::unit& unit,
+                                            advice_level level, const rack_id& rack);
+  /// As `find_space`, but on few workers if the tickets for so many would not come in time.
+  [[nodiscard]] placement find_space_in_time(const detail::job_state& job, const detail::unit& unit,
+                                             advice_level level, instant now);
+  /// Adds workers that may suit the unit until there are `count`, those with free space first.
+  void add_candidates(const detail::job_state& job, const detail::unit& unit, permission known,
+                      std::size_t count, placement& chosen, instant now);
+  /// Keeps each worker once, without those that have a ticket that is valid until `until`.
+  [[nodiscard]] placement without_ticket(const detail::job_state& job, const detail::unit& unit,
+                                         const placement& about, instant until) const;
+  /// Which answer the unit waits for; nothing if it waits for none.
+  [[nodiscard]] std::optional<detail::unit_wait> wait_for_advice(const detail::job_state& job,
+                                                                 const detail::unit& unit) const;
+  /// Why the unit has no place, once there is nothing more to ask.
+  [[nodiscard]] detail::unit_wait wait_for_workers(const detail::job_state& job, const detail::unit& unit,
+                                                   instant now);
+
   // job_scheduler_held_space.cpp
   /// Brings the indexes up to date with all workers at the begin of a pass.
   void refresh_spaces(instant now);
@@ -587,9 +655,12 @@
   struct kept_plan {
     placement where;
     instant planned_at{};
+    bool held{false};  ///< In this pass, for a member on each worker of `where`.
   };
   [[nodiscard]] kept_plan plan_gang(const detail::job_state& job, const detail::unit& unit, instant now);
   void hold_back_space(const detail::job_state& job, const detail::unit& unit, instant now);
+  /// Holds back the space of a gang's plan, or offers it to the rest of the pass.
+  void set_held(kept_plan& plan, const resource_amounts& need, bool held);
   /// Offers all space that is held back to the rest of the pass.
   void release_held_back();
   /// Keeps space free for urgent work, which is expected to arrive as it did during the last second. Urgent
@@ -645,6 +716,10 @@
   /// Number of tasks of a lasting step that may be stopped, so that no more are unavailable than it permits.
   [[nodiscard]] static std::uint32_t stoppable_lasting_tasks(const detail::job_state& job,
                                                              std::uint32_t occurrence, std::uint32_t step);
+  /// Finds space for an urgent unit by stopping other units with the least lost work.
+  [[nodiscard]] std::optional<preemption> find_preemption(const detail::job_state& job,
+                                                          const detail::unit& unit, bool spread,
+                                                          advice_level level = advice_level::has_ticket);
   /// Invalidates what is cached for the placement pass about these workers and about urgent work.
   void invalidate_caches(const std::vector<detail::worker_state*>& changed);
   [[nodiscard]] bool preempt(detail::job_state& job, detail::unit& unit, bool spread, instant now);
@@ -694,7 +769,7 @@
   /// Searches for space in vain during this pass, weighed by their cost.
   std::size_t searches{0};
   absl::flat_hash_map<team_id, std::size_t> searches_by_team;
-  instant pass_time{};  ///< When the last placement pass began. Tickets must be valid at this time.
+  instant pass_time{};  ///< When the last placement pass began. Tickets must be usable at this time.
   std::vector<unplaceable_request> unplaceable;
   /// Space that is held back for waiting gangs during one placement pass.
   absl::flat_hash_map<const detail::worker_state*, resource_amounts> held_back;
@@ -703,6 +778,7 @@
   std::deque<urgent_arrival> urgent_arrivals;                 ///< Oldest first.
   absl::flat_hash_map<const detail::unit*, kept_plan> plans;  ///< Of the current pass.
   absl::flat_hash_map<const detail::unit*, kept_plan> previous_plans;
+  std::vector<advice_want> advice_wants;
   /// Computed at most once per pass, because each waiting urgent unit needs all of them.
   absl::node_hash_map<const detail::worker_state*, preemptible_space> space_cache;
   std::optional<std::map<team_id, team_share>> share_cache;
--- a/src/coordination/job_scheduler/job_scheduler_placement.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_placement.cpp
@@ -180,6 +180,7 @@
   refresh_spaces(now);
   space_cache.clear();
   share_cache.reset();
+  advice_wants.clear();
   bool urgent_placed = false;
   for (const auto& each : waiting) {
     if (each.rank > 0 && !std::exchange(urgent_placed, true)) {
@@ -189,6 +190,7 @@
       place_step(each, now);
     }
   }
+  ask_adviser(now);
   if (searches > free_searches) {
     next_placement += pause_per_search * (searches - free_searches);
     next_recheck = std::max(next_recheck, next_placement);
@@ -229,8 +231,8 @@
     }
     if (const auto wait = place(job, each, now)) {
       each.wait = *wait;
-      if (!std::exchange(asked, true)) {
-        ask_adviser(job, each, now);
+      if (job.queue->adviser && !std::exchange(asked, true)) {
+        want_advice(job, each, waiting.rank, now);
       }
       if (job.job.graph.steps[waiting.step].gang) {
         hold_back_space(job, each, now);
@@ -256,36 +258,18 @@
          (!worker.set_aside || (worker.trial && worker.tasks.empty()));
 }
 
-namespace {
-
-/// An idle worker that was started again has not reported since, but its entry tells.
-ticket_book::candidate candidate_of(const worker_state& worker) {
-  return {.worker = worker.entry.id, .born = std::max(worker.born, worker.entry.born)};
-}
-
-step_ref step_ref_of(const job_state& job, const unit& step_unit) {
-  return {.job = job.job.id, .occurrence = step_unit.occurrence, .step = step_unit.step};
-}
-
-}  // namespace
-
 bool job_scheduler::implementation::starts_enough(const worker_state& worker, const job_state& job) {
   const auto found = worker.starting.find(job.job.team);
   return found != worker.starting.end() && found->second >= max_starting;
 }
 
-std::string job_scheduler::implementation::ticket_for(const worker_state& worker, const job_state& job,
-                                                      const unit& placed) const {
-  return tickets.ticket(step_ref_of(job, placed), candidate_of(worker), pass_time).value_or("");
-}
-
 std::uint32_t job_scheduler::implementation::allowance_on(const worker_state& worker, const job_state& job,
-                                                          const unit& placed) const {
+                                                          const unit& placed, advice_level level) const {
   const auto& step = step_of(job, placed);
   // The attempts of a unit are limited, so one that failed before is used for a trial only if it stands.
   const bool no_trial = worker.set_aside && !placed.failed_runs.empty() && !may_risk_trial(job, placed);
   if (starts_enough(worker, job) || !detail::has_required_label(worker, step) || no_trial ||
-      (job.queue->adviser && ticket_for(worker, job, placed).empty())) {
+      !advice_permits(worker, job, placed, level)) {
     return 0;
   }
   if (worker.set_aside) {
@@ -298,48 +282,6 @@
   return step.max_per_worker > present ? step.max_per_worker - present : 0;
 }
 
-void job_scheduler::implementation::ask_adviser(const job_state& job, const unit& waiting, instant now) {
-  if (!job.queue->adviser) {
-    return;
-  }
-  const auto& step = step_of(job, waiting);
-  const auto need = occupied(step);
-  // Workers with free space come first. Full workers are included so that their tickets are available once
-  // space becomes free.
-  std::vector<ticket_book::candidate> with_room;
-  std::vector<ticket_book::candidate> full;
-  const auto* space = space_for(job);
-  if (space == nullptr) {
-    return;
-  }
-  for (const auto* worker : space->workers) {
-    if (worker == nullptr || !usable(*worker, now) || !detail::has_required_label(*worker, step) ||
-        !worker->entry.capacity.covers(need)) {
-      continue;
-    }
-    const auto free = worker->entry.capacity - worker->used - worker->reserved;
-    (free.covers(need) ? with_room : full).push_back(candidate_of(*worker));
-  }
-  with_room.insert(with_room.end(), full.begin(), full.end());
-  if (auto request = tickets.ask(step_ref_of(job, waiting), *job.queue->adviser, with_room,
-                                 waiting.members.size(), now)) {
-    record("advice_asked", job.job.id, "no worker with a valid ticket has free space",
-           {{"step", absl::StrCat(waiting.occurrence, ".", waiting.step)},
-            {"workers", absl::StrCat(request->workers.size())}});
-    actions.emplace_back(*std::move(request));
-  }
-}
-
-void job_scheduler::advice_answered(const step_ref& step,
-                                    const std::optional<std::vector<granted_ticket>>& granted, instant now) {
-  auto& self = *implementation_;
-  self.tickets.answered(step, granted, now);
-  self.placement_due = true;
-  self.record("advice_received", step.job, granted ? "answered" : "call failed",
-              {{"step", absl::StrCat(step.occurrence, ".", step.step)},
-               {"workers", absl::StrCat(granted ? granted->size() : 0)}});
-}
-
 detail::service_space* job_scheduler::implementation::space_for(const job_state& job) {
   const auto found = services.find(job.queue->service);
   return found == services.end() ? nullptr : &found->second;
@@ -366,7 +308,8 @@
 
 job_scheduler::implementation::placement job_scheduler::implementation::choose_workers(const job_state& job,
                                                                                        const unit& placed,
-                                                                                       bool spread) {
+                                                                                       bool spread,
+                                                                                       advice_level level) {
   auto* space = space_for(job);
   if (space == nullptr) {
     return {};
@@ -385,7 +328,7 @@
   }
   bool starts_limited = false;
   const auto allowed = [&](worker_slot at) {
-    const auto allowance = allowance_on(space->at(at), job, placed);
+    const auto allowance = allowance_on(space->at(at), job, placed, level);
     starts_limited = starts_limited || (allowance == 0 && starts_enough(space->at(at), job));
     return allowance;
   };
@@ -634,6 +577,7 @@
 void job_scheduler::implementation::reserve(job_state& job, unit& placed, const placement& where,
                                             instant now) {
   placed.phase = unit_phase::reserved;
+  placed.tickets_renewed = false;
   ++reserved_units;
   placed.reserved_until = now + detail::reservation_timeout;
   const auto need = occupied(step_of(job, placed));
@@ -673,7 +617,7 @@
     const auto need = occupied(step_of(*job, *each));
     placement where;
     bool free = true;
-    bool lost = now > each->reserved_until;
+    bool lost = now > each->reserved_until || job->queue == nullptr;
     absl::flat_hash_map<const worker_state*, resource_amounts> needed;
     for (const auto& one : each->members) {
       if (!usable(*one.worker, now)) {
@@ -688,6 +632,10 @@
       needed[one.worker] += need;
       free = free && (one.worker->entry.capacity - one.worker->used).covers(needed[one.worker]);
     }
+    if (!lost && free && !all_have_tickets(*job, *each, now)) {
+      renew_tickets(*job, *each, now);
+      free = false;
+    }
     if (lost || free) {
       release_reservation(*job, *each);
       each->phase = unit_phase::waiting;
--- a/src/coordination/job_scheduler/job_scheduler_preemption.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_preemption.cpp
@@ -277,12 +277,11 @@
   share_cache.reset();
 }
 
-/// Frees space for an urgent unit by stopping other units with the least lost work. The space stays reserved
-/// until the workers report that the stopped runs have ended.
-bool job_scheduler::implementation::preempt(job_state& job, unit& placed, bool spread, instant now) {
+std::optional<job_scheduler::implementation::preemption> job_scheduler::implementation::find_preemption(
+    const job_state& job, const unit& placed, bool spread, advice_level level) {
   auto* space = space_for(job);
   if (space == nullptr) {
-    return false;
+    return std::nullopt;
   }
   const auto& step = step_of(job, placed);
   const bool in_rack = detail::prefers_rack(step) && !spread;
@@ -299,7 +298,7 @@
   for (const auto& rack : racks) {
     for (const auto at : rack) {
       auto& worker = space->at(at);
-      if (allowance_on(worker, job, placed) > 0) {
+      if (allowance_on(worker, job, placed, level) > 0) {
         spaces.push_back(&preemptible_space_on(worker));
       }
     }
@@ -313,6 +312,15 @@
   }
   if (!best) {
     note_search(job, preemption_cost);
+  }
+  return best;
+}
+
+/// Frees space for an urgent unit. The space stays reserved until the workers report that the stopped runs
+/// have ended.
+bool job_scheduler::implementation::preempt(job_state& job, unit& placed, bool spread, instant now) {
+  const auto best = find_preemption(job, placed, spread);
+  if (!best) {
     return false;
   }
   // The victims may have members on workers outside the plan.
--- a/src/coordination/job_scheduler/job_scheduler_standing.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_standing.cpp
@@ -109,6 +109,9 @@
       const auto& worker = assigned->worker->entry.id;
       switch (each.phase) {
         case unit_phase::reserved:
+          if (const auto wait = wait_for_advice(job, each)) {
+            return *wait;
+          }
           if (assigned->worker->report_wanted) {
             return detail::report_awaited{.worker = worker};
           }
--- a/src/coordination/job_scheduler/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_workers.cpp
@@ -407,15 +407,14 @@
   starting.started_on = worker.born;
   ++starting.attempts;
   ++starting.open_starts;
-  actions.emplace_back(start_order{
-      .worker = worker.entry.id,
-      .address = worker.entry.address,
-      .task = task_of(job, parent, index),
-      .run = starting.run,
-      .payload = job.payload,
-      .checkpoint = parent.checkpoint,
-      .ticket = job.queue != nullptr && job.queue->adviser ? ticket_for(worker, job, parent) : std::string{},
-      .lease_until = lease});
+  actions.emplace_back(start_order{.worker = worker.entry.id,
+                                   .address = worker.entry.address,
+                                   .task = task_of(job, parent, index),
+                                   .run = starting.run,
+                                   .payload = job.payload,
+                                   .checkpoint = parent.checkpoint,
+                                   .ticket = ticket_for(worker, job, parent),
+                                   .lease_until = lease});
 }
 
 bool job_scheduler::start_still_needed(const start_order& order) const {
@@ -507,6 +506,7 @@
   set_phase(job, started, member_phase::running);
   started.confirmed_at = now;
   started.worker->answered_at = order.address;
+  self.tickets.ticket_accepted({.job = job.job.id, .occurrence = parent->occurrence, .step = parent->step});
   job.has_started_task = true;
   job.phase = job.phase == job_phase::queued ? job_phase::running : job.phase;
   if (!started.worker->renewing) {
@@ -547,7 +547,7 @@
   }
   if (refused.why == start_refusal::no_ticket) {
     tickets.ticket_refused({.job = job.job.id, .occurrence = parent.occurrence, .step = parent.step},
-                           worker.entry.id);
+                           worker.entry.id, now);
   } else {
     constexpr duration full_pause{std::chrono::milliseconds{400}};
     constexpr duration unhealthy_pause{std::chrono::milliseconds{2000}};
--- a/src/coordination/job_scheduler/job_units.hpp
+++ b/src/coordination/job_scheduler/job_units.hpp
@@ -69,6 +69,8 @@
   instant reserved_until{};
   /// Reserved space did not become free in time, and it has not started since.
   bool reservation_failed{false};
+  /// The reservation was extended once, to get new tickets.
+  bool tickets_renewed{false};
   instant start_unanswered_at{};        ///< When a start of it was given up without an answer.
   worker_speed::run_track speed_track;  ///< Of the current run.
   bool tracked{false};                  ///< Is in `active_units` of the scheduler.
--- a/src/coordination/job_scheduler/unit_wait.cpp
+++ b/src/coordination/job_scheduler/unit_wait.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+std::int64_t millis(duration value) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
 struct description {
   std::string operator()(const not_considered& /*wait*/) const { return "not considered for placement"; }
   std::string operator()(const starts_are_held& /*wait*/) const { return "all starts are held"; }
@@ -33,6 +37,25 @@
   std::string operator()(const report_awaited& wait) const {
     return absl::StrCat(wait.worker.value(), " has to report before a start");
   }
+  std::string operator()(const no_space_with_ticket& /*wait*/) const {
+    return "no worker for which it has a ticket has space";
+  }
+  std::string operator()(const advice_awaited& /*wait*/) const {
+    return "the adviser has not answered yet on which workers it may run";
+  }
+  std::string operator()(const advice_fails& /*wait*/) const { return "the adviser does not answer"; }
+  std::string operator()(const too_few_allowed_workers& wait) const {
+    return absl::StrCat("the adviser allows ", wait.allowed, " of ", wait.workers,
+                        " workers, too few for it");
+  }
+  std::string operator()(const advice_outlasts_tickets& wait) const {
+    return absl::StrCat("the calls about its ", wait.workers, " workers take ", millis(wait.advice),
+                        " ms, a ticket is valid for ", millis(wait.validity), " ms");
+  }
+  std::string operator()(const tickets_are_refused& wait) const {
+    return absl::StrCat("workers refuse its tickets: a call about ", wait.workers, " workers takes ",
+                        millis(wait.advice), " ms, a ticket is valid for ", millis(wait.validity), " ms");
+  }
   std::string operator()(const start_unconfirmed& wait) const {
     return absl::StrCat("the start on ", wait.worker.value(), " is not confirmed");
   }
--- a/src/coordination/job_scheduler/unit_wait.hpp
+++ b/src/coordination/job_scheduler/unit_wait.hpp
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "rhubarbpath/state/fleet.hpp"
+#include "rhubarbpath/state/units.hpp"
 
 // Why a unit that could run is not running. The scheduler logs it for jobs that stand.
 namespace rhubarbpath::detail {
@@ -39,6 +40,29 @@
 struct report_awaited {
   worker_id worker;
 };
+/// No worker for which it has a ticket has free space. Others may have some.
+struct no_space_with_ticket {};
+/// The adviser has not said yet on which workers it may run, or has not issued its tickets.
+struct advice_awaited {};
+/// Calls to the adviser about it fail.
+struct advice_fails {};
+/// The adviser has refused so many workers that the others cannot hold it.
+struct too_few_allowed_workers {
+  std::size_t allowed{0};
+  std::size_t workers{0};
+};
+/// Tickets for all of its workers cannot be valid at the same time.
+struct advice_outlasts_tickets {
+  std::size_t workers{0};
+  duration advice{};    ///< What the calls about them take.
+  duration validity{};  ///< Of a ticket.
+};
+/// Workers refuse its tickets, although they were just issued.
+struct tickets_are_refused {
+  std::size_t workers{0};
+  duration advice{};
+  duration validity{};
+};
 /// A start was ordered, and the worker has not confirmed it.
 struct start_unconfirmed {
   worker_id worker;
@@ -51,7 +75,8 @@
 using unit_wait =
     std::variant<not_considered, starts_are_held, unknown_queue, recovery_unfinished, run_of_previous_owner,
                  rack_is_full, only_evacuated_workers, no_free_space, team_has_most_tasks, stops_unfinished,
-                 report_awaited, start_unconfirmed, earlier_run_unfinished>;
+                 report_awaited, no_space_with_ticket, advice_awaited, advice_fails, too_few_allowed_workers,
+                 advice_outlasts_tickets, tickets_are_refused, start_unconfirmed, earlier_run_unfinished>;
 
 /// The reason for the log.
 [[nodiscard]] std::string describe(const unit_wait& wait);
--- a/tests/coordination/simulated_fleet.hpp
+++ b/tests/coordination/simulated_fleet.hpp
@@ -227,8 +227,24 @@
   }
 
  protected:
-  std::map<std::string, std::tuple<worker_id, incarnation, instant>> tickets;
-
+  struct issued_ticket {
+    worker_id worker;
+    incarnation born;
+    step_ref step;
+    instant valid_until;
+  };
+  std::map<std::string, issued_ticket> tickets;
+
+  /// The adviser of the job's queue.
+  [[nodiscard]] std::optional<adviser_config> adviser_of(const job_id& job) const {
+    const auto stored = stored_jobs.find(job);
+    for (const auto& queue : configuration->queues) {
+      if (stored != stored_jobs.end() && queue.id == stored->second.queue) {
+        return queue.adviser;
+      }
+    }
+    return std::nullopt;
+  }
   [[nodiscard]] milliseconds clock_of(const worker& each) const {
     const auto uptime = std::chrono::duration_cast<milliseconds>(now - each.clock_started);
     return each.clock_origin +
@@ -513,7 +529,7 @@
     if (spec != nullptr && !(each.entry.capacity - used_on(each)).covers(occupied(*spec))) {
       return start_refused{start_refusal::no_room};
     }
-    if (configuration->queues.front().adviser && !ticket_valid(each, order)) {
+    if (adviser_of(order.task.job) && !ticket_valid(each, order)) {
       ++refused_tickets;
       return start_refused{start_refusal::no_ticket};
     }
@@ -597,9 +613,14 @@
 
   [[nodiscard]] bool ticket_valid(const worker& at, const start_order& order) const {
     const auto found = tickets.find(order.ticket);
-    return found != tickets.end() &&
-           found->second == std::tuple{order.worker, at.entry.born, std::get<2>(found->second)} &&
-           now < std::get<2>(found->second);
+    if (found == tickets.end()) {
+      return false;
+    }
+    const auto& issued = found->second;
+    const step_ref started{
+        .job = order.task.job, .occurrence = order.task.occurrence, .step = order.task.step};
+    return issued.worker == order.worker && issued.born == at.entry.born && issued.step == started &&
+           now < issued.valid_until;
   }
 };
 
--- a/tests/coordination/simulated_workers.hpp
+++ b/tests/coordination/simulated_workers.hpp
@@ -16,6 +16,10 @@
 
 namespace rhubarbpath::testing {
 
+/// From when the adviser counts the validity of a ticket: from the arrival of the call that it answers, from
+/// when it begins to handle that call, or from its answer.
+enum class ticket_age { from_call, from_handling, from_answer };
+
 /// Simulates the network, the store, the adviser and time for a `job_scheduler` that uses the workers of a
 /// `simulated_fleet`.
 class simulated_workers : public simulated_fleet {
@@ -187,6 +191,8 @@
   std::vector<decision_record> standing_jobs;      ///< What the scheduler has logged about jobs that stand.
   std::set<worker_id> workers_allowed_by_adviser;  ///< For queues that have an adviser.
   std::optional<start_order> last_start;
+  ticket_age tickets_age{ticket_age::from_answer};
+  bool adviser_answers{true};  ///< Otherwise connections to it are refused.
   int advice_calls{0};
   std::chrono::nanoseconds scheduler_time{0};  ///< Real time spent in `tick`.
   /// Returns the time of a call of `tick` below which this share of all calls are, in milliseconds.
@@ -558,25 +564,41 @@
     scheduler->workers_stored(now);
     take_actions();
   }
-  /// The adviser handles one call at a time; its response may be lost.
+  /// The adviser handles one call at a time; its response may be lost, or come after the call was given up.
   void perform(const advice_request& request) {
-    const auto& adviser = *configuration->queues.front().adviser;
     ++advice_calls;
-    adviser_free = std::max(adviser_free, now) + adviser.decision +
-                   adviser.per_worker * static_cast<duration::rep>(request.workers.size());
-    const bool lost = random.fraction() < injected_faults.lost_answer;
-    after(adviser_free - now, [this, request, lost, of_term = term, until = adviser_free + adviser.validity] {
+    const auto answer = [this, step = request.step,
+                         of_term = term](const std::optional<std::vector<granted_ticket>>& granted) {
+      if (of_term == term && scheduler != nullptr) {
+        scheduler->advice_answered(step, granted, now);
+        take_actions();
+      }
+    };
+    const auto adviser = adviser_of(request.step.job);
+    if (!adviser_answers || !adviser) {
+      after(milliseconds{2}, [answer] { answer(std::nullopt); });
+      return;
+    }
+    const auto handled_from = std::max(adviser_free, now);
+    adviser_free = handled_from + adviser->decision +
+                   adviser->per_worker * static_cast<duration::rep>(request.workers.size());
+    const auto counted_from = tickets_age == ticket_age::from_call       ? now
+                              : tickets_age == ticket_age::from_handling ? handled_from
+                                                                         : adviser_free;
+    if (adviser_free - now > request.timeout || random.fraction() < injected_faults.lost_answer) {
+      after(request.timeout, [answer] { answer(std::nullopt); });
+      return;
+    }
+    after(adviser_free - now, [this, request, answer, until = counted_from + adviser->validity] {
       std::vector<granted_ticket> granted;
       for (const auto& id : request.workers) {
         if (workers_allowed_by_adviser.contains(id)) {
           granted.push_back({.worker = id, .ticket = "ticket-" + std::to_string(++last_ticket)});
-          tickets[granted.back().ticket] = {id, workers.at(id).entry.born, until};
+          tickets[granted.back().ticket] = {
+              .worker = id, .born = workers.at(id).entry.born, .step = request.step, .valid_until = until};
         }
       }
-      if (of_term == term) {
-        scheduler->advice_answered(request.step, lost ? std::nullopt : std::optional{granted}, now);
-        take_actions();
-      }
+      answer(granted);
     });
   }
   void perform(const owner_superseded& /*news*/) {
