Forget the advice about steps that are done

Callers saw nothing yet: the owner kept the adviser's answers about each step until its job had ended, so its memory grew with each occurrence of a job that repeats, by up to one answer for each worker of the service.

Cause: the ticket book was told of ended jobs only. Now also of a step when its last task is done. The answers of a step are in a hash map. A gauge, rhubarb_advised_steps, shows how many steps have some.

--- a/include/rhubarbpath/coordination/job_scheduler.hpp
+++ b/include/rhubarbpath/coordination/job_scheduler.hpp
@@ -246,6 +246,8 @@
   [[nodiscard]] std::map<queue_id, std::uint64_t> waiting_jobs() const;
   /// Number of workers that are judged slow.
   [[nodiscard]] std::size_t slow_workers() const;
+  /// Number of steps of which the adviser's answers are kept: those that were asked about and are not done.
+  [[nodiscard]] std::size_t advised_steps() const;
   /// Removes and returns the jobs that ended more than `ended_job_retention` ago, so that the caller can
   /// delete their rows.
   [[nodiscard]] std::vector<job_id> take_expired(instant now);
--- a/include/rhubarbpath/coordination/ticket_book.hpp
+++ b/include/rhubarbpath/coordination/ticket_book.hpp
@@ -5,10 +5,10 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <tuple>
 #include <utility>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "rhubarbpath/state/fleet.hpp"
 #include "rhubarbpath/state/ids.hpp"
 #include "rhubarbpath/state/job_graph.hpp"
@@ -127,8 +127,11 @@
   void ticket_refused(const step_ref& step, const worker_id& worker, instant now);
   /// A worker accepted a start of the step.
   void ticket_accepted(const step_ref& step);
-  /// Drops everything about a job.
+  /// Drops everything about a step, or about all steps of a job.
+  void forget(const step_ref& step);
   void forget(const job_id& job);
+  /// Number of steps of which answers are kept.
+  [[nodiscard]] std::size_t known_steps() const { return steps_.size(); }
 
   /// Whether a round about the step is open.
   [[nodiscard]] bool is_asking(const step_ref& step) const { return round_ && round_->step == step; }
@@ -153,7 +156,7 @@
     std::uint64_t round{0};
   };
   struct advice_state {
-    std::map<worker_id, verdict> workers;
+    absl::flat_hash_map<worker_id, verdict> workers;
     instant not_before{};
     int failed_calls{0};  ///< In a row.
     /// Rounds in a row of which a worker refused a ticket, and the last of them.
--- a/src/coordination/job_scheduler/job_scheduler.cpp
+++ b/src/coordination/job_scheduler/job_scheduler.cpp
@@ -244,6 +244,9 @@
     release_reservation(job, done);
   }
   job.units.complete(done);
+  if (job.units.find_occurrence(done.occurrence)->left[done.step] == 0) {
+    tickets.forget(step_ref{.job = job.job.id, .occurrence = done.occurrence, .step = done.step});
+  }
   done.checkpoint.clear();
   track(job, done);
   mark_dirty(job);
@@ -679,6 +682,10 @@
   return implementation_->slow_workers;
 }
 
+std::size_t job_scheduler::advised_steps() const {
+  return implementation_->tickets.known_steps();
+}
+
 std::vector<job_id> job_scheduler::take_expired(instant now) {
   auto& self = *implementation_;
   std::vector<job_id> expired;
--- a/src/coordination/job_scheduler/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler/job_scheduler_impl.hpp
@@ -620,7 +620,7 @@
   /// After an answer the units of the step are placed at once, while their tickets are fresh. After a call
   /// that failed, space is not reserved for long.
   void end_pauses(const step_ref& step, bool answered, instant now);
-  [[nodiscard]] advice_plan plan_advice(detail::job_state& job, const detail::unit& unit, instant now);
+  [[nodiscard]] advice_plan plan_advice(const detail::job_state& job, const detail::unit& unit, instant now);
   /// The tickets for a gang that has space on workers that are known to be allowed.
   [[nodiscard]] std::optional<advice_plan> plan_gang_tickets(const detail::job_state& job,
                                                              const detail::unit& unit, instant now);
--- a/src/coordination/job_scheduler/ticket_book.cpp
+++ b/src/coordination/job_scheduler/ticket_book.cpp
@@ -76,6 +76,14 @@
   }
 }
 
+void ticket_book::forget(const step_ref& step) {
+  steps_.erase(step);
+  waiting_.erase(step);
+  if (is_asking(step)) {
+    round_->to_ask.clear();
+  }
+}
+
 void ticket_book::forget(const job_id& job) {
   const auto erase_from = [&](auto& by_step) {
     const auto begin = by_step.lower_bound({.job = job});
--- a/src/programs/rhubarb-edge/owner_session.cpp
+++ b/src/programs/rhubarb-edge/owner_session.cpp
@@ -346,6 +346,7 @@
   hold_or_resume_starts();
   scheduler_->tick(now);
   deps_.counters.set("rhubarb_slow_workers", {}, static_cast<double>(scheduler_->slow_workers()));
+  deps_.counters.set("rhubarb_advised_steps", {}, static_cast<double>(scheduler_->advised_steps()));
   run_actions();
   erase_expired();
   deps_.counters.set("rhubarb_work_bytes", {}, static_cast<double>(scheduler_->work_bytes()));
--- a/tests/coordination/job_scheduler_advice_test.cpp
+++ b/tests/coordination/job_scheduler_advice_test.cpp
@@ -291,6 +291,21 @@
   CHECK(time_until_running("b", 40, seconds{60}) <= longest_stand);
 }
 
+TEST_CASE_METHOD(advice_fixture, "scheduler_advice_about_steps_that_are_done_is_not_kept") {
+  // Guards against an owner whose memory grows with each occurrence of a job that repeats for years.
+  use_adviser(terms_of(20, 5, 3000));
+  auto job = simulated_workers::job("a", 1, tasks(1, milliseconds{100}));
+  job.graph.occurrences = 20;
+  job.graph.first_due = fleet.wall();
+  job.graph.interval = milliseconds{500};
+  fleet.submit(job);
+  fleet.advance(seconds{9});
+  // One that runs and one that is due.
+  CHECK(fleet.scheduler->advised_steps() <= 2);
+  fleet.advance(seconds{5});
+  CHECK(fleet.phase("a") == job_phase::complete);
+}
+
 // ---- changes ----
 
 TEST_CASE_METHOD(advice_fixture,
