--- a/benchmark/job_scheduler.cpp
+++ b/benchmark/job_scheduler.cpp
@@ -56,13 +56,32 @@
   return static_cast<std::uint32_t>(std::clamp(std::round(drawn), 1.0, 6.0 * mean));
 }
 
-result run(std::size_t workers, double load, std::uint64_t seed) {
+/// What is played.
+struct scenario {
+  std::size_t workers{350};
+  double load{1.6};
+  std::uint64_t seed{0};
+  std::optional<adviser_config> adviser;  ///< Of all queues; it allows two thirds of the workers.
+};
+
+result run(const scenario& played) {
+  const auto& [workers, load, seed, adviser] = played;
   testing::simulated_workers fleet{seed};
   // Arrivals have a random source of their own, so that they do not depend on the scheduler's decisions.
   random_source random{seed + 1};
   fleet.add_workers(workers);
   auto config = testing::simulated_workers::config();
   config->teams.front().guaranteed_accelerators = static_cast<std::int64_t>(workers) * 5;
+  for (auto& queue : config->queues) {
+    queue.adviser = adviser;
+  }
+  constexpr std::size_t one_refused_of = 3;
+  std::size_t number = 0;
+  for (const auto& [id, worker] : fleet.workers) {
+    if (++number % one_refused_of != 0) {
+      fleet.workers_allowed_by_adviser.insert(id);
+    }
+  }
   fleet.configuration = config;
   fleet.begin_term();
   fleet.advance(milliseconds{200});
@@ -139,7 +158,8 @@
   const auto stopped =
       std::count_if(fleet.run_outcomes.begin(), fleet.run_outcomes.end(),
                     [](const auto& outcome) { return outcome.second == run_outcome::stopped; });
-  fmt::print("  {} runs, {} stopped\n", fleet.run_outcomes.size(), stopped);
+  fmt::print("  {} runs, {} stopped; {} calls for advice, {} tickets refused\n", fleet.run_outcomes.size(),
+             stopped, fleet.advice_calls, fleet.refused_tickets);
   return {.workers = workers, .scheduler_seconds = scheduler_seconds};
 }
 
@@ -160,12 +180,25 @@
                                "X", command};
   TCLAP::ValueArg<std::uint64_t> seed{"s", "seed", "First seed", false, 20261204, "N", command};
   TCLAP::ValueArg<std::uint64_t> plays{"p", "plays", "Number of seeds for each size", false, 1, "N", command};
+  TCLAP::ValueArg<int> decision{"",   "decision", "Time of the adviser for a call, in ms", false, 5,
+                                "MS", command};
+  TCLAP::ValueArg<int> per_worker{"",   "per-worker", "Its time for each worker of a call, in ms", false, 1,
+                                  "MS", command};
+  TCLAP::ValueArg<int> validity{"",   "validity", "Lifetime of its tickets in ms; 0 for no adviser", false, 0,
+                                "MS", command};
   command.parse(argc, argv);
+  std::optional<rhubarbpath::adviser_config> adviser;
+  if (validity.getValue() > 0) {
+    adviser = rhubarbpath::adviser_config{.decision = std::chrono::milliseconds{decision.getValue()},
+                                          .per_worker = std::chrono::milliseconds{per_worker.getValue()},
+                                          .validity = std::chrono::milliseconds{validity.getValue()}};
+  }
   const auto chosen = sizes.getValue().empty() ? std::vector<std::size_t>{350} : sizes.getValue();
   std::vector<rhubarbpath::result> results;
   for (const auto workers : chosen) {
     for (std::uint64_t play = 0; play < plays.getValue(); ++play) {
-      results.push_back(rhubarbpath::run(workers, load.getValue(), seed.getValue() + play));
+      results.push_back(rhubarbpath::run(
+          {.workers = workers, .load = load.getValue(), .seed = seed.getValue() + play, .adviser = adviser}));
     }
   }
   if (chosen.size() > 1) {
--- a/src/coordination/job_scheduler/job_scheduler_advice.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_advice.cpp
@@ -24,7 +24,7 @@
 constexpr duration reserved_after_failed_call{std::chrono::milliseconds{400}};
 /// Steps that are considered in a pass for the next call. Bounds the cost of those about which there is
 /// nothing to ask.
-constexpr std::size_t max_plans = 32;
+constexpr std::size_t max_plans = 8;
 
 /// An idle worker that was started again has not reported since, but its entry tells.
 ticket_book::candidate candidate_of(const worker_state& worker) {
@@ -248,7 +248,7 @@
   }
 }
 
-job_scheduler::implementation::advice_plan job_scheduler::implementation::plan_advice(job_state& job,
+job_scheduler::implementation::advice_plan job_scheduler::implementation::plan_advice(const job_state& job,
                                                                                       const unit& waiting,
                                                                                       instant now) {
   const auto& terms = *job.queue->adviser;
@@ -263,7 +263,7 @@
     plan.needed = find_space(job, waiting, advice_level::allowed, now);
     if (!plan.needed.empty()) {
       // Other tasks of the step may start on further workers.
-      const auto tasks = job.units.open_occurrences().at(waiting.occurrence).left[waiting.step];
+      const auto tasks = job.units.find_occurrence(waiting.occurrence)->left[waiting.step];
       add_candidates(job, waiting, permission::allowed, tickets.useful_call_size(terms, tasks), plan.needed,
                      now);
       return plan;
@@ -428,12 +428,7 @@
 
 void job_scheduler::implementation::end_pauses(const step_ref& step, bool answered, instant now) {
   auto* job = find_job(step.job);
-  if (job == nullptr) {
-    return;
-  }
-  auto& occurrences = job->units.open_occurrences();
-  const auto occurrence = occurrences.find(step.occurrence);
-  auto* state = occurrence == occurrences.end() ? nullptr : occurrence->second.find(step.step);
+  auto* state = job == nullptr ? nullptr : job->units.find_step(step.occurrence, step.step);
   if (state == nullptr) {
     return;
   }
