Pause a step whose tickets are never used, and say why

Cause: only a refusal by a worker counted as a round in vain. Tickets that expire before a start is ordered led to the next call at once.

Change: a round for a start whose tickets are not used counts like one whose tickets are refused; after two in a row the step pauses for 0.3 to 2.4 s. With a validity of 0 nothing is asked. The book is told what a round is for (to learn which workers are allowed, or for a start) in place of whether it has spare workers. job_stands: "its tickets expire before its start".

--- a/include/rhubarbpath/coordination/ticket_book.hpp
+++ b/include/rhubarbpath/coordination/ticket_book.hpp
@@ -55,8 +55,8 @@
   struct options {
     std::size_t min_workers_per_call{6};
     std::size_t max_workers_per_call{100};  ///< The adviser's limit.
-    /// Pause of a step after a call that failed, and after workers refused the tickets of two rounds in a
-    /// row. Doubles with each further time in a row.
+    /// Pause of a step after a call that failed, and after two rounds in a row whose tickets led to no start.
+    /// Doubles with each further time in a row.
     duration step_pause{std::chrono::milliseconds{300}};
     duration max_step_pause{std::chrono::milliseconds{2400}};
     /// Pause of all calls after one that failed. Doubles with each further one in a row.
@@ -114,11 +114,15 @@
   void sort_by_turn(std::vector<want>& wants);
   /// The step had its turn without a call. Others come before it.
   void pass_turn(const step_ref& step);
+  /// What a round is for.
+  enum class purpose {
+    learn,         ///< Which workers are allowed. All of them are needed for a start.
+    learn_spares,  ///< The same, about more than needed. Their tickets are used only if they come in time.
+    start          ///< Tickets for a start on workers that are known to be allowed.
+  };
   /// Begins a round about these workers, at least one, and returns its first call. Only if `may_call`.
-  /// `spare` says that the step needs fewer of them than it asks about; their tickets are used only if they
-  /// come in time for sure.
-  [[nodiscard]] advice_request ask(const step_ref& step, const adviser_config& adviser,
-                                   std::vector<candidate> workers, bool spare, instant now);
+  [[nodiscard]] advice_request ask(const step_ref& step, const adviser_config& adviser, purpose why,
+                                   std::vector<candidate> workers, instant now);
   /// Stores the adviser's answer; `granted` has no value if the call failed. Returns the next call of the
   /// round, if there is one.
   [[nodiscard]] std::optional<advice_request> answered(
@@ -126,7 +130,7 @@
   /// Discards the ticket after a worker refused a start because of it.
   void ticket_refused(const step_ref& step, const worker_id& worker, instant now);
   /// A worker accepted a start of the step.
-  void ticket_accepted(const step_ref& step);
+  void start_accepted(const step_ref& step);
   /// Drops everything about a step, or about all steps of a job.
   void forget(const step_ref& step);
   void forget(const job_id& job);
@@ -143,8 +147,8 @@
     std::size_t workers{0};
     adviser_config terms;
   };
-  /// The last round, if workers have refused tickets of two rounds or more in a row.
-  [[nodiscard]] std::optional<round_facts> refused_round(const step_ref& step) const;
+  /// The last round, if the tickets of two rounds or more in a row have led to no start.
+  [[nodiscard]] std::optional<round_facts> wasted_round(const step_ref& step) const;
 
  private:
   struct verdict {
@@ -159,9 +163,10 @@
     absl::flat_hash_map<worker_id, verdict> workers;
     instant not_before{};
     int failed_calls{0};  ///< In a row.
-    /// Rounds in a row of which a worker refused a ticket, and the last of them.
-    int refused_rounds{0};
+    /// Rounds in a row whose tickets led to no start: a worker refused one, or none was used.
+    int wasted_rounds{0};
     std::uint64_t last_refused_round{0};
+    bool start_awaited{false};  ///< There are new tickets for a start, which has not been answered.
     round_facts last_round;
   };
   struct round {
@@ -172,9 +177,11 @@
     std::vector<worker_id> answered;  ///< In the calls before it.
     instant asked_at{};
     std::uint64_t number{0};
-    bool spare{false};
+    purpose why{purpose::learn};
   };
 
+  /// Counts a round in vain, and pauses the step if it is not the first in a row.
+  void note_wasted_round(advice_state& advice, instant now) const;
   [[nodiscard]] const verdict* find(const step_ref& step, const candidate& on) const;
   /// A quarter of a short validity, so that its tickets can be used at all.
   [[nodiscard]] duration margin_of(duration validity) const {
--- a/src/coordination/job_scheduler/job_scheduler_advice.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_advice.cpp
@@ -122,10 +122,10 @@
 std::optional<detail::unit_wait> job_scheduler::implementation::wait_for_advice(const job_state& job,
                                                                                 const unit& waiting) const {
   const auto step = step_ref_of(job, waiting);
-  if (const auto refused = tickets.refused_round(step)) {
-    return detail::tickets_are_refused{.workers = refused->workers,
-                                       .advice = tickets.round_time(refused->terms, refused->workers),
-                                       .validity = refused->terms.validity};
+  if (const auto wasted = tickets.wasted_round(step)) {
+    return detail::tickets_expire_too_soon{.workers = wasted->workers,
+                                           .advice = tickets.round_time(wasted->terms, wasted->workers),
+                                           .validity = wasted->terms.validity};
   }
   if (tickets.is_asking(step)) {
     return detail::advice_awaited{};
@@ -136,9 +136,10 @@
 detail::unit_wait job_scheduler::implementation::wait_for_workers(const job_state& job, const unit& waiting,
                                                                   instant now) {
   const auto& step = step_of(job, waiting);
-  const auto needed = each_once(find_space_in_time(job, waiting, advice_level::allowed, now)).size();
-  if (needed > 0) {
-    const auto& terms = *job.queue->adviser;
+  const auto& terms = *job.queue->adviser;
+  const auto where = each_once(find_space_in_time(job, waiting, advice_level::allowed, now));
+  const auto needed = std::max<std::size_t>(where.size(), 1);
+  if (!tickets.can_be_valid_together(terms, needed)) {
     return detail::advice_outlasts_tickets{
         .workers = needed, .advice = tickets.round_time(terms, needed), .validity = terms.validity};
   }
@@ -222,7 +223,10 @@
     }
   }
   auto renewed = without_ticket(job, waiting, where, now + tickets.round_time(terms, needed));
-  return advice_plan{.needed = std::move(renewed), .spare = {}, .reserved = std::move(where)};
+  return advice_plan{.needed = std::move(renewed),
+                     .spare = {},
+                     .reserved = std::move(where),
+                     .why = ticket_book::purpose::start};
 }
 
 void job_scheduler::implementation::add_candidates(const job_state& job, const unit& waiting,
@@ -248,6 +252,17 @@
   }
 }
 
+job_scheduler::implementation::placement job_scheduler::implementation::workers_to_preempt_on(
+    const job_state& job, const unit& waiting, instant now) {
+  auto found = find_preemption(job, waiting, false, advice_level::allowed);
+  if (!found && prefers_rack(step_of(job, waiting))) {
+    found = find_preemption(job, waiting, true, advice_level::allowed);
+  }
+  auto lacking = found ? without_ticket(job, waiting, found->where, now) : placement{};
+  const bool useful = tickets.can_be_valid_together(*job.queue->adviser, lacking.size());
+  return useful ? lacking : placement{};
+}
+
 job_scheduler::implementation::advice_plan job_scheduler::implementation::plan_advice(const job_state& job,
                                                                                       const unit& waiting,
                                                                                       instant now) {
@@ -259,6 +274,9 @@
     }
   }
   advice_plan plan;
+  if (!tickets.can_be_valid_together(terms, 1)) {
+    return plan;
+  }
   if (!gang) {
     plan.needed = find_space(job, waiting, advice_level::allowed, now);
     if (!plan.needed.empty()) {
@@ -266,34 +284,26 @@
       const auto tasks = job.units.find_occurrence(waiting.occurrence)->left[waiting.step];
       add_candidates(job, waiting, permission::allowed, tickets.useful_call_size(terms, tasks), plan.needed,
                      now);
-      return plan;
     }
   }
   if (plan.needed.empty() && job.queue->priority == 0) {
-    auto found = find_preemption(job, waiting, false, advice_level::allowed);
-    if (!found && prefers_rack(step_of(job, waiting))) {
-      found = find_preemption(job, waiting, true, advice_level::allowed);
-    }
-    if (found) {
-      plan.needed = without_ticket(job, waiting, found->where, now);
-    }
-    if (!plan.needed.empty() && tickets.can_be_valid_together(terms, plan.needed.size())) {
-      return plan;
-    }
-    plan.needed.clear();
+    plan.needed = workers_to_preempt_on(job, waiting, now);
   }
-  if (plan.needed.empty()) {
-    plan.needed = each_once(find_space_in_time(job, waiting, advice_level::not_refused, now));
-    std::erase_if(plan.needed, [&](const worker_state* worker) {
-      return permission_on(*worker, job, waiting) != permission::unknown;
-    });
+  if (!plan.needed.empty()) {
+    plan.why = ticket_book::purpose::start;
+    return plan;
   }
+  plan.needed = each_once(find_space_in_time(job, waiting, advice_level::not_refused, now));
+  std::erase_if(plan.needed, [&](const worker_state* worker) {
+    return permission_on(*worker, job, waiting) != permission::unknown;
+  });
   const auto count =
       tickets.call_size(terms, plan.needed.size(), tickets.has_refused(step_ref_of(job, waiting)));
   plan.needed.resize(std::min(plan.needed.size(), count));
   auto all = plan.needed;
   add_candidates(job, waiting, permission::unknown, count, all, now);
   plan.spare.assign(all.begin() + static_cast<std::ptrdiff_t>(plan.needed.size()), all.end());
+  plan.why = plan.spare.empty() ? ticket_book::purpose::learn : ticket_book::purpose::learn_spares;
   return plan;
 }
 
@@ -374,6 +384,7 @@
     return false;
   }
   advice_plan plan;
+  plan.why = ticket_book::purpose::learn_spares;
   add_candidates(job, waiting, permission::allowed, count, plan.spare, now);
   if (plan.spare.empty()) {
     return false;
@@ -394,7 +405,10 @@
     reserved.reserved_until = std::max(reserved.reserved_until, now + time + detail::reservation_timeout);
   }
   begin_round(job, reserved,
-              {.needed = without_ticket(job, reserved, all, now + time), .spare = {}, .reserved = {}},
+              {.needed = without_ticket(job, reserved, all, now + time),
+               .spare = {},
+               .reserved = {},
+               .why = ticket_book::purpose::start},
               "its tickets have expired before a start", now);
 }
 
@@ -409,8 +423,8 @@
   record("advice_asked", job.job.id, std::move(reason),
          {{"step", absl::StrCat(asked.occurrence, ".", asked.step)},
           {"workers", absl::StrCat(candidates.size())}});
-  actions.emplace_back(tickets.ask(step_ref_of(job, asked), *job.queue->adviser, std::move(candidates),
-                                   !plan.spare.empty(), now));
+  actions.emplace_back(
+      tickets.ask(step_ref_of(job, asked), *job.queue->adviser, plan.why, std::move(candidates), now));
 }
 
 void job_scheduler::advice_answered(const step_ref& step,
--- a/src/coordination/job_scheduler/job_scheduler_impl.hpp
+++ b/src/coordination/job_scheduler/job_scheduler_impl.hpp
@@ -588,6 +588,7 @@
     placement needed;    ///< That the unit lacks for a place.
     placement spare;     ///< In case that others are refused, or for more units of the step.
     placement reserved;  ///< Where the unit starts with the tickets, one worker for each member; or empty.
+    ticket_book::purpose why{ticket_book::purpose::learn};
   };
   /// A unit that could not be placed in this pass, of a queue that has an adviser.
   struct advice_want {
@@ -624,6 +625,9 @@
   /// The tickets for a gang that has space on workers that are known to be allowed.
   [[nodiscard]] std::optional<advice_plan> plan_gang_tickets(const detail::job_state& job,
                                                              const detail::unit& unit, instant now);
+  /// Allowed workers that lack a ticket, on which an urgent unit fits if others are stopped.
+  [[nodiscard]] placement workers_to_preempt_on(const detail::job_state& job, const detail::unit& unit,
+                                                instant now);
   /// Workers for the unit that have free space, in its rack or, if it may, elsewhere.
   [[nodiscard]] placement find_space(const detail::job_state& job, const detail::unit& unit,
                                      advice_level level, instant now);
--- a/src/coordination/job_scheduler/job_scheduler_workers.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_workers.cpp
@@ -506,7 +506,7 @@
   set_phase(job, started, member_phase::running);
   started.confirmed_at = now;
   started.worker->answered_at = order.address;
-  self.tickets.ticket_accepted({.job = job.job.id, .occurrence = parent->occurrence, .step = parent->step});
+  self.tickets.start_accepted({.job = job.job.id, .occurrence = parent->occurrence, .step = parent->step});
   job.has_started_task = true;
   job.phase = job.phase == job_phase::queued ? job_phase::running : job.phase;
   if (!started.worker->renewing) {
--- a/src/coordination/job_scheduler/ticket_book.cpp
+++ b/src/coordination/job_scheduler/ticket_book.cpp
@@ -58,21 +58,28 @@
   }
   found->second.usable_until = instant{};
   found->second.valid_until = instant{};
-  if (found->second.round == state.last_refused_round) {
-    return;
+  if (found->second.round != state.last_refused_round) {
+    state.last_refused_round = found->second.round;
+    note_wasted_round(state, now);
   }
-  state.last_refused_round = found->second.round;
-  ++state.refused_rounds;
-  // A single refusal may be due to a restart of the worker, or to a start that was late.
-  if (state.refused_rounds > 1) {
-    state.not_before = std::max(state.not_before, now + growing_pause(opts_.step_pause, opts_.max_step_pause,
-                                                                      state.refused_rounds - 1));
+}
+
+void ticket_book::note_wasted_round(advice_state& advice, instant now) const {
+  advice.start_awaited = false;
+  ++advice.wasted_rounds;
+  // A single one may be due to a restart of the worker, or to a start that was late.
+  if (advice.wasted_rounds > 1) {
+    advice.not_before =
+        std::max(advice.not_before,
+                 now + growing_pause(opts_.step_pause, opts_.max_step_pause, advice.wasted_rounds - 1));
   }
 }
 
-void ticket_book::ticket_accepted(const step_ref& step) {
+void ticket_book::start_accepted(const step_ref& step) {
   if (const auto advice = steps_.find(step); advice != steps_.end()) {
-    advice->second.refused_rounds = 0;
+    advice->second.wasted_rounds = 0;
+    advice->second.start_awaited = false;
+    advice->second.not_before = instant{};
   }
 }
 
@@ -108,11 +115,10 @@
   return advice != steps_.end() && advice->second.failed_calls > 0;
 }
 
-std::optional<ticket_book::round_facts> ticket_book::refused_round(const step_ref& step) const {
+std::optional<ticket_book::round_facts> ticket_book::wasted_round(const step_ref& step) const {
   const auto advice = steps_.find(step);
-  return advice != steps_.end() && advice->second.refused_rounds > 1
-             ? std::optional{advice->second.last_round}
-             : std::nullopt;
+  return advice != steps_.end() && advice->second.wasted_rounds > 1 ? std::optional{advice->second.last_round}
+                                                                    : std::nullopt;
 }
 
 // ---- terms ----
@@ -190,12 +196,16 @@
 
 // ---- calls ----
 
-advice_request ticket_book::ask(const step_ref& step, const adviser_config& adviser,
-                                std::vector<candidate> workers, bool spare, instant now) {
+advice_request ticket_book::ask(const step_ref& step, const adviser_config& adviser, purpose why,
+                                std::vector<candidate> workers, instant now) {
   waiting_.erase(step);
-  steps_[step].last_round = {.workers = workers.size(), .terms = adviser};
-  round_.emplace(round{
-      .step = step, .terms = adviser, .to_ask = std::move(workers), .number = ++rounds_, .spare = spare});
+  auto& advice = steps_[step];
+  advice.last_round = {.workers = workers.size(), .terms = adviser};
+  if (why == purpose::start && advice.start_awaited) {
+    note_wasted_round(advice, now + round_time(adviser, workers.size()));
+  }
+  round_.emplace(
+      round{.step = step, .terms = adviser, .to_ask = std::move(workers), .number = ++rounds_, .why = why});
   return next_call(now);
 }
 
@@ -263,7 +273,9 @@
 
 void ticket_book::finish_round(instant now) {
   auto& advice = steps_.at(round_->step);
-  const auto until = round_->spare ? instant{} : now + time_to_use(round_->terms.validity);
+  const bool use_at_once = round_->why != purpose::learn_spares;
+  const auto until = use_at_once ? now + time_to_use(round_->terms.validity) : instant{};
+  advice.start_awaited = round_->why == purpose::start;
   for (const auto& worker : round_->answered) {
     auto& known = advice.workers.at(worker);
     known.usable_until = std::max(known.usable_until, std::min(until, known.valid_until));
--- a/src/coordination/job_scheduler/unit_wait.cpp
+++ b/src/coordination/job_scheduler/unit_wait.cpp
@@ -52,8 +52,8 @@
     return absl::StrCat("the calls about its ", wait.workers, " workers take ", millis(wait.advice),
                         " ms, a ticket is valid for ", millis(wait.validity), " ms");
   }
-  std::string operator()(const tickets_are_refused& wait) const {
-    return absl::StrCat("workers refuse its tickets: a call about ", wait.workers, " workers takes ",
+  std::string operator()(const tickets_expire_too_soon& wait) const {
+    return absl::StrCat("its tickets expire before its start: a call about ", wait.workers, " workers takes ",
                         millis(wait.advice), " ms, a ticket is valid for ", millis(wait.validity), " ms");
   }
   std::string operator()(const start_unconfirmed& wait) const {
--- a/src/coordination/job_scheduler/unit_wait.hpp
+++ b/src/coordination/job_scheduler/unit_wait.hpp
@@ -57,8 +57,8 @@
   duration advice{};    ///< What the calls about them take.
   duration validity{};  ///< Of a ticket.
 };
-/// Workers refuse its tickets, although they were just issued.
-struct tickets_are_refused {
+/// Its tickets, although they were just issued, are refused by workers or expire before they can be used.
+struct tickets_expire_too_soon {
   std::size_t workers{0};
   duration advice{};
   duration validity{};
@@ -76,7 +76,7 @@
     std::variant<not_considered, starts_are_held, unknown_queue, recovery_unfinished, run_of_previous_owner,
                  rack_is_full, only_evacuated_workers, no_free_space, team_has_most_tasks, stops_unfinished,
                  report_awaited, no_space_with_ticket, advice_awaited, advice_fails, too_few_allowed_workers,
-                 advice_outlasts_tickets, tickets_are_refused, start_unconfirmed, earlier_run_unfinished>;
+                 advice_outlasts_tickets, tickets_expire_too_soon, start_unconfirmed, earlier_run_unfinished>;
 
 /// The reason for the log.
 [[nodiscard]] std::string describe(const unit_wait& wait);
--- a/tests/coordination/job_scheduler_advice_test.cpp
+++ b/tests/coordination/job_scheduler_advice_test.cpp
@@ -222,7 +222,8 @@
   fleet.advance(seconds{60});
   CHECK(running("a") == 0);
   CHECK(reason_for_standing() ==
-        "workers refuse its tickets: a call about 20 workers takes 600 ms, a ticket is valid for 500 ms");
+        "its tickets expire before its start: a call about 20 workers takes 600 ms, a ticket is valid for "
+        "500 ms");
   // One call of 600 ms after each pause of 2.4 s, and those before the pause has grown that long.
   CHECK(fleet.advice_calls <= 28);
   CHECK(fleet.phase("a") == job_phase::queued);
@@ -231,6 +232,20 @@
   CHECK(time_until_running("a", 20, seconds{30}) <= 2 * longest_stand);
 }
 
+TEST_CASE_METHOD(advice_fixture,
+                 "scheduler_task_with_adviser_whose_tickets_are_never_valid_causes_few_calls") {
+  // Guards against calls without an end for tickets that have expired before any start can be ordered.
+  use_adviser(terms_of(5, 1, GENERATE(0, 1, 3)));
+  fleet.tickets_age = ticket_age::from_call;
+  submit("a", tasks(1));
+  submit("b", gang_of(4), 0);
+  fleet.advance(seconds{60});
+  CHECK(running("a") + running("b") == 0);
+  CHECK(reason_for_standing().find("valid for") != std::string::npos);
+  // For each job one call after each pause of 2.4 s, those before, and those that ask about each worker once.
+  CHECK(fleet.advice_calls <= 2 * (60 * 10 / 24 + 5) + 2 * 48 / 6);
+}
+
 TEST_CASE_METHOD(wide_advice_fixture,
                  "scheduler_gang_with_adviser_that_no_calls_can_cover_is_not_asked_about") {
   use_adviser(terms_of(100, 10, 500));
