--- a/src/coordination/job_scheduler/job_scheduler_advice.cpp
+++ b/src/coordination/job_scheduler/job_scheduler_advice.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "absl/container/flat_hash_set.h"
 #include "absl/strings/str_cat.h"
 #include "job_scheduler_impl.hpp"
 
@@ -17,9 +18,9 @@
 
 namespace {
 
-/// Tickets for workers without free space are renewed only if that takes at most this share of the adviser's
-/// time.
-constexpr duration::rep renewals_ahead_share = 4;
+/// Tickets for workers without free space are renewed only if they are valid for this many times as long as
+/// the call takes, so that it leaves the adviser's time to others.
+constexpr duration::rep min_calls_per_validity = 4;
 /// Space stays reserved for one more call after one that failed, and not while the adviser is away.
 constexpr duration reserved_after_failed_call{std::chrono::milliseconds{400}};
 /// Steps that are considered in a pass for the next call. Bounds the cost of those about which there is
@@ -35,26 +36,19 @@
   return {.job = job.job.id, .occurrence = step_unit.occurrence, .step = step_unit.step};
 }
 
-void add_once(std::vector<worker_state*>& workers, worker_state* added) {
-  if (std::find(workers.begin(), workers.end(), added) == workers.end()) {
-    workers.push_back(added);
-  }
-}
-
 std::vector<worker_state*> each_once(const std::vector<worker_state*>& where) {
   std::vector<worker_state*> workers;
-  for (auto* worker : where) {
-    add_once(workers, worker);
-  }
+  absl::flat_hash_set<const worker_state*> seen;
+  std::copy_if(where.begin(), where.end(), std::back_inserter(workers),
+               [&](const worker_state* worker) { return seen.insert(worker).second; });
   return workers;
 }
 
 std::vector<worker_state*> workers_of(const unit& reserved) {
   std::vector<worker_state*> workers;
-  for (const auto& one : reserved.members) {
-    add_once(workers, one.worker);
-  }
-  return workers;
+  std::transform(reserved.members.begin(), reserved.members.end(), std::back_inserter(workers),
+                 [](const member& one) { return one.worker; });
+  return each_once(workers);
 }
 
 /// How many members of a gang fit into the space.
@@ -245,8 +239,9 @@
       }
       const bool has_space = (worker->entry.capacity - worker->used - worker->reserved).covers(need);
       const bool has_ticket = tickets.has_ticket(step_ref_of(job, waiting), candidate_of(*worker), now);
-      if (has_space == with_space && !has_ticket) {
-        add_once(chosen, worker);
+      const bool is_chosen = std::find(chosen.begin(), chosen.end(), worker) != chosen.end();
+      if (has_space == with_space && !has_ticket && !is_chosen) {
+        chosen.push_back(worker);
       }
     }
   }
@@ -380,7 +375,7 @@
 bool job_scheduler::implementation::ask_ahead(const job_state& job, const unit& waiting, instant now) {
   const auto& terms = *job.queue->adviser;
   const auto count = tickets.call_size(terms, 1, false);
-  if (tickets.round_time(terms, count) * renewals_ahead_share > terms.validity) {
+  if (tickets.round_time(terms, count) * min_calls_per_validity > terms.validity) {
     return false;
   }
   advice_plan plan;
