--- a/tests/coordination/job_scheduler_advice_random_test.cpp
+++ b/tests/coordination/job_scheduler_advice_random_test.cpp
@@ -69,7 +69,10 @@
     const auto decision = static_cast<std::int64_t>(random_.below(400));
     const auto per_worker = static_cast<std::int64_t>(random_.below(50));
     const auto call = decision + per_worker * static_cast<std::int64_t>(width);
-    const auto validity = call + 25 + static_cast<std::int64_t>(random_.below(200) * random_.below(20));
+    // Statements of their own, as the order of two draws in one expression depends on the compiler.
+    const auto unit = random_.below(200);
+    const auto units = random_.below(20);
+    const auto validity = call + 25 + static_cast<std::int64_t>(unit * units);
     auto changed = std::make_shared<fleet_config>(*fleet.configuration);
     for (auto& queue : changed->queues) {
       queue.adviser = adviser_config{.decision = milliseconds{decision},
